--- /dev/null
+++ b/client/registrar.go
@@ -0,0 +1,36 @@
+package client
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/dogwoodladder/dogwoodladder/client/wire"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+)
+
+// Registrar changes the stand-in of the instance list, where no platform
+// keeps the list by itself.
+type Registrar struct {
+	peer *peer
+}
+
+// NewRegistrar returns a registrar for the instance list at address.
+func NewRegistrar(address string, opts ...Option) *Registrar {
+	return &Registrar{peer: newPeer(address, opts)}
+}
+
+// Put lists an instance, or changes its entry.
+func (r *Registrar) Put(ctx context.Context, instance platform.Instance) error {
+	c := call{method: http.MethodPut, path: instancePath(instance.ID), effect: true}
+	return r.peer.json(ctx, c, instance, nil)
+}
+
+// Delete takes an instance off the list.
+func (r *Registrar) Delete(ctx context.Context, id string) error {
+	c := call{method: http.MethodDelete, path: instancePath(id), effect: true}
+	return r.peer.json(ctx, c, nil, nil)
+}
+
+func instancePath(id string) string {
+	return wire.PathInstances + "/" + id
+}
--- /dev/null
+++ b/client/wire/log.go
@@ -0,0 +1,99 @@
+package wire
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+)
+
+const maxElements = 1 << 20
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+// EncodeRecords returns the body of an append.
+func EncodeRecords(records [][]byte) ([]byte, error) {
+	return encoder.Marshal(records)
+}
+
+// DecodeRecords returns the records in an append's body.
+func DecodeRecords(body []byte) ([][]byte, error) {
+	var records [][]byte
+	if err := decoder.Unmarshal(body, &records); err != nil {
+		return nil, fault.Wrap(fault.Invalid, err, "decode records")
+	}
+	return records, nil
+}
+
+// EncodePage returns the body that answers a read.
+func EncodePage(page platform.Page) ([]byte, error) {
+	return encoder.Marshal(page)
+}
+
+// DecodePage returns the page in the answer to a read.
+func DecodePage(body []byte) (platform.Page, error) {
+	var page platform.Page
+	if err := decoder.Unmarshal(body, &page); err != nil {
+		return platform.Page{}, fault.Wrap(fault.Invalid, err, "decode page")
+	}
+	return page, nil
+}
+
+// RefuseExpired answers a read of an offset that is no longer kept. The body
+// is a page with the offsets that are.
+func RefuseExpired(w http.ResponseWriter, page platform.Page) {
+	body, err := EncodePage(platform.Page{Oldest: page.Oldest, Next: page.Next})
+	if err != nil {
+		Refuse(w, fault.Wrap(fault.Internal, err, "encode page"))
+		return
+	}
+	setRefusal(w.Header(), fault.New(fault.Expired, "offset expired"))
+	w.Header().Set("Content-Type", TypeCBOR)
+	w.WriteHeader(fault.Expired.Answer().Status)
+	_, _ = w.Write(body) // the reader may have gone
+}
+
+// ValidStream reports whether name can be a stream: non-empty path segments
+// of letters, digits, dots, dashes and underscores, none of them dots only.
+func ValidStream(name string) bool {
+	if len(name) == 0 || len(name) > 200 {
+		return false
+	}
+	for segment := range strings.SplitSeq(name, "/") {
+		if strings.Trim(segment, ".") == "" || strings.ContainsFunc(segment, notInSegment) {
+			return false
+		}
+	}
+	return true
+}
+
+func notInSegment(r rune) bool {
+	switch {
+	case 'a' <= r && r <= 'z', 'A' <= r && r <= 'Z', '0' <= r && r <= '9':
+		return false
+	default:
+		return !strings.ContainsRune("._-", r)
+	}
+}
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}
--- /dev/null
+++ b/cmd/dogwoodladder/standin.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/client"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+	"github.com/dogwoodladder/dogwoodladder/standin/instancelist"
+	"github.com/dogwoodladder/dogwoodladder/standin/logservice"
+	"github.com/dogwoodladder/dogwoodladder/standin/worker"
+)
+
+type standinCmd struct {
+	Log    logCmd    `cmd:"" help:"Run a log service."`
+	List   listCmd   `cmd:"" help:"Run an instance list."`
+	Worker workerCmd `cmd:"" help:"Run a worker."`
+	Entry  entryCmd  `cmd:"" help:"Put an entry instance on the instance list."`
+}
+
+type logCmd struct {
+	Listen    string        `required:"" placeholder:"IP:PORT" help:"Where to listen."`
+	Rate      int           `default:"500" help:"Appends a second."`
+	Retention time.Duration `default:"1h" help:"How long records are kept."`
+	Records   int           `default:"1000000" help:"How many records of a stream are kept."`
+}
+
+func (c *logCmd) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	return logservice.New(logservice.WithRate(c.Rate), logservice.WithRetention(c.Records, c.Retention)).Serve(ctx, l)
+}
+
+type listCmd struct {
+	Listen string        `required:"" placeholder:"IP:PORT" help:"Where to listen."`
+	Lag    time.Duration `help:"How old the list is that is served."`
+}
+
+func (c *listCmd) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	return instancelist.New(instancelist.WithLag(c.Lag)).Serve(ctx, l)
+}
+
+type workerCmd struct {
+	ID     string  `required:"" help:"Worker ID."`
+	Zone   string  `required:"" help:"Availability zone."`
+	Rack   string  `help:"Rack."`
+	Listen string  `required:"" placeholder:"IP:PORT" help:"Where to listen."`
+	List   string  `placeholder:"IP:PORT" help:"Instance list to register with."`
+	Cores  float64 `default:"64" help:"Processors."`
+	Memory int64   `default:"256000" help:"MiB."`
+	Accel  int64   `default:"0" help:"Accelerators."`
+	Slots  int     `default:"8" help:"Concurrent requests."`
+}
+
+func (c *workerCmd) Run(ctx context.Context) error {
+	const milli = 1000
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	capacity := resource.Vector{Processors: int64(c.Cores * milli), Memory: c.Memory, Accelerators: c.Accel}
+	w := worker.New(c.ID, worker.WithCapacity(capacity), worker.WithSlots(c.Slots))
+	if c.List != "" {
+		if err := register(ctx, c.List, w.Instance(c.Zone, c.Rack, l.Addr().String())); err != nil {
+			return err
+		}
+	}
+	return w.Serve(ctx, l)
+}
+
+// entryCmd lists an entry instance, as the platform would.
+type entryCmd struct {
+	ID      string `required:"" help:"Instance ID."`
+	Zone    string `required:"" help:"Availability zone."`
+	Peer    string `required:"" placeholder:"IP:PORT" help:"Peer listener."`
+	Caller  string `required:"" placeholder:"IP:PORT" help:"Caller listener."`
+	List    string `required:"" placeholder:"IP:PORT" help:"Instance list to register with."`
+	Leaving bool   `help:"List it as leaving."`
+}
+
+func (c *entryCmd) Run(ctx context.Context) error {
+	status := platform.StatusLive
+	if c.Leaving {
+		status = platform.StatusLeaving
+	}
+	return register(ctx, c.List, platform.Instance{
+		ID:               c.ID,
+		Role:             platform.RoleEntry,
+		AvailabilityZone: c.Zone,
+		Address:          c.Peer,
+		Caller:           c.Caller,
+		Status:           status,
+	})
+}
+
+func register(ctx context.Context, list string, instance platform.Instance) error {
+	return client.NewRegistrar(list).Put(ctx, instance)
+}
--- /dev/null
+++ b/controller/holding.go
@@ -0,0 +1,436 @@
+package controller
+
+import (
+	"sort"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/record"
+	"github.com/dogwoodladder/dogwoodladder/rendezvous"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+)
+
+// phase is how far the ownership of a worker has come.
+type phase int
+
+const (
+	unowned   phase = iota // no lease is held
+	acquiring              // a lease was asked for
+	granted                // the lease is held, the Own record isn't read back
+	adopted                // the Own record was read back
+	releasing              // the lease is being released or transferred
+)
+
+// holding is what an instance knows of one worker of its zone.
+type holding struct {
+	id       string
+	address  string
+	rack     string
+	capacity resource.Vector
+	slots    int
+	listed   bool
+	leaving  bool
+
+	phase    phase
+	epoch    uint64
+	recorded uint64    // sequence of the Own record
+	retryAt  time.Time // not to be acquired before
+	extended time.Time // when the newest call that may have extended task leases was sent
+	tasks    map[string]*placement
+	replicas map[string]*placement // by service
+
+	busy  bool // a call is under way
+	queue []Call
+}
+
+// stage is how far a placement has come.
+type stage int
+
+const (
+	starting stage = iota // the worker hasn't confirmed it
+	running
+	stopping
+	ended // the worker keeps a result
+)
+
+// placement is a task on a worker.
+type placement struct {
+	id      string
+	service string // of a replica
+	attempt uint32
+	need    resource.Vector
+	stage   stage
+	spec    platform.TaskSpec
+}
+
+func newHolding(id string) *holding {
+	return &holding{
+		id:       id,
+		tasks:    make(map[string]*placement),
+		replicas: make(map[string]*placement),
+	}
+}
+
+// used returns what the tasks that may be on the worker need together.
+func (h *holding) used() resource.Vector {
+	var sum resource.Vector
+	for _, p := range h.tasks {
+		if p.stage != ended {
+			sum = sum.Add(p.need)
+		}
+	}
+	for _, p := range h.replicas {
+		sum = sum.Add(p.need)
+	}
+	return sum
+}
+
+// list takes a reading of the instance list.
+func (c *Controller) list(now time.Time, instances []platform.Instance) {
+	c.listed = instances
+	c.members.Listed(now, instances)
+	for _, h := range c.holdings {
+		h.listed = false
+	}
+	for _, in := range instances {
+		if in.Role != platform.RoleWorker || in.AvailabilityZone != c.self.AvailabilityZone {
+			continue
+		}
+		h, ok := c.holdings[in.ID]
+		if !ok {
+			h = newHolding(in.ID)
+			c.holdings[in.ID] = h
+		}
+		h.listed = true
+		h.address = in.Address
+		h.rack = in.Rack
+		h.leaving = in.Status == platform.StatusLeaving
+		if h.phase == unowned {
+			h.capacity = in.Capacity
+			h.slots = in.Slots
+		}
+	}
+	c.dirty = true
+	c.forget()
+}
+
+// forget drops workers that are off the list and not held.
+func (c *Controller) forget() {
+	for id, h := range c.holdings {
+		if !h.listed && h.phase == unowned && !h.busy && len(h.tasks) == 0 {
+			delete(c.holdings, id)
+		}
+	}
+}
+
+// sorted returns the holdings by ID.
+func (c *Controller) sorted() []*holding {
+	all := make([]*holding, 0, len(c.holdings))
+	for _, h := range c.holdings {
+		all = append(all, h)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].id < all[j].id })
+	return all
+}
+
+// wanted reports whether this instance should own a worker.
+func (c *Controller) wanted(id string) bool {
+	if c.leaving {
+		return false
+	}
+	owner, ok := rendezvous.Pick(id, c.members.Live(c.self.AvailabilityZone))
+	return ok && owner == c.self.ID
+}
+
+// own acquires the workers that should be owned here and gives up those that
+// should not be.
+func (c *Controller) own(now time.Time) {
+	for _, h := range c.sorted() {
+		want := c.wanted(h.id) && !(h.leaving && len(h.tasks) == 0)
+		switch {
+		case want && h.listed && h.phase == unowned && !h.busy && !now.Before(h.retryAt):
+			h.phase = acquiring
+			c.call(h, Call{Verb: Acquire, Lease: c.book.Acquire()})
+		case !want && (h.phase == granted || h.phase == adopted):
+			c.handOver(h)
+		}
+	}
+}
+
+// renew extends the leases that are due.
+func (c *Controller) renew(now time.Time) {
+	for _, id := range c.book.Due(now) {
+		h, ok := c.holdings[id]
+		if !ok || (h.phase != granted && h.phase != adopted) {
+			continue
+		}
+		request, ok := c.book.Renewal(now, id, c.follow.Tail())
+		if !ok {
+			continue
+		}
+		if request.Tasks > 0 {
+			h.extended = now
+		}
+		c.callFirst(h, Call{Verb: Renew, Epoch: request.Epoch, Lease: request})
+	}
+}
+
+// lapseLeases takes note of leases that ran out.
+func (c *Controller) lapseLeases(now time.Time) {
+	for _, l := range c.book.Tick(now) {
+		if h, ok := c.holdings[l.Worker]; ok && h.epoch == l.Epoch {
+			c.log(Warn, "lease lapsed", "worker", l.Worker, "epoch", l.Epoch)
+			c.giveUp(h)
+		}
+	}
+}
+
+// giveUp forgets a lease. The tasks stay on the book until it is known what
+// became of them.
+func (c *Controller) giveUp(h *holding) {
+	c.book.Drop(h.id)
+	h.phase = unowned
+	h.queue = nil
+	h.replicas = make(map[string]*placement)
+	c.dirty = true
+}
+
+// handOver gives a worker to the instance that should own it.
+func (c *Controller) handOver(h *holding) {
+	if h.busy || len(h.queue) > 0 {
+		return
+	}
+	h.phase = releasing
+	c.dirty = true
+	to, ok := rendezvous.Pick(h.id, c.others())
+	if !ok || h.leaving {
+		c.call(h, Call{Verb: Release, Epoch: h.epoch})
+		return
+	}
+	c.call(h, Call{Verb: Transfer, Epoch: h.epoch, To: to})
+}
+
+// others returns the live instances of the zone but this one.
+func (c *Controller) others() []string {
+	var ids []string
+	for _, id := range c.members.Live(c.self.AvailabilityZone) {
+		if id != c.self.ID {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (c *Controller) handedOver(now time.Time, in HandedOver) {
+	h, ok := c.holdings[in.Worker]
+	if !ok || h.phase != unowned || h.busy || c.leaving {
+		return // acquired after the lease expires
+	}
+	h.phase = acquiring
+	request := c.book.Acquire()
+	request.Epoch = in.Epoch
+	c.call(h, Call{Verb: Renew, Epoch: in.Epoch, Lease: request})
+}
+
+// call queues a call to a worker.
+func (c *Controller) call(h *holding, call Call) {
+	h.queue = append(h.queue, call)
+	c.pump(h)
+}
+
+// callFirst queues a call ahead of the others.
+func (c *Controller) callFirst(h *holding, call Call) {
+	for _, q := range h.queue {
+		if q.Verb == call.Verb {
+			return
+		}
+	}
+	h.queue = append([]Call{call}, h.queue...)
+	c.pump(h)
+}
+
+// pump sends the next call if none is under way. One call at a time per
+// worker means that an answer tells of everything asked before it.
+func (c *Controller) pump(h *holding) {
+	if h.busy || len(h.queue) == 0 {
+		return
+	}
+	next := h.queue[0]
+	h.queue = h.queue[1:]
+	h.busy = true
+	next.Worker = h.id
+	next.Address = h.address
+	c.do(next)
+}
+
+// leased takes the answer to a call about the lease itself.
+func (c *Controller) leased(now time.Time, in Leased) {
+	h, ok := c.holdings[in.Worker]
+	if !ok {
+		return
+	}
+	h.busy = false
+	switch {
+	case in.Verb == Transfer:
+		c.transferred(now, h, in)
+	case in.Err != nil && h.phase == acquiring:
+		c.notAcquired(now, h, in.Err)
+	case in.Err != nil:
+		c.notRenewed(now, h, in.Err)
+	case h.phase == acquiring:
+		c.acquired(now, h, in)
+	case h.phase == granted || h.phase == adopted:
+		c.renewed(now, h, in)
+	}
+	c.pump(h)
+}
+
+func (c *Controller) notAcquired(now time.Time, h *holding, err error) {
+	h.phase = unowned
+	h.retryAt = now.Add(c.timing.Lease / 6)
+	c.log(Debug, "not acquired", "worker", h.id, "error", err.Error())
+}
+
+func (c *Controller) notRenewed(now time.Time, h *holding, err error) {
+	if fault.Is(err, fault.StaleEpoch) {
+		c.book.Refused(h.id, h.epoch)
+		c.log(Warn, "lease lost", "worker", h.id, "epoch", h.epoch)
+		c.giveUp(h)
+		return
+	}
+	c.book.Lost(now, h.id)
+}
+
+// acquired takes a new lease and writes down what the worker held.
+func (c *Controller) acquired(now time.Time, h *holding, in Leased) {
+	if !c.book.Granted(in.Sent, h.id, in.Lease) {
+		h.phase = unowned
+		return
+	}
+	h.phase = granted
+	h.epoch = in.Lease.Epoch
+	h.capacity = in.Lease.Capacity
+	h.slots = in.Lease.Slots
+	c.seeReplicas(h, in.Lease.Tasks)
+	c.see(h, in.Lease.Tasks)
+	c.recordOwn(h, in.Lease.Tasks)
+	c.log(Info, "worker owned", "worker", h.id, "epoch", h.epoch, "tasks", len(in.Lease.Tasks))
+	c.dirty = true
+}
+
+// recordOwn writes the Own record of a holding.
+func (c *Controller) recordOwn(h *holding, tasks []platform.Running) {
+	own := &record.Own{Worker: h.id, Epoch: h.epoch, Capacity: h.capacity, Rack: h.rack}
+	for _, t := range tasks {
+		if t.Kind == platform.KindBatch {
+			own.Held = append(own.Held, record.Attempt{Task: t.ID, Number: t.Attempt})
+		}
+	}
+	sequence, ok := c.add(record.Record{Own: own})
+	if !ok {
+		return
+	}
+	h.recorded = sequence
+}
+
+// ownFolded follows up an Own record that is in force.
+func (c *Controller) ownFolded(now time.Time, r record.Record) {
+	h, ok := c.holdings[r.Own.Worker]
+	if !ok {
+		return
+	}
+	if r.Writer == c.writer() && h.phase == granted && h.epoch == r.Own.Epoch {
+		h.phase = adopted
+		h.extended = now
+		c.book.Confirm(h.id, h.epoch)
+		c.evictMissing(h, heldSet(r.Own))
+		c.dropStale(h)
+		return
+	}
+	if r.Own.Epoch > h.epoch {
+		c.takenByOther(h, r.Own)
+	}
+}
+
+// takenByOther evicts what this instance had on a worker that another one
+// owns now, but for the tasks that moved with it.
+//
+// What goes wrong: tasks placed here are neither moved nor ended on record,
+// and would wait forever. One would notice them escrowed and on no worker.
+// The new epoch fences every call of ours, and the worker held only what the
+// record lists, so the others can't run there.
+func (c *Controller) takenByOther(h *holding, own *record.Own) {
+	if h.phase != unowned {
+		c.giveUp(h)
+	}
+	c.evictMissing(h, heldSet(own))
+	for id := range h.tasks {
+		c.unplace(h, id)
+	}
+}
+
+// evictMissing evicts the tasks placed on a worker that it doesn't hold.
+func (c *Controller) evictMissing(h *holding, held map[record.Attempt]bool) {
+	for _, p := range sortedPlacements(h.tasks) {
+		a := record.Attempt{Task: p.id, Number: p.attempt}
+		if held[a] {
+			continue
+		}
+		c.endAttempt(a, record.Record{Evicted: &record.Evicted{Attempt: a, Worker: h.id, Checkpoint: p.spec.Checkpoint}})
+		c.unplace(h, p.id)
+	}
+}
+
+func heldSet(own *record.Own) map[record.Attempt]bool {
+	held := make(map[record.Attempt]bool, len(own.Held))
+	for _, a := range own.Held {
+		held[a] = true
+	}
+	return held
+}
+
+// settleUnreachable evicts the tasks of a worker that can't be reached, once
+// it must have stopped them.
+//
+// What goes wrong: a worker died, or can't be reached by anyone, and its
+// tasks stay escrowed. One would notice them waiting while other workers are
+// idle. Only this instance extended their leases, and it stopped, so after a
+// task lease and the drift bound they have ended on the worker.
+func (c *Controller) settleUnreachable(now time.Time) {
+	for _, h := range c.sorted() {
+		if h.phase == granted || h.phase == adopted || len(h.tasks) == 0 || h.extended.IsZero() {
+			continue
+		}
+		if now.Sub(h.extended) < c.timing.Task+c.timing.Drift || c.follow.Tail().Before(h.extended.Add(c.timing.Task+c.timing.Drift)) {
+			continue
+		}
+		c.log(Warn, "worker unreachable", "worker", h.id, "tasks", len(h.tasks))
+		c.evictMissing(h, nil)
+	}
+}
+
+func (c *Controller) transferred(now time.Time, h *holding, in Leased) {
+	h.phase = unowned
+	h.retryAt = now.Add(c.timing.Lease)
+	c.book.Drop(h.id)
+	if in.Err != nil {
+		c.log(Warn, "handover failed", "worker", h.id, "error", in.Err.Error())
+		return
+	}
+	to, ok := rendezvous.Pick(h.id, c.others())
+	if ok {
+		c.do(Send{To: to, Message: peer.Handover{Worker: h.id, Epoch: in.Lease.Epoch}})
+	}
+	c.dirty = true
+}
+
+func sortedPlacements(m map[string]*placement) []*placement {
+	all := make([]*placement, 0, len(m))
+	for _, p := range m {
+		all = append(all, p)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].id < all[j].id })
+	return all
+}
--- /dev/null
+++ b/controller/membership.go
@@ -0,0 +1,168 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/lease"
+	"github.com/dogwoodladder/dogwoodladder/member"
+	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/record"
+	"github.com/dogwoodladder/dogwoodladder/route"
+)
+
+func (c *Controller) newMembers() *member.Table {
+	return member.New(
+		member.Self{ID: c.self.ID, AvailabilityZone: c.self.AvailabilityZone, Incarnation: c.self.Incarnation},
+		member.WithHeartbeat(c.timing.Heartbeat),
+		member.WithSuspicion(c.timing.Suspicion),
+	)
+}
+
+func (c *Controller) newBook() *lease.Book {
+	return lease.New(
+		lease.WithHolder(c.self.ID),
+		lease.WithTTL(c.timing.Lease),
+		lease.WithTasks(c.timing.Task),
+		lease.WithDrift(c.timing.Drift),
+		lease.WithIsolation(c.timing.Isolation),
+	)
+}
+
+func (c *Controller) hear(now time.Time, h member.Heartbeat) {
+	if c.members.Heard(now, h) == member.Rejected {
+		return
+	}
+	if h.Revision > c.history.Current().Number && c.once(now, "config") {
+		c.do(Send{To: h.ID, Message: peer.ConfigRequest{Revision: h.Revision}})
+	}
+	c.dirty = true
+}
+
+func (c *Controller) unlink(now time.Time, in Unlinked) {
+	if in.Refused {
+		c.members.Lost(now, in.ID)
+	}
+}
+
+// beat sends heartbeats to the members that are due one, and links with all.
+func (c *Controller) beat(now time.Time) {
+	due := c.members.Due(now, c.history.Current().Number)
+	if len(due) > 0 {
+		h := c.members.Heartbeat(c.self.Address, c.history.Current().Number, digest(c.history.Current()), c.free)
+		for _, id := range due {
+			c.do(Send{To: id, Message: peer.Heartbeat(h)})
+		}
+	}
+	c.link()
+}
+
+// link says whom to hold links with, when that changed.
+func (c *Controller) link() {
+	var peers []peer.Peer
+	for _, m := range c.members.Members() {
+		if m.ID == c.self.ID || m.Address == "" {
+			continue
+		}
+		peers = append(peers, peer.Peer{ID: m.ID, Address: m.Address, AvailabilityZone: m.AvailabilityZone})
+	}
+	if samePeers(peers, c.peers) {
+		return
+	}
+	c.peers = peers
+	c.do(Link{Peers: peers})
+}
+
+func samePeers(a, b []peer.Peer) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// routePeers returns the instances that requests may be forwarded to.
+func (c *Controller) routePeers() []route.Peer {
+	var peers []route.Peer
+	for _, m := range c.members.Members() {
+		if m.ID == c.self.ID || m.State != member.Live || m.Address == "" {
+			continue
+		}
+		peers = append(peers, route.Peer{
+			ID:               m.ID,
+			Address:          m.Address,
+			AvailabilityZone: m.AvailabilityZone,
+			Free:             m.Free,
+			Heard:            m.Heard,
+		})
+	}
+	return peers
+}
+
+// alive reports whether a run of an instance is believed to be in service.
+func (c *Controller) alive(w record.Writer) bool {
+	for _, m := range c.members.Members() {
+		if m.ID != w.ID {
+			continue
+		}
+		if m.State == member.Dead || m.State == member.Left || m.State == member.Unknown {
+			return false
+		}
+		return m.Incarnation == 0 || m.Incarnation == w.Incarnation
+	}
+	return false
+}
+
+// leave starts a planned stop: no new work is taken, and the workers go to
+// the instances that should own them without this one.
+func (c *Controller) leave(now time.Time) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.dirty = true
+	c.members.Leave()
+	c.returnUnstarted()
+	c.tick(now)
+}
+
+// returnUnstarted gives back the escrowed tasks that are on no worker.
+func (c *Controller) returnUnstarted() {
+	if c.State() == nil {
+		return
+	}
+	var ids []string
+	for t := range c.State().Escrow(c.self.ID) {
+		if c.mine(t) && c.placed[t.ID] == nil {
+			ids = append(ids, t.ID)
+		}
+	}
+	if len(ids) > 0 {
+		c.add(record.Record{Return: &record.Return{Tasks: ids}})
+	}
+}
+
+// finishLeaving reports the end of a planned stop once nothing is held and
+// all that was written has been read back.
+func (c *Controller) finishLeaving(now time.Time) {
+	if !c.leaving || c.left || c.out.Waiting() > 0 {
+		return
+	}
+	for _, h := range c.holdings {
+		if h.phase != unowned {
+			return
+		}
+	}
+	if c.State() != nil {
+		for t := range c.State().Escrow(c.self.ID) {
+			if c.mine(t) {
+				return
+			}
+		}
+	}
+	c.left = true
+	c.do(Left{At: now})
+}
--- /dev/null
+++ b/controller/service.go
@@ -0,0 +1,325 @@
+package controller
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/replica"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+	"github.com/dogwoodladder/dogwoodladder/route"
+)
+
+// planKey tells whether the plan of replicas is out of date.
+type planKey struct {
+	revision uint64
+	workers  string
+}
+
+// replicaID returns the task ID of a service's replica on a worker. It names
+// the worker, so that no two workers ever run the same task.
+func replicaID(service, worker string) string {
+	return service + "/" + worker
+}
+
+// replan computes which workers run which replicas, when that may have changed.
+func (c *Controller) replan() {
+	if c.manifest == nil {
+		return
+	}
+	workers, key := c.candidates()
+	if c.plan != nil && key == c.planned {
+		return
+	}
+	var services []replica.Service
+	for _, s := range c.manifest.Services {
+		services = append(services, replica.Service{Name: s.Name, Replicas: s.Replicas, Need: s.Need})
+	}
+	c.plan = replica.New(services, workers)
+	c.planned = key
+	c.dirty = true
+	for name, n := range c.plan.Short() {
+		c.log(Warn, "no room for replicas", "service", name, "missing", n)
+	}
+}
+
+// candidates returns the zone's workers that replicas may be planned on.
+func (c *Controller) candidates() ([]replica.Worker, planKey) {
+	var workers []replica.Worker
+	var b strings.Builder
+	for _, in := range c.listed {
+		if in.Role != platform.RoleWorker || in.AvailabilityZone != c.self.AvailabilityZone || in.Status == platform.StatusLeaving {
+			continue
+		}
+		workers = append(workers, replica.Worker{ID: in.ID, Rack: in.Rack, Capacity: in.Capacity})
+		b.WriteString(in.ID)
+		b.WriteByte('@')
+		b.WriteString(in.Rack)
+		b.WriteString(strconv.FormatInt(in.Capacity.Processors, 36))
+		b.WriteByte(' ')
+	}
+	return workers, planKey{c.history.Current().Number, b.String()}
+}
+
+// placeReplicas starts planned replicas on owned workers and stops others.
+func (c *Controller) placeReplicas(now time.Time) {
+	c.replan()
+	if c.plan == nil {
+		return
+	}
+	for _, h := range c.sorted() {
+		if h.phase != granted && h.phase != adopted {
+			continue
+		}
+		if _, _, ok := c.book.Valid(now, h.id); !ok {
+			continue
+		}
+		c.fitReplicas(h)
+	}
+}
+
+func (c *Controller) fitReplicas(h *holding) {
+	planned := make(map[string]bool)
+	for _, name := range c.plan.Worker(h.id) {
+		planned[name] = !h.leaving
+	}
+	for _, p := range sortedPlacements(h.replicas) {
+		if !planned[p.service] && p.stage == running {
+			p.stage = stopping
+			c.dirty = true
+			c.call(h, Call{Verb: Stop, Epoch: h.epoch, Task: p.id})
+		}
+	}
+	for _, s := range c.manifest.Services {
+		if !planned[s.Name] || h.replicas[s.Name] != nil {
+			continue
+		}
+		if !s.Need.Fits(h.capacity.Sub(h.used())) {
+			c.makeRoom(h, s.Need)
+			continue
+		}
+		c.startReplica(h, s.Name, s.Group, s.Command, s.Need, s.Slots)
+	}
+}
+
+func (c *Controller) startReplica(h *holding, name, group, command string, need resource.Vector, slots int) {
+	spec := platform.TaskSpec{
+		ID:      replicaID(name, h.id),
+		Kind:    platform.KindService,
+		Group:   group,
+		Attempt: 1,
+		Need:    need,
+		Command: command,
+		Slots:   slots,
+	}
+	h.replicas[name] = &placement{id: spec.ID, service: name, attempt: 1, need: need, spec: spec}
+	c.call(h, Call{Verb: Start, Epoch: h.epoch, Spec: spec})
+}
+
+// makeRoom evicts the batch tasks that stand in a planned replica's way, the
+// youngest attempts first.
+func (c *Controller) makeRoom(h *holding, need resource.Vector) {
+	if h.phase != adopted {
+		return
+	}
+	free := h.capacity.Sub(h.used())
+	victims := sortedPlacements(h.tasks)
+	for _, p := range victims {
+		if p.stage == stopping {
+			free = free.Add(p.need)
+		}
+	}
+	for _, p := range victims {
+		if need.Fits(free) {
+			return
+		}
+		if p.stage != running {
+			continue
+		}
+		p.stage = stopping
+		free = free.Add(p.need)
+		c.log(Info, "evict for replica", "worker", h.id, "task", p.id)
+		c.call(h, Call{Verb: Stop, Epoch: h.epoch, Task: p.id, Checkpoint: true})
+	}
+}
+
+// seeReplicas brings the known replicas in line with what the worker holds.
+func (c *Controller) seeReplicas(h *holding, tasks []platform.Running) {
+	held := make(map[string]bool)
+	for _, t := range tasks {
+		name, ok := c.serviceOf(h, t)
+		if !ok {
+			continue
+		}
+		if t.State != platform.TaskRunning {
+			c.call(h, Call{Verb: Acknowledge, Epoch: h.epoch, Tasks: []string{t.ID}})
+			continue
+		}
+		held[name] = true
+		p, ok := h.replicas[name]
+		if !ok {
+			p = &placement{id: t.ID, service: name, attempt: t.Attempt, need: t.Need}
+			h.replicas[name] = p
+		}
+		if p.stage != stopping {
+			p.stage = running
+		}
+	}
+	for name, p := range h.replicas {
+		if !held[name] && p.stage != starting {
+			delete(h.replicas, name)
+			c.dirty = true
+		}
+	}
+}
+
+func (c *Controller) serviceOf(h *holding, t platform.Running) (string, bool) {
+	if t.Kind != platform.KindService {
+		return "", false
+	}
+	return strings.CutSuffix(t.ID, "/"+h.id)
+}
+
+// startedReplica takes the answer to the start of a replica. One that failed
+// is tried again.
+func (c *Controller) startedReplica(h *holding, in Called) {
+	for name, p := range h.replicas {
+		if p.id != in.Task || p.stage != starting {
+			continue
+		}
+		if in.Err != nil {
+			delete(h.replicas, name)
+			continue
+		}
+		p.stage = running
+		c.dirty = true
+	}
+}
+
+// reservedBeside returns what planned replicas need that don't run yet.
+func (c *Controller) reservedBeside(h *holding) resource.Vector {
+	var sum resource.Vector
+	if c.plan == nil {
+		return sum
+	}
+	for _, s := range c.manifest.Services {
+		if h.replicas[s.Name] == nil && slices.Contains(c.plan.Worker(h.id), s.Name) {
+			sum = sum.Add(s.Need)
+		}
+	}
+	return sum
+}
+
+// publish hands traffic a routing table when something in it changed.
+func (c *Controller) publish(now time.Time) {
+	if !c.dirty || c.manifest == nil {
+		return
+	}
+	c.dirty = false
+	t := &route.Table{
+		Instance:         c.self.ID,
+		AvailabilityZone: c.self.AvailabilityZone,
+		Revision:         c.history.Current().Number,
+		Leaving:          c.leaving,
+		Services:         make(map[string]route.Service),
+		Backends:         make(map[string][]route.Backend),
+		Peers:            c.routePeers(),
+	}
+	for _, s := range c.manifest.Services {
+		t.Services[s.Name] = route.Service{
+			Name:       s.Name,
+			Group:      s.Group,
+			Weight:     c.weight(s.Group),
+			Timeout:    s.Timeout,
+			Idempotent: s.Idempotent,
+			Queue:      s.Queue,
+		}
+	}
+	for _, h := range c.sorted() {
+		c.addBackends(now, t, h)
+	}
+	c.table = t
+	c.do(Publish{Table: t})
+}
+
+func (c *Controller) addBackends(now time.Time, t *route.Table, h *holding) {
+	epoch, until, ok := c.book.Valid(now, h.id)
+	if !ok || h.leaving || (h.phase != granted && h.phase != adopted) {
+		return
+	}
+	for _, s := range c.manifest.Services {
+		p := h.replicas[s.Name]
+		if p == nil || p.stage != running {
+			continue
+		}
+		t.Backends[s.Name] = append(t.Backends[s.Name], route.Backend{
+			Worker:           h.id,
+			Address:          h.address,
+			AvailabilityZone: c.self.AvailabilityZone,
+			Epoch:            epoch,
+			Until:            until,
+			Slots:            s.Slots,
+		})
+	}
+}
+
+// weight returns a group's part of shared slots.
+func (c *Controller) weight(group string) float64 {
+	for _, g := range c.manifest.Groups {
+		if g.Name == group {
+			return max(float64(g.Share.In(c.self.AvailabilityZone).Processors), 1)
+		}
+	}
+	return 1
+}
+
+// selectTasks returns the queued tasks to claim for the free room: urgent
+// ones first, then in turn from the group that holds the least of its limit.
+func (c *Controller) selectTasks(now time.Time, room map[string]resource.Vector) []string {
+	return c.chooseFair(now, room)
+}
+
+func isDeclared(task string) bool {
+	return strings.HasPrefix(task, "job/")
+}
+
+// chooseFair is the plain order used until measurements feed package share.
+func (c *Controller) chooseFair(now time.Time, room map[string]resource.Vector) []string {
+	const most = 128
+	free := make(map[string]resource.Vector)
+	var ids []string
+	for _, urgent := range []bool{true, false} {
+		for t := range c.State().Queued() {
+			if len(ids) >= most {
+				return ids
+			}
+			if t.Urgent != urgent || c.claimedLately(now, t.ID) {
+				continue
+			}
+			left, ok := free[t.Group]
+			if !ok {
+				g := c.State().Group(t.Group)
+				left = g.Limit.Sub(g.Used)
+			}
+			free[t.Group] = left
+			if !t.Need.Fits(left) {
+				continue
+			}
+			h := c.choose(room, t.Need)
+			if h == nil {
+				continue
+			}
+			free[t.Group] = left.Sub(t.Need)
+			room[h.id] = room[h.id].Sub(t.Need)
+			ids = append(ids, t.ID)
+		}
+	}
+	return ids
+}
+
+func (c *Controller) claimedLately(now time.Time, id string) bool {
+	at, ok := c.proposed["claim/"+id]
+	return ok && now.Sub(at) < reclaim
+}
--- /dev/null
+++ b/controller/stream.go
@@ -0,0 +1,268 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/follower"
+	"github.com/dogwoodladder/dogwoodladder/record"
+	"github.com/dogwoodladder/dogwoodladder/zone"
+)
+
+const (
+	repropose = 3 * time.Second // before an idempotent proposal is made again
+	submitMax = 200             // tasks in one Submit record
+)
+
+// Next returns the offset to read a stream from.
+func (c *Controller) Next(stream string) uint64 {
+	if stream == ConfigStream {
+		return c.history.Next()
+	}
+	return c.follow.Next()
+}
+
+func (c *Controller) read(now time.Time, in Read) {
+	if in.Stream == ConfigStream {
+		c.readConfig(now, in)
+		return
+	}
+	if in.Err != nil && in.Page.Oldest <= c.follow.Next() {
+		return
+	}
+	applied := c.follow.Feed(now, in.Sent, in.Page)
+	for _, a := range applied {
+		c.folded(now, a)
+	}
+	c.checkFence(now)
+	c.recoverState(now)
+	if len(applied) > 0 && c.follow.Ready() {
+		c.startEscrow(now)
+	}
+	c.flush(now)
+}
+
+// folded follows up one record.
+func (c *Controller) folded(now time.Time, a follower.Applied) {
+	if a.Record.Writer == c.writer() {
+		c.out.Folded(now, a.Record.Sequence)
+		c.answerCommand(now, a)
+	}
+	if a.Outcome.Effect == zone.Void {
+		c.log(Debug, "void", "offset", a.Offset, "reason", a.Outcome.Reason.String(), "writer", a.Record.Writer.ID)
+	}
+	switch {
+	case a.Record.Own != nil && a.Outcome.Effect == zone.Applied:
+		c.ownFolded(now, a.Record)
+	case a.Record.Fence != nil && a.Outcome.Effect == zone.Applied:
+		c.fences[a.Record.Fence.Instance] = now
+		c.log(Info, "fenced", "instance", a.Record.Fence.Instance.ID, "offset", a.Offset)
+	}
+	for _, id := range a.Outcome.Changed {
+		c.changed(id)
+	}
+}
+
+// changed forgets what was reported of earlier attempts at a task.
+func (c *Controller) changed(id string) {
+	t, ok := c.State().Task(id)
+	for a := range c.reported {
+		if a.Task == id && (!ok || a.Number != t.Attempt || t.State != zone.Escrowed) {
+			delete(c.reported, a)
+		}
+	}
+}
+
+func (c *Controller) appended(now time.Time, in Appended) {
+	if in.Stream == ConfigStream {
+		c.config.answered(now, in.Err)
+		return
+	}
+	c.out.Answered(now, in.Err)
+	if in.Err != nil {
+		c.log(Warn, "append failed", "stream", in.Stream, "error", in.Err.Error(), "waiting", c.out.Waiting())
+	}
+}
+
+// add puts a record in line and reports whether it could.
+func (c *Controller) add(r record.Record) (uint64, bool) {
+	sequence, err := c.out.Add(r)
+	if err != nil {
+		c.log(Warn, "record refused", "error", err.Error())
+		return 0, false
+	}
+	return sequence, true
+}
+
+func (c *Controller) flush(now time.Time) {
+	if batch, ok := c.out.Next(now); ok {
+		c.do(Append{Stream: c.stream, Data: batch.Data})
+	}
+	if data, ok := c.config.nextAppend(now); ok {
+		c.do(Append{Stream: ConfigStream, Data: [][]byte{data}})
+	}
+}
+
+// checkFence starts a new run when the others have fenced this one.
+//
+// What goes wrong: this instance was paused or cut off for so long that the
+// others gave it up and took its tasks. All its records are void from then
+// on. One would notice work that is started and never recorded. Under a new
+// incarnation it holds nothing and takes part again.
+func (c *Controller) checkFence(now time.Time) {
+	s := c.State()
+	if s == nil || !s.Fenced(c.writer()) {
+		return
+	}
+	c.log(Warn, "fenced by others", "incarnation", c.self.Incarnation)
+	for _, h := range c.holdings {
+		c.giveUp(h)
+	}
+	c.failCommands()
+	c.begin(max(c.self.Incarnation+1, uint64(now.UnixMilli())))
+	c.list(now, c.listed)
+}
+
+// recoverState writes a recovery snapshot when records expired unread and no
+// snapshot is left.
+func (c *Controller) recoverState(now time.Time) {
+	prior, lost := c.follow.Lost()
+	if !lost || !c.once(now, "recovery") {
+		return
+	}
+	if prior == nil {
+		prior = zone.New(c.self.AvailabilityZone)
+	}
+	prior.SkipTo(c.follow.Next())
+	state, err := prior.Snapshot()
+	if err != nil {
+		c.log(Warn, "snapshot failed", "error", err.Error())
+		return
+	}
+	c.log(Warn, "state lost", "next", c.follow.Next())
+	c.add(record.Record{Snapshot: &record.Snapshot{At: c.follow.Next() - 1, State: state, Recovery: true}})
+}
+
+// propose writes what any instance of the zone may write.
+func (c *Controller) propose(now time.Time) {
+	c.proposeFences(now)
+	c.proposeLapses(now)
+	if !c.proposer() || !c.fresh(now) {
+		return
+	}
+	c.proposeLimits(now)
+	c.proposeJobs(now)
+	c.proposeSnapshot(now)
+}
+
+// proposeFences voids the records of runs that hold something and have been
+// out of service for long.
+func (c *Controller) proposeFences(now time.Time) {
+	for w := range c.State().Owners() {
+		if c.inService(w) {
+			delete(c.missed, w)
+			continue
+		}
+		since, ok := c.missed[w]
+		if !ok {
+			c.missed[w] = now
+			continue
+		}
+		if !c.proposer() || now.Sub(since) < c.timing.Fence || !c.once(now, "fence/"+w.ID) {
+			continue
+		}
+		c.log(Info, "fence", "instance", w.ID, "incarnation", w.Incarnation)
+		c.add(record.Record{Fence: &record.Fence{Instance: w}})
+	}
+}
+
+// inService reports whether a run of an instance needs no fence.
+func (c *Controller) inService(w record.Writer) bool {
+	return w == c.writer() || c.State().Fenced(w) || c.alive(w)
+}
+
+// proposeLapses ends the wait for workers that nobody could take over.
+//
+// What goes wrong: a fenced owner may still reach a worker that nobody else
+// reaches, and go on extending the leases of the tasks there. One would
+// notice the same task running twice after it was queued again. The owner
+// extends them for no longer than the isolation bound after it last read the
+// log, and the last extension ends a task lease later, so after both and the
+// drift bound the worker has stopped the tasks.
+func (c *Controller) proposeLapses(now time.Time) {
+	wait := c.timing.Isolation + c.timing.Task + c.timing.Drift
+	for r := range c.State().Recoveries() {
+		seen, ok := c.fences[r.Instance]
+		if !ok {
+			c.fences[r.Instance] = now
+			continue
+		}
+		if now.Sub(seen) < wait || !c.proposer() {
+			continue
+		}
+		for _, id := range r.Pending {
+			w, _ := c.State().Worker(id)
+			if c.once(now, "lapse/"+id) {
+				c.log(Info, "lapse", "worker", id, "epoch", w.Epoch)
+				c.add(record.Record{Lapse: &record.Lapse{Worker: id, Epoch: w.Epoch}})
+			}
+		}
+	}
+}
+
+func (c *Controller) proposeLimits(now time.Time) {
+	if c.manifest == nil || c.history.Current().Number <= c.State().Revision() || !c.once(now, "limits") {
+		return
+	}
+	c.add(record.Record{Limits: &record.Limits{
+		Revision: c.history.Current().Number,
+		Groups:   c.manifest.Limits(c.self.AvailabilityZone),
+	}})
+}
+
+// proposeJobs queues the tasks of declared jobs and cancels those of jobs
+// that are declared no more.
+func (c *Controller) proposeJobs(now time.Time) {
+	if c.manifest == nil || c.history.Current().Number != c.State().Revision() || !c.once(now, "jobs") {
+		return
+	}
+	declared := make(map[string]bool)
+	var missing []record.Task
+	for _, t := range c.manifest.Tasks(c.self.AvailabilityZone) {
+		declared[t.ID] = true
+		if _, ok := c.State().Task(t.ID); !ok {
+			missing = append(missing, t)
+		}
+	}
+	for len(missing) > 0 {
+		n := min(len(missing), submitMax)
+		c.add(record.Record{Submit: &record.Submit{Tasks: missing[:n]}})
+		missing = missing[n:]
+	}
+	c.cancelUndeclared(declared)
+}
+
+func (c *Controller) proposeSnapshot(now time.Time) {
+	if c.snapshotAt.IsZero() {
+		c.snapshotAt = now
+	}
+	if now.Sub(c.snapshotAt) < c.timing.Snapshot || c.follow.Next() == 0 {
+		return
+	}
+	c.snapshotAt = now
+	state, err := c.State().Snapshot()
+	if err != nil {
+		c.log(Warn, "snapshot failed", "error", err.Error())
+		return
+	}
+	c.add(record.Record{Snapshot: &record.Snapshot{At: c.follow.Next() - 1, State: state}})
+}
+
+// once reports whether a proposal is due: not made yet, or long ago and no
+// longer in line.
+func (c *Controller) once(now time.Time, key string) bool {
+	if at, ok := c.proposed[key]; ok && (now.Sub(at) < repropose || c.out.Waiting() > 0) {
+		return false
+	}
+	c.proposed[key] = now
+	return true
+}
--- /dev/null
+++ b/controller/task.go
@@ -0,0 +1,378 @@
+package controller
+
+import (
+	"sort"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/record"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+	"github.com/dogwoodladder/dogwoodladder/zone"
+)
+
+// reclaim is how long a claim may stay unread before its tasks are claimed
+// again.
+const reclaim = 10 * time.Second
+
+// renewed takes the answer to a renewal, which lists what the worker holds.
+func (c *Controller) renewed(now time.Time, h *holding, in Leased) {
+	if in.Lease.Epoch != h.epoch || !c.book.Granted(in.Sent, h.id, in.Lease) {
+		return
+	}
+	c.dirty = true
+	c.seeReplicas(h, in.Lease.Tasks)
+	gone := c.see(h, in.Lease.Tasks)
+	if h.phase == granted {
+		c.checkOwn(h, in.Lease.Tasks)
+		return
+	}
+	for _, p := range gone {
+		c.vanished(h, p)
+	}
+	c.dropStale(h)
+}
+
+// checkOwn writes the Own record again if it was refused room earlier.
+func (c *Controller) checkOwn(h *holding, tasks []platform.Running) {
+	if h.recorded == 0 {
+		c.recordOwn(h, tasks)
+	}
+}
+
+// see brings the placements in line with what the worker holds, and returns
+// those it doesn't hold.
+func (c *Controller) see(h *holding, tasks []platform.Running) []*placement {
+	held := make(map[string]bool, len(tasks))
+	for _, t := range tasks {
+		if t.Kind != platform.KindBatch {
+			continue
+		}
+		held[t.ID] = true
+		p, ok := h.tasks[t.ID]
+		if !ok || p.attempt != t.Attempt {
+			p = &placement{id: t.ID, attempt: t.Attempt, need: t.Need}
+			h.tasks[t.ID] = p
+		}
+		c.placed[t.ID] = h
+		p.spec.Checkpoint = t.Checkpoint
+		p.stage = stageOf(t.State, p.stage)
+		if h.phase == adopted {
+			c.reportEnd(h, t)
+		}
+	}
+	var gone []*placement
+	for _, p := range sortedPlacements(h.tasks) {
+		if !held[p.id] {
+			gone = append(gone, p)
+		}
+	}
+	return gone
+}
+
+func stageOf(s platform.TaskState, before stage) stage {
+	if s != platform.TaskRunning {
+		return ended
+	}
+	if before == stopping {
+		return stopping
+	}
+	return running
+}
+
+// reportEnd writes down how an attempt ended, once per attempt.
+func (c *Controller) reportEnd(h *holding, t platform.Running) {
+	a := record.Attempt{Task: t.ID, Number: t.Attempt}
+	if t.State == platform.TaskRunning || !c.current(a) {
+		return
+	}
+	switch t.State {
+	case platform.TaskDone:
+		c.endAttempt(a, record.Record{Done: &record.Done{Attempt: a, Worker: h.id, Result: t.Result}})
+	case platform.TaskFailed:
+		c.endAttempt(a, record.Record{Failed: &record.Failed{Attempt: a, Worker: h.id, Reason: t.Reason}})
+	case platform.TaskStopped:
+		c.endAttempt(a, record.Record{Evicted: &record.Evicted{Attempt: a, Worker: h.id, Checkpoint: t.Checkpoint}})
+	}
+}
+
+// endAttempt writes a record that ends an attempt unless one is under way.
+func (c *Controller) endAttempt(a record.Attempt, r record.Record) {
+	if _, ok := c.reported[a]; ok {
+		return
+	}
+	if sequence, ok := c.add(r); ok {
+		c.reported[a] = sequence
+	}
+}
+
+// current reports whether an attempt is the one that this instance's escrow
+// holds on record.
+func (c *Controller) current(a record.Attempt) bool {
+	s := c.State()
+	if s == nil {
+		return false
+	}
+	t, ok := s.Task(a.Task)
+	return ok && c.mine(t) && t.Attempt == a.Number
+}
+
+func (c *Controller) mine(t zone.Task) bool {
+	return t.State == zone.Escrowed && t.Owner == c.self.ID && t.Incarnation == c.self.Incarnation
+}
+
+// dropStale stops what the worker runs of attempts that aren't current, and
+// acknowledges results that are on record.
+//
+// What goes wrong: a task was queued again or cancelled while the worker
+// kept running an old attempt. One would notice two runs of one task. It is
+// stopped here before any task lease on the worker is extended.
+func (c *Controller) dropStale(h *holding) {
+	if h.phase != adopted {
+		return
+	}
+	var acknowledge []string
+	for _, p := range sortedPlacements(h.tasks) {
+		a := record.Attempt{Task: p.id, Number: p.attempt}
+		_, ending := c.reported[a]
+		switch {
+		case p.stage == ended && !ending && !c.current(a):
+			acknowledge = append(acknowledge, p.id)
+		case p.stage == running && (!c.current(a) || c.cancelling(p.id)):
+			p.stage = stopping
+			c.call(h, Call{Verb: Stop, Epoch: h.epoch, Task: p.id})
+		}
+	}
+	if len(acknowledge) > 0 {
+		c.call(h, Call{Verb: Acknowledge, Epoch: h.epoch, Tasks: acknowledge})
+	}
+}
+
+func (c *Controller) cancelling(id string) bool {
+	t, ok := c.State().Task(id)
+	return ok && t.Cancelling
+}
+
+// vanished settles a placement that the worker doesn't hold.
+func (c *Controller) vanished(h *holding, p *placement) {
+	a := record.Attempt{Task: p.id, Number: p.attempt}
+	if !c.current(a) {
+		c.unplace(h, p.id)
+		return
+	}
+	if p.stage == starting {
+		c.call(h, Call{Verb: Start, Epoch: h.epoch, Spec: p.spec}) // repeated: the first answer was lost
+		return
+	}
+	c.endAttempt(a, record.Record{Evicted: &record.Evicted{Attempt: a, Worker: h.id, Checkpoint: p.spec.Checkpoint}})
+}
+
+func (c *Controller) unplace(h *holding, id string) {
+	delete(h.tasks, id)
+	if c.placed[id] == h {
+		delete(c.placed, id)
+	}
+}
+
+// called takes the answer to a call about a task.
+func (c *Controller) called(now time.Time, in Called) {
+	h, ok := c.holdings[in.Worker]
+	if !ok {
+		return
+	}
+	h.busy = false
+	switch {
+	case in.Verb == Release:
+		h.phase = unowned
+		h.retryAt = now.Add(c.timing.Lease)
+		c.book.Drop(h.id)
+	case fault.Is(in.Err, fault.StaleEpoch):
+		c.notRenewed(now, h, in.Err)
+	case in.Verb == Start:
+		c.started(now, h, in)
+	case in.Verb == Acknowledge && in.Err == nil:
+		c.acknowledged(h)
+	}
+	c.pump(h)
+}
+
+func (c *Controller) started(now time.Time, h *holding, in Called) {
+	c.startedReplica(h, in)
+	p, ok := h.tasks[in.Task]
+	if !ok {
+		return
+	}
+	h.extended = now
+	switch {
+	case in.Err == nil:
+		p.stage = running
+	case fault.KindOf(in.Err).Answer().Ran == fault.NotRun && !fault.Is(in.Err, fault.Unavailable):
+		c.log(Info, "start refused", "worker", h.id, "task", in.Task, "error", in.Err.Error())
+		c.unplace(h, in.Task)
+	}
+}
+
+// acknowledged forgets the placements that ended on record.
+func (c *Controller) acknowledged(h *holding) {
+	for _, p := range sortedPlacements(h.tasks) {
+		if p.stage == ended && !c.current(record.Attempt{Task: p.id, Number: p.attempt}) {
+			c.unplace(h, p.id)
+		}
+	}
+}
+
+// startEscrow starts the escrowed tasks that are on no worker yet, and gives
+// back those that no worker here has room for.
+func (c *Controller) startEscrow(now time.Time) {
+	if c.leaving || !c.fresh(now) {
+		return
+	}
+	room := c.room(now)
+	for t := range c.State().Escrow(c.self.ID) {
+		if c.placed[t.ID] != nil || !c.mine(t) {
+			continue
+		}
+		a := record.Attempt{Task: t.ID, Number: t.Attempt}
+		if _, ending := c.reported[a]; ending {
+			continue
+		}
+		if t.Cancelling {
+			c.endAttempt(a, record.Record{Evicted: &record.Evicted{Attempt: a, Checkpoint: t.Checkpoint}})
+			continue
+		}
+		h := c.choose(room, t.Need)
+		if h == nil {
+			c.giveBack(now, t.ID)
+			continue
+		}
+		room[h.id] = room[h.id].Sub(t.Need)
+		c.start(now, h, t)
+	}
+}
+
+func (c *Controller) start(now time.Time, h *holding, t zone.Task) {
+	p := &placement{
+		id:      t.ID,
+		attempt: t.Attempt,
+		need:    t.Need,
+		spec: platform.TaskSpec{
+			ID:         t.ID,
+			Kind:       platform.KindBatch,
+			Group:      t.Group,
+			Attempt:    t.Attempt,
+			Need:       t.Need,
+			Command:    t.Command,
+			Duration:   t.Duration,
+			Checkpoint: t.Checkpoint,
+		},
+	}
+	h.tasks[t.ID] = p
+	h.extended = now
+	c.placed[t.ID] = h
+	delete(c.proposed, "hold/"+t.ID)
+	c.call(h, Call{Verb: Start, Epoch: h.epoch, Spec: p.spec})
+}
+
+// giveBack returns an escrowed task that found no room for a while.
+func (c *Controller) giveBack(now time.Time, id string) {
+	key := "hold/" + id
+	since, ok := c.proposed[key]
+	if !ok {
+		c.proposed[key] = now
+		return
+	}
+	if now.Sub(since) > c.timing.Lease && c.once(now, "return/"+id) {
+		c.add(record.Record{Return: &record.Return{Tasks: []string{id}}})
+	}
+}
+
+// room returns what is free for batch work on each adopted worker: its
+// capacity less the planned replicas and the tasks that may be there.
+func (c *Controller) room(now time.Time) map[string]resource.Vector {
+	room := make(map[string]resource.Vector)
+	for _, h := range c.holdings {
+		if h.phase != adopted || h.leaving {
+			continue
+		}
+		if w, ok := c.State().Worker(h.id); !ok || w.Quarantined {
+			continue
+		}
+		if _, _, ok := c.book.Valid(now, h.id); !ok {
+			continue
+		}
+		room[h.id] = h.capacity.Sub(c.reservedBeside(h)).Sub(h.used())
+	}
+	return room
+}
+
+// choose returns the worker where a task leaves the least room, or nil.
+func (c *Controller) choose(room map[string]resource.Vector, need resource.Vector) *holding {
+	best := ""
+	left := 0.0
+	for id, free := range room {
+		if !need.Fits(free) {
+			continue
+		}
+		rest := free.Sub(need).Dominant(c.holdings[id].capacity)
+		if best == "" || rest < left || (rest == left && id < best) {
+			best = id
+			left = rest
+		}
+	}
+	return c.holdings[best]
+}
+
+// claim asks for queued tasks that fit the free room, in fair order.
+func (c *Controller) claim(now time.Time) {
+	if c.leaving || !c.fresh(now) || c.out.Waiting() > 0 {
+		return
+	}
+	room := c.room(now)
+	c.takeEscrowed(room)
+	ids := c.selectTasks(now, room)
+	if len(ids) == 0 {
+		return
+	}
+	for _, id := range ids {
+		c.proposed["claim/"+id] = now
+	}
+	c.add(record.Record{Claim: &record.Claim{Tasks: ids}})
+}
+
+// takeEscrowed takes the room of escrowed tasks that aren't placed yet.
+func (c *Controller) takeEscrowed(room map[string]resource.Vector) {
+	for t := range c.State().Escrow(c.self.ID) {
+		if c.placed[t.ID] != nil {
+			continue
+		}
+		if h := c.choose(room, t.Need); h != nil {
+			room[h.id] = room[h.id].Sub(t.Need)
+		}
+	}
+}
+
+// sweep forgets proposals that are long past.
+func (c *Controller) sweep(now time.Time) {
+	const keep = time.Minute
+	for key, at := range c.proposed {
+		if now.Sub(at) > keep {
+			delete(c.proposed, key)
+		}
+	}
+}
+
+// cancelUndeclared cancels the tasks of declared jobs that the manifest
+// names no more.
+func (c *Controller) cancelUndeclared(declared map[string]bool) {
+	var gone []string
+	for t := range c.State().Active() {
+		if !t.Cancelling && isDeclared(t.ID) && !declared[t.ID] {
+			gone = append(gone, t.ID)
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	sort.Strings(gone)
+	c.add(record.Record{Cancel: &record.Cancel{Tasks: gone}})
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,251 @@
+// Package daemon assembles one instance: the controller on one goroutine,
+// the gateway's traffic on many, and the adapters between them and the
+// platform, the workers and the other instances.
+//
+// Usage:
+//
+//	d, err := daemon.New(settings, daemon.WithLogger(logger))
+//	err = d.Run(ctx) // until ctx is done and everything was handed over
+//
+// All goroutines live under one tomb: when one of them fails, the process
+// stops with its reason, and never goes on with a part missing.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/dogwoodladder/dogwoodladder/client"
+	"github.com/dogwoodladder/dogwoodladder/controller"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/gateway"
+	"github.com/dogwoodladder/dogwoodladder/member"
+	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/setting"
+)
+
+// Intervals that aren't settings.
+const (
+	tickInterval  = 100 * time.Millisecond
+	listInterval  = time.Second
+	freeInterval  = 500 * time.Millisecond
+	commandLimit  = 5 * time.Second
+	inputBuffer   = 1024
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 32 << 10
+)
+
+// Daemon is one instance. It is run once.
+type Daemon struct {
+	settings setting.Settings
+	logger   *zap.Logger
+	log      platform.Log
+	list     platform.List
+	clients  sync.Map // address to platform.Worker
+	mesh     *peer.Mesh
+	gateway  *gateway.Gateway
+	control  *controller.Controller
+	self     controller.Self
+
+	tomb      tomb.Tomb
+	inputs    chan envelope
+	ready     [2]atomic.Uint64 // next offsets to read
+	answers   sync.Map         // command ID to chan controller.Answer
+	lastID    atomic.Uint64
+	left      chan struct{}
+	leftOnce  sync.Once
+	addrs     Addresses
+	listeners []net.Listener
+	counters  counters
+}
+
+// Addresses are where an instance listens, host:port each.
+type Addresses struct {
+	Caller   string
+	Peer     string
+	Operator string
+}
+
+// envelope is an input, or a function to run on the control goroutine.
+type envelope struct {
+	input controller.Input
+	run   func(*controller.Controller)
+	done  chan struct{}
+}
+
+// Option sets up a Daemon.
+type Option func(*Daemon)
+
+// WithLogger sets where events go; the default drops them.
+func WithLogger(l *zap.Logger) Option {
+	return func(d *Daemon) { d.logger = l }
+}
+
+// New returns a Daemon for the given settings.
+func New(s setting.Settings, opts ...Option) *Daemon {
+	d := &Daemon{
+		settings: s,
+		logger:   zap.NewNop(),
+		inputs:   make(chan envelope, inputBuffer),
+		left:     make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	d.log = client.NewLog(s.Log.String())
+	d.list = client.NewList(s.List.String())
+	d.self = controller.Self{
+		ID:               s.Instance,
+		AvailabilityZone: s.AvailabilityZone,
+		Incarnation:      uint64(time.Now().UnixMilli()),
+		Address:          s.Peer.String(),
+	}
+	return d
+}
+
+// Listen opens the listeners, so that the addresses are known before Run.
+func (d *Daemon) Listen() (Addresses, error) {
+	if d.listeners != nil {
+		return d.addrs, nil
+	}
+	listeners, err := d.listen()
+	if err != nil {
+		return Addresses{}, err
+	}
+	d.listeners = listeners
+	d.self.Address = d.addrs.Peer
+	return d.addrs, nil
+}
+
+// Run serves until ctx is done, then hands everything over and stops.
+func (d *Daemon) Run(ctx context.Context) error {
+	if _, err := d.Listen(); err != nil {
+		return err
+	}
+	d.control = controller.New(d.self, timing(d.settings.Timing))
+	d.gateway = gateway.New(gateway.WithLogger(d.logger))
+	d.mesh = peer.New(peer.WithSelf(member.Self{
+		ID:               d.self.ID,
+		AvailabilityZone: d.self.AvailabilityZone,
+		Incarnation:      d.self.Incarnation,
+	}))
+	d.tomb.Go(func() error {
+		d.tomb.Go(d.runControl)
+		d.tomb.Go(func() error { return d.mesh.Run(d.tomb.Context(context.Background())) })
+		d.tomb.Go(d.receive)
+		d.tomb.Go(func() error { return d.follow(0, controller.ZoneStream(d.self.AvailabilityZone)) })
+		d.tomb.Go(func() error { return d.follow(1, controller.ConfigStream) })
+		d.tomb.Go(d.pollList)
+		d.tomb.Go(d.pollFree)
+		d.serve(d.listeners)
+		return d.stopWhenDone(ctx)
+	})
+	return d.tomb.Wait()
+}
+
+func timing(t setting.Timing) controller.Timing {
+	return controller.Timing{
+		Heartbeat: t.Heartbeat,
+		Suspicion: t.Suspicion,
+		Lease:     t.Lease,
+		Task:      t.Task,
+		Drift:     t.Drift,
+		Isolation: t.Isolation,
+		Append:    t.Append,
+		Snapshot:  t.Snapshot,
+		Fence:     2 * t.Suspicion,
+		Command:   commandLimit,
+	}
+}
+
+// stopWhenDone carries out a planned stop: no new work, workers handed over,
+// requests in flight finished, all within the drain time.
+func (d *Daemon) stopWhenDone(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-d.tomb.Dying():
+		return nil
+	}
+	d.logger.Info("leaving")
+	d.put(controller.Leave{})
+	drain, cancel := context.WithTimeout(context.Background(), d.settings.Timing.Drain)
+	defer cancel()
+	if err := d.gateway.Drain(drain); err != nil {
+		d.logger.Warn("drain cut short", zap.Error(err))
+	}
+	select {
+	case <-d.left:
+		d.logger.Info("left")
+	case <-drain.Done():
+		d.logger.Warn("handover cut short")
+	case <-d.tomb.Dying():
+	}
+	d.tomb.Kill(nil)
+	return nil
+}
+
+// listen opens the three listeners before anything is served.
+func (d *Daemon) listen() ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, a := range []string{d.settings.Caller.String(), d.settings.Peer.String(), d.settings.Operator.String()} {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			for _, open := range listeners {
+				open.Close()
+			}
+			return nil, fault.Wrap(fault.Invalid, err, "listen on %s", a)
+		}
+		listeners = append(listeners, l)
+	}
+	d.addrs = Addresses{
+		Caller:   listeners[0].Addr().String(),
+		Peer:     listeners[1].Addr().String(),
+		Operator: listeners[2].Addr().String(),
+	}
+	return listeners, nil
+}
+
+// serve runs one server per listener, so that a flood of callers can't keep
+// peers or operators out.
+func (d *Daemon) serve(listeners []net.Listener) {
+	handlers := []http.Handler{d.gateway.Callers(), d.peerHandler(), d.operatorHandler()}
+	for i, l := range listeners {
+		server := &http.Server{
+			Handler:           handlers[i],
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeader,
+		}
+		d.tomb.Go(func() error {
+			if err := server.Serve(l); err != http.ErrServerClosed {
+				return err
+			}
+			return nil
+		})
+		d.tomb.Go(func() error {
+			<-d.tomb.Dying()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			if err := server.Shutdown(ctx); err != nil {
+				return server.Close()
+			}
+			return nil
+		})
+	}
+}
+
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, d.mesh)
+	mux.Handle("/", d.gateway.Forwards())
+	return mux
+}
--- /dev/null
+++ b/document/problem.go
@@ -0,0 +1,45 @@
+package document
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Place is where something stands in a file. Lines and columns start at 1.
+type Place struct {
+	File   string
+	Line   int
+	Column int
+}
+
+// Problem is one fault of a file and where it stands.
+type Problem struct {
+	Place
+	Reason string
+}
+
+// String returns p as file:line:column: reason.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s", p.File, p.Line, p.Column, p.Reason)
+}
+
+// Problems is the error for a file that is refused, sorted by place.
+type Problems []Problem
+
+// Error returns the problems, one a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Sort orders the problems by place.
+func (p Problems) Sort() {
+	slices.SortStableFunc(p, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+}
--- /dev/null
+++ b/gateway/publish.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dogwoodladder/dogwoodladder/balancer"
+	"github.com/dogwoodladder/dogwoodladder/budget"
+	"github.com/dogwoodladder/dogwoodladder/route"
+)
+
+// Publish makes t the table for requests from now on. The table must not be
+// changed afterwards.
+func (g *Gateway) Publish(t *route.Table) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.updateBalancers(now, t)
+	g.updateGate(now, t)
+	g.updateBudgets(t)
+	g.pruneConduits(t)
+	g.pruneLoads(t)
+	g.table.Store(t)
+}
+
+func (g *Gateway) updateBalancers(now time.Time, t *route.Table) {
+	for service, backends := range t.Backends {
+		b, ok := g.balancers[service]
+		if !ok {
+			b = balancer.New(g.seed ^ xxhash.Sum64String(service))
+			g.balancers[service] = b
+		}
+		b.Update(now, backends)
+	}
+	for service := range g.balancers {
+		if _, ok := t.Backends[service]; !ok {
+			delete(g.balancers, service)
+		}
+	}
+}
+
+func (g *Gateway) updateGate(now time.Time, t *route.Table) {
+	slots := make(map[string]int, len(t.Services))
+	total := 0
+	for service, b := range g.balancers {
+		slots[service] = b.Slots(now)
+		total += slots[service]
+	}
+	g.gate.Update(t.Services, total)
+	for service := range t.Services {
+		g.gate.Capacity(service, slots[service])
+	}
+	g.wake(g.gate.Admit(now))
+	g.armExpiry(now)
+}
+
+func (g *Gateway) updateBudgets(t *route.Table) {
+	for service := range t.Services {
+		if _, ok := g.budgets[service]; !ok {
+			g.budgets[service] = budget.New()
+		}
+	}
+	for service := range g.budgets {
+		if _, ok := t.Services[service]; !ok {
+			delete(g.budgets, service)
+			delete(g.latencies, service)
+		}
+	}
+}
+
+// pruneConduits drops the connections to servers that t doesn't name.
+// Requests in flight on them finish.
+func (g *Gateway) pruneConduits(t *route.Table) {
+	named := make(map[string]bool)
+	for _, backends := range t.Backends {
+		for _, backend := range backends {
+			named[backend.Address] = true
+		}
+	}
+	for _, peer := range t.Peers {
+		named[peer.Address] = true
+	}
+	for address, c := range g.conduits {
+		if named[address] {
+			continue
+		}
+		delete(g.conduits, address)
+		c.Renew()
+	}
+}
--- /dev/null
+++ b/manifest/place.go
@@ -0,0 +1,155 @@
+package manifest
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dogwoodladder/dogwoodladder/document"
+	"github.com/dogwoodladder/dogwoodladder/record"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+)
+
+// limitsByZone is what batch tasks may hold, by zone and group.
+type limitsByZone map[string]map[string]resource.Vector
+
+// Limits returns what the batch tasks of each group may hold in the zone: the
+// group's share of the zone less its services there. It returns nil for a
+// zone that isn't declared.
+func (m *Manifest) Limits(zone string) map[string]resource.Vector {
+	z := m.zone(zone)
+	if z == nil {
+		return nil
+	}
+	limits := make(map[string]resource.Vector, len(m.Groups))
+	for _, g := range m.Groups {
+		limits[g.Name] = g.Share.In(zone).Of(z.Capacity)
+	}
+	for _, s := range m.Services {
+		limits[s.Group] = limits[s.Group].Sub(s.Need.Scale(int64(s.Replicas)))
+	}
+	return limits
+}
+
+// Tasks returns the batch tasks that belong to the zone, in the order of the
+// manifest. Task i of a job has the ID job/GROUP/NAME/i.
+func (m *Manifest) Tasks(zone string) []record.Task {
+	limits := m.allLimits()
+	var tasks []record.Task
+	for _, j := range m.Jobs {
+		if m.zoneOf(j, limits) != zone {
+			continue
+		}
+		for i := range j.Tasks {
+			tasks = append(tasks, record.Task{
+				ID:       fmt.Sprintf("%s/%d", j.ID(), i),
+				Job:      j.ID(),
+				Group:    j.Group,
+				Need:     j.Need,
+				Command:  j.Command,
+				Duration: j.Duration,
+				Urgent:   j.Urgent,
+			})
+		}
+	}
+	return tasks
+}
+
+// ID returns the job's ID, which its tasks carry.
+func (j Job) ID() string {
+	return "job/" + j.Group + "/" + j.Name
+}
+
+// Follow settles the zone of every job, given the manifest that m replaces:
+// nil when it is the first. A job that previous holds stays in its zone. The
+// error is Problems, for jobs that can't stay.
+//
+// Each zone has its own stream, which knows nothing of another zone's tasks.
+// A job that changed zones, because a zone was added or a share was changed,
+// would be queued in the new zone while it still runs in the old one; the
+// operator would see two results. So a job keeps its zone for as long as it
+// is declared, and moving it takes a new name.
+func (m *Manifest) Follow(previous *Manifest) error {
+	var problems Problems
+	zones := previous.jobZones()
+	limits := m.allLimits()
+	for i := range m.Jobs {
+		j := &m.Jobs[i]
+		if reason := m.settle(j, zones[j.key()], limits); reason != "" {
+			problems = append(problems, document.Problem{Place: m.places[j.key()], Reason: reason})
+		}
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	problems.Sort()
+	return problems
+}
+
+// settle gives j its zone, and returns the reason when it can't have it.
+func (m *Manifest) settle(j *Job, before string, limits limitsByZone) string {
+	switch {
+	case before == "":
+		j.AvailabilityZone = m.zoneOf(*j, limits)
+	case m.zone(before) == nil:
+		return fmt.Sprintf("job %q is in zone %q, which is no longer declared; give it a new name to run it elsewhere", j.Name, before)
+	case j.AvailabilityZone != "" && j.AvailabilityZone != before:
+		return fmt.Sprintf("job %q is in zone %q already; give it a new name to run it in zone %q", j.Name, before, j.AvailabilityZone)
+	default:
+		j.AvailabilityZone = before
+	}
+	return m.misfit(*j, limits)
+}
+
+// jobZones returns the zone of every job.
+func (m *Manifest) jobZones() map[jobKey]string {
+	if m == nil {
+		return nil
+	}
+	limits := m.allLimits()
+	zones := make(map[jobKey]string, len(m.Jobs))
+	for _, j := range m.Jobs {
+		zones[j.key()] = m.zoneOf(j, limits)
+	}
+	return zones
+}
+
+// zoneOf returns the zone that j names, or by rendezvous hash one of those
+// that can hold a task of it.
+func (m *Manifest) zoneOf(j Job, limits limitsByZone) string {
+	if j.AvailabilityZone != "" {
+		return j.AvailabilityZone
+	}
+	var best string
+	var highest uint64
+	for _, z := range m.AvailabilityZones {
+		if !j.Need.Fits(limits[z.Name][j.Group]) {
+			continue
+		}
+		score := xxhash.Sum64String(z.Name + " " + j.ID())
+		if best == "" || score > highest || score == highest && z.Name < best {
+			best, highest = z.Name, score
+		}
+	}
+	return best
+}
+
+// misfit returns why j can never run, and nothing when it can.
+func (m *Manifest) misfit(j Job, limits limitsByZone) string {
+	zone := m.zoneOf(j, limits)
+	if zone == "" {
+		return fmt.Sprintf("job %q needs %s, more than group %q may hold in any zone beside its services", j.Name, j.Need, j.Group)
+	}
+	if limit := limits[zone][j.Group]; !j.Need.Fits(limit) {
+		return fmt.Sprintf("job %q needs %s, more than group %q may hold in zone %q beside its services, %s", j.Name, j.Need, j.Group, zone, limit)
+	}
+	return ""
+}
+
+func (m *Manifest) allLimits() limitsByZone {
+	limits := make(limitsByZone, len(m.AvailabilityZones))
+	for _, z := range m.AvailabilityZones {
+		limits[z.Name] = m.Limits(z.Name)
+	}
+	return limits
+}
--- /dev/null
+++ b/member/option.go
@@ -0,0 +1,116 @@
+package member
+
+import "time"
+
+// Defaults. A dead instance of the same availability zone is declared so
+// after suspicion plus confirmation, a little before its leases of 6 s end.
+const (
+	defaultHeartbeat       = time.Second
+	defaultSuspicion       = 3 * time.Second
+	defaultConfirmation    = 2 * time.Second
+	defaultHysteresis      = 5 * time.Second
+	defaultListGrace       = 5 * time.Second
+	defaultRetention       = 10 * time.Minute
+	defaultLimit           = 256
+)
+
+// Bounds that are not settings.
+const (
+	maxFree       = 1024 // services in one heartbeat
+	maxName       = 128  // bytes of an ID, availability zone or address
+	maxDoublings  = 3    // of the hysteresis after repeated deaths
+	remoteFactor  = 10   // heartbeats to other availability zones are rarer by this, unless set
+	forgiveFactor = 10   // a member live for this many hystereses has its deaths forgotten
+)
+
+type settings struct {
+	heartbeat       time.Duration
+	remoteHeartbeat time.Duration
+	suspicion       time.Duration
+	confirmation    time.Duration
+	hysteresis      time.Duration
+	listGrace       time.Duration
+	retention       time.Duration
+	limit           int
+}
+
+// Option sets up a Table.
+type Option func(*settings)
+
+// WithHeartbeat sets the interval of heartbeats within the availability zone.
+func WithHeartbeat(d time.Duration) Option {
+	return func(s *settings) { s.heartbeat = d }
+}
+
+// WithRemoteHeartbeat sets the interval of heartbeats to other availability
+// zones; ten times that within the zone if unset. Suspicion and confirmation of their members are longer by the ratio
+// of the two intervals.
+func WithRemoteHeartbeat(d time.Duration) Option {
+	return func(s *settings) { s.remoteHeartbeat = d }
+}
+
+// WithSuspicion sets how long a member may be silent before it is suspected.
+func WithSuspicion(d time.Duration) Option {
+	return func(s *settings) { s.suspicion = d }
+}
+
+// WithConfirmation sets how long a suspect has to be heard again.
+func WithConfirmation(d time.Duration) Option {
+	return func(s *settings) { s.confirmation = d }
+}
+
+// WithHysteresis sets how long a member must be heard steadily before it
+// owns workers. It doubles with each death that follows soon on another.
+func WithHysteresis(d time.Duration) Option {
+	return func(s *settings) { s.hysteresis = d }
+}
+
+// WithListGrace sets how long the first list is believed without evidence.
+func WithListGrace(d time.Duration) Option {
+	return func(s *settings) { s.listGrace = d }
+}
+
+// WithRetention sets how long a dead member off the list is remembered.
+func WithRetention(d time.Duration) Option {
+	return func(s *settings) { s.retention = d }
+}
+
+// WithLimit bounds the number of members.
+func WithLimit(n int) Option {
+	return func(s *settings) { s.limit = n }
+}
+
+func newSettings(opts []Option) settings {
+	s := settings{
+		heartbeat:       defaultHeartbeat,
+		suspicion:       defaultSuspicion,
+		confirmation:    defaultConfirmation,
+		hysteresis:      defaultHysteresis,
+		listGrace:       defaultListGrace,
+		retention:       defaultRetention,
+		limit:           defaultLimit,
+	}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	if s.remoteHeartbeat <= 0 {
+		s.remoteHeartbeat = remoteFactor * s.heartbeat
+	}
+	return s
+}
+
+// interval returns the time between heartbeats to a member.
+func (s *settings) interval(remote bool) time.Duration {
+	if remote {
+		return s.remoteHeartbeat
+	}
+	return s.heartbeat
+}
+
+// scale stretches a duration by the longer interval of remote heartbeats.
+func (s *settings) scale(d time.Duration, remote bool) time.Duration {
+	if !remote || s.heartbeat <= 0 {
+		return d
+	}
+	return time.Duration(float64(d) * float64(s.remoteHeartbeat) / float64(s.heartbeat))
+}
--- /dev/null
+++ b/peer/accept.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/coder/websocket"
+	"gopkg.in/tomb.v2"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+)
+
+// ServeHTTP accepts a link; mount it at Path on the peer listener. It returns
+// when the link ends.
+func (m *Mesh) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t, ok := m.begin()
+	if !ok {
+		http.Error(w, "not running", http.StatusServiceUnavailable)
+		return
+	}
+	defer m.serving.Done()
+	socket, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return // Accept has answered
+	}
+	defer func() { _ = socket.CloseNow() }()
+	remote, err := m.greeted(t, socket)
+	if err != nil {
+		return
+	}
+	l := m.enter(remote.ID)
+	if l == nil {
+		return // above the bound on links
+	}
+	defer m.leave(l)
+	c := newConnection(l, socket, remote, false)
+	if err := c.admit(t); err == nil {
+		c.serve(t)
+	}
+}
+
+// greeted reads the hello of whoever dialed.
+func (m *Mesh) greeted(t *tomb.Tomb, socket *websocket.Conn) (hello, error) {
+	socket.SetReadLimit(MaxFrame)
+	ctx, cancel := context.WithTimeout(t.Context(context.Background()), m.timeout)
+	defer cancel()
+	remote, err := readHello(ctx, socket)
+	if err != nil {
+		return hello{}, err
+	}
+	if remote.To != m.self.ID || remote.ID == m.self.ID {
+		_ = writeHello(ctx, socket, m.hello(remote.ID)) // so that the dialer sees whom it reached
+		return hello{}, errOther
+	}
+	return remote, nil
+}
+
+// admit takes an accepted connection for its link and answers the hello.
+func (c *connection) admit(t *tomb.Tomb) error {
+	if err := c.link.attach(c); err != nil {
+		return err
+	}
+	m := c.link.mesh
+	ctx, cancel := context.WithTimeout(t.Context(context.Background()), m.timeout)
+	defer cancel()
+	err := writeHello(ctx, c.socket, m.hello(c.link.id))
+	if err != nil {
+		c.link.detach(c, err)
+		close(c.done)
+	}
+	return err
+}
+
+func writeHello(ctx context.Context, socket *websocket.Conn, h hello) error {
+	data, err := encode(frame{Hello: &h})
+	if err != nil {
+		return err
+	}
+	return socket.Write(ctx, websocket.MessageBinary, data)
+}
+
+func readHello(ctx context.Context, socket *websocket.Conn) (hello, error) {
+	_, data, err := socket.Read(ctx)
+	if err != nil {
+		return hello{}, err
+	}
+	f, err := decode(data)
+	if err != nil {
+		return hello{}, err
+	}
+	if f.Hello == nil || !f.Hello.valid() {
+		return hello{}, fault.New(fault.Invalid, "a link that doesn't begin with a hello")
+	}
+	return *f.Hello, nil
+}
--- a/record/record.go
+++ b/record/record.go
@@ -150,10 +150,14 @@
 	Epoch  uint64 `cbor:"2,keyasint"`
 }
 
-// Snapshot holds the zone's state after the record at offset At.
+// Snapshot holds the zone's state after the record at offset At. A recovery
+// snapshot is written when records expired before anyone folded them: it
+// carries on from the newest state that its writer had, and the first one
+// that a reader without a state meets decides.
 type Snapshot struct {
-	At    uint64 `cbor:"1,keyasint"`
-	State []byte `cbor:"2,keyasint"`
+	At       uint64 `cbor:"1,keyasint"`
+	State    []byte `cbor:"2,keyasint"`
+	Recovery bool   `cbor:"3,keyasint,omitempty"`
 }
 
 // Marker has no effect but to show how far the stream goes: once a writer
--- /dev/null
+++ b/setting/parse.go
@@ -0,0 +1,120 @@
+package setting
+
+import (
+	"fmt"
+	"net/netip"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/dogwoodladder/dogwoodladder/document"
+)
+
+// Parse returns the settings in data over the defaults. The error is Problems
+// and names file in every line.
+func Parse(file string, data []byte) (*Settings, error) {
+	s := Default()
+	p := &parse{settings: &s, timing: map[string]document.Node{}, listeners: map[netip.AddrPort]string{}}
+	if err := document.Read(file, data, p.root); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+type parse struct {
+	settings  *Settings
+	timing    map[string]document.Node
+	listeners map[netip.AddrPort]string
+}
+
+func (p *parse) root(n document.Node) {
+	s := p.settings
+	n.Map(
+		document.Required("instance", document.Into(&s.Instance, document.Name)),
+		document.Required("zone", document.Into(&s.AvailabilityZone, document.Name)),
+		document.Required("listen", p.listen),
+		document.Required("platform", p.platform),
+		document.Optional("logs", document.Into(&s.Logs, parseLevel)),
+		document.Optional("timing", p.timings),
+	)
+	if n.Sound() {
+		p.relations()
+	}
+}
+
+func (p *parse) listen(n document.Node) {
+	s := p.settings
+	n.Map(
+		document.Required("caller", p.listener("caller", &s.Caller)),
+		document.Required("peer", p.listener("peer", &s.Peer)),
+		document.Required("operator", p.listener("operator", &s.Operator)),
+	)
+}
+
+func (p *parse) listener(name string, target *netip.AddrPort) func(document.Node) {
+	return func(n document.Node) {
+		document.Into(target, parseAddress)(n)
+		if !target.IsValid() {
+			return
+		}
+		if other, taken := p.listeners[*target]; taken {
+			n.Report("%s is the address of %s already", target, other)
+		}
+		p.listeners[*target] = name
+	}
+}
+
+func (p *parse) platform(n document.Node) {
+	s := p.settings
+	n.Map(
+		document.Required("log", document.Into(&s.Log, parseAddress)),
+		document.Required("list", document.Into(&s.List, parseAddress)),
+	)
+}
+
+func (p *parse) timings(n document.Node) {
+	var fields []document.Field
+	for _, t := range timings {
+		read := document.Into(t.field(&p.settings.Timing), document.Duration)
+		fields = append(fields, document.Optional(t.key, func(n document.Node) {
+			p.timing[t.key] = n
+			read(n)
+		}))
+	}
+	n.Map(fields...)
+}
+
+// relations reports each relation that doesn't hold at the first of its
+// fields that the file names. The defaults hold all of them, so one is there.
+func (p *parse) relations() {
+	for _, r := range relations {
+		if r.holds(p.settings.Timing) {
+			continue
+		}
+		for _, key := range r.keys {
+			if n, ok := p.timing[key]; ok {
+				n.Report("%s", r.reason)
+				break
+			}
+		}
+	}
+}
+
+// parseAddress parses an IP number with a port.
+func parseAddress(text string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("address %q, want an IP number and a port, such as 10.0.0.7:8080 or [fd00::7]:8080", text)
+	}
+	if address.Port() == 0 {
+		return netip.AddrPort{}, fmt.Errorf("address %q, want a port from 1 to 65535", text)
+	}
+	return address, nil
+}
+
+func parseLevel(text string) (zapcore.Level, error) {
+	level, err := zapcore.ParseLevel(text)
+	if err != nil || level > zapcore.ErrorLevel {
+		return 0, fmt.Errorf("level %q, want debug, info, warn or error", text)
+	}
+	return level, nil
+}
--- /dev/null
+++ b/setting/table.go
@@ -0,0 +1,43 @@
+package setting
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// row is one line of the table.
+type row struct {
+	key, initial, meaning string
+}
+
+const required = "none, required"
+
+var addressRows = []row{
+	{"instance", required, "ID of this instance: a-z, 0-9 and hyphens between them"},
+	{"zone", required, "availability zone of this instance"},
+	{"listen.caller", required, "IP number and port for callers' requests"},
+	{"listen.peer", required, "IP number and port for other instances"},
+	{"listen.operator", required, "IP number and port for operators"},
+	{"platform.log", required, "IP number and port of the log service"},
+	{"platform.list", required, "IP number and port of the instance list"},
+}
+
+// Table returns all settings as a Markdown table.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| Setting | Default | Meaning |\n|---|---|---|\n")
+	for _, r := range rows() {
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", r.key, r.initial, r.meaning)
+	}
+	return b.String()
+}
+
+func rows() []row {
+	list := slices.Clone(addressRows)
+	list = append(list, row{"logs", Default().Logs.String(), "least level that is logged: debug, info, warn or error"})
+	for _, t := range timings {
+		list = append(list, row{"timing." + t.key, t.initial.String(), t.meaning})
+	}
+	return list
+}
--- /dev/null
+++ b/standin/caller/audit.go
@@ -0,0 +1,37 @@
+package caller
+
+import "fmt"
+
+// Audit compares what callers were told with how often each nonce ran, taken
+// from all workers together, and returns a line for each promise broken.
+func Audit(tries []Try, runs map[string]int) []string {
+	var broken []string
+	sums := make(map[string]int)
+	for _, t := range tries {
+		ran := runs[t.Nonce]
+		sums[t.Request] += ran
+		broken = append(broken, auditTry(t, ran)...)
+	}
+	reported := make(map[string]bool)
+	for _, t := range tries {
+		if t.Idempotent || sums[t.Request] <= 1 || reported[t.Request] {
+			continue
+		}
+		reported[t.Request] = true
+		broken = append(broken, fmt.Sprintf("request=%s ran=%d, not idempotent", t.Request, sums[t.Request]))
+	}
+	return broken
+}
+
+func auditTry(t Try, ran int) []string {
+	switch {
+	case t.Outcome == Refused && ran > 0:
+		return []string{fmt.Sprintf("nonce=%s ran=%d, told not run", t.Nonce, ran)}
+	case (t.Outcome == Answered || t.Outcome == Failed) && ran == 0:
+		return []string{fmt.Sprintf("nonce=%s ran=0, told answered", t.Nonce)}
+	case t.Outcome == Foreign:
+		return []string{fmt.Sprintf("nonce=%s got another request's answer", t.Nonce)}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,156 @@
+package caller_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/client/wire"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/standin/caller"
+	"github.com/dogwoodladder/dogwoodladder/standin/faults"
+	"github.com/dogwoodladder/dogwoodladder/standin/memory"
+	"github.com/dogwoodladder/dogwoodladder/standin/worker"
+)
+
+const runTime = 5 * time.Second
+
+// entry is an entry instance that does nothing but send a request on to one
+// worker, after what before does.
+type entry struct {
+	worker *worker.Worker
+	before func(w http.ResponseWriter, r *http.Request) (done bool)
+}
+
+func (e entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	r.Header.Set(wire.HeaderEpoch, "1")
+	if e.before != nil && e.before(w, r) {
+		return
+	}
+	e.worker.ServeHTTP(w, r)
+}
+
+// run puts a load on an entry instance in virtual time.
+func run(t *testing.T, f worker.Faults, slots int, before func(w *worker.Worker) func(http.ResponseWriter, *http.Request) bool) (caller.Summary, worker.Ledger, string) {
+	var summary caller.Summary
+	var ledger worker.Ledger
+	var output bytes.Buffer
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := worker.New("w1", worker.WithSlots(slots))
+		lease, err := w.Acquire(platform.LeaseRequest{Holder: "a", TTL: time.Hour})
+		is.NoErr(err)
+		is.NoErr(w.Start(lease.Epoch, platform.TaskSpec{ID: "pricing/1", Kind: platform.KindService}))
+		w.Set(f)
+		e := entry{worker: w}
+		if before != nil {
+			e.before = before(w)
+		}
+		network := memory.New()
+		ctx, cancel := context.WithCancel(t.Context())
+		injector := faults.New(faults.Common{}, time.Now)
+		served := make(chan struct{})
+		listener := network.Listen("entry")
+		go func() {
+			defer close(served)
+			_ = injector.Serve(ctx, listener, e)
+		}()
+		c, err := caller.New([]string{"entry"}, "pricing", caller.WithDial(network.Dial), caller.WithRate(50),
+			caller.WithWrites(0.5), caller.WithSize(300, 1000), caller.WithOutput(&output, time.Second))
+		is.NoErr(err)
+		running, stop := context.WithTimeout(t.Context(), runTime)
+		defer stop()
+		summary = c.Run(running)
+		ledger = w.Ledger()
+		cancel()
+		<-served
+	})
+	return summary, ledger, output.String()
+}
+
+func TestRun(t *testing.T) {
+	is := is.New(t)
+	summary, ledger, output := run(t, worker.Faults{}, 8, nil)
+	is.True(summary.Outcomes[caller.Answered] > 200)
+	is.Equal(len(summary.Outcomes), 1)                                // nothing but answers
+	is.Equal(summary.P99.Round(time.Millisecond), 5*time.Millisecond) // the work, nothing else takes virtual time
+	is.Equal(caller.Audit(summary.Tries, ledger.Nonces), nil)
+	is.Equal(strings.Count(output, "event=interval"), 5)
+	is.Equal(strings.Count(output, "event=summary"), 1)
+}
+
+// Symptom: the check of a run finds faults that aren't there, or none where
+// a non-idempotent request was sent again.
+// Sequence: answers are lost after the work ran; others are refused for want
+// of a slot.
+// Cause: the caller repeats what may have run, or doesn't come back after a
+// refusal.
+func TestRetries(t *testing.T) {
+	is := is.New(t)
+	lost := worker.Faults{Common: faults.Common{Lose: 0.2}}
+	summary, ledger, _ := run(t, lost, 8, nil)
+	is.True(summary.Outcomes[caller.MayHaveRun] > 10)
+	is.True(len(summary.Tries) > summary.Outcomes[caller.Answered]+summary.Outcomes[caller.MayHaveRun]) // the idempotent ones
+	is.Equal(caller.Audit(summary.Tries, ledger.Nonces), nil)
+
+	summary, ledger, _ = run(t, worker.Faults{}, 1, nil)
+	is.True(summary.Kinds["Overloaded"] > 10)
+	is.True(summary.Outcomes[caller.Refused] < summary.Kinds["Overloaded"]/2)
+	is.Equal(caller.Audit(summary.Tries, ledger.Nonces), nil)
+}
+
+// Symptom: the check of a run passes although the scheduler broke a promise.
+// Sequence: an entry instance says "not run" of what ran, sends a write twice,
+// or answers with another request's body.
+// Cause: the caller doesn't compare what it was told with what ran.
+func TestAuditFinds(t *testing.T) {
+	tests := []struct {
+		name   string
+		want   string
+		before func(w *worker.Worker) func(http.ResponseWriter, *http.Request) bool
+	}{
+		{"false refusal", "told not run", func(w *worker.Worker) func(http.ResponseWriter, *http.Request) bool {
+			return func(rw http.ResponseWriter, r *http.Request) bool {
+				w.ServeHTTP(discard{}, r)
+				wire.Refuse(rw, fault.New(fault.Overloaded, "a lie"))
+				return true
+			}
+		}},
+		{"sent twice", "not idempotent", func(w *worker.Worker) func(http.ResponseWriter, *http.Request) bool {
+			return func(_ http.ResponseWriter, r *http.Request) bool {
+				again := r.Clone(r.Context())
+				again.Body = http.NoBody
+				w.ServeHTTP(discard{}, again)
+				return false
+			}
+		}},
+		{"mixed up", "another request's answer", func(*worker.Worker) func(http.ResponseWriter, *http.Request) bool {
+			return func(_ http.ResponseWriter, r *http.Request) bool {
+				r.URL.RawQuery = strings.Replace(r.URL.RawQuery, "nonce=", "nonce=x", 1)
+				return false
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			summary, ledger, _ := run(t, worker.Faults{}, 8, tt.before)
+			broken := caller.Audit(summary.Tries, ledger.Nonces)
+			is.True(len(broken) > 50)
+			is.True(strings.Contains(strings.Join(broken, "\n"), tt.want))
+		})
+	}
+}
+
+type discard struct{}
+
+func (discard) Header() http.Header         { return make(http.Header) }
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+func (discard) WriteHeader(int)             {}
--- /dev/null
+++ b/standin/caller/outcome.go
@@ -0,0 +1,31 @@
+package caller
+
+//go:generate go tool stringer -type=Outcome -output=strings.go
+
+import "github.com/dogwoodladder/dogwoodladder/fault"
+
+// Outcome is how a request ended for its caller.
+type Outcome int
+
+// Outcomes.
+const (
+	Answered   Outcome = iota // the whole answer to this request
+	Failed                    // a whole answer to this request, with an error status
+	Refused                   // told that it did not run
+	Unsent                    // no entry instance could be reached
+	MayHaveRun                // told so, or no answer came
+	Truncated                 // the answer ended early
+	Foreign                   // the answer belongs to another request
+	outcomes
+)
+
+func outcomeOf(kind fault.Kind) Outcome {
+	switch {
+	case kind == fault.Truncated:
+		return Truncated
+	case kind.Answer().Ran == fault.NotRun:
+		return Refused
+	default:
+		return MayHaveRun
+	}
+}
--- /dev/null
+++ b/standin/faults/serve.go
@@ -0,0 +1,130 @@
+package faults
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// ErrDead is returned by Serve after the fault of that name was set.
+var ErrDead = errors.New("stand-in died")
+
+type (
+	connKey   struct{}
+	serverKey struct{}
+)
+
+// Serve answers requests on l until ctx ends or the process dies.
+func (i *Injector[F]) Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return context.WithValue(ctx, serverKey{}, ctx) },
+		ConnContext:       withConn,
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		select {
+		case <-ctx.Done():
+		case <-i.dead:
+		}
+		_ = server.Close() // nothing to do about a listener that won't close
+	}()
+	err := server.Serve(&listener{Listener: l, add: i.add})
+	cancel()
+	<-closed
+	select {
+	case <-i.dead:
+		return ErrDead
+	default:
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (i *Injector[F]) add(c net.Conn) net.Conn {
+	wrapped := &conn{Conn: c}
+	wrapped.forget = func() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		delete(i.open, wrapped)
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.open[wrapped] = true
+	return wrapped
+}
+
+type listener struct {
+	net.Listener
+	add func(net.Conn) net.Conn
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.add(c), nil
+}
+
+// conn is a connection that can go silent: what it reads is dropped, and so
+// is what is written to it.
+type conn struct {
+	net.Conn
+	silent atomic.Bool
+	forget func()
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.forget()
+	return c.Conn.Close()
+}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func connOf(r *http.Request) net.Conn {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	return c
+}
+
+// serverContext returns a context that ends with the server, not with the
+// request.
+func serverContext(r *http.Request) context.Context {
+	if ctx, ok := r.Context().Value(serverKey{}).(context.Context); ok {
+		return ctx
+	}
+	return context.WithoutCancel(r.Context())
+}
--- /dev/null
+++ b/standin/instancelist/handler.go
@@ -0,0 +1,86 @@
+package instancelist
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strings"
+
+	goji "goji.io"
+	"goji.io/pat"
+	"goji.io/pattern"
+
+	"github.com/dogwoodladder/dogwoodladder/client/wire"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+)
+
+const maxBody = 64 << 10
+
+func (l *List) mux() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get(wire.PathInstances), l.serveInstances)
+	mux.HandleFunc(pat.Put(wire.PathInstances+"/*"), l.servePut)
+	mux.HandleFunc(pat.Delete(wire.PathInstances+"/*"), l.serveDelete)
+	return mux
+}
+
+func (l *List) serveInstances(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", wire.TypeJSON)
+	_ = json.NewEncoder(w).Encode(l.Instances()) // the reader may have gone
+}
+
+func (l *List) servePut(w http.ResponseWriter, r *http.Request) {
+	instance, err := parsePut(w, r)
+	if err == nil {
+		err = l.Put(instance)
+	}
+	if err != nil {
+		wire.Refuse(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (l *List) serveDelete(w http.ResponseWriter, r *http.Request) {
+	id, err := idOf(r)
+	if err != nil {
+		wire.Refuse(w, err)
+		return
+	}
+	l.Delete(id)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func parsePut(w http.ResponseWriter, r *http.Request) (platform.Instance, error) {
+	id, err := idOf(r)
+	if err != nil {
+		return platform.Instance{}, err
+	}
+	var instance platform.Instance
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&instance); err != nil {
+		return platform.Instance{}, fault.Wrap(fault.Invalid, err, "instance")
+	}
+	if instance.ID != id {
+		return platform.Instance{}, fault.New(fault.Invalid, "ID %q in the path, %q in the body", id, instance.ID)
+	}
+	return instance, nil
+}
+
+func idOf(r *http.Request) (string, error) {
+	rest, err := url.PathUnescape(pattern.Path(r.Context()))
+	if err != nil {
+		return "", fault.Wrap(fault.Invalid, err, "path")
+	}
+	id := strings.TrimPrefix(rest, "/")
+	if id == "" {
+		return "", fault.New(fault.NotFound, "no ID in the path")
+	}
+	return id, nil
+}
+
+func byID(a, b platform.Instance) int {
+	return strings.Compare(a.ID, b.ID)
+}
--- /dev/null
+++ b/standin/worker/service.go
@@ -0,0 +1,200 @@
+package worker
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"goji.io/pattern"
+
+	"github.com/dogwoodladder/dogwoodladder/client/wire"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/standin/answer"
+)
+
+// MaxRequest bounds the body of a request to a replica.
+const MaxRequest = 16 << 20
+
+// serviceRequest is a request to a replica, with its shape.
+type serviceRequest struct {
+	service string
+	epoch   uint64
+	id      string
+	key     string
+	shape   shape
+	sum     uint64 // of the body
+}
+
+func (w *Worker) serveService(rw http.ResponseWriter, r *http.Request) {
+	request, err := parseService(rw, r)
+	if err != nil {
+		wire.Refuse(rw, err)
+		return
+	}
+	fails := w.Get().Fail
+	t, slowdown, err := w.admit(request)
+	if err != nil {
+		wire.Refuse(rw, err)
+		return
+	}
+	start := time.Now()
+	time.Sleep(time.Duration(float64(request.shape.work) * slowdown))
+	w.answered(t, time.Since(start))
+	time.Sleep(request.shape.delay)
+	if fails {
+		request.shape.status = http.StatusInternalServerError
+	}
+	writeAnswer(rw, request)
+}
+
+// admit takes a slot and returns the replica with its present slowdown. All
+// refusals are made here, before anything runs.
+func (w *Worker) admit(request serviceRequest) (*task, float64, error) {
+	now := w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.enter(request.epoch, now); err != nil {
+		return nil, 0, err
+	}
+	t, err := w.freeReplica(request.service)
+	if err != nil {
+		return nil, 0, err
+	}
+	t.traffic.busy++
+	w.busy++
+	w.ledger.request(request.id, request.key, request.shape.nonce)
+	return t, w.slowdown(t.spec.Group), nil
+}
+
+func (w *Worker) answered(t *task, latency time.Duration) {
+	now := w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle(now)
+	w.busy--
+	t.traffic.busy--
+	t.traffic.answered(latency)
+}
+
+// freeReplica returns the replica of a service with the most free slots.
+func (w *Worker) freeReplica(service string) (*task, error) {
+	var best *task
+	free := 0
+	for _, t := range w.tasks {
+		if !serves(t, service) {
+			continue
+		}
+		if n := w.slotsOf(t) - t.traffic.busy; best == nil || n > free {
+			best, free = t, n
+		}
+	}
+	if best == nil {
+		return nil, fault.New(fault.NotFound, "no replica of service %q", service)
+	}
+	if free <= 0 || w.busy >= w.slots {
+		return nil, fault.New(fault.Overloaded, "no free slot")
+	}
+	return best, nil
+}
+
+func (w *Worker) slotsOf(t *task) int {
+	if t.spec.Slots == 0 {
+		return w.slots
+	}
+	return t.spec.Slots
+}
+
+func (w *Worker) slowdown(group string) float64 {
+	factor := 1.0
+	for _, t := range w.tasks {
+		if !t.isBatch() || t.state != platform.TaskRunning {
+			continue
+		}
+		if pair, ok := w.interference[group][t.spec.Group]; ok {
+			factor += (pair - 1) * float64(t.percent) / fullSpeed
+		}
+	}
+	return factor
+}
+
+func serves(t *task, service string) bool {
+	name, _, _ := strings.Cut(t.spec.ID, "/")
+	return !t.isBatch() && t.state == platform.TaskRunning && name == service
+}
+
+func parseService(rw http.ResponseWriter, r *http.Request) (serviceRequest, error) {
+	service, err := serviceOf(r)
+	if err != nil {
+		return serviceRequest{}, err
+	}
+	epoch, err := strconv.ParseUint(r.Header.Get(wire.HeaderEpoch), 10, 64)
+	if err != nil {
+		return serviceRequest{}, fault.New(fault.Invalid, "header %s %q", wire.HeaderEpoch, r.Header.Get(wire.HeaderEpoch))
+	}
+	if err := checkDeadline(r.Header.Get(wire.HeaderDeadline)); err != nil {
+		return serviceRequest{}, err
+	}
+	s, err := parseShape(r.URL.Query())
+	if err != nil {
+		return serviceRequest{}, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, MaxRequest))
+	if err != nil {
+		return serviceRequest{}, wire.BodyError(err)
+	}
+	return serviceRequest{
+		service: service,
+		epoch:   epoch,
+		id:      r.Header.Get(wire.HeaderRequest),
+		key:     r.Header.Get(wire.HeaderKey),
+		shape:   s,
+		sum:     answer.Sum(body),
+	}, nil
+}
+
+func serviceOf(r *http.Request) (string, error) {
+	rest := strings.TrimPrefix(pattern.Path(r.Context()), "/")
+	escaped, _, _ := strings.Cut(rest, "/")
+	service, err := url.PathUnescape(escaped)
+	if err != nil || service == "" {
+		return "", fault.New(fault.Invalid, "path %q", r.URL.Path)
+	}
+	return service, nil
+}
+
+func checkDeadline(header string) error {
+	if header == "" {
+		return nil
+	}
+	left, err := strconv.ParseInt(header, 10, 64)
+	if err != nil {
+		return fault.New(fault.Invalid, "header %s %q", wire.HeaderDeadline, header)
+	}
+	if left <= 0 {
+		return fault.New(fault.DeadlinePassed, "no time left")
+	}
+	return nil
+}
+
+func writeAnswer(rw http.ResponseWriter, request serviceRequest) {
+	body := answer.Answer{
+		Nonce:   request.shape.nonce,
+		Request: request.sum,
+		Size:    request.shape.size,
+	}.Bytes()
+	rw.Header().Set(wire.HeaderRequest, request.id)
+	rw.Header().Set("Content-Type", "text/plain")
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	rw.WriteHeader(request.shape.status)
+	if !request.shape.truncate {
+		_, _ = rw.Write(body) // the caller may have gone
+		return
+	}
+	_, _ = rw.Write(body[:len(body)/2])
+	_ = http.NewResponseController(rw).Flush()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/standin/worker/service_test.go
@@ -0,0 +1,185 @@
+package worker_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/client"
+	"github.com/dogwoodladder/dogwoodladder/client/wire"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/standin/answer"
+	"github.com/dogwoodladder/dogwoodladder/standin/faults"
+	"github.com/dogwoodladder/dogwoodladder/standin/memory"
+	"github.com/dogwoodladder/dogwoodladder/standin/worker"
+)
+
+func request(w *worker.Worker, epoch, target string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, target, strings.NewReader("lorry"))
+	r.Header.Set(wire.HeaderEpoch, epoch)
+	r.Header.Set(wire.HeaderRequest, "r1")
+	r.Header.Set(wire.HeaderDeadline, "1000")
+	recorder := httptest.NewRecorder()
+	w.ServeHTTP(recorder, r)
+	return recorder
+}
+
+func startReplica(t *testing.T, w *worker.Worker) {
+	t.Helper()
+	lease := acquire(t, w, "a", time.Minute, 0)
+	replica := platform.TaskSpec{ID: "pricing/1", Kind: platform.KindService, Group: "yard"}
+	is.New(t).NoErr(w.Start(lease.Epoch, replica))
+}
+
+// Symptom: a refused request ran, or one that ran isn't counted.
+// Sequence: requests come under an old epoch, for an unknown service, with no
+// free slot, with a bad shape, and well.
+// Cause: a refusal is made after a slot was taken.
+func TestServiceRequests(t *testing.T) {
+	tests := []struct {
+		name   string
+		slots  int
+		epoch  string
+		target string
+		fault  string
+	}{
+		{"answered", 1, "1", "/services/pricing/weigh?nonce=n&size=2KB", ""},
+		{"stale", 1, "2", "/services/pricing/weigh?nonce=n", "StaleEpoch"},
+		{"no epoch", 1, "", "/services/pricing/weigh?nonce=n", "Invalid"},
+		{"no replica", 1, "1", "/services/style/check?nonce=n", "NotFound"},
+		{"full", 0, "1", "/services/pricing/weigh?nonce=n", "Overloaded"},
+		{"too much", 1, "1", "/services/pricing/weigh?nonce=n&size=65MB", "Invalid"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := worker.New("w1", worker.WithClock(newClock().now), worker.WithSlots(tt.slots))
+			startReplica(t, w)
+			got := request(w, tt.epoch, tt.target)
+			is.Equal(got.Header().Get(wire.HeaderFault), tt.fault)
+			ledger := w.Ledger()
+			if tt.fault != "" {
+				is.Equal(ledger.Nonces["n"]+ledger.Requests["r1"], 0)
+				return
+			}
+			is.Equal(got.Header().Get(wire.HeaderRequest), "r1")
+			is.NoErr(answer.Answer{Nonce: "n", Request: answer.Sum([]byte("lorry")), Size: 2048}.Check(got.Body.Bytes()))
+			is.Equal(ledger.Nonces["n"]+ledger.Requests["r1"], 2)
+		})
+	}
+}
+
+func TestInterference(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		pairs := worker.Interference{"yard": {"batch": 3}}
+		w := worker.New("w1", worker.WithInterference(pairs), worker.WithSlots(1))
+		startReplica(t, w)
+		is.NoErr(w.Start(1, batch("t", 1, "never")))
+		took := func() time.Duration {
+			start := time.Now()
+			is.Equal(request(w, "1", "/services/pricing/x?work=10ms").Code, http.StatusOK)
+			return time.Since(start)
+		}
+		is.Equal(took(), 30*time.Millisecond)
+		is.NoErr(w.Throttle(1, "t", 50))
+		is.Equal(took(), 20*time.Millisecond)
+
+		go request(w, "1", "/services/pricing/x?work=10s")
+		synctest.Wait()
+		is.Equal(request(w, "1", "/services/pricing/x").Header().Get(wire.HeaderFault), "Overloaded")
+		is.NoErr(w.Start(1, platform.TaskSpec{ID: "pricing/2", Kind: platform.KindService, Slots: 5}))
+		is.Equal(request(w, "1", "/services/pricing/x").Header().Get(wire.HeaderFault), "Overloaded") // the worker's slots bound all
+		is.NoErr(w.Stop(1, "t", false))
+		time.Sleep(30 * time.Second)
+		is.Equal(took(), 10*time.Millisecond) // the slot is free again, and nothing disturbs
+	})
+}
+
+// Symptom: a task runs in two places.
+// Sequence: an owner sends a start and gives up waiting; its lease ends and
+// the task is started elsewhere; the first worker, paused or far away, takes
+// up the start.
+// Cause: the epoch is checked when a request arrives, not when it takes effect.
+func TestLateStart(t *testing.T) {
+	for _, f := range []faults.Common{{Pause: faults.Duration(10 * time.Second)}, {Late: faults.Duration(10 * time.Second)}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			network := memory.New()
+			w := worker.New("w1")
+			ctx, cancel := context.WithCancel(t.Context())
+			served := make(chan struct{})
+			listener := network.Listen("w1")
+			go func() {
+				defer close(served)
+				_ = w.Serve(ctx, listener)
+			}()
+			control := client.NewWorker("w1", client.WithDial(network.Dial), client.WithTimeout(time.Second))
+			lease, err := control.Acquire(t.Context(), platform.LeaseRequest{Holder: "a", TTL: 6 * time.Second})
+			is.NoErr(err)
+			w.Set(worker.Faults{Common: f})
+			err = control.Start(t.Context(), lease.Epoch, batch("t", 1, "never"))
+			is.True(fault.Is(err, fault.MayHaveRun))
+			time.Sleep(20 * time.Second)
+			is.Equal(len(w.Report().Tasks), 0)
+			is.Equal(len(w.Ledger().Tasks), 0)
+			cancel()
+			<-served
+		})
+	}
+}
+
+// Symptom: tasks of a dead worker seem to go on, or connections to it hang.
+// Sequence: a worker runs a task and dies.
+// Cause: the stand-in ends its listener but not its tasks.
+func TestDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := memory.New()
+		w := worker.New("w1")
+		listener := network.Listen("w1")
+		died := make(chan error, 1)
+		go func() { died <- w.Serve(t.Context(), listener) }()
+		lease := acquire(t, w, "a", time.Minute, 0)
+		is.NoErr(w.Start(lease.Epoch, batch("t", 1, "never")))
+		time.Sleep(time.Second)
+		w.Set(worker.Faults{Common: faults.Common{Dead: true}})
+		is.Equal(<-died, faults.ErrDead)
+		run := w.Ledger().Tasks[0].Runs[0]
+		is.Equal(run.End.Sub(run.Start), time.Second)
+		_, err := client.NewWorker("w1", client.WithDial(network.Dial)).Report(t.Context())
+		is.True(fault.Is(err, fault.Unavailable))
+	})
+}
+
+func TestFaultsAtRunTime(t *testing.T) {
+	is := is.New(t)
+	w := worker.New("w1", worker.WithClock(newClock().now))
+	put := func(body string) int {
+		recorder := httptest.NewRecorder()
+		w.ServeHTTP(recorder, httptest.NewRequest(http.MethodPut, "/faults", strings.NewReader(body)))
+		return recorder.Code
+	}
+	is.Equal(put(`{"fail":true,"slow":"2s","lag":"3s"}`), http.StatusOK)
+	want := worker.Faults{Fail: true, Lag: faults.Duration(3 * time.Second), Common: faults.Common{Slow: faults.Duration(2 * time.Second)}}
+	is.Equal(w.Get(), want)
+	for _, bad := range []string{`{"nonsense":1}`, `{"slow":"1h"}`, `{"lose":2}`, `{"slow":"2s"} x`, ``} {
+		is.Equal(put(bad), http.StatusBadRequest)
+		is.Equal(w.Get(), want) // nothing changed
+	}
+	is.Equal(put(`{"down":true}`), http.StatusOK)
+	is.Equal(request(w, "1", "/services/pricing/x").Header().Get(wire.HeaderFault), "Unavailable")
+	recorder := httptest.NewRecorder()
+	w.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/ledger", nil)) // meets no fault
+	var ledger worker.Ledger
+	is.NoErr(json.Unmarshal(recorder.Body.Bytes(), &ledger))
+	is.Equal(ledger.Worker, "w1")
+}
--- /dev/null
+++ b/standin/worker/worker_test.go
@@ -0,0 +1,203 @@
+package worker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+	"github.com/dogwoodladder/dogwoodladder/standin/faults"
+	"github.com/dogwoodladder/dogwoodladder/standin/worker"
+)
+
+// clock is a time source that moves when told to.
+type clock struct {
+	at time.Time
+}
+
+func newClock() *clock {
+	return &clock{at: time.Unix(1_800_000_000, 0)}
+}
+
+func (c *clock) now() time.Time          { return c.at }
+func (c *clock) advance(d time.Duration) { c.at = c.at.Add(d) }
+
+func acquire(t *testing.T, w *worker.Worker, holder string, ttl, tasks time.Duration) platform.Lease {
+	t.Helper()
+	lease, err := w.Acquire(platform.LeaseRequest{Holder: holder, TTL: ttl, Tasks: tasks})
+	is.New(t).NoErr(err)
+	return lease
+}
+
+func batch(id string, attempt uint32, command string) platform.TaskSpec {
+	need := resource.Vector{Processors: 1000, Memory: 100}
+	return platform.TaskSpec{ID: id, Kind: platform.KindBatch, Group: "batch", Attempt: attempt, Need: need, Command: command}
+}
+
+// Symptom: two entry instances start work on one worker.
+// Sequence: a holds the lease; b asks for it; a's lease lapses while a is
+// paused; b gets it; a goes on under its old epoch.
+// Cause: the lease is taken from its holder, or an old epoch is still honoured.
+func TestLeaseIsExclusive(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	w := worker.New("w1", worker.WithClock(c.now))
+	a := acquire(t, w, "a", 6*time.Second, 0)
+
+	c.advance(2 * time.Second)
+	_, err := w.Acquire(platform.LeaseRequest{Holder: "b", TTL: time.Second})
+	is.True(fault.Is(err, fault.Conflict))
+	is.Equal(err.(*fault.Error).RetryAfter, 4*time.Second)
+
+	c.advance(4 * time.Second)
+	_, err = w.Renew(platform.LeaseRequest{Holder: "a", Epoch: a.Epoch, TTL: time.Second})
+	is.True(fault.Is(err, fault.StaleEpoch)) // lapsed, though nobody else has it
+
+	b := acquire(t, w, "b", 6*time.Second, 0)
+	is.True(b.Epoch > a.Epoch)
+	is.True(fault.Is(w.Start(a.Epoch, batch("t", 1, "never")), fault.StaleEpoch))
+	is.NoErr(w.Start(b.Epoch, batch("t", 1, "never")))
+
+	moved, err := w.Transfer(b.Epoch, "d")
+	is.NoErr(err)
+	is.Equal(len(moved.Tasks), 1)
+	is.True(fault.Is(w.Stop(b.Epoch, "t", false), fault.StaleEpoch))
+	again := acquire(t, w, "d", time.Second, 0) // the holder itself may ask again
+	is.True(again.Epoch > moved.Epoch)
+	is.NoErr(w.Release(again.Epoch))
+	acquire(t, w, "e", time.Second, 0)
+}
+
+// Symptom: a task goes on after its owner was given up and another worker
+// started it again.
+// Sequence: the owner extends task leases past the worker's lease and is cut
+// off; the worker's lease ends, later the tasks' lease.
+// Cause: the worker doesn't stop what a lapsed task lease covers, or stops it
+// with the worker's lease already.
+func TestTaskLeaseEnds(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	w := worker.New("w1", worker.WithClock(c.now), worker.WithCheckpoint(time.Second))
+	a := acquire(t, w, "a", 2*time.Second, 10*time.Second)
+	is.NoErr(w.Start(a.Epoch, batch("t", 1, "sleep 1m")))
+
+	c.advance(9500 * time.Millisecond)
+	is.Equal(w.Report().Tasks[0].State, platform.TaskRunning)
+
+	c.advance(time.Minute)
+	b := acquire(t, w, "b", 2*time.Second, 10*time.Second)
+	stopped := b.Tasks[0]
+	is.Equal(stopped.State, platform.TaskStopped)
+	is.Equal(stopped.Checkpoint, "10s") // it ran to its lease's end, no further
+
+	is.True(fault.Is(w.Start(b.Epoch, batch("t", 2, "sleep 1m")), fault.Conflict)) // the result is still kept
+	is.NoErr(w.Acknowledge(b.Epoch, []string{"t"}))
+	resumed := batch("t", 2, "sleep 11s")
+	resumed.Checkpoint = stopped.Checkpoint
+	is.NoErr(w.Start(b.Epoch, resumed))
+	c.advance(time.Second)
+	is.Equal(w.Report().Tasks[0].State, platform.TaskDone) // only the last second was left
+
+	account := w.Ledger().Tasks[0]
+	is.Equal(len(account.Runs), 2)
+	is.Equal(account.Runs[1].From, 10*time.Second)
+	is.Equal(account.Overlap, false)
+}
+
+// Symptom: the check at the end of a run finds nothing although a task ran in
+// two places.
+// Sequence: two workers run the same task, the second before the first ended.
+// Cause: each worker sees its own runs only.
+func TestMergeFindsOverlap(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	var workers []*worker.Worker
+	for _, id := range []string{"w1", "w2"} {
+		w := worker.New(id, worker.WithClock(c.now))
+		lease := acquire(t, w, "a", time.Minute, 0)
+		is.NoErr(w.Start(lease.Epoch, batch("t", 1, "sleep 2s")))
+		workers = append(workers, w)
+		c.advance(time.Second)
+	}
+	c.advance(time.Minute)
+	is.Equal(workers[0].Ledger().Tasks[0].Overlap, false)
+	is.Equal(worker.Merge(workers[0].Ledger(), workers[1].Ledger()).Tasks[0].Overlap, true)
+}
+
+func TestPrograms(t *testing.T) {
+	tests := []struct {
+		command string
+		percent int
+		after   time.Duration
+		state   platform.TaskState
+	}{
+		{"sleep 2s", 100, 1999 * time.Millisecond, platform.TaskRunning},
+		{"sleep 2s", 100, 2 * time.Second, platform.TaskDone},
+		{"sleep 2s use=1.5", 50, 3 * time.Second, platform.TaskRunning},
+		{"sleep 2s use=1.5", 50, 4 * time.Second, platform.TaskDone},
+		{"sleep 2s", 0, 50 * time.Second, platform.TaskRunning},
+		{"", 100, 3 * time.Second, platform.TaskDone}, // the declared duration
+		{"fail 1s", 100, time.Second, platform.TaskFailed},
+		{"fail-here w0,w1", 100, time.Second, platform.TaskFailed},
+		{"fail-here w0 2s", 100, 2 * time.Second, platform.TaskDone},
+		{"never", 100, 59 * time.Second, platform.TaskRunning},
+		{"rm -rf", 100, time.Second, platform.TaskFailed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.command, func(t *testing.T) {
+			is := is.New(t)
+			c := newClock()
+			w := worker.New("w1", worker.WithClock(c.now))
+			lease := acquire(t, w, "a", time.Minute, 0)
+			spec := batch("t", 1, tt.command)
+			spec.Duration = 3 * time.Second
+			is.NoErr(w.Start(lease.Epoch, spec))
+			is.NoErr(w.Start(lease.Epoch, spec)) // repeated after a lost answer
+			is.NoErr(w.Throttle(lease.Epoch, "t", tt.percent))
+			c.advance(tt.after)
+			is.Equal(w.Report().Tasks[0].State, tt.state)
+		})
+	}
+}
+
+func TestCapacity(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	w := worker.New("w1", worker.WithClock(c.now), worker.WithCapacity(resource.Vector{Processors: 2500, Memory: 1000}))
+	lease := acquire(t, w, "a", time.Minute, 0)
+	is.NoErr(w.Start(lease.Epoch, batch("t1", 1, "sleep 1s")))
+	is.NoErr(w.Start(lease.Epoch, batch("t2", 1, "never")))
+	is.True(fault.Is(w.Start(lease.Epoch, batch("t3", 1, "never")), fault.Overloaded))
+	c.advance(time.Second)
+	is.NoErr(w.Start(lease.Epoch, batch("t3", 1, "never"))) // t1 has ended
+	accelerated := batch("t4", 1, "never")
+	accelerated.Need = resource.Vector{Accelerators: 1}
+	is.True(fault.Is(w.Start(lease.Epoch, accelerated), fault.Overloaded))
+}
+
+// Symptom: a scheduler blames the wrong pair of tasks.
+// Sequence: usage is measured, a task is started, the report arrives.
+// Cause: the report shows what runs now, not what ran when it was measured.
+func TestUsageLags(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	w := worker.New("w1", worker.WithClock(c.now), worker.WithUsage(time.Second, 2*time.Second))
+	lease := acquire(t, w, "a", time.Minute, 0)
+	is.NoErr(w.Start(lease.Epoch, batch("t1", 1, "never use=2")))
+	start := c.at
+	c.advance(time.Second)
+	is.NoErr(w.Start(lease.Epoch, batch("t2", 1, "never")))
+	c.advance(1900 * time.Millisecond)
+	is.Equal(len(w.Report().Usage), 0)
+	c.advance(100 * time.Millisecond)
+	usage := w.Report().Usage
+	is.Equal(len(usage), 1)
+	is.Equal(usage[0].Measured, start.Add(time.Second))
+	is.Equal(usage[0].Used.Processors, int64(2000))
+	w.Set(worker.Faults{Lag: faults.Duration(time.Second)})
+	c.advance(time.Second)
+	is.Equal(w.Report().Usage[0].Measured, start.Add(time.Second)) // still the first
+}
