Controller: failure schedules in virtual time, and the seven faults they found

Each fault below failed a schedule first:

- A start without an answer could arrive after the task was put elsewhere; the lease is now taken again first, whose epoch fences the late call.
- A stop that failed wasn't repeated.

The wait before an unreachable worker's tasks are given up now includes a worker lease: a call that waits at a worker which stands still takes effect late, but only while that lease is in force.

Not covered: calls that the network itself delays beyond a lease.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -162,12 +162,17 @@
 }
 
 // Answered takes the outcome of the append call. An error of any kind leaves
-// the batch in place: it is sent again, whether or not it took effect.
+// the batch in place: it is sent again, whether or not it took effect. A batch
+// that was read back before its answer came is done.
 func (a *Appender) Answered(now time.Time, err error) {
 	if a.state != inFlight {
 		return
 	}
 	a.at = now
+	if len(a.sent) == 0 {
+		a.settle()
+		return
+	}
 	if err != nil {
 		a.state = unsure
 		a.retries++
@@ -182,9 +187,13 @@
 	for len(a.sent) > 0 && a.sent[0].sequence <= sequence {
 		a.sent = a.sent[1:]
 	}
-	if len(a.sent) > 0 || a.state == inFlight {
-		return
+	if len(a.sent) == 0 && a.state != inFlight {
+		a.settle()
 	}
+}
+
+// settle makes room for the next batch.
+func (a *Appender) settle() {
 	a.state = idle
 	a.retries = 0
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -80,8 +80,8 @@
 	planned  planKey
 	listed   []platform.Instance
 	holdings map[string]*holding
-	placed   map[string]*holding // batch task to the worker it was put on
-	reported map[record.Attempt]uint64
+	placed   map[record.Attempt]*holding // attempts and the workers they were put on
+	reported map[string]report           // by task
 	proposed map[string]time.Time        // idempotent proposals and when they were made
 	fences   map[record.Writer]time.Time // when a fence was read
 	missed   map[record.Writer]time.Time // since when an owner is out of service
@@ -121,8 +121,11 @@
 	c.members = c.newMembers()
 	c.book = c.newBook()
 	c.out = appender.New(c.writer(), appender.WithInterval(c.timing.Append))
-	c.placed = make(map[string]*holding)
-	c.reported = make(map[record.Attempt]uint64)
+	c.placed = make(map[record.Attempt]*holding)
+	for _, h := range c.holdings {
+		h.tasks = make(map[string]*placement)
+	}
+	c.reported = make(map[string]report)
 	c.proposed = make(map[string]time.Time)
 	c.fences = make(map[record.Writer]time.Time)
 	c.missed = make(map[record.Writer]time.Time)
@@ -188,6 +191,9 @@
 	c.lapseLeases(now)
 	c.own(now)
 	c.renew(now)
+	if c.follow.Ready() && c.leaving {
+		c.returnUnstarted(now)
+	}
 	if c.follow.Ready() {
 		c.propose(now)
 		c.settleUnreachable(now)
--- /dev/null
+++ b/controller/controller_test.go
@@ -0,0 +1,135 @@
+package controller_test
+
+import (
+	"bufio"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/controller"
+)
+
+const testManifest = `
+zones:
+  - {name: a, capacity: {processors: 16, memory: 32GiB}}
+groups:
+  - {name: red, share: 50%}
+  - {name: blue, share: 50%}
+`
+
+// TestFaults plays the schedules of testdata/faults. Each file opens with
+// the symptom, the sequence of events and the cause of the failure it is
+// about; then a line is a time, a verb and its arguments. Every task has to
+// end once, none may run in two places, and no group may exceed its limit.
+func TestFaults(t *testing.T) {
+	files, err := filepath.Glob("testdata/faults/*.txt")
+	is.New(t).NoErr(err)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			play(t, file)
+		})
+	}
+}
+
+func play(t *testing.T, file string) {
+	is := is.New(t)
+	h := newHarness(t, 1, 3, 4)
+	h.run(3 * time.Second)
+	h.feed(h.nodes["e0"], controller.Apply{ID: 1, Author: "ann", Manifest: []byte(testManifest)})
+	h.run(2 * time.Second)
+	f, err := os.Open(file)
+	is.NoErr(err)
+	defer f.Close()
+	began := h.now
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		line := lines.Text()
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		words := strings.Fields(line)
+		at, err := time.ParseDuration(words[0])
+		is.NoErr(err)
+		h.run(began.Add(at).Sub(h.now))
+		h.perform(words[1], words[2:])
+	}
+	if !h.settledBy(3 * time.Minute) {
+		t.Fatalf("tasks left over:\n%s", h.any().c.Dump(h.now))
+	}
+	once(t, h)
+}
+
+// perform carries out one line of a schedule.
+func (h *harness) perform(verb string, args []string) {
+	switch verb {
+	case "submit": // instance, count, group, command
+		n, err := strconv.Atoi(args[1])
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		h.submitted += n
+		h.feed(h.nodes[args[0]], controller.Submit{ID: 2, Tasks: tasks(n, args[2], strings.Join(args[3:], " "))})
+	case "kill":
+		delete(h.nodes, args[0])
+	case "boot":
+		h.boot(args[0])
+	case "leave":
+		h.feed(h.nodes[args[0]], controller.Leave{})
+	case "pause":
+		h.nodes[args[0]].paused = true
+	case "resume":
+		h.nodes[args[0]].paused = false
+	case "cut":
+		h.cuts[[2]string{args[0], args[1]}] = true
+	case "heal":
+		delete(h.cuts, [2]string{args[0], args[1]})
+	case "down":
+		h.logDown = true
+	case "up":
+		h.logDown = false
+	case "lose":
+		part, err := strconv.ParseFloat(args[0], 64)
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		h.lose = part
+	case "stall":
+		h.stalled[args[0]] = true
+	case "go":
+		delete(h.stalled, args[0])
+	case "die":
+		h.dead[args[0]] = true
+	case "expire":
+		h.oldest = uint64(len(h.streams[controller.ZoneStream("a")]))
+	case "cancel":
+		h.feed(h.nodes[args[0]], controller.Cancel{ID: 3, Jobs: args[1:]})
+	case "wait":
+	default:
+		h.t.Fatalf("no verb %q", verb)
+	}
+}
+
+// once checks that each task has exactly one completed run among those that
+// the record names as done.
+func once(t *testing.T, h *harness) {
+	t.Helper()
+	s := h.any().c.State()
+	for _, account := range h.ledger().Tasks {
+		v, ok := s.Task(account.Task)
+		if !ok {
+			t.Errorf("task %s ran and isn't on record", account.Task)
+			continue
+		}
+		if account.Overlap {
+			t.Errorf("task %s ran in two places", account.Task)
+		}
+		if int(v.Attempt) < len(account.Runs) {
+			t.Errorf("task %s ran %d times, on record are %d attempts", account.Task, len(account.Runs), v.Attempt)
+		}
+	}
+}
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -62,6 +62,7 @@
 	attempt uint32
 	need    resource.Vector
 	stage   stage
+	unsure  bool // a start of it was not answered, and may arrive late
 	spec    platform.TaskSpec
 }
 
@@ -311,6 +312,7 @@
 	}
 	h.phase = granted
 	h.epoch = in.Lease.Epoch
+	h.extended = now // whoever held the lease before extended no task later than this
 	h.capacity = in.Lease.Capacity
 	h.slots = in.Lease.Slots
 	c.seeReplicas(h, in.Lease.Tasks)
@@ -344,9 +346,9 @@
 	if r.Writer == c.writer() && h.phase == granted && h.epoch == r.Own.Epoch {
 		h.phase = adopted
 		h.extended = now
-		c.book.Confirm(h.id, h.epoch)
 		c.evictMissing(h, heldSet(r.Own))
 		c.dropStale(h)
+		c.confirm(h)
 		return
 	}
 	if r.Own.Epoch > h.epoch {
@@ -354,6 +356,21 @@
 	}
 }
 
+// confirm lets task leases on a worker be extended, once nothing runs there
+// that this instance's escrow doesn't hold.
+func (c *Controller) confirm(h *holding) {
+	if h.phase != adopted || c.book.MayExtend(h.id) {
+		return
+	}
+	for _, p := range h.tasks {
+		stale := !c.current(record.Attempt{Task: p.id, Number: p.attempt})
+		if stale && p.stage != ended {
+			return
+		}
+	}
+	c.book.Confirm(h.id, h.epoch)
+}
+
 // takenByOther evicts what this instance had on a worker that another one
 // owns now, but for the tasks that moved with it.
 //
@@ -396,14 +413,15 @@
 //
 // What goes wrong: a worker died, or can't be reached by anyone, and its
 // tasks stay escrowed. One would notice them waiting while other workers are
-// idle. Only this instance extended their leases, and it stopped, so after a
-// task lease and the drift bound they have ended on the worker.
+// idle. Only this instance extended their leases, and it stopped, so after the
+// wait they have ended on the worker.
 func (c *Controller) settleUnreachable(now time.Time) {
 	for _, h := range c.sorted() {
 		if h.phase == granted || h.phase == adopted || len(h.tasks) == 0 || h.extended.IsZero() {
 			continue
 		}
-		if now.Sub(h.extended) < c.timing.Task+c.timing.Drift || c.follow.Tail().Before(h.extended.Add(c.timing.Task+c.timing.Drift)) {
+		over := h.extended.Add(c.taskEnd())
+		if now.Before(over) || c.follow.Tail().Before(over) {
 			continue
 		}
 		c.log(Warn, "worker unreachable", "worker", h.id, "tasks", len(h.tasks))
@@ -411,6 +429,22 @@
 	}
 }
 
+// taskEnd returns how long after the last call that may extend task leases
+// the tasks have ended. A call that is under way when the worker stands still
+// takes effect late, but only while the worker's own lease is in force, so a
+// lease's length bounds how late.
+func (c *Controller) taskEnd() time.Duration {
+	return c.timing.Task + c.timing.Lease + c.timing.Drift
+}
+
+// reacquire takes the lease again under a new epoch, which fences every call
+// that is still under way.
+func (c *Controller) reacquire(h *holding) {
+	c.giveUp(h)
+	h.phase = acquiring
+	c.call(h, Call{Verb: Acquire, Lease: c.book.Acquire()})
+}
+
 func (c *Controller) transferred(now time.Time, h *holding, in Leased) {
 	h.phase = unowned
 	h.retryAt = now.Add(c.timing.Lease)
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -125,22 +125,19 @@
 	c.leaving = true
 	c.dirty = true
 	c.members.Leave()
-	c.returnUnstarted()
 	c.tick(now)
 }
 
-// returnUnstarted gives back the escrowed tasks that are on no worker.
-func (c *Controller) returnUnstarted() {
-	if c.State() == nil {
-		return
-	}
+// returnUnstarted gives back the escrowed tasks that are on no worker, those
+// of claims that were under way when the stop began included.
+func (c *Controller) returnUnstarted(now time.Time) {
 	var ids []string
 	for t := range c.State().Escrow(c.self.ID) {
-		if c.mine(t) && c.placed[t.ID] == nil {
+		if c.mine(t) && c.placed[attemptOf(t)] == nil {
 			ids = append(ids, t.ID)
 		}
 	}
-	if len(ids) > 0 {
+	if len(ids) > 0 && c.once(now, "return") {
 		c.add(record.Record{Return: &record.Return{Tasks: ids}})
 	}
 }
--- a/controller/stream.go
+++ b/controller/stream.go
@@ -45,6 +45,7 @@
 func (c *Controller) folded(now time.Time, a follower.Applied) {
 	if a.Record.Writer == c.writer() {
 		c.out.Folded(now, a.Record.Sequence)
+		c.forgetReport(a.Record)
 		c.answerCommand(now, a)
 	}
 	if a.Outcome.Effect == zone.Void {
@@ -57,18 +58,22 @@
 		c.fences[a.Record.Fence.Instance] = now
 		c.log(Info, "fenced", "instance", a.Record.Fence.Instance.ID, "offset", a.Offset)
 	}
-	for _, id := range a.Outcome.Changed {
-		c.changed(id)
-	}
 }
 
-// changed forgets what was reported of earlier attempts at a task.
-func (c *Controller) changed(id string) {
-	t, ok := c.State().Task(id)
-	for a := range c.reported {
-		if a.Task == id && (!ok || a.Number != t.Attempt || t.State != zone.Escrowed) {
-			delete(c.reported, a)
-		}
+// forgetReport forgets that a record of ours would end an attempt, once it
+// was read back: it did, or it is void and may be due again.
+func (c *Controller) forgetReport(r record.Record) {
+	var task string
+	switch {
+	case r.Done != nil:
+		task = r.Done.Attempt.Task
+	case r.Evicted != nil:
+		task = r.Evicted.Attempt.Task
+	case r.Failed != nil:
+		task = r.Failed.Attempt.Task
+	}
+	if c.reported[task].sequence == r.Sequence {
+		delete(c.reported, task)
 	}
 }
 
@@ -142,11 +147,17 @@
 	c.add(record.Record{Snapshot: &record.Snapshot{At: c.follow.Next() - 1, State: state, Recovery: true}})
 }
 
-// propose writes what any instance of the zone may write.
+// propose writes what any instance of the zone may write. It does so only
+// while it reads the log's tail: what waited through an outage would be out
+// of date when it is appended, such as a fence of an instance that is back.
 func (c *Controller) propose(now time.Time) {
+	if now.Sub(c.follow.Tail()) > c.timing.Suspicion {
+		clear(c.missed)
+		return
+	}
 	c.proposeFences(now)
 	c.proposeLapses(now)
-	if !c.proposer() || !c.fresh(now) {
+	if !c.proposer() {
 		return
 	}
 	c.proposeLimits(now)
@@ -186,10 +197,10 @@
 // reaches, and go on extending the leases of the tasks there. One would
 // notice the same task running twice after it was queued again. The owner
 // extends them for no longer than the isolation bound after it last read the
-// log, and the last extension ends a task lease later, so after both and the
-// drift bound the worker has stopped the tasks.
+// log, and the last extension ends as taskEnd says, so after both the worker
+// has stopped the tasks.
 func (c *Controller) proposeLapses(now time.Time) {
-	wait := c.timing.Isolation + c.timing.Task + c.timing.Drift
+	wait := c.timing.Isolation + c.taskEnd()
 	for r := range c.State().Recoveries() {
 		seen, ok := c.fences[r.Instance]
 		if !ok {
--- a/controller/task.go
+++ b/controller/task.go
@@ -31,6 +31,7 @@
 		c.vanished(h, p)
 	}
 	c.dropStale(h)
+	c.confirm(h)
 }
 
 // checkOwn writes the Own record again if it was refused room earlier.
@@ -51,10 +52,10 @@
 		held[t.ID] = true
 		p, ok := h.tasks[t.ID]
 		if !ok || p.attempt != t.Attempt {
+			c.unplace(h, t.ID)
 			p = &placement{id: t.ID, attempt: t.Attempt, need: t.Need}
-			h.tasks[t.ID] = p
+			c.place(h, p)
 		}
-		c.placed[t.ID] = h
 		p.spec.Checkpoint = t.Checkpoint
 		p.stage = stageOf(t.State, p.stage)
 		if h.phase == adopted {
@@ -98,14 +99,26 @@
 
 // endAttempt writes a record that ends an attempt unless one is under way.
 func (c *Controller) endAttempt(a record.Attempt, r record.Record) {
-	if _, ok := c.reported[a]; ok {
+	if c.ending(a) {
 		return
 	}
 	if sequence, ok := c.add(r); ok {
-		c.reported[a] = sequence
+		c.reported[a.Task] = report{a.Number, sequence}
 	}
 }
 
+// report is a record that ends an attempt and wasn't read back yet.
+type report struct {
+	attempt  uint32
+	sequence uint64
+}
+
+// ending reports whether a record that ends an attempt is under way.
+func (c *Controller) ending(a record.Attempt) bool {
+	r, ok := c.reported[a.Task]
+	return ok && r.attempt == a.Number
+}
+
 // current reports whether an attempt is the one that this instance's escrow
 // holds on record.
 func (c *Controller) current(a record.Attempt) bool {
@@ -134,9 +147,8 @@
 	var acknowledge []string
 	for _, p := range sortedPlacements(h.tasks) {
 		a := record.Attempt{Task: p.id, Number: p.attempt}
-		_, ending := c.reported[a]
 		switch {
-		case p.stage == ended && !ending && !c.current(a):
+		case p.stage == ended && !c.ending(a) && !c.current(a):
 			acknowledge = append(acknowledge, p.id)
 		case p.stage == running && (!c.current(a) || c.cancelling(p.id)):
 			p.stage = stopping
@@ -167,13 +179,28 @@
 	c.endAttempt(a, record.Record{Evicted: &record.Evicted{Attempt: a, Worker: h.id, Checkpoint: p.spec.Checkpoint}})
 }
 
+// place notes that an attempt was put on a worker.
+func (c *Controller) place(h *holding, p *placement) {
+	h.tasks[p.id] = p
+	c.placed[record.Attempt{Task: p.id, Number: p.attempt}] = h
+}
+
 func (c *Controller) unplace(h *holding, id string) {
+	p, ok := h.tasks[id]
+	if !ok {
+		return
+	}
 	delete(h.tasks, id)
-	if c.placed[id] == h {
-		delete(c.placed, id)
+	a := record.Attempt{Task: id, Number: p.attempt}
+	if c.placed[a] == h {
+		delete(c.placed, a)
 	}
 }
 
+func attemptOf(t zone.Task) record.Attempt {
+	return record.Attempt{Task: t.ID, Number: t.Attempt}
+}
+
 // called takes the answer to a call about a task.
 func (c *Controller) called(now time.Time, in Called) {
 	h, ok := c.holdings[in.Worker]
@@ -190,12 +217,21 @@
 		c.notRenewed(now, h, in.Err)
 	case in.Verb == Start:
 		c.started(now, h, in)
+	case in.Verb == Stop && in.Err != nil:
+		c.notStopped(h, in.Task)
 	case in.Verb == Acknowledge && in.Err == nil:
 		c.acknowledged(h)
 	}
 	c.pump(h)
 }
 
+// started takes the answer to a start.
+//
+// What goes wrong: a start without an answer may arrive late. If a second one
+// is refused and the task is put elsewhere, the late one starts it here too.
+// One would notice two runs of one attempt. After an unsure start a refusal
+// isn't believed: the lease is taken again, and its new epoch fences the late
+// call before the attempt is given up.
 func (c *Controller) started(now time.Time, h *holding, in Called) {
 	c.startedReplica(h, in)
 	p, ok := h.tasks[in.Task]
@@ -206,12 +242,28 @@
 	switch {
 	case in.Err == nil:
 		p.stage = running
-	case fault.KindOf(in.Err).Answer().Ran == fault.NotRun && !fault.Is(in.Err, fault.Unavailable):
+	case fault.KindOf(in.Err).Answer().Ran != fault.NotRun:
+		p.unsure = true
+	case p.unsure:
+		c.reacquire(h)
+	case !fault.Is(in.Err, fault.Unavailable):
 		c.log(Info, "start refused", "worker", h.id, "task", in.Task, "error", in.Err.Error())
 		c.unplace(h, in.Task)
 	}
 }
 
+// notStopped makes a stop that failed due again.
+func (c *Controller) notStopped(h *holding, task string) {
+	if p, ok := h.tasks[task]; ok && p.stage == stopping {
+		p.stage = running
+	}
+	for _, p := range h.replicas {
+		if p.id == task && p.stage == stopping {
+			p.stage = running
+		}
+	}
+}
+
 // acknowledged forgets the placements that ended on record.
 func (c *Controller) acknowledged(h *holding) {
 	for _, p := range sortedPlacements(h.tasks) {
@@ -229,11 +281,11 @@
 	}
 	room := c.room(now)
 	for t := range c.State().Escrow(c.self.ID) {
-		if c.placed[t.ID] != nil || !c.mine(t) {
+		a := attemptOf(t)
+		if c.placed[a] != nil || !c.mine(t) {
 			continue
 		}
-		a := record.Attempt{Task: t.ID, Number: t.Attempt}
-		if _, ending := c.reported[a]; ending {
+		if c.ending(a) {
 			continue
 		}
 		if t.Cancelling {
@@ -245,6 +297,9 @@
 			c.giveBack(now, t.ID)
 			continue
 		}
+		if h.tasks[t.ID] != nil {
+			continue // the worker still keeps an earlier attempt's result
+		}
 		room[h.id] = room[h.id].Sub(t.Need)
 		c.start(now, h, t)
 	}
@@ -266,9 +321,8 @@
 			Checkpoint: t.Checkpoint,
 		},
 	}
-	h.tasks[t.ID] = p
+	c.place(h, p)
 	h.extended = now
-	c.placed[t.ID] = h
 	delete(c.proposed, "hold/"+t.ID)
 	c.call(h, Call{Verb: Start, Epoch: h.epoch, Spec: p.spec})
 }
@@ -342,7 +396,7 @@
 // takeEscrowed takes the room of escrowed tasks that aren't placed yet.
 func (c *Controller) takeEscrowed(room map[string]resource.Vector) {
 	for t := range c.State().Escrow(c.self.ID) {
-		if c.placed[t.ID] != nil {
+		if c.placed[attemptOf(t)] != nil {
 			continue
 		}
 		if h := c.choose(room, t.Need); h != nil {
