Controller: fair-share claims, and a configuration that isn't replaced by mistake

Claims are selected by package share once a second, each instance first from its own part of the queue (rendezvous hash of the task), so that instances seldom claim the same tasks. Selecting at every tick was ruled out: 10 to 12 ms at full size would be a tenth of a core.

A restatement that a publication overtook is written again. An older run that hears of a newer one under its ID leaves.

--- a/cmd/dogwoodladder/operate.go
+++ b/cmd/dogwoodladder/operate.go
@@ -53,7 +53,8 @@
 	File   string        `arg:"" type:"existingfile" help:"Manifest file."`
 	Base   string        `help:"Revision that the file replaces; default: the one in force."`
 	Wait   time.Duration `default:"12s" help:"How long to wait until it is in force everywhere."`
-	Author string        `help:"Who publishes; shown to whoever loses a conflict."`
+	Author string        `default:"operator" env:"USER" help:"Who publishes; shown to whoever loses a conflict."`
+	Anew   bool          `help:"Start over: for a configuration stream that expired and can no longer tell what is in force."`
 }
 
 // Run publishes the manifest and reports the revision and who lacks it.
@@ -69,6 +70,9 @@
 	if c.Base != "" {
 		query.Set("base", c.Base)
 	}
+	if c.Anew {
+		query.Set("anew", "")
+	}
 	header := http.Header{"Dogwood-Author": {c.Author}}
 	var a daemon.Applied
 	if err := c.post(ctx, "/apply?"+query.Encode(), header, data, &a); err != nil {
--- /dev/null
+++ b/controller/claim.go
@@ -0,0 +1,143 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/record"
+	"github.com/dogwoodladder/dogwoodladder/rendezvous"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+	"github.com/dogwoodladder/dogwoodladder/share"
+	"github.com/dogwoodladder/dogwoodladder/zone"
+)
+
+const (
+	selectInterval = time.Second      // between selections, which look at the whole queue
+	reclaim        = 10 * time.Second // before a task is claimed again
+	foreignAge     = 3 * time.Second  // before a task is claimed that another instance should claim
+	claimMax       = 256              // tasks in one Claim record
+)
+
+// claim asks for queued tasks that fit the free room, in fair order.
+//
+// Each queued task has one instance that should claim it, by rendezvous hash,
+// so that instances seldom claim the same ones. What that instance has no
+// room for is claimed by the others, when they have room left and the task
+// has waited for a while.
+func (c *Controller) claim(now time.Time) {
+	if c.leaving || !c.fresh(now) || c.out.Waiting() > 0 || now.Sub(c.selectedAt) < selectInterval {
+		return
+	}
+	c.selectedAt = now
+	room := c.room(now)
+	c.takeEscrowed(room)
+	if len(room) == 0 {
+		return
+	}
+	own, foreign := c.queues(now)
+	choices := c.pick(now, room, own)
+	if len(choices) == len(own) && len(foreign) > 0 {
+		choices = append(choices, c.pick(now, room, foreign)...)
+	}
+	c.claimChosen(now, choices)
+}
+
+// queues returns the queued tasks that this instance should claim, and those
+// that another one should have claimed by now.
+func (c *Controller) queues(now time.Time) (own, foreign []share.Task) {
+	live := c.members.Live(c.self.AvailabilityZone)
+	for t := range c.State().Queued() {
+		if at, ok := c.proposed["claim/"+t.ID]; ok && now.Sub(at) < reclaim {
+			continue
+		}
+		queued := share.Task{
+			ID:        t.ID,
+			Group:     t.Group,
+			Need:      t.Need,
+			Urgent:    t.Urgent,
+			Submitted: t.Submitted,
+			Duration:  t.Duration,
+		}
+		claimer, _ := rendezvous.Pick(t.ID, live)
+		switch {
+		case claimer == c.self.ID:
+			own = append(own, queued)
+		case now.Sub(t.Submitted) >= foreignAge:
+			foreign = append(foreign, queued)
+		}
+	}
+	return own, foreign
+}
+
+// pick selects from a queue and takes the room of what it selects.
+func (c *Controller) pick(now time.Time, room map[string]resource.Vector, queue []share.Task) []share.Choice {
+	if len(queue) == 0 {
+		return nil
+	}
+	in := share.Input{Queue: queue}
+	for name, g := range c.State().Groups() {
+		in.Groups = append(in.Groups, share.Group{Name: name, Limit: g.Limit, Used: g.Used})
+	}
+	for _, h := range c.sorted() {
+		if free, ok := room[h.id]; ok {
+			in.Workers = append(in.Workers, share.Worker{ID: h.id, Free: free, Running: c.running(h)})
+		}
+	}
+	choices := c.scheduler.Select(now, in)
+	for _, choice := range choices {
+		if t, ok := c.State().Task(choice.Task); ok {
+			room[choice.Worker] = room[choice.Worker].Sub(t.Need)
+		}
+	}
+	return choices
+}
+
+// running returns the batch tasks on a worker, for estimates of when it gets
+// free.
+func (c *Controller) running(h *holding) []share.Running {
+	var all []share.Running
+	for _, p := range sortedPlacements(h.tasks) {
+		if p.stage == ended {
+			continue
+		}
+		t, _ := c.State().Task(p.id)
+		all = append(all, share.Running{Group: t.Group, Need: p.need, Started: p.started, Duration: t.Duration})
+	}
+	return all
+}
+
+// claimChosen writes the Claim record of what was selected.
+func (c *Controller) claimChosen(now time.Time, choices []share.Choice) {
+	if len(choices) == 0 {
+		return
+	}
+	var ids []string
+	for _, choice := range choices[:min(len(choices), claimMax)] {
+		c.proposed["claim/"+choice.Task] = now
+		c.chosen[choice.Task] = choice.Worker
+		ids = append(ids, choice.Task)
+	}
+	c.add(record.Record{Claim: &record.Claim{Tasks: ids}})
+}
+
+// takeEscrowed takes the room of escrowed tasks that aren't placed yet.
+func (c *Controller) takeEscrowed(room map[string]resource.Vector) {
+	for t := range c.State().Escrow(c.self.ID) {
+		if c.placed[attemptOf(t)] != nil {
+			continue
+		}
+		if h := c.workerFor(room, t); h != nil {
+			room[h.id] = room[h.id].Sub(t.Need)
+		}
+	}
+}
+
+// workerFor returns the worker that a task was chosen for, or another one
+// that has room, or nil.
+func (c *Controller) workerFor(room map[string]resource.Vector, t zone.Task) *holding {
+	if id, ok := c.chosen[t.ID]; ok {
+		if free, ok := room[id]; ok && t.Need.Fits(free) {
+			return c.holdings[id]
+		}
+	}
+	return c.choose(room, t.Need)
+}
--- a/controller/config.go
+++ b/controller/config.go
@@ -24,6 +24,9 @@
 	inFlight bool
 	restated time.Time
 	tail     time.Time // when the newest read that reached the tail was sent
+
+	stale      bool   // a restatement was overtaken and is due again
+	understood uint64 // revision of the manifest in use
 }
 
 // publication is a record that waits to be read back. A restatement has no
@@ -47,6 +50,10 @@
 		c.do(Answer{ID: in.ID, Err: fault.New(fault.Leaving, "instance %s is shutting down", c.self.ID)})
 		return
 	}
+	if c.config.understood != c.history.Current().Number {
+		c.do(Answer{ID: in.ID, Err: fault.New(fault.Conflict, "revision %d in force is of a newer program", c.history.Current().Number)})
+		return
+	}
 	m, err := manifest.Parse("manifest", in.Manifest)
 	if err == nil && c.manifest != nil {
 		err = m.Follow(c.manifest)
@@ -55,6 +62,10 @@
 		c.do(Answer{ID: in.ID, Err: fault.New(fault.Invalid, "%s", err)})
 		return
 	}
+	if !c.history.Known() && !in.Anew {
+		c.do(Answer{ID: in.ID, Err: fault.New(fault.Unavailable, "the configuration stream hasn't told yet what is in force")})
+		return
+	}
 	if current := c.history.Current(); in.Base != current.Number {
 		c.do(Answer{ID: in.ID, Err: fault.New(fault.Conflict, "replaces revision %d, in force is %d by %q", in.Base, current.Number, current.Author)})
 		return
@@ -83,7 +94,7 @@
 		Key:      fmt.Sprintf("%s/%d/%d", c.self.ID, c.self.Incarnation, in.ID),
 		Manifest: text,
 	}
-	if !c.history.Known() && in.Base == 0 {
+	if in.Anew {
 		publish.Anew = true
 		publish.Next = c.history.Next()
 	}
@@ -155,6 +166,7 @@
 	p := c.config.pending[0]
 	c.config.pending = c.config.pending[1:]
 	if !p.command {
+		c.config.stale = outcome.Kind == revision.Stale
 		return
 	}
 	switch outcome.Kind {
@@ -173,6 +185,7 @@
 		c.log(Warn, "manifest not understood", "revision", current.Number, "error", err.Error())
 		return
 	}
+	c.config.understood = current.Number
 	c.manifest = m
 	c.dirty = true
 	c.log(Info, "configuration in force", "revision", current.Number, "author", current.Author)
@@ -183,10 +196,12 @@
 	if c.config.restated.IsZero() {
 		c.config.restated = now
 	}
-	if c.manifest == nil || !c.proposer() || now.Sub(c.config.restated) < c.timing.Snapshot {
+	due := now.Sub(c.config.restated) >= c.timing.Snapshot || c.config.stale
+	if c.manifest == nil || !c.proposer() || !due {
 		return
 	}
 	c.config.restated = now
+	c.config.stale = false
 	r, ok := c.history.Restate()
 	if !ok {
 		return
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -29,6 +29,7 @@
 	"github.com/dogwoodladder/dogwoodladder/replica"
 	"github.com/dogwoodladder/dogwoodladder/revision"
 	"github.com/dogwoodladder/dogwoodladder/route"
+	"github.com/dogwoodladder/dogwoodladder/share"
 	"github.com/dogwoodladder/dogwoodladder/zone"
 )
 
@@ -83,6 +84,7 @@
 	placed   map[record.Attempt]*holding // attempts and the workers they were put on
 	reported map[string]report           // by task
 	proposed map[string]time.Time        // idempotent proposals and when they were made
+	chosen   map[string]string           // claimed tasks and the workers they were chosen for
 	fences   map[record.Writer]time.Time // when a fence was read
 	missed   map[record.Writer]time.Time // since when an owner is out of service
 	commands map[uint64]*command         // by the sequence of the record they wait for
@@ -90,6 +92,8 @@
 	peers    []peer.Peer
 	table    *route.Table
 
+	scheduler  *share.Scheduler
+	selectedAt time.Time // when tasks were last selected
 	snapshotAt time.Time
 	lastTick   time.Time
 	leaving    bool
@@ -110,6 +114,7 @@
 		holdings: make(map[string]*holding),
 		free:     make(map[string]int),
 	}
+	c.scheduler = share.New()
 	c.follow = follower.New(func() *zone.State { return zone.New(self.AvailabilityZone) })
 	c.begin(self.Incarnation)
 	return c
@@ -127,6 +132,7 @@
 	}
 	c.reported = make(map[string]report)
 	c.proposed = make(map[string]time.Time)
+	c.chosen = make(map[string]string)
 	c.fences = make(map[record.Writer]time.Time)
 	c.missed = make(map[record.Writer]time.Time)
 	c.commands = make(map[uint64]*command)
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -62,7 +62,8 @@
 	attempt uint32
 	need    resource.Vector
 	stage   stage
-	unsure  bool // a start of it was not answered, and may arrive late
+	unsure  bool      // a start of it was not answered, and may arrive late
+	started time.Time // when this instance first knew of it
 	spec    platform.TaskSpec
 }
 
@@ -316,7 +317,7 @@
 	h.capacity = in.Lease.Capacity
 	h.slots = in.Lease.Slots
 	c.seeReplicas(h, in.Lease.Tasks)
-	c.see(h, in.Lease.Tasks)
+	c.see(now, h, in.Lease.Tasks)
 	c.recordOwn(h, in.Lease.Tasks)
 	c.log(Info, "worker owned", "worker", h.id, "epoch", h.epoch, "tasks", len(in.Lease.Tasks))
 	c.dirty = true
--- a/controller/input.go
+++ b/controller/input.go
@@ -102,12 +102,14 @@
 	Jobs  []string
 }
 
-// Apply asks to publish a configuration in place of a revision.
+// Apply asks to publish a configuration in place of a revision. Anew replaces
+// whatever was in force, for when no instance can tell what that was.
 type Apply struct {
 	ID       uint64
 	Base     uint64
 	Author   string
 	Manifest []byte
+	Anew     bool
 }
 
 // Free is what the traffic side has free, by service, for heartbeats.
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -29,7 +29,12 @@
 }
 
 func (c *Controller) hear(now time.Time, h member.Heartbeat) {
-	if c.members.Heard(now, h) == member.Rejected {
+	switch c.members.Heard(now, h) {
+	case member.Rejected:
+		return
+	case member.Replaced:
+		c.log(Warn, "replaced by a newer run", "incarnation", h.Incarnation)
+		c.leave(now)
 		return
 	}
 	if h.Revision > c.history.Current().Number && c.once(now, "config") {
--- a/controller/service.go
+++ b/controller/service.go
@@ -275,51 +275,6 @@
 	return 1
 }
 
-// selectTasks returns the queued tasks to claim for the free room: urgent
-// ones first, then in turn from the group that holds the least of its limit.
-func (c *Controller) selectTasks(now time.Time, room map[string]resource.Vector) []string {
-	return c.chooseFair(now, room)
-}
-
 func isDeclared(task string) bool {
 	return strings.HasPrefix(task, "job/")
 }
-
-// chooseFair is the plain order used until measurements feed package share.
-func (c *Controller) chooseFair(now time.Time, room map[string]resource.Vector) []string {
-	const most = 128
-	free := make(map[string]resource.Vector)
-	var ids []string
-	for _, urgent := range []bool{true, false} {
-		for t := range c.State().Queued() {
-			if len(ids) >= most {
-				return ids
-			}
-			if t.Urgent != urgent || c.claimedLately(now, t.ID) {
-				continue
-			}
-			left, ok := free[t.Group]
-			if !ok {
-				g := c.State().Group(t.Group)
-				left = g.Limit.Sub(g.Used)
-			}
-			free[t.Group] = left
-			if !t.Need.Fits(left) {
-				continue
-			}
-			h := c.choose(room, t.Need)
-			if h == nil {
-				continue
-			}
-			free[t.Group] = left.Sub(t.Need)
-			room[h.id] = room[h.id].Sub(t.Need)
-			ids = append(ids, t.ID)
-		}
-	}
-	return ids
-}
-
-func (c *Controller) claimedLately(now time.Time, id string) bool {
-	at, ok := c.proposed["claim/"+id]
-	return ok && now.Sub(at) < reclaim
-}
--- a/controller/task.go
+++ b/controller/task.go
@@ -11,10 +11,6 @@
 	"github.com/dogwoodladder/dogwoodladder/zone"
 )
 
-// reclaim is how long a claim may stay unread before its tasks are claimed
-// again.
-const reclaim = 10 * time.Second
-
 // renewed takes the answer to a renewal, which lists what the worker holds.
 func (c *Controller) renewed(now time.Time, h *holding, in Leased) {
 	if in.Lease.Epoch != h.epoch || !c.book.Granted(in.Sent, h.id, in.Lease) {
@@ -22,7 +18,7 @@
 	}
 	c.dirty = true
 	c.seeReplicas(h, in.Lease.Tasks)
-	gone := c.see(h, in.Lease.Tasks)
+	gone := c.see(now, h, in.Lease.Tasks)
 	if h.phase == granted {
 		c.checkOwn(h, in.Lease.Tasks)
 		return
@@ -43,7 +39,7 @@
 
 // see brings the placements in line with what the worker holds, and returns
 // those it doesn't hold.
-func (c *Controller) see(h *holding, tasks []platform.Running) []*placement {
+func (c *Controller) see(now time.Time, h *holding, tasks []platform.Running) []*placement {
 	held := make(map[string]bool, len(tasks))
 	for _, t := range tasks {
 		if t.Kind != platform.KindBatch {
@@ -53,7 +49,7 @@
 		p, ok := h.tasks[t.ID]
 		if !ok || p.attempt != t.Attempt {
 			c.unplace(h, t.ID)
-			p = &placement{id: t.ID, attempt: t.Attempt, need: t.Need}
+			p = &placement{id: t.ID, attempt: t.Attempt, need: t.Need, started: now}
 			c.place(h, p)
 		}
 		p.spec.Checkpoint = t.Checkpoint
@@ -292,7 +288,7 @@
 			c.endAttempt(a, record.Record{Evicted: &record.Evicted{Attempt: a, Checkpoint: t.Checkpoint}})
 			continue
 		}
-		h := c.choose(room, t.Need)
+		h := c.workerFor(room, t)
 		if h == nil {
 			c.giveBack(now, t.ID)
 			continue
@@ -321,7 +317,9 @@
 			Checkpoint: t.Checkpoint,
 		},
 	}
+	p.started = now
 	c.place(h, p)
+	delete(c.chosen, t.ID)
 	h.extended = now
 	delete(c.proposed, "hold/"+t.ID)
 	c.call(h, Call{Verb: Start, Epoch: h.epoch, Spec: p.spec})
@@ -376,35 +374,6 @@
 	return c.holdings[best]
 }
 
-// claim asks for queued tasks that fit the free room, in fair order.
-func (c *Controller) claim(now time.Time) {
-	if c.leaving || !c.fresh(now) || c.out.Waiting() > 0 {
-		return
-	}
-	room := c.room(now)
-	c.takeEscrowed(room)
-	ids := c.selectTasks(now, room)
-	if len(ids) == 0 {
-		return
-	}
-	for _, id := range ids {
-		c.proposed["claim/"+id] = now
-	}
-	c.add(record.Record{Claim: &record.Claim{Tasks: ids}})
-}
-
-// takeEscrowed takes the room of escrowed tasks that aren't placed yet.
-func (c *Controller) takeEscrowed(room map[string]resource.Vector) {
-	for t := range c.State().Escrow(c.self.ID) {
-		if c.placed[attemptOf(t)] != nil {
-			continue
-		}
-		if h := c.choose(room, t.Need); h != nil {
-			room[h.id] = room[h.id].Sub(t.Need)
-		}
-	}
-}
-
 // sweep forgets proposals that are long past.
 func (c *Controller) sweep(now time.Time) {
 	const keep = time.Minute
@@ -413,6 +382,11 @@
 			delete(c.proposed, key)
 		}
 	}
+	for id := range c.chosen {
+		if _, ok := c.proposed["claim/"+id]; !ok {
+			delete(c.chosen, id)
+		}
+	}
 }
 
 // cancelUndeclared cancels the tasks of declared jobs that the manifest
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -133,11 +133,7 @@
 	}
 	d.control = controller.New(d.self, timing(d.settings.Timing))
 	d.gateway = gateway.New(gateway.WithLogger(d.logger))
-	d.mesh = peer.New(peer.WithSelf(member.Self{
-		ID:               d.self.ID,
-		AvailabilityZone: d.self.AvailabilityZone,
-		Incarnation:      d.self.Incarnation,
-	}))
+	d.mesh = d.newMesh()
 	d.tomb.Go(func() error {
 		d.tomb.Go(d.runControl)
 		d.tomb.Go(func() error { return d.mesh.Run(d.tomb.Context(context.Background())) })
@@ -152,6 +148,19 @@
 	return d.tomb.Wait()
 }
 
+func (d *Daemon) newMesh() *peer.Mesh {
+	const missed = 3 // heartbeats before a link counts as silent
+	beat := d.settings.Timing.Heartbeat
+	return peer.New(
+		peer.WithSelf(member.Self{
+			ID:               d.self.ID,
+			AvailabilityZone: d.self.AvailabilityZone,
+			Incarnation:      d.self.Incarnation,
+		}),
+		peer.WithSilence(missed*beat, missed*member.RemoteFactor*beat),
+	)
+}
+
 func timing(t setting.Timing) controller.Timing {
 	return controller.Timing{
 		Heartbeat: t.Heartbeat,
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -78,7 +78,7 @@
 		return
 	}
 	a, err := d.command(func(id uint64) controller.Input {
-		return controller.Apply{ID: id, Base: base, Author: r.Header.Get("Dogwood-Author"), Manifest: body}
+		return controller.Apply{ID: id, Base: base, Author: r.Header.Get("Dogwood-Author"), Manifest: body, Anew: r.URL.Query().Has("anew")}
 	})
 	if err != nil {
 		refuse(w, err)
--- a/member/option.go
+++ b/member/option.go
@@ -14,13 +14,17 @@
 	defaultLimit        = 256
 )
 
+// RemoteFactor is how much rarer heartbeats to other availability zones are,
+// unless set.
+const RemoteFactor = 10
+
 // Bounds that are not settings.
 const (
-	maxFree       = 1024 // services in one heartbeat
-	maxName       = 128  // bytes of an ID, availability zone or address
-	maxDoublings  = 3    // of the hysteresis after repeated deaths
-	remoteFactor  = 10   // heartbeats to other availability zones are rarer by this, unless set
-	forgiveFactor = 10   // a member live for this many hystereses has its deaths forgotten
+	maxFree      = 1024 // services in one heartbeat
+	maxName      = 128  // bytes of an ID, availability zone or address
+	maxDoublings = 3    // of the hysteresis after repeated deaths
+
+	forgiveFactor = 10 // a member live for this many hystereses has its deaths forgotten
 )
 
 type settings struct {
@@ -94,7 +98,7 @@
 		opt(&s)
 	}
 	if s.remoteHeartbeat <= 0 {
-		s.remoteHeartbeat = remoteFactor * s.heartbeat
+		s.remoteHeartbeat = RemoteFactor * s.heartbeat
 	}
 	return s
 }
