Controller: placement, throttles and evictions from lagging reports

What runs where is told to the estimator when it changes, so that a late report counts against the tasks that ran when it was measured. A claimed task goes to the worker that the planner prefers, or waits when each would slow a service too much; the ladder throttles and evicts by checkpoint.

--- a/controller/action.go
+++ b/controller/action.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/peer"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/route"
@@ -52,17 +51,18 @@
 	Tasks      []string              // of Acknowledge
 }
 
+// Poll asks for a worker's report, beside its other calls.
+type Poll struct {
+	Worker  string
+	Address string // host:port
+}
+
 // Send asks to send a message to another instance.
 type Send struct {
 	To      string
 	Message peer.Message
 }
 
-// Beat asks to send a heartbeat to the other instances.
-type Beat struct {
-	Heartbeat member.Heartbeat
-}
-
 // Link says which instances to hold links with.
 type Link struct {
 	Peers []peer.Peer
@@ -104,8 +104,8 @@
 
 func (Append) action()  {}
 func (Call) action()    {}
+func (Poll) action()    {}
 func (Send) action()    {}
-func (Beat) action()    {}
 func (Link) action()    {}
 func (Publish) action() {}
 func (Answer) action()  {}
--- a/controller/claim.go
+++ b/controller/claim.go
@@ -29,7 +29,7 @@
 	}
 	c.selectedAt = now
 	room := c.room(now)
-	c.takeEscrowed(room)
+	c.takeEscrowed(now, room)
 	if len(room) == 0 {
 		return
 	}
@@ -95,7 +95,7 @@
 // free.
 func (c *Controller) running(h *holding) []share.Running {
 	var all []share.Running
-	for _, p := range sortedPlacements(h.tasks) {
+	for _, p := range sortedAssignments(h.tasks) {
 		if p.stage == ended {
 			continue
 		}
@@ -120,24 +120,30 @@
 }
 
 // takeEscrowed takes the room of escrowed tasks that aren't placed yet.
-func (c *Controller) takeEscrowed(room map[string]resource.Vector) {
+func (c *Controller) takeEscrowed(now time.Time, room map[string]resource.Vector) {
 	for t := range c.State().Escrow(c.self.ID) {
 		if c.placed[attemptOf(t)] != nil {
 			continue
 		}
-		if h := c.workerFor(room, t); h != nil {
+		if h := c.workerFor(now, room, t); h != nil {
 			room[h.id] = room[h.id].Sub(t.Need)
 		}
 	}
 }
 
-// workerFor returns the worker that a task was chosen for, or another one
-// that has room, or nil.
-func (c *Controller) workerFor(room map[string]resource.Vector, t zone.Task) *holding {
-	if id, ok := c.chosen[t.ID]; ok {
-		if free, ok := room[id]; ok && t.Need.Fits(free) {
-			return c.holdings[id]
-		}
+// workerFor returns the worker that suits a task, or nil when none has room
+// without harm to a service there. The worker that the selection chose is
+// taken only when a task fits no other way, since the selection knows of
+// sizes alone.
+func (c *Controller) workerFor(now time.Time, room map[string]resource.Vector, t zone.Task) *holding {
+	id, ok := c.chosen[t.ID]
+	if !ok {
+		return c.choose(now, room, t)
+	}
+	free, ok := room[id]
+	h := c.holdings[id]
+	if ok && t.Need.Fits(free) && len(h.replicas) == 0 {
+		return h
 	}
-	return c.choose(room, t.Need)
+	return c.choose(now, room, t)
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -93,6 +93,7 @@
 	table    *route.Table
 
 	scheduler  *share.Scheduler
+	neighbors  *neighbors
 	selectedAt time.Time // when tasks were last selected
 	snapshotAt time.Time
 	lastTick   time.Time
@@ -115,6 +116,7 @@
 		free:     make(map[string]int),
 	}
 	c.scheduler = share.New()
+	c.neighbors = newNeighbors()
 	c.follow = follower.New(func() *zone.State { return zone.New(self.AvailabilityZone) })
 	c.begin(self.Incarnation)
 	return c
@@ -128,7 +130,7 @@
 	c.out = appender.New(c.writer(), appender.WithInterval(c.timing.Append))
 	c.placed = make(map[record.Attempt]*holding)
 	for _, h := range c.holdings {
-		h.tasks = make(map[string]*placement)
+		h.tasks = make(map[string]*assignment)
 	}
 	c.reported = make(map[string]report)
 	c.proposed = make(map[string]time.Time)
@@ -205,6 +207,7 @@
 		c.settleUnreachable(now)
 		c.startEscrow(now)
 		c.claim(now)
+		c.askReports(now)
 	}
 	c.placeReplicas(now)
 	c.expireCommands(now)
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -183,6 +183,8 @@
 		h.append(n, a)
 	case controller.Call:
 		h.call(n, a)
+	case controller.Poll:
+		h.poll(n, a)
 	case controller.Send:
 		h.send(n, a)
 	case controller.Answer:
@@ -323,6 +325,8 @@
 			h.t.Errorf("%v: %s got more than it holds: %v", h.now.Sub(h.start), a.Worker, err)
 		}
 		return platform.Lease{}, err
+	case controller.Throttle:
+		return platform.Lease{}, w.Throttle(a.Epoch, a.Task, a.Percent)
 	case controller.Stop:
 		return platform.Lease{}, w.Stop(a.Epoch, a.Task, a.Checkpoint)
 	case controller.Acknowledge:
@@ -331,6 +335,16 @@
 	return platform.Lease{}, fault.New(fault.Internal, "no verb")
 }
 
+func (h *harness) poll(n *node, a controller.Poll) {
+	h.after(latency, func() {
+		if h.isCut(n.id, a.Worker) || h.dead[a.Worker] || h.stalled[a.Worker] {
+			return
+		}
+		report := h.workers[a.Worker].Report()
+		h.after(latency, func() { h.answer(n, controller.Reported{Worker: a.Worker, Report: report}) })
+	})
+}
+
 func (h *harness) send(n *node, a controller.Send) {
 	h.after(latency, func() {
 		to, ok := h.nodes[a.To]
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -38,8 +38,11 @@
 	recorded uint64    // sequence of the Own record
 	retryAt  time.Time // not to be acquired before
 	extended time.Time // when the newest call that may have extended task leases was sent
-	tasks    map[string]*placement
-	replicas map[string]*placement // by service
+	tasks    map[string]*assignment
+	replicas map[string]*assignment // by service
+
+	noted    map[string]*noted // what the estimator was told, by task
+	reportAt time.Time         // when the next report is due
 
 	busy  bool // a call is under way
 	queue []Call
@@ -55,8 +58,8 @@
 	ended // the worker keeps a result
 )
 
-// placement is a task on a worker.
-type placement struct {
+// assignment is a task on a worker.
+type assignment struct {
 	id      string
 	service string // of a replica
 	attempt uint32
@@ -70,8 +73,9 @@
 func newHolding(id string) *holding {
 	return &holding{
 		id:       id,
-		tasks:    make(map[string]*placement),
-		replicas: make(map[string]*placement),
+		tasks:    make(map[string]*assignment),
+		replicas: make(map[string]*assignment),
+		noted:    make(map[string]*noted),
 	}
 }
 
@@ -184,18 +188,19 @@
 	for _, l := range c.book.Tick(now) {
 		if h, ok := c.holdings[l.Worker]; ok && h.epoch == l.Epoch {
 			c.log(Warn, "lease lapsed", "worker", l.Worker, "epoch", l.Epoch)
-			c.giveUp(h)
+			c.giveUp(now, h)
 		}
 	}
 }
 
 // giveUp forgets a lease. The tasks stay on the book until it is known what
 // became of them.
-func (c *Controller) giveUp(h *holding) {
+func (c *Controller) giveUp(now time.Time, h *holding) {
 	c.book.Drop(h.id)
+	c.forgetNeighbors(now, h)
 	h.phase = unowned
 	h.queue = nil
-	h.replicas = make(map[string]*placement)
+	h.replicas = make(map[string]*assignment)
 	c.dirty = true
 }
 
@@ -299,7 +304,7 @@
 	if fault.Is(err, fault.StaleEpoch) {
 		c.book.Refused(h.id, h.epoch)
 		c.log(Warn, "lease lost", "worker", h.id, "epoch", h.epoch)
-		c.giveUp(h)
+		c.giveUp(now, h)
 		return
 	}
 	c.book.Lost(now, h.id)
@@ -353,7 +358,7 @@
 		return
 	}
 	if r.Own.Epoch > h.epoch {
-		c.takenByOther(h, r.Own)
+		c.takenByOther(now, h, r.Own)
 	}
 }
 
@@ -379,9 +384,9 @@
 // and would wait forever. One would notice them escrowed and on no worker.
 // The new epoch fences every call of ours, and the worker held only what the
 // record lists, so the others can't run there.
-func (c *Controller) takenByOther(h *holding, own *record.Own) {
+func (c *Controller) takenByOther(now time.Time, h *holding, own *record.Own) {
 	if h.phase != unowned {
-		c.giveUp(h)
+		c.giveUp(now, h)
 	}
 	c.evictMissing(h, heldSet(own))
 	for id := range h.tasks {
@@ -391,7 +396,7 @@
 
 // evictMissing evicts the tasks placed on a worker that it doesn't hold.
 func (c *Controller) evictMissing(h *holding, held map[record.Attempt]bool) {
-	for _, p := range sortedPlacements(h.tasks) {
+	for _, p := range sortedAssignments(h.tasks) {
 		a := record.Attempt{Task: p.id, Number: p.attempt}
 		if held[a] {
 			continue
@@ -440,8 +445,8 @@
 
 // reacquire takes the lease again under a new epoch, which fences every call
 // that is still under way.
-func (c *Controller) reacquire(h *holding) {
-	c.giveUp(h)
+func (c *Controller) reacquire(now time.Time, h *holding) {
+	c.giveUp(now, h)
 	h.phase = acquiring
 	c.call(h, Call{Verb: Acquire, Lease: c.book.Acquire()})
 }
@@ -461,8 +466,8 @@
 	c.dirty = true
 }
 
-func sortedPlacements(m map[string]*placement) []*placement {
-	all := make([]*placement, 0, len(m))
+func sortedAssignments(m map[string]*assignment) []*assignment {
+	all := make([]*assignment, 0, len(m))
 	for _, p := range m {
 		all = append(all, p)
 	}
--- a/controller/service.go
+++ b/controller/service.go
@@ -85,7 +85,7 @@
 	for _, name := range c.plan.Worker(h.id) {
 		planned[name] = !h.leaving
 	}
-	for _, p := range sortedPlacements(h.replicas) {
+	for _, p := range sortedAssignments(h.replicas) {
 		if !planned[p.service] && p.stage == running {
 			p.stage = stopping
 			c.dirty = true
@@ -114,7 +114,7 @@
 		Command: command,
 		Slots:   slots,
 	}
-	h.replicas[name] = &placement{id: spec.ID, service: name, attempt: 1, need: need, spec: spec}
+	h.replicas[name] = &assignment{id: spec.ID, service: name, attempt: 1, need: need, spec: spec}
 	c.call(h, Call{Verb: Start, Epoch: h.epoch, Spec: spec})
 }
 
@@ -125,7 +125,7 @@
 		return
 	}
 	free := h.capacity.Sub(h.used())
-	victims := sortedPlacements(h.tasks)
+	victims := sortedAssignments(h.tasks)
 	for _, p := range victims {
 		if p.stage == stopping {
 			free = free.Add(p.need)
@@ -160,7 +160,7 @@
 		held[name] = true
 		p, ok := h.replicas[name]
 		if !ok {
-			p = &placement{id: t.ID, service: name, attempt: t.Attempt, need: t.Need}
+			p = &assignment{id: t.ID, service: name, attempt: t.Attempt, need: t.Need}
 			h.replicas[name] = p
 		}
 		if p.stage != stopping {
--- a/controller/status.go
+++ b/controller/status.go
@@ -156,7 +156,7 @@
 		_, until, ok := c.book.Valid(now, h.id)
 		fmt.Fprintf(b, "id=%s phase=%v epoch=%d valid=%v for=%v tasks=%d replicas=%d used=%q busy=%v calls=%d\n",
 			h.id, h.phase, h.epoch, ok, until.Sub(now).Round(time.Millisecond), len(h.tasks), len(h.replicas), h.used(), h.busy, len(h.queue))
-		for i, p := range sortedPlacements(h.tasks) {
+		for i, p := range sortedAssignments(h.tasks) {
 			if i == maxListed {
 				fmt.Fprintf(b, "  and %d more\n", len(h.tasks)-i)
 				break
--- a/controller/stream.go
+++ b/controller/stream.go
@@ -120,7 +120,7 @@
 	}
 	c.log(Warn, "fenced by others", "incarnation", c.self.Incarnation)
 	for _, h := range c.holdings {
-		c.giveUp(h)
+		c.giveUp(now, h)
 	}
 	c.failCommands()
 	c.begin(max(c.self.Incarnation+1, uint64(now.UnixMilli())))
--- a/controller/task.go
+++ b/controller/task.go
@@ -26,6 +26,7 @@
 	for _, p := range gone {
 		c.vanished(h, p)
 	}
+	c.note(now, h)
 	c.dropStale(h)
 	c.confirm(h)
 }
@@ -39,7 +40,7 @@
 
 // see brings the placements in line with what the worker holds, and returns
 // those it doesn't hold.
-func (c *Controller) see(now time.Time, h *holding, tasks []platform.Running) []*placement {
+func (c *Controller) see(now time.Time, h *holding, tasks []platform.Running) []*assignment {
 	held := make(map[string]bool, len(tasks))
 	for _, t := range tasks {
 		if t.Kind != platform.KindBatch {
@@ -49,7 +50,7 @@
 		p, ok := h.tasks[t.ID]
 		if !ok || p.attempt != t.Attempt {
 			c.unplace(h, t.ID)
-			p = &placement{id: t.ID, attempt: t.Attempt, need: t.Need, started: now}
+			p = &assignment{id: t.ID, attempt: t.Attempt, need: t.Need, started: now}
 			c.place(h, p)
 		}
 		p.spec.Checkpoint = t.Checkpoint
@@ -58,8 +59,8 @@
 			c.reportEnd(h, t)
 		}
 	}
-	var gone []*placement
-	for _, p := range sortedPlacements(h.tasks) {
+	var gone []*assignment
+	for _, p := range sortedAssignments(h.tasks) {
 		if !held[p.id] {
 			gone = append(gone, p)
 		}
@@ -141,7 +142,7 @@
 		return
 	}
 	var acknowledge []string
-	for _, p := range sortedPlacements(h.tasks) {
+	for _, p := range sortedAssignments(h.tasks) {
 		a := record.Attempt{Task: p.id, Number: p.attempt}
 		switch {
 		case p.stage == ended && !c.ending(a) && !c.current(a):
@@ -162,7 +163,7 @@
 }
 
 // vanished settles a placement that the worker doesn't hold.
-func (c *Controller) vanished(h *holding, p *placement) {
+func (c *Controller) vanished(h *holding, p *assignment) {
 	a := record.Attempt{Task: p.id, Number: p.attempt}
 	if !c.current(a) {
 		c.unplace(h, p.id)
@@ -176,7 +177,7 @@
 }
 
 // place notes that an attempt was put on a worker.
-func (c *Controller) place(h *holding, p *placement) {
+func (c *Controller) place(h *holding, p *assignment) {
 	h.tasks[p.id] = p
 	c.placed[record.Attempt{Task: p.id, Number: p.attempt}] = h
 }
@@ -241,7 +242,7 @@
 	case fault.KindOf(in.Err).Answer().Ran != fault.NotRun:
 		p.unsure = true
 	case p.unsure:
-		c.reacquire(h)
+		c.reacquire(now, h)
 	case !fault.Is(in.Err, fault.Unavailable):
 		c.log(Info, "start refused", "worker", h.id, "task", in.Task, "error", in.Err.Error())
 		c.unplace(h, in.Task)
@@ -262,7 +263,7 @@
 
 // acknowledged forgets the placements that ended on record.
 func (c *Controller) acknowledged(h *holding) {
-	for _, p := range sortedPlacements(h.tasks) {
+	for _, p := range sortedAssignments(h.tasks) {
 		if p.stage == ended && !c.current(record.Attempt{Task: p.id, Number: p.attempt}) {
 			c.unplace(h, p.id)
 		}
@@ -288,7 +289,7 @@
 			c.endAttempt(a, record.Record{Evicted: &record.Evicted{Attempt: a, Checkpoint: t.Checkpoint}})
 			continue
 		}
-		h := c.workerFor(room, t)
+		h := c.workerFor(now, room, t)
 		if h == nil {
 			c.giveBack(now, t.ID)
 			continue
@@ -302,7 +303,7 @@
 }
 
 func (c *Controller) start(now time.Time, h *holding, t zone.Task) {
-	p := &placement{
+	p := &assignment{
 		id:      t.ID,
 		attempt: t.Attempt,
 		need:    t.Need,
@@ -357,23 +358,6 @@
 	return room
 }
 
-// choose returns the worker where a task leaves the least room, or nil.
-func (c *Controller) choose(room map[string]resource.Vector, need resource.Vector) *holding {
-	best := ""
-	left := 0.0
-	for id, free := range room {
-		if !need.Fits(free) {
-			continue
-		}
-		rest := free.Sub(need).Dominant(c.holdings[id].capacity)
-		if best == "" || rest < left || (rest == left && id < best) {
-			best = id
-			left = rest
-		}
-	}
-	return c.holdings[best]
-}
-
 // sweep forgets proposals that are long past.
 func (c *Controller) sweep(now time.Time) {
 	const keep = time.Minute
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -97,6 +97,8 @@
 		d.tomb.Go(func() error { d.append(a); return nil })
 	case controller.Call:
 		d.tomb.Go(func() error { d.call(a); return nil })
+	case controller.Poll:
+		d.tomb.Go(func() error { d.poll(a); return nil })
 	case controller.Send:
 		d.send(a)
 	case controller.Link:
@@ -172,6 +174,18 @@
 	}
 }
 
+// poll asks a worker for its report.
+func (d *Daemon) poll(a controller.Poll) {
+	ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), callTimeout)
+	defer cancel()
+	report, err := d.worker(a.Address).Report(ctx)
+	if err != nil {
+		d.logger.Debug("no report", zap.String("worker", a.Worker), zap.Error(err))
+		return
+	}
+	d.put(controller.Reported{Worker: a.Worker, Report: report})
+}
+
 func (d *Daemon) callLease(ctx context.Context, w platform.Worker, a controller.Call) (platform.Lease, error) {
 	switch a.Verb {
 	case controller.Acquire:
