Controller: a refused claim is due again once it was read back

A task that was refused, as over its group's share, stood in line for 10 s before it was claimed again; the demo ended with one task queued beside idle workers. The mark of a claim now goes when its record is read back.

--- a/controller/stream.go
+++ b/controller/stream.go
@@ -46,6 +46,7 @@
 	if a.Record.Writer == c.writer() {
 		c.out.Folded(now, a.Record.Sequence)
 		c.forgetReport(a.Record)
+		c.forgetClaim(a.Record)
 		c.answerCommand(now, a)
 	}
 	if a.Outcome.Effect == zone.Void {
@@ -77,6 +78,17 @@
 	}
 }
 
+// forgetClaim makes the tasks of a claim that was read back due again, should
+// they have been refused.
+func (c *Controller) forgetClaim(r record.Record) {
+	if r.Claim == nil {
+		return
+	}
+	for _, id := range r.Claim.Tasks {
+		delete(c.proposed, "claim/"+id)
+	}
+}
+
 func (c *Controller) appended(now time.Time, in Appended) {
 	if in.Stream == ConfigStream {
 		c.config.answered(now, in.Err)
--- a/controller/task.go
+++ b/controller/task.go
@@ -362,6 +362,9 @@
 
 // sweep forgets proposals that are long past.
 func (c *Controller) sweep(now time.Time) {
+	if c.State() == nil {
+		return
+	}
 	const keep = time.Minute
 	for key, at := range c.proposed {
 		if now.Sub(at) > keep {
@@ -369,7 +372,7 @@
 		}
 	}
 	for id := range c.chosen {
-		if _, ok := c.proposed["claim/"+id]; !ok {
+		if t, ok := c.State().Task(id); !ok || t.State != zone.Queued && !c.mine(t) {
 			delete(c.chosen, id)
 		}
 	}
