Gateway: the request path with its tests, and stand-ins that answer probes

Forwarded paths with '//' are no longer redirected.

Not proved: upload back-pressure, trailers, faults on real sockets.

--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -31,22 +31,31 @@
 	}
 }
 
-// reserve returns the time of service that a request of s must have left.
+// reserve returns the time of service that a waiting request of s must have
+// left once it has a slot.
 func (g *Gate) reserve(s *service) time.Duration {
 	return seconds(s.served.mean + g.config.reserve*s.served.deviation)
 }
 
-// canFinish reports whether t can be answered by its deadline after a wait.
+// least returns the time of service below which a request of s has little
+// chance.
+func (g *Gate) least(s *service) time.Duration {
+	return seconds(s.served.mean - g.config.reserve*s.served.deviation)
+}
+
+// canFinish reports whether t can be answered by its deadline after a wait. A
+// request that needn't wait is tried while it has a chance; one that waits
+// must be likely to finish, as others could use the slot.
 //
 // What goes wrong: one slow spell raises the measured time of service above
 // every deadline, all requests are refused, and no new measurement ever
 // lowers it again. One would see a service refuse everything with idle
 // workers. A request that finds its service idle always goes.
 func (g *Gate) canFinish(now time.Time, t *Ticket, wait time.Duration) bool {
-	if t.service.inFlight == 0 && wait == 0 {
-		return true
+	if wait > 0 {
+		return !now.Add(wait + g.reserve(t.service)).After(t.Request.Deadline)
 	}
-	return !now.Add(wait + g.reserve(t.service)).After(t.Request.Deadline)
+	return t.service.inFlight == 0 || !now.Add(g.least(t.service)).After(t.Request.Deadline)
 }
 
 // wait returns how long the request at a position of the queue of s, counted
--- a/admission/service.go
+++ b/admission/service.go
@@ -52,3 +52,18 @@
 	i := slices.Index(s.queue, t)
 	s.queue = slices.Delete(s.queue, i, i+1)
 }
+
+// measure takes the time that a slot was held into account.
+//
+// What goes wrong: a dead worker refuses within a fraction of the time of
+// service, the queue seems to drain many times as fast, and requests are
+// accepted that can't finish. One would see timeouts where refusals belong. A
+// request that failed sooner than usual says nothing about the others.
+func (s *service) measure(latency time.Duration, ok bool) {
+	if ok {
+		s.served.add(latency)
+	}
+	if ok || latency.Seconds() > s.held.mean {
+		s.held.add(latency)
+	}
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,8 +9,8 @@
 //	// send the request
 //	b.Done(now, backend.Worker, latency, balancer.OK)
 //
-// The choice is the better of two at random, by slots in use and by measured
-// latency. A replica that fails, refuses or is far slower than its peers
+// The choice is the best of all, or of two at random, by slots in use and by
+// measured latency. A replica that fails, refuses or is far slower than its peers
 // leaves the rotation, and comes back after a few requests sent as probes.
 // Only a bounded part is ever out of rotation.
 //
@@ -31,6 +31,7 @@
 // Defaults of a Balancer.
 const (
 	DefaultEjectedPart = 0.5
+	DefaultRefusedPart = 0.9
 	DefaultSlowFactor  = 3.0
 	DefaultFailures    = 5
 	DefaultRefusals    = 2
@@ -44,6 +45,7 @@
 	random      *rand.Rand
 	choice      Choice
 	ejectedPart float64
+	refusedPart float64
 	slowFactor  float64
 	failures    int
 	refusals    int
@@ -63,6 +65,7 @@
 	b := &Balancer{
 		random:      rand.New(rand.NewPCG(seed, seed)),
 		ejectedPart: DefaultEjectedPart,
+		refusedPart: DefaultRefusedPart,
 		slowFactor:  DefaultSlowFactor,
 		failures:    DefaultFailures,
 		refusals:    DefaultRefusals,
@@ -91,6 +94,7 @@
 	slices.SortFunc(b.order, func(x, y *replica) int {
 		return cmp.Compare(x.backend.Worker, y.backend.Worker)
 	})
+	b.keepSome()
 	b.peer = b.peerLatency(nil)
 }
 
@@ -131,25 +135,23 @@
 func (b *Balancer) Pick(now time.Time, skip func(worker string) bool) (route.Backend, bool) {
 	b.eligible = b.eligible[:0]
 	for _, r := range b.order {
-		if !r.usable(now) || skip != nil && skip(r.backend.Worker) {
+		if r.inFlight >= r.bound(now) || skip != nil && skip(r.backend.Worker) {
 			continue
 		}
-		if r.state == probing && r.inFlight == 0 {
+		if r.state == probing {
 			return r.take(), true
 		}
-		if r.inRotation() {
-			b.eligible = append(b.eligible, r)
-		}
+		b.eligible = append(b.eligible, r)
 	}
 	if len(b.eligible) == 0 {
 		return route.Backend{}, false
 	}
-	return b.choose().take(), true
+	return b.choose(now).take(), true
 }
 
-func (b *Balancer) choose() *replica {
+func (b *Balancer) choose(now time.Time) *replica {
 	if b.choice == Least {
-		return b.least()
+		return b.least(now)
 	}
 	n := len(b.eligible)
 	if n == 1 {
@@ -160,20 +162,20 @@
 	if j >= i {
 		j++
 	}
-	return better(b.eligible[i], b.eligible[j], b.peer)
+	return b.better(now, b.eligible[i], b.eligible[j])
 }
 
-func (b *Balancer) least() *replica {
+func (b *Balancer) least(now time.Time) *replica {
 	start := b.random.IntN(len(b.eligible))
 	best := b.eligible[start]
 	for i := range b.eligible {
-		best = better(best, b.eligible[(start+i)%len(b.eligible)], b.peer)
+		best = b.better(now, best, b.eligible[(start+i)%len(b.eligible)])
 	}
 	return best
 }
 
-func better(x, y *replica, peer float64) *replica {
-	if y.score(peer) < x.score(peer) {
+func (b *Balancer) better(now time.Time, x, y *replica) *replica {
+	if y.score(now, b.peer) < x.score(now, b.peer) {
 		return y
 	}
 	return x
@@ -191,7 +193,7 @@
 		b.forget()
 		return
 	}
-	r.record(latency, result)
+	r.record(now, latency, result)
 	b.judge(now, r, latency, result)
 	b.peer = b.peerLatency(nil)
 }
@@ -200,21 +202,17 @@
 func (b *Balancer) Free(now time.Time) int {
 	free := 0
 	for _, r := range b.order {
-		if r.usable(now) && r.inRotation() {
-			free += r.backend.Slots - r.inFlight
-		}
+		free += max(r.bound(now)-r.inFlight, 0)
 	}
 	return free
 }
 
-// Slots returns how many requests the replicas in rotation can hold, with
-// those in flight: what the gate may admit.
+// Slots returns how many requests the replicas can hold, with those in
+// flight: what the gate may admit. A replica that is probed counts for one.
 func (b *Balancer) Slots(now time.Time) int {
 	slots := 0
 	for _, r := range b.order {
-		if r.inRotation() && r.leased(now) {
-			slots += r.backend.Slots
-		}
+		slots += r.bound(now)
 	}
 	return slots
 }
--- a/balancer/option.go
+++ b/balancer/option.go
@@ -20,22 +20,24 @@
 
 // Choices of a replica.
 const (
-	TwoChoices Choice = iota // the better of two at random
-	Least                    // the best of all, from a random start
+	Least      Choice = iota // the best of all, from a random start
+	TwoChoices               // the better of two at random
 )
 
 // Option changes a Balancer.
 type Option func(*Balancer)
 
-// WithChoice sets how many replicas are compared, TwoChoices by default.
+// WithChoice sets how many replicas are compared, Least by default: a worker
+// has one owner, so the counts are exact and the best of all is no herd.
 func WithChoice(c Choice) Option {
 	return func(b *Balancer) { b.choice = c }
 }
 
-// WithEjectedPart sets the largest part of replicas out of rotation, a half
-// by default. It is rounded down.
-func WithEjectedPart(part float64) Option {
-	return func(b *Balancer) { b.ejectedPart = part }
+// WithEjectedPart sets the largest part of replicas out of rotation for being
+// slow or failing, a half by default, and of all with those that refuse, 0.9
+// by default. Both are rounded down.
+func WithEjectedPart(part, refusing float64) Option {
+	return func(b *Balancer) { b.ejectedPart, b.refusedPart = part, refusing }
 }
 
 // WithSlowFactor sets how many times slower than its peers a replica must be
--- a/balancer/replica.go
+++ b/balancer/replica.go
@@ -13,6 +13,9 @@
 	failurePenalty = 10.0 // a replica that fails all counts as this much slower
 )
 
+// markTime is how long a replica without results keeps its bad mark.
+const markTime = 3 * time.Second
+
 // state tells whether a replica gets requests.
 type state int
 
@@ -38,6 +41,7 @@
 	samples     int
 	latency     float64 // moving average in seconds
 	failureRate float64 // moving average
+	measured    time.Time
 }
 
 // reset forgets what was measured at another address, but not the requests
@@ -55,17 +59,24 @@
 	return now.Before(r.backend.Until)
 }
 
-// usable reports whether the lease is in force and a slot is free, and moves
-// a replica whose hold has ended on to probing.
-func (r *replica) usable(now time.Time) bool {
-	if !r.leased(now) {
-		return false
-	}
+// advance moves a replica whose hold has ended on to probing.
+func (r *replica) advance(now time.Time) {
 	if r.state == ejected && !now.Before(r.until) {
 		r.state = probing
 		r.probed = 0
 	}
-	return r.inFlight < r.backend.Slots
+}
+
+// bound returns how many requests the replica may hold now.
+func (r *replica) bound(now time.Time) int {
+	r.advance(now)
+	switch {
+	case !r.leased(now) || r.state == ejected:
+		return 0
+	case r.state == probing:
+		return min(1, r.backend.Slots)
+	}
+	return r.backend.Slots
 }
 
 func (r *replica) inRotation() bool {
@@ -79,18 +90,27 @@
 
 // score is lower for a better replica. A replica without samples counts as
 // one of its peers.
-func (r *replica) score(peer float64) float64 {
-	slowness := 1.0
+//
+// What goes wrong: one slow or failed request marks a replica as bad, the
+// choice avoids it, and without requests nothing corrects the mark. One would
+// see a replica idle for good at low load. The mark fades with its age.
+func (r *replica) score(now time.Time, peer float64) float64 {
+	excess := failurePenalty * r.failureRate
 	if r.samples > 0 && peer > 0 {
-		slowness = r.latency / peer
+		excess += max(r.latency/peer, 1) - 1
 	}
+	fresh := max(1-now.Sub(r.measured).Seconds()/markTime.Seconds(), 0)
 	used := float64(r.inFlight+1) / float64(r.backend.Slots)
-	return used * max(slowness, 1) * (1 + failurePenalty*r.failureRate)
+	return used * (1 + fresh*excess)
 }
 
 // record takes a result into the statistics. A refusal says nothing about
 // latency. A lost or failed request that was quick doesn't either.
-func (r *replica) record(latency time.Duration, result Result) {
+func (r *replica) record(now time.Time, latency time.Duration, result Result) {
+	if now.Sub(r.measured) >= markTime {
+		r.samples, r.latency, r.failureRate = 0, 0, 0
+	}
+	r.measured = now
 	seconds := latency.Seconds()
 	failure := 1.0
 	switch result {
--- a/balancer/strings.go
+++ b/balancer/strings.go
@@ -29,13 +29,13 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[TwoChoices-0]
-	_ = x[Least-1]
+	_ = x[Least-0]
+	_ = x[TwoChoices-1]
 }
 
-const _Choice_name = "TwoChoicesLeast"
+const _Choice_name = "LeastTwoChoices"
 
-var _Choice_index = [...]uint8{0, 10, 15}
+var _Choice_index = [...]uint8{0, 5, 15}
 
 func (i Choice) String() string {
 	idx := int(i) - 0
--- a/client/wire/wire.go
+++ b/client/wire/wire.go
@@ -23,6 +23,7 @@
 	HeaderEpoch    = "Dogwood-Epoch"    // lease epoch under which a request is sent
 	HeaderRequest  = "Dogwood-Request"  // unique ID, echoed in the answer
 	HeaderDeadline = "Dogwood-Deadline" // milliseconds left
+	HeaderRunning  = "Dogwood-Running"  // in the answer to a probe: whether the request it names is in hand
 	HeaderKey      = "Idempotency-Key"  // set by the caller on a request that may be repeated
 )
 
@@ -40,6 +41,7 @@
 	PathThrottle    = "/tasks/throttle"
 	PathAcknowledge = "/tasks/acknowledge"
 	PathReport      = "/report"
+	PathHealth      = "/healthz"   // probe
 	PathServices    = "/services/" // + service + "/" + anything
 )
 
--- a/conduit/conduit.go
+++ b/conduit/conduit.go
@@ -45,6 +45,7 @@
 	connections int
 	idle        time.Duration
 	headerBytes int64
+	stray       func()
 
 	transport *http.Transport
 	prober    *http.Transport
@@ -66,6 +67,9 @@
 // WithHeaderBytes bounds the header of an answer.
 func WithHeaderBytes(n int64) Option { return func(c *Conduit) { c.headerBytes = n } }
 
+// WithStray sets what is called when bytes come that no request asked for.
+func WithStray(f func()) Option { return func(c *Conduit) { c.stray = f } }
+
 // New returns a Conduit to the server at address. It opens nothing yet.
 func New(address string, opts ...Option) *Conduit {
 	c := &Conduit{
@@ -73,6 +77,7 @@
 		connections: defaultConnections,
 		idle:        defaultIdle,
 		headerBytes: defaultHeaderBytes,
+		stray:       func() {},
 	}
 	c.dial = dialer().DialContext
 	for _, opt := range opts {
--- a/conduit/permit.go
+++ b/conduit/permit.go
@@ -16,6 +16,10 @@
 	ErrRevoked  = errors.New("conduit: the permit was revoked")
 )
 
+// ErrStray is the error of a connection on which bytes came that no request
+// asked for.
+var ErrStray = errors.New("conduit: an answer without a request")
+
 // Permit lets one request's bytes out, on one connection, while a lease is
 // in force.
 type Permit struct {
@@ -26,6 +30,7 @@
 	sent    bool // a byte left, or may be leaving now
 	written int64
 	revoked bool
+	ended   bool
 }
 
 // NewPermit returns a permit whose first byte may leave before until; the
@@ -49,6 +54,20 @@
 	return p.sent
 }
 
+// End notes that the answer was read: whatever else comes on the connection
+// is of no request.
+func (p *Permit) End() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+}
+
+func (p *Permit) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
 // Retire closes the connection that the request was sent on.
 func (p *Permit) Retire() {
 	p.mu.Lock()
@@ -95,7 +114,8 @@
 	}
 }
 
-// conn is a connection that asks the current request's permit before each write.
+// conn is a connection that asks the current request's permit before each
+// write, and takes no answer that no request waits for.
 type conn struct {
 	net.Conn
 	conduit *Conduit
@@ -116,6 +136,20 @@
 	return n, err
 }
 
+// Read fails on bytes that come between two requests: the second copy of an
+// answer would be taken for the answer to the next request.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	if p := c.permit.Load(); p == nil || p.hasEnded() {
+		c.conduit.stray()
+		return 0, ErrStray
+	}
+	return n, err
+}
+
 func (c *conn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
 		c.conduit.open.Add(-1)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,14 +34,11 @@
 
 // Intervals that aren't settings.
 const (
-	tickInterval  = 100 * time.Millisecond
-	listInterval  = time.Second
-	freeInterval  = 500 * time.Millisecond
-	commandLimit  = 5 * time.Second
-	inputBuffer   = 1024
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
-	maxHeader     = 32 << 10
+	tickInterval = 100 * time.Millisecond
+	listInterval = time.Second
+	freeInterval = 500 * time.Millisecond
+	commandLimit = 5 * time.Second
+	inputBuffer  = 1024
 )
 
 // Daemon is one instance. It is run once.
@@ -228,12 +225,7 @@
 func (d *Daemon) serve(listeners []net.Listener) {
 	handlers := []http.Handler{d.gateway.Callers(), d.peerHandler(), d.operatorHandler()}
 	for i, l := range listeners {
-		server := &http.Server{
-			Handler:           handlers[i],
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeader,
-		}
+		server := d.gateway.Server(handlers[i])
 		d.tomb.Go(func() error {
 			if err := server.Serve(l); err != http.ErrServerClosed {
 				return err
@@ -252,9 +244,15 @@
 	}
 }
 
+// peerHandler serves links and forwarded requests. It is no ServeMux, which
+// would redirect a forwarded path that holds "//" or "..".
 func (d *Daemon) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(peer.Path, d.mesh)
-	mux.Handle("/", d.gateway.Forwards())
-	return mux
+	forwards := d.gateway.Forwards()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == peer.Path {
+			d.mesh.ServeHTTP(w, r)
+			return
+		}
+		forwards.ServeHTTP(w, r)
+	})
 }
--- a/fault/kind.go
+++ b/fault/kind.go
@@ -88,3 +88,8 @@
 	}
 	return answers[k]
 }
+
+// MarshalText returns the kind's name.
+func (k Kind) MarshalText() ([]byte, error) {
+	return []byte(k.String()), nil
+}
--- a/forward/chooser.go
+++ b/forward/chooser.go
@@ -193,7 +193,7 @@
 // too few.
 func (c *Chooser) discounted(now time.Time, service string, p route.Peer) float64 {
 	l := c.newest(service, p)
-	free := Discount(float64(l.free), now.Sub(l.heard), c.maxAge)
+	free := discount(float64(l.free), now.Sub(l.heard), c.maxAge)
 	if free < c.least {
 		return 0
 	}
@@ -209,8 +209,8 @@
 	return l
 }
 
-// Discount returns what a number of free slots is worth at an age.
-func Discount(free float64, age, maxAge time.Duration) float64 {
+// discount returns what a number of free slots is worth at an age.
+func discount(free float64, age, maxAge time.Duration) float64 {
 	if free <= 0 || age >= maxAge {
 		return 0
 	}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -127,6 +127,7 @@
 func (g *Gateway) writeHeader(c *call, resp *http.Response) {
 	header := c.w.Header()
 	copyHeader(header, resp.Header)
+	g.tellFree(c, header)
 	if g.isLeaving() {
 		header.Set("Connection", "close")
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -25,17 +25,18 @@
 	worker  string
 	epoch   uint64
 	until   time.Time
-	peer    *peerLoad // nil for a worker
+	peer    bool // or else a worker
 }
 
 // outcome is how an attempt ended.
 type outcome struct {
 	ending
-	done    bool          // an answer was passed, wholly or in part
-	final   bool          // of no use to try again
-	latency time.Duration // to the first bytes, or to a short answer's last
-	held    time.Duration // as far as the worker took it, not the caller
-	result  balancer.Result
+	done     bool          // an answer was passed, wholly or in part
+	final    bool          // of no use to try again
+	reported bool          // by the worker or peer itself
+	latency  time.Duration // to the first bytes, or to a short answer's last
+	held     time.Duration // as far as the worker took it, not the caller
+	result   balancer.Result
 }
 
 // or returns o, or a failure with err when o is of no attempt.
@@ -46,6 +47,12 @@
 	return outcome{ending: ending{err: err}}
 }
 
+// tellsNothing reports whether the attempt says nothing about how many
+// requests the workers can take.
+func (o outcome) tellsNothing() bool {
+	return o.err != nil && o.result == balancer.Refused && o.err.Kind != fault.Overloaded
+}
+
 func failed(err *fault.Error, result balancer.Result) outcome {
 	return outcome{ending: ending{err: err}, result: result}
 }
@@ -68,8 +75,8 @@
 }
 
 // pickWorker takes a slot of an own worker.
-func (g *Gateway) pickWorker(c *call) (*target, bool) {
-	backend, ok := g.pickBackend(c)
+func (g *Gateway) pickWorker(c *call, skip func(string) bool) (*target, bool) {
+	backend, ok := g.pickBackend(c, skip)
 	if !ok {
 		return nil, false
 	}
@@ -82,22 +89,22 @@
 	}, true
 }
 
-func (g *Gateway) pickBackend(c *call) (route.Backend, bool) {
+func (g *Gateway) pickBackend(c *call, skip func(string) bool) (route.Backend, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b, ok := g.balancers[c.service.Name]
 	if !ok {
 		return route.Backend{}, false
 	}
-	return b.Pick(time.Now(), c.skip)
+	return b.Pick(time.Now(), skip)
 }
 
 // done gives the slot of the target back.
 func (g *Gateway) done(c *call, t *target, o outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t.peer != nil {
-		t.peer.done(o)
+	if t.peer {
+		g.peerDone(c, t, o)
 		return
 	}
 	if b, ok := g.balancers[c.service.Name]; ok {
@@ -109,7 +116,9 @@
 // try sends the call to t once and passes the answer.
 func (g *Gateway) try(c *call, t *target) outcome {
 	o := g.attempt(c, t)
-	c.held += max(o.held, o.latency)
+	if o.result == balancer.Refused {
+		c.refused = append(c.refused, t.worker)
+	}
 	g.done(c, t, o)
 	if o.err != nil && o.err.Answer().Ran != fault.NotRun {
 		c.mayRun = true
@@ -123,6 +132,7 @@
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	permit := conduit.NewPermit(t.until)
+	defer permit.End()
 	w := g.watch(c, t, permit, ctx, cancel)
 	defer w.stop()
 	sent := time.Now()
@@ -134,6 +144,7 @@
 	}
 	defer resp.Body.Close()
 	w.pause()
+	w.begun.Store(true)
 	o := g.receive(c, t, resp, permit, w)
 	if o.latency == 0 {
 		o.latency = time.Since(sent)
@@ -150,7 +161,7 @@
 	}
 	header[HeaderRequest] = []string{c.id}
 	header[HeaderDeadline] = []string{formatMillis(time.Until(c.deadline))}
-	if t.peer != nil {
+	if t.peer {
 		header[HeaderHops] = []string{"1"}
 	} else {
 		header[HeaderEpoch] = []string{strconv.FormatUint(t.epoch, 10)}
@@ -231,6 +242,9 @@
 		g.logger.Warn("answer dropped", logCall(c, t)...)
 		return failed(fault.New(fault.Broken, "the answer was for another request"), balancer.Lost)
 	}
+	if t.peer {
+		g.hearPeer(c, t, resp.Header)
+	}
 	if err := readRefusal(resp); err != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, discardBytes)
 		return g.refused(t, resp, err)
@@ -245,16 +259,28 @@
 
 // refused judges a refusal by a worker or a peer.
 func (g *Gateway) refused(t *target, resp *http.Response, err *fault.Error) outcome {
-	if err.Answer().Ran == fault.NotRun && t.peer != nil && resp.Header.Get(HeaderRan) != ranNames[fault.NotRun] {
+	if err.Answer().Ran == fault.NotRun && t.peer && resp.Header.Get(HeaderRan) != ranNames[fault.NotRun] {
 		err = fault.Wrap(fault.MayHaveRun, err, "the peer doesn't know")
 	}
+	if !t.peer && err.Kind == fault.NotFound {
+		err = fault.Wrap(fault.NoWorker, err, "the replica is gone")
+	}
+	o := failed(err, balancer.Refused)
+	o.reported = true
 	if err.Answer().Ran != fault.NotRun {
-		return failed(err, balancer.Lost)
+		o.result = balancer.Lost
 	}
-	if t.peer == nil && err.Kind == fault.NotFound {
-		err = fault.Wrap(fault.NoWorker, err, "the replica is gone")
+	o.final = isFinal(err.Kind)
+	return o
+}
+
+// isFinal reports whether any other worker would say the same.
+func isFinal(k fault.Kind) bool {
+	switch k {
+	case fault.Invalid, fault.TooLarge, fault.Conflict, fault.Duplicate, fault.DeadlinePassed:
+		return true
 	}
-	return failed(err, balancer.Refused)
+	return false
 }
 
 // isFramed reports whether the end of the answer can be told from a
--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/route"
+)
+
+// listen serves h on loopback and returns the address.
+func listen(b *testing.B, server *http.Server) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go server.Serve(l)
+	b.Cleanup(func() { server.Close() })
+	return l.Addr().String()
+}
+
+func echo(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+	io.WriteString(rw, "gold")
+}
+
+// benchTable has ten replicas with room for all requests of a benchmark.
+func benchTable(address string) *route.Table {
+	table := tableOf("e1", slices.Repeat([]string{address}, 10)...)
+	for i := range table.Backends["price"] {
+		table.Backends["price"][i].Worker += string(rune('a' + i))
+		table.Backends["price"][i].Slots = 64
+	}
+	service := table.Services["price"]
+	service.Slots = 640
+	service.Queue = 640
+	table.Services["price"] = service
+	return table
+}
+
+// BenchmarkDirect and BenchmarkGateway differ by what the gateway adds.
+func BenchmarkDirect(b *testing.B) {
+	address := listen(b, &http.Server{Handler: http.HandlerFunc(echo)})
+	benchmark(b, "http://"+address+"/services/price/load")
+}
+
+func BenchmarkGateway(b *testing.B) {
+	address := listen(b, &http.Server{Handler: http.HandlerFunc(echo)})
+	g := New(WithSeed(1))
+	g.Publish(benchTable(address))
+	entry := listen(b, g.Server(g.Callers()))
+	benchmark(b, "http://"+entry+"/services/price/load")
+}
+
+func benchmark(b *testing.B, url string) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 64}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	b.Run("latency", func(b *testing.B) {
+		b.ReportAllocs()
+		var took []time.Duration
+		for b.Loop() {
+			began := time.Now()
+			get(b, client, url)
+			took = append(took, time.Since(began))
+		}
+		slices.Sort(took)
+		b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+		b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+	})
+	b.Run("parallel", func(b *testing.B) {
+		b.ReportAllocs()
+		b.SetParallelism(8)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				get(b, client, url)
+			}
+		})
+		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "req/s")
+	})
+}
+
+func get(b *testing.B, client *http.Client, url string) {
+	resp, err := client.Get(url)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		b.Errorf("status %d: %s", resp.StatusCode, resp.Header.Get(HeaderFault))
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,8 +34,8 @@
 
 	attempts int
 	tried    []string // workers and peers that need not be asked again
+	refused  []string // those that refused it, or to which nothing could be sent
 	mayRun   bool     // an earlier attempt may have run
-	held     time.Duration
 }
 
 // newCall reads what routing needs of r, or says why it is refused.
@@ -134,10 +135,10 @@
 
 // skip reports whether the worker or peer was tried.
 func (c *call) skip(id string) bool {
-	for _, t := range c.tried {
-		if t == id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.tried, id)
+}
+
+// hasRefused reports whether the worker refused the call.
+func (c *call) hasRefused(id string) bool {
+	return slices.Contains(c.refused, id)
 }
--- a/gateway/claim.go
+++ b/gateway/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -12,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dogwoodladder/dogwoodladder/conduit"
 	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/rendezvous"
 	"github.com/dogwoodladder/dogwoodladder/route"
 	"goji.io/pat"
 )
@@ -35,7 +37,6 @@
 type home struct {
 	id      string
 	address string // empty for this instance
-	score   uint64
 }
 
 // claim claims the key of c before its first attempt.
@@ -46,34 +47,39 @@
 // grant a key once.
 func (g *Gateway) claim(c *call) *fault.Error {
 	key := c.r.Header.Get(HeaderKey)
-	if key == "" || c.idempotent || c.hops > 0 {
+	if key == "" || c.idempotent || c.hops > 0 || c.key != nil {
 		return nil
 	}
 	hash := xxhash.Sum64String(c.service.Name + "\x00" + key)
 	c.key = &claim{hash: hash, homes: homesOf(c.table, hash)}
-	return g.claimAll(c)
+	err := g.claimAll(c)
+	if err != nil {
+		g.unclaim(c)
+	}
+	return err
 }
 
 // homesOf returns the homes of a key: the first entry instances in
 // rendezvous order.
 func homesOf(t *route.Table, hash uint64) []home {
-	homes := []home{{id: t.Instance}}
+	addresses := make(map[string]string, len(t.Peers)+1)
+	members := make([]string, 0, len(t.Peers)+1)
 	for _, peer := range t.Peers {
-		if peer.ID != t.Instance {
-			homes = append(homes, home{id: peer.ID, address: peer.Address})
+		if peer.ID == t.Instance {
+			continue
 		}
+		addresses[peer.ID] = peer.Address
+		members = append(members, peer.ID)
 	}
-	suffix := "\x00" + strconv.FormatUint(hash, hashBase)
-	for i := range homes {
-		homes[i].score = xxhash.Sum64String(homes[i].id + suffix)
+	if t.Instance != "" {
+		members = append(members, t.Instance)
 	}
-	slices.SortFunc(homes, func(a, b home) int {
-		if a.score > b.score {
-			return -1
-		}
-		return 1
-	})
-	return homes[:min(keyHomes, len(homes))]
+	order := rendezvous.Order(strconv.FormatUint(hash, hashBase), members)
+	homes := make([]home, 0, keyHomes)
+	for _, id := range order[:min(keyHomes, len(order))] {
+		homes = append(homes, home{id: id, address: addresses[id]})
+	}
+	return homes
 }
 
 // claimAll claims at one home after the other. The order is the same
@@ -97,7 +103,6 @@
 	if err != nil {
 		return fault.Wrap(fault.Unavailable, err, "a home of the key can't be reached").After(time.Second)
 	}
-	defer resp.Body.Close()
 	if resp.Header.Get(HeaderRequest) != c.id {
 		return fault.New(fault.Unavailable, "a home of the key answered another request").After(time.Second)
 	}
@@ -107,7 +112,8 @@
 	return nil
 }
 
-// askHome asks a home to remember or to forget a key for a request.
+// askHome asks a home to remember or to forget a key for a request, and
+// returns the answer without its body.
 func (g *Gateway) askHome(ctx context.Context, method string, hash uint64, id string, h home) (*http.Response, error) {
 	target := &url.URL{
 		Scheme: "http",
@@ -115,7 +121,14 @@
 		Path:   claimRoot + strconv.FormatUint(hash, hashBase),
 	}
 	req := &http.Request{Method: method, URL: target, Header: http.Header{HeaderRequest: {id}}}
-	return g.conduitTo(h.address).Send(ctx, req, conduit.NewPermit(time.Time{}))
+	permit := conduit.NewPermit(time.Time{})
+	defer permit.End()
+	resp, err := g.conduitTo(h.address).Send(ctx, req, permit)
+	if err != nil {
+		return nil, err
+	}
+	_, _ = io.CopyN(io.Discard, resp.Body, discardBytes)
+	return resp, resp.Body.Close()
 }
 
 // unclaim makes the homes forget the key, so that a repeat may run. Where a
@@ -129,21 +142,34 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), releaseTime)
 	defer cancel()
 	var asked sync.WaitGroup
-	for _, h := range key.homes {
+	for _, h := range g.holders(key) {
 		asked.Go(func() { g.releaseAt(ctx, key.hash, c.id, h) })
 	}
 	asked.Wait()
 }
 
+// holders returns the homes where a key was claimed, and those that it may
+// have been passed on to since.
+func (g *Gateway) holders(key claim) []home {
+	holders := key.homes
+	for _, h := range homesOf(g.table.Load(), key.hash) {
+		if !isHome(holders, h.id) {
+			holders = append(holders, h)
+		}
+	}
+	return holders
+}
+
+func isHome(homes []home, id string) bool {
+	return slices.ContainsFunc(homes, func(h home) bool { return h.id == id })
+}
+
 func (g *Gateway) releaseAt(ctx context.Context, hash uint64, id string, h home) {
 	if h.address == "" {
 		g.keys.release(hash, id)
 		return
 	}
-	resp, err := g.askHome(ctx, http.MethodDelete, hash, id, h)
-	if err == nil {
-		_ = resp.Body.Close()
-	}
+	_, _ = g.askHome(ctx, http.MethodDelete, hash, id, h)
 }
 
 // grantFault returns the fault of a claim that wasn't granted.
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -6,8 +6,9 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 )
 
-// Drain refuses new requests with Leaving and waits for those in flight,
-// forwarded ones included. It fails with TimedOut when ctx ends first.
+// Drain refuses new requests with Leaving, waits for those in flight,
+// forwarded ones included, and passes the idempotency keys on. It fails with
+// TimedOut when ctx ends first.
 //
 // Callers may be about to send on idle keep-alive connections. Keep the
 // listeners open while Drain runs, and a little longer: each such request is
@@ -24,17 +25,24 @@
 	g.mu.Unlock()
 	select {
 	case <-g.drained:
+		g.handOver(ctx)
+		g.closeIdle()
 		return nil
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.calls) == 0 {
-		return nil
-	}
 	return fault.New(fault.TimedOut, "%d requests still in flight", len(g.calls))
 }
 
+func (g *Gateway) closeIdle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.conduits {
+		c.Renew()
+	}
+}
+
 // isLeaving reports whether new requests are refused.
 func (g *Gateway) isLeaving() bool {
 	if g.leaving.Load() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,18 +27,17 @@
 // A caller may repeat a non-idempotent request under the same
 // Idempotency-Key, here or at another entry instance. Before such a request
 // is sent, its key is claimed at two homes, the first two entry instances in
-// rendezvous order; a repeat is answered with Duplicate. This holds within
-// the key's time as long as not both homes have gone since: after any single
-// change of membership the two homes before and after share a member. Where
-// a home can't be reached the request is refused and did not run. Beyond
-// that (both homes replaced, the key's time over, or two parts of a network
-// that each count the other's instances as gone) a repeat can run again; the
-// key is passed to the worker, which may remember it longer.
+// rendezvous order; a repeat is answered with Duplicate. When members come or
+// go, each instance passes its keys on to their new homes, and a leaving one
+// does so before it stops. This holds within the key's time, unless both
+// homes die before one could pass the key on, or two parts of a network
+// each count the other's instances as gone: then a repeat can run again. The
+// key is passed to the worker, which may remember it longer. Where a home
+// can't be reached the request is refused and did not run.
 package gateway
 
 import (
 	"crypto/rand"
-	mathrand "math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -48,6 +47,7 @@
 	"github.com/dogwoodladder/dogwoodladder/balancer"
 	"github.com/dogwoodladder/dogwoodladder/budget"
 	"github.com/dogwoodladder/dogwoodladder/conduit"
+	"github.com/dogwoodladder/dogwoodladder/forward"
 	"github.com/dogwoodladder/dogwoodladder/route"
 	"goji.io"
 	"goji.io/pat"
@@ -66,7 +66,7 @@
 	keys    *keys
 
 	mu        sync.Mutex
-	random    *mathrand.Rand
+	chooser   *forward.Chooser // nil until a table is published
 	gate      *admission.Gate
 	waiters   map[*admission.Ticket]chan struct{}
 	expiry    *time.Timer
@@ -74,9 +74,10 @@
 	balancers map[string]*balancer.Balancer
 	budgets   map[string]*budget.Budget
 	conduits  map[string]*conduit.Conduit
-	loads     map[peerService]*peerLoad
 	latencies map[string]*latency
 	calls     map[*call]struct{}
+	spread    *route.Table // by whose members the keys were last spread
+	spreading bool
 	draining  bool
 	drained   chan struct{} // closed when draining and no call is left
 }
@@ -91,7 +92,6 @@
 		balancers: make(map[string]*balancer.Balancer),
 		budgets:   make(map[string]*budget.Budget),
 		conduits:  make(map[string]*conduit.Conduit),
-		loads:     make(map[peerService]*peerLoad),
 		latencies: make(map[string]*latency),
 		calls:     make(map[*call]struct{}),
 		drained:   make(chan struct{}),
@@ -99,7 +99,6 @@
 	for _, opt := range opts {
 		opt(&g.config)
 	}
-	g.random = mathrand.New(mathrand.NewPCG(g.seed, g.seed))
 	g.keys = newKeys(g.config.keys, g.keyTime)
 	g.buffers.New = func() any { return new([copyBytes]byte) }
 	return g
@@ -115,6 +114,7 @@
 	mux := g.mux("forward", 1)
 	mux.HandleFunc(pat.Post(claimPattern), g.serveClaim)
 	mux.HandleFunc(pat.Delete(claimPattern), g.serveRelease)
+	mux.HandleFunc(pat.Post(spreadPath), g.serveSpread)
 	mux.HandleFunc(pat.Get(probePath), g.serveProbe)
 	return mux
 }
@@ -129,8 +129,11 @@
 	return mux
 }
 
-// Free returns the free slots by service.
+// Free returns the free slots by service, none when the instance is leaving.
 func (g *Gateway) Free() map[string]int {
+	if g.isLeaving() {
+		return nil
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -154,7 +157,10 @@
 }
 
 func (g *Gateway) conduitOptions() []conduit.Option {
-	opts := []conduit.Option{conduit.WithConnections(g.connections - 1)}
+	opts := []conduit.Option{
+		conduit.WithConnections(g.connections - 1),
+		conduit.WithStray(func() { g.counts.dropped.Add(1) }),
+	}
 	if g.dial != nil {
 		opts = append(opts, conduit.WithDial(g.dial))
 	}
--- a/gateway/header.go
+++ b/gateway/header.go
@@ -7,20 +7,22 @@
 	"strings"
 	"time"
 
+	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 )
 
 // Headers between callers, entry instances and workers.
 const (
-	HeaderEpoch      = "Dogwood-Epoch"       // the lease's epoch
-	HeaderRequest    = "Dogwood-Request"     // the request's id, echoed in each answer
-	HeaderDeadline   = "Dogwood-Deadline"    // milliseconds left
-	HeaderFault      = "Dogwood-Fault"       // the kind of a refusal
+	HeaderEpoch      = wire.HeaderEpoch      // the lease's epoch
+	HeaderRequest    = wire.HeaderRequest    // the request's id, echoed in each answer
+	HeaderDeadline   = wire.HeaderDeadline   // milliseconds left
+	HeaderFault      = wire.HeaderFault      // the kind of a refusal
 	HeaderRan        = "Dogwood-Ran"         // whether the work of a refused request ran
 	HeaderRetryAfter = "Dogwood-Retry-After" // milliseconds
 	HeaderHops       = "Dogwood-Hops"        // how often the request was forwarded
 	HeaderRunning    = "Dogwood-Running"     // in the answer to a probe: whether the request runs
-	HeaderKey        = "Idempotency-Key"
+	HeaderFree       = "Dogwood-Free"        // free slots, in a peer's answer
+	HeaderKey        = wire.HeaderKey
 )
 
 const headerPrefix = "Dogwood-"
@@ -34,17 +36,6 @@
 	fault.DidRun:   "ran",
 }
 
-// kindsByName holds every kind of fault under its name.
-var kindsByName = indexKinds()
-
-func indexKinds() map[string]fault.Kind {
-	index := make(map[string]fault.Kind)
-	for k := fault.Internal; k <= fault.TooLarge; k++ {
-		index[k.String()] = k
-	}
-	return index
-}
-
 // hopHeaders are meant for one connection and never passed on.
 var hopHeaders = map[string]bool{
 	"Connection":          true,
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -69,6 +69,45 @@
 	k.order.Remove(e)
 }
 
+// adopt remembers a key for another home, for the time that is left of it.
+func (k *keys) adopt(now time.Time, entry keyEntry) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(now)
+	if _, ok := k.entries[entry.hash]; ok || len(k.entries) >= k.limit {
+		return
+	}
+	if latest := now.Add(k.keep); entry.until.After(latest) {
+		entry.until = latest
+	}
+	k.insert(&entry)
+}
+
+// insert keeps the order by time; an adopted key goes before newer ones.
+func (k *keys) insert(entry *keyEntry) {
+	after := k.order.Back()
+	for after != nil && after.Value.(*keyEntry).until.After(entry.until) {
+		after = after.Prev()
+	}
+	if after == nil {
+		k.entries[entry.hash] = k.order.PushFront(entry)
+		return
+	}
+	k.entries[entry.hash] = k.order.InsertAfter(entry, after)
+}
+
+// list returns a copy of all keys.
+func (k *keys) list(now time.Time) []keyEntry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(now)
+	list := make([]keyEntry, 0, len(k.entries))
+	for e := k.order.Front(); e != nil; e = e.Next() {
+		list = append(list, *e.Value.(*keyEntry))
+	}
+	return list
+}
+
 // expire forgets the keys whose time is over; k.mu is held.
 func (k *keys) expire(now time.Time) {
 	for e := k.order.Front(); e != nil; e = k.order.Front() {
--- a/gateway/option.go
+++ b/gateway/option.go
@@ -105,15 +105,15 @@
 // WithAttempts bounds how often one request is sent.
 func WithAttempts(n int) Option { return func(c *config) { c.attempts = n } }
 
-// WithLate sets how long an answer may take before its worker is probed.
+// WithLate sets how long an answer may take, at least, before its worker is
+// probed.
 func WithLate(d time.Duration) Option { return func(c *config) { c.late = d } }
 
 // WithProbe bounds a probe.
 func WithProbe(d time.Duration) Option { return func(c *config) { c.probeTime = d } }
 
 // WithSilence sets how long a connection may be silent, at least, before it
-// is retired though its worker answers probes; half of the request's time is
-// the other bound.
+// is given up though its worker answers probes.
 func WithSilence(d time.Duration) Option { return func(c *config) { c.silence = d } }
 
 // WithKeys bounds the number of idempotency keys remembered here, and the
--- a/gateway/publish.go
+++ b/gateway/publish.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dogwoodladder/dogwoodladder/balancer"
 	"github.com/dogwoodladder/dogwoodladder/budget"
+	"github.com/dogwoodladder/dogwoodladder/forward"
 	"github.com/dogwoodladder/dogwoodladder/route"
 )
 
@@ -19,7 +20,10 @@
 	g.updateGate(now, t)
 	g.updateBudgets(t)
 	g.pruneConduits(t)
-	g.pruneLoads(t)
+	if g.chooser == nil {
+		g.chooser = forward.New(g.seed, t.AvailabilityZone)
+	}
+	g.spreadKeys(t)
 	g.table.Store(t)
 }
 
@@ -68,8 +72,9 @@
 	}
 }
 
-// pruneConduits drops the connections to servers that t doesn't name.
-// Requests in flight on them finish.
+// pruneConduits drops the connections to servers that t doesn't name. Those
+// with requests in flight stay until a later table: their server may come
+// back, and its bound on connections counts them.
 func (g *Gateway) pruneConduits(t *route.Table) {
 	named := make(map[string]bool)
 	for _, backends := range t.Backends {
@@ -84,7 +89,9 @@
 		if named[address] {
 			continue
 		}
-		delete(g.conduits, address)
 		c.Renew()
+		if c.Open() == 0 {
+			delete(g.conduits, address)
+		}
 	}
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 )
 
@@ -52,7 +53,7 @@
 	if name == "" {
 		return nil
 	}
-	kind, ok := kindsByName[name]
+	kind, ok := wire.ParseKind(name)
 	if !ok {
 		return fault.New(fault.MayHaveRun, "unknown fault %q", name)
 	}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -15,6 +15,9 @@
 	latencyMax     = 10 * time.Minute
 	latencyFigures = 1
 	latencyWindow  = 10 * time.Second
+
+	usualSamples  = 50
+	usualQuantile = 99
 )
 
 // Report holds counters since the start, and the latencies of late.
@@ -24,7 +27,7 @@
 	Retries     uint64
 	Unbudgeted  uint64 // retries that the budget refused
 	Forwards    uint64
-	Dropped     uint64 // answers that belonged to another request
+	Dropped     uint64 // answers that belonged to another request, or to none
 	Truncated   uint64 // answers that ended early
 	Silent      uint64 // connections given up as silent
 	Probes      uint64
@@ -122,6 +125,23 @@
 	l.since = now
 }
 
+// usualLatency returns the latency that few answers of a service exceed, and
+// zero when too few are known.
+func (g *Gateway) usualLatency(service string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l, ok := g.latencies[service]
+	if !ok {
+		return 0
+	}
+	l.turn(time.Now())
+	if l.now.TotalCount()+l.before.TotalCount() < usualSamples {
+		return 0
+	}
+	slow := max(l.now.ValueAtQuantile(usualQuantile), l.before.ValueAtQuantile(usualQuantile))
+	return time.Duration(slow) * latencyUnit
+}
+
 // report returns a copy of the latencies.
 func (l *latency) report(now time.Time) Latency {
 	l.turn(now)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -41,6 +41,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if e.err != nil {
+		g.tellFree(c, c.w.Header())
 		g.refuse(c.w, e.err)
 		return
 	}
@@ -79,10 +80,6 @@
 	if err := g.readBody(c); err != nil {
 		return g.giveUp(c, err)
 	}
-	if err := g.claim(c); err != nil {
-		g.unclaim(c)
-		return g.giveUp(c, err)
-	}
 	o := g.route(c)
 	if o.err == nil {
 		return o.ending
@@ -97,7 +94,7 @@
 	if here.free > 0 {
 		return g.tryHere(c)
 	}
-	o, asked := g.tryPeer(c, here.slots == 0)
+	o, asked := g.tryPeer(c)
 	if asked && (o.done || here.slots == 0 || !g.mayRepeat(c, o)) {
 		return o
 	}
@@ -108,14 +105,14 @@
 }
 
 // tryPeer forwards the call once, if there is a peer worth asking.
-func (g *Gateway) tryPeer(c *call, evenFull bool) (outcome, bool) {
-	if c.hops > 0 {
-		return outcome{}, false
-	}
-	t, ok := g.pickPeer(c, evenFull)
+func (g *Gateway) tryPeer(c *call) (outcome, bool) {
+	t, ok := g.pickPeer(c)
 	if !ok {
 		return outcome{}, false
 	}
+	if err := g.claim(c); err != nil {
+		return outcome{ending: ending{err: err}, final: true}, true
+	}
 	g.firstTry(c)
 	return g.try(c, t), true
 }
@@ -129,49 +126,55 @@
 		if err.Kind != fault.Overloaded || c.attempts > 0 {
 			return o
 		}
-		if elsewhere, asked := g.tryPeer(c, false); asked {
+		if elsewhere, asked := g.tryPeer(c); asked {
 			return elsewhere
 		}
 		return o
 	}
+	if err := g.claim(c); err != nil {
+		g.quit(ticket)
+		return outcome{ending: ending{err: err}, final: true}
+	}
 	g.firstTry(c)
-	o := g.tryAll(c)
-	if c.gone() {
+	o, held := g.tryAll(c)
+	if c.gone() || o.tellsNothing() {
 		g.quit(ticket)
 		return o
 	}
-	g.exit(ticket, c.held, o.done && !o.abort)
+	g.exit(ticket, held, o.done && !o.abort)
 	return o
 }
 
 // tryAll tries one worker after the other, then a peer, until an answer was
-// passed or the call must not be sent again.
-func (g *Gateway) tryAll(c *call) outcome {
-	var last outcome
+// passed or the call must not be sent again. It returns the last outcome and
+// how long the workers took for all.
+func (g *Gateway) tryAll(c *call) (last outcome, held time.Duration) {
 	for first := true; ; first = false {
 		if !first && !g.takeRetry(c) {
-			return last
+			return last, held
 		}
 		t, ok := g.pick(c)
 		if !ok {
-			return last.or(fault.New(fault.Overloaded, "every replica is busy").After(overloadRetry))
+			return last.or(fault.New(fault.Overloaded, "every replica is busy").After(overloadRetry)), held
 		}
 		last = g.try(c, t)
+		held += max(last.held, last.latency)
 		if last.done || !g.mayRepeat(c, last) || c.attempts >= g.attempts {
-			return last
+			return last, held
 		}
 	}
 }
 
-// pick chooses an own worker, or else a peer.
+// pick chooses an own worker that wasn't tried, or else a peer, or else a
+// worker to which only the connection failed.
 func (g *Gateway) pick(c *call) (*target, bool) {
-	if t, ok := g.pickWorker(c); ok {
+	if t, ok := g.pickWorker(c, c.skip); ok {
 		return t, true
 	}
-	if c.hops > 0 {
-		return nil, false
+	if t, ok := g.pickPeer(c); ok {
+		return t, true
 	}
-	return g.pickPeer(c, false)
+	return g.pickWorker(c, c.hasRefused)
 }
 
 // firstTry counts a request in the service's retry budget. A forwarded one
--- a/limit/algorithm.go
+++ b/limit/algorithm.go
@@ -7,7 +7,8 @@
 
 // Algorithms of a Limit.
 const (
-	Gradient Algorithm = iota // by the ratio of measured to uncongested latency
+	Climb    Algorithm = iota // by trials of a lower or higher bound
+	Gradient                  // by the ratio of the latency to the usual one
 	AIMD                      // additive increase, multiplicative decrease
 	Off                       // not at all
 )
--- a/limit/strings.go
+++ b/limit/strings.go
@@ -8,14 +8,15 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[Gradient-0]
-	_ = x[AIMD-1]
-	_ = x[Off-2]
+	_ = x[Climb-0]
+	_ = x[Gradient-1]
+	_ = x[AIMD-2]
+	_ = x[Off-3]
 }
 
-const _Algorithm_name = "GradientAIMDOff"
+const _Algorithm_name = "ClimbGradientAIMDOff"
 
-var _Algorithm_index = [...]uint8{0, 8, 12, 15}
+var _Algorithm_index = [...]uint8{0, 5, 13, 17, 20}
 
 func (i Algorithm) String() string {
 	idx := int(i) - 0
--- a/standin/worker/handler.go
+++ b/standin/worker/handler.go
@@ -41,6 +41,7 @@
 	mux.HandleFunc(pat.Get(pathLedger), func(rw http.ResponseWriter, _ *http.Request) {
 		writeJSON(rw, w.Ledger())
 	})
+	mux.HandleFunc(pat.Get(wire.PathHealth), w.serveHealth)
 	mux.HandleFunc(pat.New(wire.PathServices+"*"), w.serveService)
 	return mux
 }
--- a/standin/worker/service.go
+++ b/standin/worker/service.go
@@ -30,6 +30,10 @@
 }
 
 func (w *Worker) serveService(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(wire.HeaderRequest)
+	rw.Header().Set(wire.HeaderRequest, id)
+	w.handling(id, 1)
+	defer w.handling(id, -1)
 	request, err := parseService(rw, r)
 	if err != nil {
 		wire.Refuse(rw, err)
@@ -51,6 +55,26 @@
 	writeAnswer(rw, request)
 }
 
+// handling counts the requests in hand by their IDs.
+func (w *Worker) handling(id string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.inHand[id] += n
+	if w.inHand[id] == 0 {
+		delete(w.inHand, id)
+	}
+}
+
+// serveHealth answers a probe, and whether the request that it names is in
+// hand here.
+func (w *Worker) serveHealth(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	running := w.inHand[r.Header.Get(wire.HeaderRequest)] > 0
+	w.mu.Unlock()
+	rw.Header().Set(wire.HeaderRunning, strconv.FormatBool(running))
+	rw.WriteHeader(http.StatusNoContent)
+}
+
 // admit takes a slot and returns the replica with its present slowdown. All
 // refusals are made here, before anything runs.
 func (w *Worker) admit(request serviceRequest) (*task, float64, error) {
@@ -186,7 +210,6 @@
 		Request: request.sum,
 		Size:    request.shape.size,
 	}.Bytes()
-	rw.Header().Set(wire.HeaderRequest, request.id)
 	rw.Header().Set("Content-Type", "text/plain")
 	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	rw.WriteHeader(request.shape.status)
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -95,7 +95,8 @@
 	mu      sync.Mutex
 	lease   lease
 	tasks   map[string]*task
-	busy    int // requests in a slot
+	busy    int            // requests in a slot
+	inHand  map[string]int // requests by ID
 	sampled time.Time
 	samples []sample
 	ledger  *ledger
@@ -112,6 +113,7 @@
 		lag:        DefaultLag,
 		checkpoint: DefaultCheckpoint,
 		tasks:      make(map[string]*task),
+		inHand:     make(map[string]int),
 		ledger:     newLedger(id),
 	}
 	for _, opt := range opts {
