Golden sessions of the controller: every event and record of each fault schedule

Each schedule under controller/testdata/faults now has a golden file with the whole session in readable text: what each instance decided, every record with its offset and writer, and how each task ended.

--- a/cmd/dogwoodladder/main.go
+++ b/cmd/dogwoodladder/main.go
@@ -21,6 +21,8 @@
 	Dump    dumpCmd    `cmd:"" help:"Show the whole state of an instance."`
 	Submit  submitCmd  `cmd:"" help:"Queue batch tasks."`
 	Cancel  cancelCmd  `cmd:"" help:"Cancel batch tasks or jobs."`
+	Demo    demoCmd    `cmd:"" help:"Run two zones with load and faults in one process, and check what is guaranteed."`
+	Bench   benchCmd   `cmd:"" help:"Measure policies with fixed seeds; prints Markdown tables."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in of a part of the platform."`
 }
 
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
 
 	"github.com/dogwoodladder/dogwoodladder/controller"
 )
@@ -25,7 +26,9 @@
 // TestFaults plays the schedules of testdata/faults. Each file opens with
 // the symptom, the sequence of events and the cause of the failure it is
 // about; then a line is a time, a verb and its arguments. Every task has to
-// end once, none may run in two places, and no group may exceed its limit.
+// end once, none may run in two places, and no group may exceed its limit. The
+// whole session, every event and record, has to equal the golden file beside
+// the schedule (go test ./controller -run TestFaults -update).
 func TestFaults(t *testing.T) {
 	files, err := filepath.Glob("testdata/faults/*.txt")
 	is.New(t).NoErr(err)
@@ -56,12 +59,26 @@
 		at, err := time.ParseDuration(words[0])
 		is.NoErr(err)
 		h.run(began.Add(at).Sub(h.now))
+		h.write("# %s", strings.Join(words[1:], " "))
 		h.perform(words[1], words[2:])
 	}
 	if !h.settledBy(3 * time.Minute) {
 		t.Fatalf("tasks left over:\n%s", h.any().c.Dump(h.now))
 	}
 	once(t, h)
+	h.writeEnd()
+	goldie.New(t, goldie.WithFixtureDir("testdata/faults"), goldie.WithNameSuffix(".golden")).
+		Assert(t, strings.TrimSuffix(filepath.Base(file), ".txt"), []byte(h.transcript.String()))
+}
+
+// writeEnd closes the transcript with how each task ended and how often it
+// ran.
+func (h *harness) writeEnd() {
+	s := h.any().c.State()
+	for _, account := range h.ledger().Tasks {
+		v, _ := s.Task(account.Task)
+		h.write("task %s %v attempt=%d runs=%d", account.Task, v.State, v.Attempt, len(account.Runs))
+	}
 }
 
 // perform carries out one line of a schedule.
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,7 +57,8 @@
 	logDown bool
 	most    map[string]int64 // highest use of a group's processors
 
-	submitted int // tasks
+	submitted  int // tasks
+	transcript strings.Builder
 }
 
 type node struct {
@@ -189,16 +191,21 @@
 		h.send(n, a)
 	case controller.Answer:
 		n.done = append(n.done, a)
-		if a.Err != nil {
-			h.t.Logf("%v %s refused: %v", h.now.Sub(h.start), n.id, a.Err)
-		}
+		h.write("%s answers %d: %v", n.id, a.ID, a.Err)
 	case controller.Left:
 		n.left = true
 		delete(h.nodes, n.id)
 	case controller.Event:
-		if testing.Verbose() {
-			h.t.Logf("%v %s %s %v", h.now.Sub(h.start), n.id, a.Name, a.Fields)
-		}
+		h.write("%s %s %v", n.id, a.Name, a.Fields)
+	}
+}
+
+// write adds a line to the session's transcript.
+func (h *harness) write(format string, args ...any) {
+	line := fmt.Sprintf(format, args...)
+	fmt.Fprintf(&h.transcript, "%7v %s\n", h.now.Sub(h.start), line)
+	if testing.Verbose() {
+		h.t.Logf("%v %s", h.now.Sub(h.start), line)
 	}
 }
 
@@ -235,6 +242,7 @@
 			return
 		}
 		for _, data := range a.Data {
+			h.writeRecord(a.Stream, data)
 			s := h.streams[a.Stream]
 			h.streams[a.Stream] = append(s, platform.Entry{Offset: uint64(len(s)), Time: h.now, Data: data})
 		}
@@ -246,6 +254,51 @@
 	})
 }
 
+// writeRecord adds an appended record to the transcript in readable form.
+func (h *harness) writeRecord(stream string, data []byte) {
+	if stream == controller.ConfigStream {
+		h.write("appended to %s", stream)
+		return
+	}
+	r, err := record.Decode(data)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.write("appended %d by %s/%d: %s", len(h.streams[stream]), r.Writer.ID, r.Sequence, body(r))
+}
+
+func body(r record.Record) string {
+	switch {
+	case r.Limits != nil:
+		return fmt.Sprintf("limits revision=%d", r.Limits.Revision)
+	case r.Submit != nil:
+		return fmt.Sprintf("submit tasks=%d first=%s", len(r.Submit.Tasks), r.Submit.Tasks[0].ID)
+	case r.Own != nil:
+		return fmt.Sprintf("own worker=%s epoch=%d held=%v", r.Own.Worker, r.Own.Epoch, r.Own.Held)
+	case r.Claim != nil:
+		return fmt.Sprintf("claim %v", r.Claim.Tasks)
+	case r.Return != nil:
+		return fmt.Sprintf("return %v", r.Return.Tasks)
+	case r.Done != nil:
+		return fmt.Sprintf("done %v worker=%s", r.Done.Attempt, r.Done.Worker)
+	case r.Evicted != nil:
+		return fmt.Sprintf("evicted %v worker=%s checkpoint=%q", r.Evicted.Attempt, r.Evicted.Worker, r.Evicted.Checkpoint)
+	case r.Failed != nil:
+		return fmt.Sprintf("failed %v worker=%s reason=%q", r.Failed.Attempt, r.Failed.Worker, r.Failed.Reason)
+	case r.Cancel != nil:
+		return fmt.Sprintf("cancel tasks=%d jobs=%v", len(r.Cancel.Tasks), r.Cancel.Jobs)
+	case r.Fence != nil:
+		return fmt.Sprintf("fence %s", r.Fence.Instance.ID)
+	case r.Lapse != nil:
+		return fmt.Sprintf("lapse worker=%s epoch=%d", r.Lapse.Worker, r.Lapse.Epoch)
+	case r.Snapshot != nil:
+		return fmt.Sprintf("snapshot at=%d recovery=%v", r.Snapshot.At, r.Snapshot.Recovery)
+	case r.Park != nil:
+		return fmt.Sprintf("park %s", r.Park.Task)
+	}
+	return "marker"
+}
+
 func (h *harness) call(n *node, a controller.Call) {
 	c := &call{n: n, a: a, sent: h.now}
 	h.after(latency, func() { h.arrive(c) })
--- /dev/null
+++ b/demo/failure.go
@@ -0,0 +1,68 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+)
+
+const (
+	outageTime = 3 * time.Second
+	killTime   = 2500 * time.Millisecond
+	stopTime   = time.Second
+)
+
+// breakLog takes the log service away for a while.
+func (s *scenario) breakLog(ctx context.Context) error {
+	before := completions(s.site.ledger(""))
+	s.report.event("log down", "for=%v", outageTime)
+	repair := s.site.breakLog()
+	defer repair()
+	if err := pause(ctx, outageTime); err != nil {
+		return err
+	}
+	s.report.event("log back", "tasks_completed_meanwhile=%d", completions(s.site.ledger(""))-before)
+	return nil
+}
+
+// kill stops an instance without the time to finish or hand over anything. Its
+// leases stay in force until they end, and its requests are cut off.
+func (s *scenario) kill(ctx context.Context) error {
+	start := time.Now()
+	in := s.site.find(victim)
+	in.stop()
+	<-in.ended
+	s.report.event("killed", "instance=%s after=%v", in.id, short(time.Since(start)))
+	if err := pause(ctx, killTime/2); err != nil {
+		return err
+	}
+	s.site.list.Delete(victim)
+	return pause(ctx, killTime/2)
+}
+
+// stop shuts an instance down as planned, with requests under way.
+func (s *scenario) stop(ctx context.Context) error {
+	if err := pause(ctx, stopTime/2); err != nil {
+		return err
+	}
+	leaving := s.site.last(zones[1])
+	if err := s.site.list.Put(leaving.listed(platform.StatusLeaving)); err != nil {
+		return err
+	}
+	inFlight := leaving.operator.inFlight(ctx)
+	start := time.Now()
+	leaving.stop()
+	select {
+	case <-leaving.ended:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	s.site.list.Delete(leaving.id)
+	s.report.event("stopped", "instance=%s requests_in_flight=%d after=%v", leaving.id, inFlight, short(time.Since(start)))
+	if leaving.err != nil {
+		return fault.Wrap(fault.Internal, leaving.err, "planned stop of %s", leaving.id)
+	}
+	return pause(ctx, stopTime)
+}
