--- a/cmd/dogwoodladder/standin.go
+++ b/cmd/dogwoodladder/standin.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/client"
+	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/standin/instancelist"
@@ -14,10 +17,13 @@
 )
 
 type standinCmd struct {
-	Log    logCmd    `cmd:"" help:"Run a log service."`
-	List   listCmd   `cmd:"" help:"Run an instance list."`
-	Worker workerCmd `cmd:"" help:"Run a worker."`
-	Entry  entryCmd  `cmd:"" help:"Put an entry instance on the instance list."`
+	Log       logCmd       `cmd:"" help:"Run a log service."`
+	List      listCmd      `cmd:"" help:"Run an instance list."`
+	Worker    workerCmd    `cmd:"" help:"Run a worker."`
+	Entry     entryCmd     `cmd:"" help:"Put an entry instance on the instance list."`
+	Instances instancesCmd `cmd:"" help:"Show the instance list."`
+	Caller    callerCmd    `cmd:"" help:"Send requests to all entry instances, and compare the answers with what ran."`
+	Ledger    ledgerCmd    `cmd:"" help:"Show what batch work ran on all workers."`
 }
 
 type logCmd struct {
@@ -25,27 +31,41 @@
 	Rate      int           `default:"500" help:"Appends a second."`
 	Retention time.Duration `default:"1h" help:"How long records are kept."`
 	Records   int           `default:"1000000" help:"How many records of a stream are kept."`
+	Faults    string        `default:"{}" placeholder:"JSON" help:"Faults in force from the start, such as {\"slow\":\"2s\"}; PUT /faults changes them."`
 }
 
 func (c *logCmd) Run(ctx context.Context) error {
+	f, err := parseFaults[logservice.Faults](c.Faults)
+	if err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	return logservice.New(logservice.WithRate(c.Rate), logservice.WithRetention(c.Records, c.Retention)).Serve(ctx, l)
+	service := logservice.New(
+		logservice.WithRate(c.Rate),
+		logservice.WithRetention(c.Records, c.Retention),
+		logservice.WithFaults(f))
+	return service.Serve(ctx, l)
 }
 
 type listCmd struct {
 	Listen string        `required:"" placeholder:"IP:PORT" help:"Where to listen."`
 	Lag    time.Duration `help:"How old the list is that is served."`
+	Faults string        `default:"{}" placeholder:"JSON" help:"Faults in force from the start, such as {\"down\":true}; PUT /faults changes them."`
 }
 
 func (c *listCmd) Run(ctx context.Context) error {
+	f, err := parseFaults[instancelist.Faults](c.Faults)
+	if err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	return instancelist.New(instancelist.WithLag(c.Lag)).Serve(ctx, l)
+	return instancelist.New(instancelist.WithLag(c.Lag), instancelist.WithFaults(f)).Serve(ctx, l)
 }
 
 type workerCmd struct {
@@ -58,16 +78,21 @@
 	Memory int64   `default:"256000" help:"MiB."`
 	Accel  int64   `default:"0" help:"Accelerators."`
 	Slots  int     `default:"8" help:"Concurrent requests."`
+	Faults string  `default:"{}" placeholder:"JSON" help:"Faults in force from the start, such as {\"fail\":true}; PUT /faults changes them."`
 }
 
 func (c *workerCmd) Run(ctx context.Context) error {
 	const milli = 1000
+	f, err := parseFaults[worker.Faults](c.Faults)
+	if err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
 	capacity := resource.Vector{Processors: int64(c.Cores * milli), Memory: c.Memory, Accelerators: c.Accel}
-	w := worker.New(c.ID, worker.WithCapacity(capacity), worker.WithSlots(c.Slots))
+	w := worker.New(c.ID, worker.WithCapacity(capacity), worker.WithSlots(c.Slots), worker.WithFaults(f))
 	if c.List != "" {
 		if err := register(ctx, c.List, w.Instance(c.Zone, c.Rack, l.Addr().String())); err != nil {
 			return err
@@ -101,6 +126,17 @@
 	})
 }
 
+// parseFaults returns the faults in text, which is JSON.
+func parseFaults[F any](text string) (F, error) {
+	var f F
+	decoder := json.NewDecoder(strings.NewReader(text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		return f, fault.Wrap(fault.Invalid, err, "faults %q", text)
+	}
+	return f, nil
+}
+
 func register(ctx context.Context, list string, instance platform.Instance) error {
 	return client.NewRegistrar(list).Put(ctx, instance)
 }
--- a/zone/doc.go
+++ b/zone/doc.go
@@ -18,6 +18,12 @@
 // settings of the fold (see Option) are part of the state and of its
 // snapshots, so every instance must be given the same ones.
 //
+// The state is bounded: by tasks that haven't ended and that have (WithMaxTasks,
+// WithMaxEnded), by their encoded size (WithMaxBytes), and by constant numbers
+// of workers, instances and limits. What is above a bound is refused with Full,
+// but for ended tasks, of which the oldest is forgotten. An ended task is
+// forgotten after WithRetention too; submitted again later, it runs again.
+//
 // A State is not safe for concurrent use. It must not be changed while one
 // of its iterators runs.
 package zone
