--- /dev/null
+++ b/bench/batch/fake.go
@@ -0,0 +1,94 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/controller"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/member"
+	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+)
+
+var (
+	errLog    = fault.New(fault.Unavailable, "log")
+	errSilent = fault.New(fault.MayHaveRun, "no answer")
+)
+
+// stream is one stream of the fake log. Reads wait for the next record.
+type stream struct {
+	name    string
+	entries []platform.Entry
+	waiting []*waiter
+}
+
+type waiter struct {
+	from   uint64
+	answer func(platform.Page)
+	done   bool
+}
+
+func (c *cluster) stream(name string) *stream {
+	s, ok := c.streams[name]
+	if !ok {
+		s = &stream{name: name}
+		c.streams[name] = s
+	}
+	return s
+}
+
+func (s *stream) append(c *cluster, records [][]byte) {
+	c.meter.appends[s.name]++
+	for _, data := range records {
+		s.entries = append(s.entries, platform.Entry{Offset: uint64(len(s.entries)), Time: c.now, Data: data})
+	}
+	waiting := s.waiting
+	s.waiting = nil
+	for _, w := range waiting {
+		s.answer(w)
+	}
+}
+
+func (s *stream) read(c *cluster, from uint64, answer func(platform.Page)) {
+	w := &waiter{from: from, answer: answer}
+	if from < uint64(len(s.entries)) {
+		s.answer(w)
+		return
+	}
+	s.waiting = append(s.waiting, w)
+	c.after(readWait, func() { s.answer(w) })
+}
+
+func (s *stream) answer(w *waiter) {
+	if w.done {
+		return
+	}
+	w.done = true
+	last := min(uint64(len(s.entries)), w.from+readLimit)
+	w.answer(platform.Page{Next: uint64(len(s.entries)), Entries: s.entries[w.from:last:last]})
+}
+
+// window returns the entries of a stream accepted within [from, to).
+func (s *stream) window(from, to time.Time) []platform.Entry {
+	var found []platform.Entry
+	for _, e := range s.entries {
+		if !e.Time.Before(from) && e.Time.Before(to) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func inputOf(from string, m peer.Message) controller.Input {
+	switch m := m.(type) {
+	case peer.Heartbeat:
+		return controller.Heard{Heartbeat: member.Heartbeat(m)}
+	case peer.Handover:
+		return controller.HandedOver{From: from, Worker: m.Worker, Epoch: m.Epoch}
+	case peer.ConfigRequest:
+		return controller.Asked{From: from, Revision: m.Revision}
+	case peer.Config:
+		return controller.Offered{From: from, Config: m}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/batch/meter.go
@@ -0,0 +1,180 @@
+package batch
+
+import (
+	"fmt"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/client/wire"
+	"github.com/dogwoodladder/dogwoodladder/controller"
+	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/platform"
+)
+
+// traffic is a kind of control bytes.
+type traffic int
+
+// Kinds of control bytes of an instance, both directions together.
+const (
+	zoneRead traffic = iota
+	zoneWrite
+	snapshotRead
+	snapshotWrite
+	configRead
+	configWrite
+	beatBytes
+	leaseBytes // renewals and other calls about leases
+	callBytes  // starts, stops and acknowledgements
+	listBytes
+	traffics
+)
+
+var trafficNames = [traffics]string{
+	"zone stream, read", "zone stream, written", "snapshots, read", "snapshots, written",
+	"configuration, read", "configuration, written", "heartbeats", "worker leases", "task calls", "instance list",
+}
+
+// snapshotLeast tells a snapshot record from others by its size.
+const snapshotLeast = 64 << 10
+
+// usage is what one instance spent.
+type usage struct {
+	bytes [traffics]int64
+	time  time.Duration // of Step
+	most  time.Duration // of one Step
+}
+
+// meter counts from its last reset.
+type meter struct {
+	usage     map[string]*usage
+	steps     map[string]int // by kind of input
+	times     map[string]time.Duration
+	appends   map[string]int // calls, by stream
+	events    map[string]int
+	calls     map[controller.Verb]int
+	submitted int // tasks
+	refused   int // tasks
+	listSize  int
+}
+
+func newMeter() meter {
+	return meter{
+		usage:   map[string]*usage{},
+		steps:   map[string]int{},
+		times:   map[string]time.Duration{},
+		appends: map[string]int{},
+		events:  map[string]int{},
+		calls:   map[controller.Verb]int{},
+	}
+}
+
+func (m *meter) reset() {
+	size := m.listSize
+	*m = newMeter()
+	m.listSize = size
+}
+
+func (m *meter) of(id string) *usage {
+	u, ok := m.usage[id]
+	if !ok {
+		u = &usage{}
+		m.usage[id] = u
+	}
+	return u
+}
+
+func (m *meter) add(id string, kind traffic, n int) {
+	m.of(id).bytes[kind] += int64(n)
+}
+
+func (m *meter) step(id string, in controller.Input, d time.Duration) {
+	u := m.of(id)
+	u.time += d
+	u.most = max(u.most, d)
+	kind := kindOf(in)
+	m.steps[kind]++
+	m.times[kind] += d
+}
+
+func kindOf(in controller.Input) string {
+	if r, ok := in.(controller.Read); ok && r.Stream == controller.ConfigStream {
+		return "Read of configuration"
+	}
+	return reflect.TypeOf(in).Name()
+}
+
+func (m *meter) read(id, stream string, page platform.Page, w wireSizes) {
+	if stream == controller.ConfigStream {
+		n := w.read
+		for _, e := range page.Entries {
+			n += len(e.Data) + w.entry
+		}
+		m.add(id, configRead, n)
+		return
+	}
+	m.add(id, zoneRead, w.read)
+	for _, e := range page.Entries {
+		kind := zoneRead
+		if len(e.Data) > snapshotLeast {
+			kind = snapshotRead
+		}
+		m.add(id, kind, len(e.Data)+w.entry)
+	}
+}
+
+func (m *meter) append(id string, a controller.Append, w wireSizes) {
+	body, err := wire.EncodeRecords(a.Data)
+	if err != nil {
+		panic(err) // byte strings always encode
+	}
+	kind := zoneWrite
+	switch {
+	case a.Stream == controller.ConfigStream:
+		kind = configWrite
+	case len(body) > snapshotLeast:
+		kind = snapshotWrite
+	}
+	m.add(id, kind, len(body)+w.append)
+}
+
+func (m *meter) call(id string, a controller.Call, l platform.Lease, w wireSizes) {
+	m.calls[a.Verb]++
+	switch a.Verb {
+	case controller.Acquire, controller.Renew:
+		m.add(id, leaseBytes, w.lease+jsonSize(a.Lease)+jsonSize(l))
+	case controller.Transfer:
+		m.add(id, leaseBytes, w.lease+jsonSize(wire.Transfer{Epoch: a.Epoch, To: a.To})+jsonSize(l))
+	case controller.Start:
+		m.add(id, callBytes, w.call+jsonSize(wire.Start{Epoch: a.Epoch, Task: a.Spec}))
+	case controller.Acknowledge:
+		m.add(id, callBytes, w.call+jsonSize(wire.Acknowledge{Epoch: a.Epoch, Tasks: a.Tasks}))
+	default:
+		m.add(id, callBytes, w.call+jsonSize(wire.Stop{Epoch: a.Epoch, Task: a.Task, Checkpoint: a.Checkpoint}))
+	}
+}
+
+func (m *meter) sent(from, to string, message peer.Message, w wireSizes) {
+	n := w.beat
+	if c, ok := message.(peer.Config); ok {
+		n = len(c.Manifest)
+	}
+	m.add(from, beatBytes, n)
+	m.add(to, beatBytes, n)
+}
+
+func (m *meter) event(e controller.Event) {
+	if e.Level != controller.Debug {
+		m.events[fmt.Sprintf("%v %s", e.Level, e.Name)]++
+	}
+}
+
+// threadTime returns the processor time of the calling thread, which doesn't
+// grow while other processes have the processor.
+func threadTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_THREAD, &u); err != nil {
+		panic(err) // the arguments are constant
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/bench/batch/table.go
@@ -0,0 +1,102 @@
+package batch
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/standin/worker"
+)
+
+// table prints rows under a title and a header.
+func table(w io.Writer, title string, header []string, rows [][]string) error {
+	var s strings.Builder
+	fmt.Fprintf(&s, "\n### %s\n\n| %s |\n|%s\n", title, strings.Join(header, " | "), strings.Repeat("---|", len(header)))
+	for _, row := range rows {
+		fmt.Fprintf(&s, "| %s |\n", strings.Join(row, " | "))
+	}
+	_, err := io.WriteString(w, s.String())
+	return err
+}
+
+func number(v float64) string {
+	switch {
+	case v >= 100 || v == 0:
+		return fmt.Sprintf("%.0f", v)
+	case v >= 1:
+		return fmt.Sprintf("%.1f", v)
+	default:
+		return fmt.Sprintf("%.3f", v)
+	}
+}
+
+func seconds(d time.Duration) string {
+	return fmt.Sprintf("%.1f s", d.Seconds())
+}
+
+// quantile returns the value below which a part of the sorted values lies.
+func quantile(sorted []time.Duration, part float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(part*float64(len(sorted))), len(sorted)-1)]
+}
+
+// run is one run of a task on a worker.
+type run struct {
+	task string
+	worker.Interval
+}
+
+// runs returns what ran on all workers by start, and how many tasks ever ran
+// in two places at once.
+func (c *cluster) runs() (all []run, overlaps int) {
+	var ledgers []worker.Ledger
+	for _, b := range c.workers {
+		ledgers = append(ledgers, b.Ledger())
+	}
+	for _, a := range worker.Merge(ledgers...).Tasks {
+		if a.Overlap {
+			overlaps++
+		}
+		for _, i := range a.Runs {
+			all = append(all, run{a.Task, i})
+		}
+	}
+	slices.SortFunc(all, func(a, b run) int { return a.Start.Compare(b.Start) })
+	return all, overlaps
+}
+
+// doneIn returns how many runs ended done within [from, to).
+func doneIn(runs []run, from, to time.Time) int {
+	n := 0
+	for _, r := range runs {
+		if r.State == "done" && !r.End.Before(from) && r.End.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+func startedIn(runs []run, from, to time.Time) int {
+	n := 0
+	for _, r := range runs {
+		if !r.Start.Before(from) && r.Start.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// runningAt returns how many runs go on at a time.
+func runningAt(runs []run, at time.Time) int {
+	n := 0
+	for _, r := range runs {
+		if !r.Start.After(at) && (r.End.IsZero() || r.End.After(at)) {
+			n++
+		}
+	}
+	return n
+}
