Controller: services are changed one replica at a time, leaving workers are emptied

A replica that isn't planned any more, or not as it is, first leaves the routing table and is stopped once its longest request has ended. Before, it was stopped at once; and a changed service went on running as it was. The attempt of a replica's task is a hash of its definition, so that a new owner can tell an outdated one. Batch tasks on a worker that the list shows leaving are evicted by checkpoint. What a task is measured to need beyond its declaration is kept free beside it; less than declared isn't given away.

--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/resource"
+	"github.com/dogwoodladder/dogwoodladder/route"
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
 )
 
@@ -50,6 +51,7 @@
 	nodes   map[string]*node
 	workers map[string]*worker.Worker
 	dead    map[string]bool // workers
+	leaving map[string]bool // workers, on the list
 	stalled map[string]bool // workers that stand still; calls wait for them
 	events  []event
 	cuts    map[[2]string]bool
@@ -68,6 +70,7 @@
 	inbox  []controller.Input
 	left   bool
 	done   []controller.Answer
+	table  *route.Table
 }
 
 type event struct {
@@ -85,6 +88,7 @@
 		workers: map[string]*worker.Worker{},
 		dead:    map[string]bool{},
 		stalled: map[string]bool{},
+		leaving: map[string]bool{},
 		cuts:    map[[2]string]bool{},
 		most:    map[string]int64{},
 	}
@@ -113,7 +117,11 @@
 	}
 	for _, id := range keys(h.workers) {
 		if !h.dead[id] {
-			all = append(all, h.workers[id].Instance("a", "r", id))
+			in := h.workers[id].Instance("a", "r", id)
+			if h.leaving[id] {
+				in.Status = platform.StatusLeaving
+			}
+			all = append(all, in)
 		}
 	}
 	return all
@@ -189,6 +197,8 @@
 		h.poll(n, a)
 	case controller.Send:
 		h.send(n, a)
+	case controller.Publish:
+		n.table = a.Table
 	case controller.Answer:
 		n.done = append(n.done, a)
 		h.write("%s answers %d: %v", n.id, a.ID, a.Err)
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -54,6 +54,7 @@
 const (
 	starting stage = iota // the worker hasn't confirmed it
 	running
+	draining // a replica that gets no new requests
 	stopping
 	ended // the worker keeps a result
 )
@@ -65,6 +66,7 @@
 	attempt uint32
 	need    resource.Vector
 	stage   stage
+	until   time.Time // when a draining replica is stopped
 	unsure  bool      // a start of it was not answered, and may arrive late
 	started time.Time // when this instance first knew of it
 	spec    platform.TaskSpec
@@ -154,7 +156,7 @@
 // should not be.
 func (c *Controller) own(now time.Time) {
 	for _, h := range c.sorted() {
-		want := c.wanted(h.id) && !(h.leaving && len(h.tasks) == 0)
+		want := c.wanted(h.id) && !(h.leaving && len(h.tasks)+len(h.replicas) == 0)
 		switch {
 		case want && h.listed && h.phase == unowned && !h.busy && !now.Before(h.retryAt):
 			h.phase = acquiring
--- a/controller/neighbors.go
+++ b/controller/neighbors.go
@@ -195,6 +195,23 @@
 	return all
 }
 
+// excess returns by how much the batch tasks on a worker are measured to need
+// more than they declared. Less than declared is not given away, since a
+// worker goes by what was declared.
+func (c *Controller) excess(h *holding) resource.Vector {
+	var sum resource.Vector
+	for id, n := range h.noted {
+		p, ok := h.tasks[id]
+		if !ok || p.stage == ended {
+			continue
+		}
+		over := c.neighbors.sizes.Need(n.class, p.need).Sub(p.need)
+		sum.Processors += max(over.Processors, 0)
+		sum.Memory += max(over.Memory, 0)
+	}
+	return sum
+}
+
 // choose returns the worker that suits a task best, or nil.
 func (c *Controller) choose(now time.Time, room map[string]resource.Vector, t zone.Task) *holding {
 	add := interference.Task{ID: t.ID, Class: classOf(t), Kind: platform.KindBatch}
--- a/controller/service.go
+++ b/controller/service.go
@@ -1,17 +1,25 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dogwoodladder/dogwoodladder/manifest"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/replica"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/route"
 )
 
+// minDrain is the least time between taking a replica out of the routing
+// table and stopping it.
+const minDrain = 2 * time.Second
+
 // planKey tells whether the plan of replicas is out of date.
 type planKey struct {
 	revision uint64
@@ -76,22 +84,18 @@
 		if _, _, ok := c.book.Valid(now, h.id); !ok {
 			continue
 		}
-		c.fitReplicas(h)
+		c.fitReplicas(now, h)
+		c.leaveWorker(h)
 	}
 }
 
-func (c *Controller) fitReplicas(h *holding) {
+// fitReplicas brings the replicas on a worker in line with the plan.
+func (c *Controller) fitReplicas(now time.Time, h *holding) {
 	planned := make(map[string]bool)
 	for _, name := range c.plan.Worker(h.id) {
 		planned[name] = !h.leaving
 	}
-	for _, p := range sortedAssignments(h.replicas) {
-		if !planned[p.service] && p.stage == running {
-			p.stage = stopping
-			c.dirty = true
-			c.call(h, Call{Verb: Stop, Epoch: h.epoch, Task: p.id})
-		}
-	}
+	c.drainReplicas(now, h, planned)
 	for _, s := range c.manifest.Services {
 		if !planned[s.Name] || h.replicas[s.Name] != nil {
 			continue
@@ -100,21 +104,71 @@
 			c.makeRoom(h, s.Need)
 			continue
 		}
-		c.startReplica(h, s.Name, s.Group, s.Command, s.Need, s.Slots)
+		c.startReplica(h, s)
+	}
+}
+
+// drainReplicas takes replicas that aren't planned any more, or not as they
+// are, out of the routing table, and stops them once their requests have
+// ended. Of a changed service one replica at a time is replaced.
+func (c *Controller) drainReplicas(now time.Time, h *holding, planned map[string]bool) {
+	for _, p := range sortedAssignments(h.replicas) {
+		s, declared := c.service(p.service)
+		wanted := planned[p.service] && declared
+		switch {
+		case p.stage == draining && wanted && p.attempt == version(s):
+			p.stage = running
+			c.dirty = true
+		case p.stage == draining && !now.Before(p.until):
+			p.stage = stopping
+			c.call(h, Call{Verb: Stop, Epoch: h.epoch, Task: p.id})
+		case p.stage != running:
+		case !wanted || p.attempt != version(s) && !c.replacing(p.service):
+			p.stage = draining
+			p.until = now.Add(max(s.Timeout, minDrain))
+			c.dirty = true
+		}
 	}
 }
 
-func (c *Controller) startReplica(h *holding, name, group, command string, need resource.Vector, slots int) {
+// replacing reports whether a replica of a service is being replaced on an
+// owned worker.
+func (c *Controller) replacing(service string) bool {
+	for _, h := range c.holdings {
+		if p := h.replicas[service]; p != nil && p.stage != running {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) service(name string) (manifest.Service, bool) {
+	for _, s := range c.manifest.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return manifest.Service{}, false
+}
+
+// version numbers what a replica of a service runs. It is the attempt of the
+// replica's task, so that whoever owns the worker can tell an outdated one.
+func version(s manifest.Service) uint32 {
+	text := fmt.Sprint(s.Need, s.Slots, s.Command)
+	return uint32(xxhash.Sum64String(text)>>1) | 1
+}
+
+func (c *Controller) startReplica(h *holding, s manifest.Service) {
 	spec := platform.TaskSpec{
-		ID:      replicaID(name, h.id),
+		ID:      replicaID(s.Name, h.id),
 		Kind:    platform.KindService,
-		Group:   group,
-		Attempt: 1,
-		Need:    need,
-		Command: command,
-		Slots:   slots,
+		Group:   s.Group,
+		Attempt: version(s),
+		Need:    s.Need,
+		Command: s.Command,
+		Slots:   s.Slots,
 	}
-	h.replicas[name] = &assignment{id: spec.ID, service: name, attempt: 1, need: need, spec: spec}
+	h.replicas[s.Name] = &assignment{id: spec.ID, service: s.Name, attempt: spec.Attempt, need: s.Need, spec: spec}
 	c.call(h, Call{Verb: Start, Epoch: h.epoch, Spec: spec})
 }
 
@@ -145,6 +199,20 @@
 	}
 }
 
+// leaveWorker evicts the batch tasks of a worker that is leaving, so that
+// they go on elsewhere from a checkpoint.
+func (c *Controller) leaveWorker(h *holding) {
+	if !h.leaving || h.phase != adopted {
+		return
+	}
+	for _, p := range sortedAssignments(h.tasks) {
+		if p.stage == running {
+			p.stage = stopping
+			c.call(h, Call{Verb: Stop, Epoch: h.epoch, Task: p.id, Checkpoint: true})
+		}
+	}
+}
+
 // seeReplicas brings the known replicas in line with what the worker holds.
 func (c *Controller) seeReplicas(h *holding, tasks []platform.Running) {
 	held := make(map[string]bool)
@@ -163,7 +231,7 @@
 			p = &assignment{id: t.ID, service: name, attempt: t.Attempt, need: t.Need}
 			h.replicas[name] = p
 		}
-		if p.stage != stopping {
+		if p.stage == starting {
 			p.stage = running
 		}
 	}
--- a/controller/strings.go
+++ b/controller/strings.go
@@ -77,13 +77,14 @@
 	var x [1]struct{}
 	_ = x[starting-0]
 	_ = x[running-1]
-	_ = x[stopping-2]
-	_ = x[ended-3]
+	_ = x[draining-2]
+	_ = x[stopping-3]
+	_ = x[ended-4]
 }
 
-const _stage_name = "startingrunningstoppingended"
+const _stage_name = "startingrunningdrainingstoppingended"
 
-var _stage_index = [...]uint8{0, 8, 15, 23, 28}
+var _stage_index = [...]uint8{0, 8, 15, 23, 31, 36}
 
 func (i stage) String() string {
 	idx := int(i) - 0
--- a/controller/task.go
+++ b/controller/task.go
@@ -355,7 +355,7 @@
 		if _, _, ok := c.book.Valid(now, h.id); !ok {
 			continue
 		}
-		room[h.id] = h.capacity.Sub(c.reservedBeside(h)).Sub(h.used())
+		room[h.id] = h.capacity.Sub(c.reservedBeside(h)).Sub(h.used()).Sub(c.excess(h))
 	}
 	return room
 }
