--- a/bench/batch/fold.go
+++ b/bench/batch/fold.go
@@ -72,6 +72,9 @@
 	}
 	encoded := timeOf(rounds, func() { _, _ = state.Snapshot() })
 	restored := timeOf(rounds, func() { _, _ = zone.Restore(snapshot) })
+	runtime.KeepAlive(entries)
+	runtime.KeepAlive(records)
+	runtime.KeepAlive(state)
 	tasks := 0
 	for _, g := range state.Groups() {
 		tasks += int(g.Submitted)
--- a/bench/batch/load.go
+++ b/bench/batch/load.go
@@ -23,6 +23,7 @@
 	Replicas          int     // of all services, in all zones
 	Tasks             int     // running
 	Starts            float64 // of tasks a second
+	Queued            int     // tasks that wait because they are above their group's share
 }
 
 // Planned is the size to design for, with the starts of its peak. A service
@@ -43,6 +44,7 @@
 	s.Replicas = s.Replicas * n / all
 	s.Tasks = s.Tasks * n / all
 	s.Starts = s.Starts * float64(n) / float64(all)
+	s.Queued = s.Queued * n / all
 	return s
 }
 
@@ -138,6 +140,21 @@
 	}
 }
 
+// stall queues tasks that can't be claimed.
+func (c *cluster) stall(zone string) {
+	const batch = 100
+	left := c.plan.size.Queued / c.plan.size.AvailabilityZones
+	for ; left > 0; left -= batch {
+		tasks := make([]record.Task, min(left, batch))
+		for i := range tasks {
+			c.serial++
+			tasks[i] = c.task(fmt.Sprintf("stalled-%d", c.serial), "", c.random.IntN(c.plan.size.Groups), false, time.Hour)
+			tasks[i].Need = workerCapacity.Scale(int64(c.plan.size.Workers))
+		}
+		c.submit(zone, tasks)
+	}
+}
+
 // arrive submits work to a zone from now on, at a rate of tasks a second.
 func (c *cluster) arrive(zone string, rate float64) {
 	c.arrivals(rate*urgentPart, func() { c.job(zone, 1, true, false) })
@@ -243,6 +260,7 @@
 		return err
 	}
 	for i := range c.plan.size.AvailabilityZones {
+		c.stall(zoneName(i))
 		c.fill(zoneName(i))
 		c.arrive(zoneName(i), c.plan.surge*c.plan.size.Starts/float64(c.plan.size.AvailabilityZones))
 	}
--- a/bench/batch/recovery.go
+++ b/bench/batch/recovery.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	settle      = 170 * time.Second // watched after a failure
-	replacement = time.Minute       // until the platform has replaced a dead zone's instances
+	settled         = 170 * time.Second // watched after a failure
+	fastReplacement = 30 * time.Second  // until the platform has replaced a dead zone's instances
+	slowReplacement = 90 * time.Second
 )
 
 // recovery measures what follows a death, in one zone of the site.
@@ -21,7 +22,8 @@
 		{"one owner dies", (*cluster).killOwner},
 		{"one owner dies, and is back under its ID after 10 s", (*cluster).restartOwner},
 		{"a rack of workers dies", (*cluster).killRack},
-		{"all instances of a zone die, new ones come after 60 s", (*cluster).killZone},
+		{"all instances of a zone die, new ones come after 30 s", func(c *cluster) []*backend { return c.killZone(fastReplacement) }},
+		{"all instances of a zone die, new ones come after 90 s", func(c *cluster) []*backend { return c.killZone(slowReplacement) }},
 	}
 	rows := make([][]string, len(cases))
 	var jobs []func() error
@@ -31,6 +33,7 @@
 			if err := c.warm(); err != nil {
 				return err
 			}
+			c.run(time.Minute)
 			c.meter.reset()
 			at := c.now
 			row := c.recoveryRow(k.fail, at)
@@ -42,7 +45,7 @@
 		return err
 	}
 	header := []string{"failure", "workers concerned", "tasks on them", "all owned again after", "escrow settled after",
-		"tasks ended by it", "of them running again", "last of them after", "starts in the minute before", "in the minute after", "fewest running", "refused", "ran in two places", "events"}
+		"tasks ended by it", "of them running again", "last of them after", "starts in the minute before", "in the minute after", "running before", "fewest running", "refused", "ran in two places", "events"}
 	return table(w, "Recovery, one zone at the peak", header, rows)
 }
 
@@ -75,7 +78,7 @@
 	return dead
 }
 
-func (c *cluster) killZone() []*backend {
+func (c *cluster) killZone(replacement time.Duration) []*backend {
 	count := len(c.nodes)
 	for _, n := range slices.Clone(c.nodes) {
 		c.kill(n)
@@ -116,10 +119,9 @@
 	for _, b := range concerned {
 		hit[b.Instance("", "", "").ID] = true
 	}
-	var owned, settled time.Duration
-	step := 100 * time.Millisecond
-	for c.now.Before(at.Add(settle)) {
-		c.run(step)
+	var owned, recovered time.Duration
+	for c.now.Before(at.Add(settled)) {
+		c.run(tickInterval)
 		o, s := c.recovered(hit)
 		if !o {
 			owned = 0
@@ -127,28 +129,29 @@
 			owned = c.now.Sub(at)
 		}
 		if !s {
-			settled = 0
-		} else if settled == 0 {
-			settled = c.now.Sub(at)
+			recovered = 0
+		} else if recovered == 0 {
+			recovered = c.now.Sub(at)
 		}
 	}
 	runs, overlaps := c.runs()
 	before, ended, again, last := c.interrupted(runs, hit, at)
+	left := onLive(runs, c)
 	fewest := runningAt(runs, at)
 	for t := at; t.Before(c.now); t = t.Add(time.Second) {
-		fewest = min(fewest, runningAt(alive(runs, c), t))
+		fewest = min(fewest, runningAt(left, t))
 	}
 	return []string{
-		fmt.Sprint(len(concerned)), fmt.Sprint(before), after(owned), after(settled),
+		fmt.Sprint(len(concerned)), fmt.Sprint(before), after(owned), after(recovered),
 		fmt.Sprint(ended), fmt.Sprint(again), after(last),
 		fmt.Sprint(startedIn(runs, at.Add(-time.Minute), at)), fmt.Sprint(startedIn(runs, at, at.Add(time.Minute))),
-		fmt.Sprint(fewest), fmt.Sprint(c.meter.refused), fmt.Sprint(overlaps), fmt.Sprint(c.meter.events),
+		fmt.Sprint(runningAt(runs, at)), fmt.Sprint(fewest), fmt.Sprint(c.meter.refused), fmt.Sprint(overlaps), fmt.Sprint(c.meter.events),
 	}
 }
 
 func after(d time.Duration) string {
 	if d == 0 {
-		return "not within " + settle.String()
+		return "none, or not within " + settled.String()
 	}
 	return seconds(d)
 }
@@ -220,8 +223,8 @@
 	return before, ended, again, last
 }
 
-// alive returns the runs on workers that live.
-func alive(runs []run, c *cluster) []run {
+// onLive returns the runs on workers that live.
+func onLive(runs []run, c *cluster) []run {
 	var kept []run
 	for _, r := range runs {
 		if !c.byID[r.Worker].dead {
--- a/bench/mixed/table.go
+++ b/bench/mixed/table.go
@@ -71,7 +71,7 @@
 	return b.tuned(w, "Mizani: parts of the policy", Mizani(), []tuned{
 		{namePolicy, Tuning{}},
 		{"no throttling, evictions without budget", Tuning{Ladder: []mitigation.Option{
-			mitigation.WithFloor(100), mitigation.WithBudget(math.MaxInt, math.MaxInt, time.Minute)}}},
+			mitigation.WithFloors(100, 100), mitigation.WithBudget(math.MaxInt, math.MaxInt, time.Minute)}}},
 		{"placement alone", Tuning{Ladder: []mitigation.Option{mitigation.WithLimits(math.MaxFloat64, 1)}}},
 		{"protection alone", Tuning{Planner: []placement.Option{
 			placement.WithTailLimit(math.MaxFloat64), placement.WithTailWeight(0)}}},
--- a/controller/service_test.go
+++ b/controller/service_test.go
@@ -85,8 +85,10 @@
 func TestWorkerLeaves(t *testing.T) {
 	is := is.New(t)
 	h := withService(t)
-	h.perform("submit", []string{"e1", "12", "blue", "sleep", "20s"})
-	h.run(5 * time.Second)
+	h.perform("submit", []string{"e1", "8", "blue", "sleep", "30s"})
+	h.perform("submit", []string{"e2", "4", "red", "sleep", "30s"})
+	h.run(8 * time.Second)
+	is.True(len(h.workers["w1"].Report().Tasks) > 1) // batch tasks beside the replica
 	h.leaving["w1"] = true
 	h.run(2 * time.Second)
 	is.True(!h.routed("quote")["w1"]) // no new requests after 2 s
--- a/interference/filter.go
+++ b/interference/filter.go
@@ -31,6 +31,17 @@
 	return n
 }
 
+// branch appends a coefficient that differs from a known one by a deviation
+// of the given variance, and returns its index.
+func (f *filter) branch(from int, variance float64) int {
+	n := f.add(f.mean[from], f.covariance[from][from]+variance)
+	for i := range n {
+		f.covariance[n][i] = f.covariance[from][i]
+		f.covariance[i][n] = f.covariance[i][from]
+	}
+	return n
+}
+
 // remove drops a coefficient; the last one takes its index.
 func (f *filter) remove(i int) {
 	last := len(f.mean) - 1
--- a/mitigation/ladder.go
+++ b/mitigation/ladder.go
@@ -181,13 +181,17 @@
 		r.backoff = min(r.backoff+1, maxBackoff)
 	}
 	suspects := suspectsOf(in.Tasks, worst)
-	if actions := l.throttle(suspects, worst); len(actions) > 0 {
+	if actions := l.throttle(suspects, worst, l.floor); len(actions) > 0 {
 		r.throttled = now
 		return actions
 	}
 	if actions := l.evict(now, suspects, worst); len(actions) > 0 {
 		return actions
 	}
+	if actions := l.throttle(suspects, worst, l.lastFloor); len(actions) > 0 {
+		r.throttled = now
+		return actions
+	}
 	if action, ok := l.move(now, r, worst); ok {
 		return []Action{action}
 	}
--- a/mitigation/options.go
+++ b/mitigation/options.go
@@ -20,6 +20,7 @@
 	limit         float64
 	releaseLimit  float64
 	floor         int
+	lastFloor     int
 	holdTime      time.Duration
 	silentPercent int
 	tailWeight    float64
@@ -35,6 +36,7 @@
 		limit:         1.12,
 		releaseLimit:  1.06,
 		floor:         25,
+		lastFloor:     5,
 		holdTime:      time.Minute,
 		silentPercent: 50,
 		tailWeight:    5,
@@ -52,9 +54,10 @@
 	return func(o *options) { o.limit, o.releaseLimit = protect, release }
 }
 
-// WithFloor sets the lowest throttle in percent (default 25).
-func WithFloor(percent int) Option {
-	return func(o *options) { o.floor = percent }
+// WithFloors sets the lowest throttle in percent before evictions, and the one
+// for tasks that may not be evicted (default 25 and 5).
+func WithFloors(first, last int) Option {
+	return func(o *options) { o.floor, o.lastFloor = first, last }
 }
 
 // WithHold sets how long services must stay low before a throttle is taken
--- a/mitigation/suspect.go
+++ b/mitigation/suspect.go
@@ -43,9 +43,9 @@
 	return list
 }
 
-// throttle halves the speed of suspects until the expected relief covers the
-// excess. A task that explains nothing is left alone.
-func (l *Ladder) throttle(suspects []suspect, worst *interference.Victim) []Action {
+// throttle halves the speed of suspects, down to a floor, until the expected
+// relief covers the excess. A task that explains nothing is left alone.
+func (l *Ladder) throttle(suspects []suspect, worst *interference.Victim, floor int) []Action {
 	var actions []Action
 	excess := math.Log(worst.Level / l.target())
 	for _, s := range suspects {
@@ -53,8 +53,8 @@
 			break
 		}
 		percent := s.Percent
-		for percent > l.floor && s.relief(s.Percent, percent) < excess {
-			percent = max(percent/2, l.floor)
+		for percent > floor && s.relief(s.Percent, percent) < excess {
+			percent = max(percent/2, floor)
 		}
 		relief := s.relief(s.Percent, percent)
 		if percent == s.Percent || relief < minRelief {
