--- a/controller/claim.go
+++ b/controller/claim.go
@@ -77,8 +77,13 @@
 		in.Groups = append(in.Groups, share.Group{Name: name, Limit: g.Limit, Used: g.Used})
 	}
 	for _, h := range c.sorted() {
-		if free, ok := room[h.id]; ok {
-			in.Workers = append(in.Workers, share.Worker{ID: h.id, Free: free, Running: c.running(h)})
+		free, ok := room[h.id]
+		if !ok {
+			continue
+		}
+		offer := c.neighbors.planner.Offer(c.candidate(now, h, free))
+		if !offer.IsNegative() && !offer.IsZero() {
+			in.Workers = append(in.Workers, share.Worker{ID: h.id, Free: offer, Running: c.running(h)})
 		}
 	}
 	choices := c.scheduler.Select(now, in)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -96,6 +96,7 @@
 	neighbors  *neighbors
 	selectedAt time.Time // when tasks were last selected
 	snapshotAt time.Time
+	lostAt     time.Time // since when no state is left
 	lastTick   time.Time
 	leaving    bool
 	left       bool
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -367,7 +367,7 @@
 		if a.Verb == controller.Start {
 			task = a.Spec.ID
 		}
-		h.answer(n, controller.Called{Worker: a.Worker, Verb: a.Verb, Task: task, Sent: sent, Err: err})
+		h.answer(n, controller.Called{Worker: a.Worker, Verb: a.Verb, Task: task, Attempt: a.Spec.Attempt, Sent: sent, Err: err})
 	}
 }
 
--- a/controller/input.go
+++ b/controller/input.go
@@ -76,11 +76,12 @@
 
 // Called is the answer to Start, Stop, Acknowledge, Throttle or Release.
 type Called struct {
-	Worker string
-	Verb   Verb
-	Task   string
-	Sent   time.Time
-	Err    error
+	Worker  string
+	Verb    Verb
+	Task    string
+	Attempt uint32 // of Start
+	Sent    time.Time
+	Err     error
 }
 
 // Reported is a worker's report with its usage measurements.
--- a/controller/neighbors.go
+++ b/controller/neighbors.go
@@ -229,7 +229,8 @@
 	return c.holdings[id]
 }
 
-func (c *Controller) candidate(now time.Time, h *holding, free resource.Vector, add interference.Task) placement.Candidate {
+// candidate returns a worker as it is with tasks added.
+func (c *Controller) candidate(now time.Time, h *holding, free resource.Vector, add ...interference.Task) placement.Candidate {
 	e := c.neighbors.estimator
 	candidate := placement.Candidate{
 		Worker:   h.id,
@@ -243,7 +244,7 @@
 	}
 	if len(h.replicas) > 0 {
 		candidate.Now = e.Worst(now, h.id)
-		candidate.Slowdown = e.Worst(now, h.id, add)
+		candidate.Slowdown = e.Worst(now, h.id, add...)
 	}
 	return candidate
 }
--- a/controller/stream.go
+++ b/controller/stream.go
@@ -11,6 +11,8 @@
 const (
 	repropose = 3 * time.Second // before an idempotent proposal is made again
 	submitMax = 200             // tasks in one Submit record
+
+	recoverAfter = 10 * time.Second // before lost state is recovered
 )
 
 // Next returns the offset to read a stream from.
@@ -34,6 +36,7 @@
 		c.folded(now, a)
 	}
 	c.checkFence(now)
+	c.announce(now)
 	c.recoverState(now)
 	if len(applied) > 0 && c.follow.Ready() {
 		c.startEscrow(now)
@@ -139,13 +142,47 @@
 	c.list(now, c.listed)
 }
 
+// announce writes a run's first record.
+//
+// What goes wrong: an instance restarts under its ID, and its earlier run's
+// tasks are settled only once the new run writes something. One would notice
+// them waiting although the instance is up and idle.
+func (c *Controller) announce(now time.Time) {
+	if c.follow.Ready() && c.out.Last() == 0 && !c.leaving {
+		c.add(record.Record{Marker: &record.Marker{}})
+	}
+}
+
 // recoverState writes a recovery snapshot when records expired unread and no
-// snapshot is left.
+// snapshot is left, and a regular one when somebody else did so although this
+// instance has the state.
 func (c *Controller) recoverState(now time.Time) {
+	switch {
+	case c.follow.Ready() && c.follow.Contested():
+		if c.once(now, "overrule") {
+			c.writeSnapshot()
+		}
+	case c.follow.Contested():
+		if c.once(now, "marker") {
+			c.add(record.Record{Marker: &record.Marker{}})
+		}
+	default:
+		c.writeRecovery(now)
+	}
+}
+
+func (c *Controller) writeRecovery(now time.Time) {
 	prior, lost := c.follow.Lost()
-	if !lost || !c.once(now, "recovery") {
+	if !lost {
+		c.lostAt = time.Time{}
 		return
 	}
+	if c.lostAt.IsZero() {
+		c.lostAt = now
+	}
+	if now.Sub(c.lostAt) < recoverAfter || !c.once(now, "recovery") {
+		return // whoever has the state writes a snapshot in time
+	}
 	if prior == nil {
 		prior = zone.New(c.self.AvailabilityZone)
 	}
@@ -272,6 +309,10 @@
 		return
 	}
 	c.snapshotAt = now
+	c.writeSnapshot()
+}
+
+func (c *Controller) writeSnapshot() {
 	state, err := c.State().Snapshot()
 	if err != nil {
 		c.log(Warn, "snapshot failed", "error", err.Error())
--- a/controller/task.go
+++ b/controller/task.go
@@ -11,6 +11,10 @@
 	"github.com/dogwoodladder/dogwoodladder/zone"
 )
 
+// holdFor is how long an escrowed task may wait for room before it is given
+// back.
+const holdFor = 2 * time.Second
+
 // renewed takes the answer to a renewal, which lists what the worker holds.
 func (c *Controller) renewed(now time.Time, h *holding, in Leased) {
 	if in.Lease.Epoch != h.epoch || !c.book.Granted(in.Sent, h.id, in.Lease) {
@@ -234,7 +238,7 @@
 func (c *Controller) started(now time.Time, h *holding, in Called) {
 	c.startedReplica(h, in)
 	p, ok := h.tasks[in.Task]
-	if !ok {
+	if !ok || p.attempt != in.Attempt {
 		return
 	}
 	h.extended = now
@@ -336,7 +340,7 @@
 		c.proposed[key] = now
 		return
 	}
-	if now.Sub(since) > c.timing.Lease && c.once(now, "return/"+id) {
+	if now.Sub(since) > holdFor && c.once(now, "return/"+id) {
 		c.add(record.Record{Return: &record.Return{Tasks: []string{id}}})
 	}
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -170,7 +170,7 @@
 		d.put(controller.Leased{Worker: a.Worker, Verb: a.Verb, Sent: sent, Lease: l, Err: err})
 	default:
 		err := d.callTask(ctx, w, a)
-		d.put(controller.Called{Worker: a.Worker, Verb: a.Verb, Task: taskOf(a), Sent: sent, Err: err})
+		d.put(controller.Called{Worker: a.Worker, Verb: a.Verb, Task: taskOf(a), Attempt: a.Spec.Attempt, Sent: sent, Err: err})
 	}
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,7 +9,9 @@
 //	from := f.Next() // where to read on
 //
 // The state exists once the stream was followed from its first record, or
-// from a snapshot record whose successor is still kept.
+// from a snapshot record whose successor is still kept. Where no such snapshot
+// is left, a recovery snapshot decides, at every reader alike, unless somebody
+// who has the state writes a regular one within Grace of it.
 package follower
 
 import (
@@ -20,6 +22,10 @@
 	"github.com/dogwoodladder/dogwoodladder/zone"
 )
 
+// Grace is how long a recovery snapshot can be overruled by a regular one, by
+// the times that the log service gives to records.
+const Grace = 30 * time.Second
+
 // Applied is a record that was folded, with what it changed.
 type Applied struct {
 	Offset  uint64
@@ -34,6 +40,7 @@
 	next    uint64
 	held    []platform.Entry // read before the tail was reached
 	prior   *zone.State      // the state before a gap
+	rival   *rival           // a recovery snapshot that may be overruled
 	tail    time.Time        // when the newest read that reached the tail was sent
 	caught  bool             // the tail was reached with a state
 	empty   bool             // the tail was reached without a state
@@ -154,6 +161,7 @@
 	if !f.caught && f.restart {
 		f.held = append(f.held, e)
 	}
+	f.contest(e, r, applied)
 	if f.usable(r.Snapshot) && f.restore(r.Snapshot, applied) {
 		return true
 	}
@@ -163,18 +171,64 @@
 	return true
 }
 
-// usable reports whether a snapshot record decides the state of a reader
-// that is starting. A regular snapshot does so as long as the tail wasn't
-// reached, so that the newest one wins; a recovery snapshot does so only
-// where there is no state yet.
+// rival is a recovery snapshot and the entries that follow it.
+type rival struct {
+	snapshot *record.Snapshot
+	offset   uint64
+	at       time.Time
+	entries  []platform.Entry
+}
+
+// contest follows up recovery snapshots.
+//
+// What goes wrong: an instance that lost the state writes a recovery snapshot
+// while another one still has it. One would notice the two deciding from
+// different states. Whoever has the state writes a regular snapshot, which
+// overrules the other when it comes within Grace; else the first recovery
+// snapshot takes effect at every reader, also at one that has a state.
+func (f *Follower) contest(e platform.Entry, r record.Record, applied *[]Applied) {
+	switch {
+	case f.rival == nil && r.Snapshot != nil && r.Snapshot.Recovery:
+		f.rival = &rival{snapshot: r.Snapshot, offset: e.Offset, at: e.Time}
+	case f.rival == nil:
+	case r.Snapshot != nil && !r.Snapshot.Recovery:
+		f.rival = nil
+	case e.Time.Sub(f.rival.at) >= Grace:
+		f.decide(applied)
+	default:
+		f.rival.entries = append(f.rival.entries, e)
+	}
+}
+
+// decide puts a recovery snapshot in force, with the entries that follow it.
+func (f *Follower) decide(applied *[]Applied) {
+	v := f.rival
+	f.rival = nil
+	state, err := zone.Restore(v.snapshot.State)
+	if err != nil {
+		f.bad++
+		return
+	}
+	state.SkipTo(v.offset + 1)
+	f.state = state
+	f.replay(v.entries, v.offset, applied)
+}
+
+// Contested reports whether a recovery snapshot was read that can still be
+// overruled. Whoever has a state then writes a regular snapshot; the others
+// write markers, which move the stream's time on.
+func (f *Follower) Contested() bool {
+	return f.rival != nil
+}
+
+// usable reports whether a regular snapshot decides the state of a reader
+// that is starting: as long as the tail wasn't reached, so that the newest one
+// wins.
 func (f *Follower) usable(s *record.Snapshot) bool {
-	if s == nil || !f.restart || len(f.held) == 0 || s.At+1 < f.held[0].Offset {
+	if s == nil || s.Recovery || !f.restart || f.caught || len(f.held) == 0 {
 		return false
 	}
-	if f.state == nil {
-		return true
-	}
-	return !f.caught && !s.Recovery
+	return s.At+1 >= f.held[0].Offset
 }
 
 // restore starts the state from a snapshot and folds the held records that
@@ -187,17 +241,22 @@
 	}
 	f.state = state
 	*applied = (*applied)[:0]
-	for _, e := range f.held {
-		if e.Offset <= s.At {
+	f.replay(f.held, s.At, applied)
+	return true
+}
+
+// replay folds the entries after an offset.
+func (f *Follower) replay(entries []platform.Entry, after uint64, applied *[]Applied) {
+	for _, e := range entries {
+		if e.Offset <= after {
 			continue
 		}
 		r, err := record.Decode(e.Data)
 		if err != nil {
-			continue // counted when it was held
+			continue // counted when it was read
 		}
-		*applied = append(*applied, Applied{e.Offset, r, state.Apply(e.Offset, e.Time, r)})
+		*applied = append(*applied, Applied{e.Offset, r, f.state.Apply(e.Offset, e.Time, r)})
 	}
-	return true
 }
 
 func (f *Follower) reached(sentAt time.Time) {
--- /dev/null
+++ b/forward/chooser_test.go
@@ -0,0 +1,106 @@
+package forward_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/forward"
+	"github.com/dogwoodladder/dogwoodladder/route"
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+const service = "price"
+
+func peer(id, zone string, free int, age time.Duration) route.Peer {
+	return route.Peer{ID: id, AvailabilityZone: zone, Free: map[string]int{service: free}, Heard: start.Add(-age)}
+}
+
+// Symptom: requests go to a far or full peer, or round in circles.
+// Sequence: one choice each, on the information given.
+// Cause: a rule of the choice is missing.
+func TestChoice(t *testing.T) {
+	old := forward.DefaultMaxAge
+	cases := []struct {
+		name  string
+		peers []route.Peer
+		hops  int
+		want  string
+	}{
+		{"own zone first", []route.Peer{peer("far", "b", 9, 0), peer("near", "a", 1, 0)}, 0, "near"},
+		{"far when near is full", []route.Peer{peer("far", "b", 9, 0), peer("near", "a", 0, 0)}, 0, "far"},
+		{"one hop only", []route.Peer{peer("near", "a", 9, 0)}, forward.MaxHops, ""},
+		{"too old", []route.Peer{peer("near", "a", 9, old)}, 0, ""},
+		{"old counts for less", []route.Peer{peer("near", "a", 2, old*3/4), peer("far", "b", 2, 0)}, 0, "far"},
+		{"full ones are asked after a while", []route.Peer{peer("near", "a", 0, time.Second)}, 0, "near"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			got, ok := forward.New(1, "a").Choose(start, service, c.hops, c.peers, nil)
+			is.Equal(got.ID, c.want)
+			is.Equal(ok, c.want != "")
+		})
+	}
+}
+
+// Symptom: a peer is flooded between two heartbeats, or avoided long after it
+// was full once.
+// Sequence: four requests for three free slots; a refusal; time passes; an
+// answer tells of free slots.
+// Cause: what was sent isn't subtracted, or a refusal counts until the next
+// heartbeat.
+func TestCountsWhatItSent(t *testing.T) {
+	is := is.New(t)
+	c := forward.New(1, "a")
+	peers := []route.Peer{peer("p", "b", 3, 0)}
+	choose := func(now time.Time) bool {
+		_, ok := c.Choose(now, service, 0, peers, nil)
+		return ok
+	}
+	for range 3 {
+		is.True(choose(start))
+	}
+	is.True(!choose(start))
+	c.Refused(start, service, "p")
+	is.True(!choose(start.Add(forward.DefaultAgain - 1)))
+	is.True(choose(start.Add(forward.DefaultAgain)))  // asked once
+	is.True(!choose(start.Add(forward.DefaultAgain))) // and not twice
+	c.Heard(start.Add(forward.DefaultAgain), service, "p", 2)
+	is.True(choose(start.Add(forward.DefaultAgain)))
+}
+
+// Symptom: forwarded requests into a cut-off availability zone time out one
+// after the other.
+// Sequence: a peer doesn't answer; its last heartbeat still promises slots;
+// later it is heard again.
+// Cause: lost requests don't count against old heartbeats.
+func TestLostPeerWaitsForHeartbeat(t *testing.T) {
+	is := is.New(t)
+	c := forward.New(1, "a")
+	later := start.Add(time.Second)
+	c.Lost(later, "p")
+	_, ok := c.Choose(later, service, 0, []route.Peer{peer("p", "a", 9, 0)}, nil)
+	is.True(!ok)
+	_, ok = c.Choose(later, service, 0, []route.Peer{peer("p", "a", 9, -2*time.Second)}, nil)
+	is.True(ok)
+}
+
+// Symptom: all full instances choose the same peer on the same information.
+// Sequence: many instances choose once among peers with 1 to 3 free slots.
+// Cause: the choice is the largest instead of random in proportion.
+func TestSpreadsByFreeSlots(t *testing.T) {
+	is := is.New(t)
+	peers := []route.Peer{peer("1", "a", 1, 0), peer("2", "a", 2, 0), peer("3", "a", 3, 0)}
+	chosen := map[string]int{}
+	for seed := range uint64(6000) {
+		p, _ := forward.New(seed, "a").Choose(start, service, 0, peers, nil)
+		chosen[p.ID]++
+	}
+	for i, want := range []int{1000, 2000, 3000} {
+		got := chosen[fmt.Sprint(i+1)]
+		is.True(got > want*8/10 && got < want*12/10)
+	}
+}
--- a/zone/attempt.go
+++ b/zone/attempt.go
@@ -109,12 +109,16 @@
 // sound tasks, and a task that can't run uses up sound workers. One would
 // notice tasks parked that run elsewhere, or the same task starting for ever.
 // A worker that fails several tasks in a row takes the blame from all of them;
-// a task that fails on several other workers is to blame itself.
+// a task that fails on several other workers is to blame itself. A task counts
+// against the first worker that it fails on only: tasks that can't run would
+// otherwise put one worker after the other out of service.
 func (s *State) blame(w *worker, t *task, o *Outcome) bool {
+	first := !t.suspect
+	t.suspect = true
 	if w == nil || w.quarantined() {
 		return false
 	}
-	if len(w.streak) < maxStreak && !slices.Contains(w.streak, t.id) {
+	if first && len(w.streak) < maxStreak {
 		w.streak = append(w.streak, t.id)
 	}
 	if len(w.streak) >= maxStreak {
--- a/zone/task.go
+++ b/zone/task.go
@@ -71,6 +71,7 @@
 	attempt    uint32
 	state      chart.State
 	urgent     bool
+	suspect    bool // it has failed somewhere
 }
 
 func (t *task) size() int {
