Controller: claims wait for the last claim only, not for every record

With completions under way all the time, as with 140 workers per instance, an instance would hardly ever have claimed: it waited until none of its records was unread.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -203,6 +203,17 @@
 	return len(a.waiting) + len(a.sent)
 }
 
+// Settled reports whether the record with a sequence was read back or taken
+// back.
+func (a *Appender) Settled(sequence uint64) bool {
+	for _, items := range [][]item{a.sent, a.waiting} {
+		if len(items) > 0 && items[0].sequence <= sequence {
+			return false
+		}
+	}
+	return true
+}
+
 // Last returns the newest sequence given out.
 func (a *Appender) Last() uint64 {
 	return a.last
--- a/controller/claim.go
+++ b/controller/claim.go
@@ -25,7 +25,7 @@
 // has waited for a while. Urgent tasks are in everybody's selection, so that
 // all keep the rest of the group's limit free for them.
 func (c *Controller) claim(now time.Time) {
-	if c.leaving || !c.fresh(now) || c.out.Waiting() > 0 || now.Sub(c.selectedAt) < selectInterval {
+	if c.leaving || !c.fresh(now) || !c.out.Settled(c.claimed) || now.Sub(c.selectedAt) < selectInterval {
 		return
 	}
 	c.selectedAt = now
@@ -120,7 +120,9 @@
 		c.chosen[choice.Task] = choice.Worker
 		ids = append(ids, choice.Task)
 	}
-	c.add(record.Record{Claim: &record.Claim{Tasks: ids}})
+	if sequence, ok := c.add(record.Record{Claim: &record.Claim{Tasks: ids}}); ok {
+		c.claimed = sequence
+	}
 }
 
 // takeEscrowed takes the room of escrowed tasks that aren't placed yet.
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -95,6 +95,7 @@
 	scheduler  *share.Scheduler
 	neighbors  *neighbors
 	selectedAt time.Time // when tasks were last selected
+	claimed    uint64    // sequence of the newest Claim record
 	snapshotAt time.Time
 	lostAt     time.Time // since when no state is left
 	lastTick   time.Time
@@ -135,6 +136,7 @@
 	}
 	c.reported = make(map[string]report)
 	c.proposed = make(map[string]time.Time)
+	c.claimed = 0
 	c.chosen = make(map[string]string)
 	c.fences = make(map[record.Writer]time.Time)
 	c.missed = make(map[record.Writer]time.Time)
