Instance list: what hasn't changed isn't sent again

At 1,100 workers the list is about 250 KB, read once a second by each instance. Entity tags are the list's standard way to say that nothing changed; the client keeps the newest list (client/TestListIsSentWhenItChanged: no bytes of body on the second read). A longer interval was ruled out: a leaving worker has to be seen within a few seconds.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +19,7 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
+	"github.com/dogwoodladder/dogwoodladder/standin/instancelist"
 	"github.com/dogwoodladder/dogwoodladder/standin/logservice"
 	"github.com/dogwoodladder/dogwoodladder/standin/memory"
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
@@ -275,3 +278,37 @@
 	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
 	return s.Serve(l)
 }
+
+// Symptom: each instance reads the whole list every second, a quarter of a
+// megabyte at 1,100 workers; or goes on with an old list.
+// Sequence: the list is read, read again, changed and read.
+// Cause: what the reader has is sent again, or taken for new.
+func TestListIsSentWhenItChanged(t *testing.T) {
+	is := is.New(t)
+	instances := instancelist.New()
+	sizes := []int{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		instances.ServeHTTP(recorder, r)
+		sizes = append(sizes, recorder.Body.Len())
+		for name, values := range recorder.Header() {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer server.Close()
+	list := client.NewList(server.Listener.Addr().String())
+	for i, want := range []int{1, 1, 2} {
+		if want > len(instances.Instances()) {
+			is.NoErr(instances.Put(platform.Instance{ID: fmt.Sprint("w", i), Role: platform.RoleWorker, Status: platform.StatusLive, Address: "127.0.0.1:1", AvailabilityZone: "a"}))
+		}
+		got, err := list.Instances(t.Context())
+		is.NoErr(err)
+		is.Equal(len(got), want)
+	}
+	is.Equal(len(sizes), 3)
+	is.True(sizes[0] > 0)
+	is.Equal(sizes[1], 0)
+	is.True(sizes[2] > sizes[0])
+}
--- a/client/list.go
+++ b/client/list.go
@@ -2,14 +2,24 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"slices"
+	"sync"
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
+	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 )
 
+// list keeps the newest list with its entity tag, since it is asked for often
+// and changes seldom.
 type list struct {
 	peer *peer
+
+	mu        sync.Mutex
+	tag       string
+	instances []platform.Instance
 }
 
 // NewList returns a client of the instance list at address.
@@ -18,10 +28,34 @@
 }
 
 func (l *list) Instances(ctx context.Context) ([]platform.Instance, error) {
-	var instances []platform.Instance
-	c := call{method: http.MethodGet, path: wire.PathInstances}
-	if err := l.peer.json(ctx, c, nil, &instances); err != nil {
+	tag, known := l.known()
+	c := call{method: http.MethodGet, path: wire.PathInstances, tag: tag, limit: wire.MaxControl}
+	a, err := l.peer.do(ctx, c)
+	switch {
+	case err != nil:
 		return nil, err
+	case a.refusal != nil:
+		return nil, a.refusal
+	case a.same && tag != "":
+		return known, nil
+	}
+	var instances []platform.Instance
+	if err := json.Unmarshal(a.body, &instances); err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "instance list")
 	}
-	return instances, nil
+	l.learn(a.tag, instances)
+	return slices.Clone(instances), nil
+}
+
+func (l *list) known() (string, []platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tag, slices.Clone(l.instances)
+}
+
+func (l *list) learn(tag string, instances []platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tag = tag
+	l.instances = instances
 }
--- a/client/peer.go
+++ b/client/peer.go
@@ -36,6 +36,7 @@
 	query  url.Values
 	media  string
 	body   []byte
+	tag    string // entity tag of what the caller has
 	effect bool
 	wait   time.Duration // how long the peer may hold the answer back
 	limit  int64         // bound on the answer's body
@@ -44,6 +45,8 @@
 // answer is a whole answer that isn't a refusal, or one with its refusal.
 type answer struct {
 	body    []byte
+	tag     string // entity tag
+	same    bool   // the caller has it already
 	refusal *fault.Error
 }
 
@@ -111,6 +114,9 @@
 	if c.media != "" {
 		request.Header.Set("Content-Type", c.media)
 	}
+	if c.tag != "" {
+		request.Header.Set("If-None-Match", c.tag)
+	}
 	return request, nil
 }
 
@@ -130,10 +136,13 @@
 	if refusal := wire.ParseRefusal(response.Header, body); refusal != nil {
 		return answer{body: body, refusal: refusal}, nil
 	}
+	if response.StatusCode == http.StatusNotModified {
+		return answer{tag: response.Header.Get("ETag"), same: true}, nil
+	}
 	if response.StatusCode/100 != 2 {
 		return answer{}, fault.New(fault.Unavailable, "unexpected status %d", response.StatusCode)
 	}
-	return answer{body: body}, nil
+	return answer{body: body, tag: response.Header.Get("ETag")}, nil
 }
 
 func (p *peer) explain(ctx context.Context, cause error, c call, sent bool) error {
--- a/standin/instancelist/handler.go
+++ b/standin/instancelist/handler.go
@@ -1,11 +1,16 @@
 package instancelist
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	goji "goji.io"
 	"goji.io/pat"
 	"goji.io/pattern"
@@ -25,9 +30,16 @@
 	return mux
 }
 
-func (l *List) serveInstances(w http.ResponseWriter, _ *http.Request) {
+// serveInstances sends the list, or nothing to a reader that has it already.
+func (l *List) serveInstances(w http.ResponseWriter, r *http.Request) {
+	body, err := json.Marshal(l.Instances())
+	if err != nil {
+		wire.Refuse(w, fault.Wrap(fault.Internal, err, "encode"))
+		return
+	}
 	w.Header().Set("Content-Type", wire.TypeJSON)
-	_ = json.NewEncoder(w).Encode(l.Instances()) // the reader may have gone
+	w.Header().Set("ETag", fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16)))
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(body))
 }
 
 func (l *List) servePut(w http.ResponseWriter, r *http.Request) {
