--- a/controller/action.go
+++ b/controller/action.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/message"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/route"
 )
@@ -60,12 +60,12 @@
 // Send asks to send a message to another instance.
 type Send struct {
 	To      string
-	Message peer.Message
+	Message message.Message
 }
 
 // Link says which instances to hold links with.
 type Link struct {
-	Peers []peer.Peer
+	Peers []message.Peer
 }
 
 // Publish hands a routing table to traffic.
--- a/controller/claim.go
+++ b/controller/claim.go
@@ -31,7 +31,7 @@
 	c.selectedAt = now
 	room := c.room(now)
 	c.takeEscrowed(now, room)
-	own, foreign := c.queues(now)
+	own, foreign := c.queues(now, room)
 	choices := c.pick(now, room, own)
 	if len(choices) == len(own) {
 		choices = append(choices, c.pick(now, room, foreign)...)
@@ -42,12 +42,15 @@
 
 // queues returns the queued tasks that this instance should claim, and those
 // that another one should have claimed by now.
-func (c *Controller) queues(now time.Time) (own, foreign []share.Task) {
+func (c *Controller) queues(now time.Time, room map[string]resource.Vector) (own, foreign []share.Task) {
 	live := c.members.Live(c.self.AvailabilityZone)
 	for t := range c.State().Queued() {
 		if at, ok := c.proposed["claim/"+t.ID]; ok && now.Sub(at) < reclaim {
 			continue
 		}
+		if c.avoidsAll(t, room) {
+			continue
+		}
 		queued := share.Task{
 			ID:        t.ID,
 			Group:     t.Group,
@@ -67,6 +70,20 @@
 	return own, foreign
 }
 
+// avoidsAll reports whether a task failed on every worker that has room here,
+// so that another instance should claim it.
+func (c *Controller) avoidsAll(t zone.Task, room map[string]resource.Vector) bool {
+	if len(t.FailedOn) == 0 {
+		return false
+	}
+	for id := range room {
+		if !c.avoids(t, id) {
+			return false
+		}
+	}
+	return true
+}
+
 // pick selects from a queue and takes the room of what it selects.
 func (c *Controller) pick(now time.Time, room map[string]resource.Vector, queue []share.Task) []share.Choice {
 	if len(queue) == 0 {
@@ -148,7 +165,7 @@
 	}
 	free, ok := room[id]
 	h := c.holdings[id]
-	if ok && t.Need.Fits(free) && len(h.replicas) == 0 {
+	if ok && t.Need.Fits(free) && len(h.replicas) == 0 && !c.avoids(t, id) {
 		return h
 	}
 	return c.choose(now, room, t)
--- a/controller/config.go
+++ b/controller/config.go
@@ -8,7 +8,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/manifest"
-	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/message"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/revision"
 )
@@ -91,7 +91,7 @@
 	publish := &revision.Publish{
 		Base:     in.Base,
 		Author:   in.Author,
-		Key:      fmt.Sprintf("%s/%d/%d", c.self.ID, c.self.Incarnation, in.ID),
+		Key:      fmt.Sprintf("%s/%d/%d/%d", c.self.ID, c.self.Incarnation, in.ID, in.Base),
 		Manifest: text,
 	}
 	if in.Anew {
@@ -220,7 +220,7 @@
 	if c.manifest == nil || current.Number < in.Revision {
 		return
 	}
-	c.do(Send{To: in.From, Message: peer.Config{
+	c.do(Send{To: in.From, Message: message.Config{
 		Revision: current.Number,
 		Digest:   digest(current),
 		Manifest: current.Manifest,
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,7 +23,7 @@
 	"github.com/dogwoodladder/dogwoodladder/lease"
 	"github.com/dogwoodladder/dogwoodladder/manifest"
 	"github.com/dogwoodladder/dogwoodladder/member"
-	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/message"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/replica"
@@ -89,7 +89,7 @@
 	missed   map[record.Writer]time.Time // since when an owner is out of service
 	commands map[uint64]*command         // by the sequence of the record they wait for
 	free     map[string]int
-	peers    []peer.Peer
+	peers    []message.Peer
 	table    *route.Table
 
 	scheduler  *share.Scheduler
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/message"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/rendezvous"
@@ -469,7 +469,7 @@
 	}
 	to, ok := rendezvous.Pick(h.id, c.others())
 	if ok {
-		c.do(Send{To: to, Message: peer.Handover{Worker: h.id, Epoch: in.Lease.Epoch}})
+		c.do(Send{To: to, Message: message.Handover{Worker: h.id, Epoch: in.Lease.Epoch}})
 	}
 	c.dirty = true
 }
--- a/controller/input.go
+++ b/controller/input.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/member"
-	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/message"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/record"
 )
@@ -55,7 +55,7 @@
 // Offered is a configuration that another instance sent.
 type Offered struct {
 	From   string
-	Config peer.Config
+	Config message.Config
 }
 
 // HandedOver says that a leaving instance transferred a worker's lease here.
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -5,7 +5,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/lease"
 	"github.com/dogwoodladder/dogwoodladder/member"
-	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/message"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/route"
 )
@@ -37,8 +37,8 @@
 		c.leave(now)
 		return
 	}
-	if h.Revision > c.history.Current().Number && c.once(now, "config") {
-		c.do(Send{To: h.ID, Message: peer.ConfigRequest{Revision: h.Revision}})
+	if h.Revision > c.history.Current().Number && c.due(now, "config") {
+		c.do(Send{To: h.ID, Message: message.ConfigRequest{Revision: h.Revision}})
 	}
 	c.dirty = true
 }
@@ -55,7 +55,7 @@
 	if len(due) > 0 {
 		h := c.members.Heartbeat(c.self.Address, c.history.Current().Number, digest(c.history.Current()), c.free)
 		for _, id := range due {
-			c.do(Send{To: id, Message: peer.Heartbeat(h)})
+			c.do(Send{To: id, Message: message.Heartbeat(h)})
 		}
 	}
 	c.link()
@@ -63,12 +63,12 @@
 
 // link says whom to hold links with, when that changed.
 func (c *Controller) link() {
-	var peers []peer.Peer
+	var peers []message.Peer
 	for _, m := range c.members.Members() {
 		if m.ID == c.self.ID || m.Address == "" {
 			continue
 		}
-		peers = append(peers, peer.Peer{ID: m.ID, Address: m.Address, AvailabilityZone: m.AvailabilityZone})
+		peers = append(peers, message.Peer{ID: m.ID, Address: m.Address, AvailabilityZone: m.AvailabilityZone})
 	}
 	if samePeers(peers, c.peers) {
 		return
@@ -77,7 +77,7 @@
 	c.do(Link{Peers: peers})
 }
 
-func samePeers(a, b []peer.Peer) bool {
+func samePeers(a, b []message.Peer) bool {
 	if len(a) != len(b) {
 		return false
 	}
--- a/controller/neighbors.go
+++ b/controller/neighbors.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -212,12 +213,28 @@
 	return sum
 }
 
+// avoids reports whether a task that failed on a worker should be put on
+// another one. It tells a bad worker from a task that can't run, as long as
+// the zone has workers that it hasn't failed on.
+func (c *Controller) avoids(t zone.Task, worker string) bool {
+	if !slices.Contains(t.FailedOn, worker) {
+		return false
+	}
+	sound := 0
+	for w := range c.State().Workers() {
+		if !w.Quarantined && !w.Lapsed {
+			sound++
+		}
+	}
+	return len(t.FailedOn) < sound
+}
+
 // choose returns the worker that suits a task best, or nil.
 func (c *Controller) choose(now time.Time, room map[string]resource.Vector, t zone.Task) *holding {
 	add := interference.Task{ID: t.ID, Class: classOf(t), Kind: platform.KindBatch}
 	var candidates []placement.Candidate
 	for _, id := range sortedKeys(room) {
-		if t.Need.Fits(room[id]) {
+		if t.Need.Fits(room[id]) && !c.avoids(t, id) {
 			candidates = append(candidates, c.candidate(now, c.holdings[id], room[id], add))
 		}
 	}
--- a/controller/stream.go
+++ b/controller/stream.go
@@ -1,9 +1,11 @@
 package controller
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/follower"
+	"github.com/dogwoodladder/dogwoodladder/platform"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/zone"
 )
@@ -12,6 +14,7 @@
 	repropose = 3 * time.Second // before an idempotent proposal is made again
 	submitMax = 200             // tasks in one Submit record
 
+	parkAfter    = time.Minute      // before a queued task that fits nowhere is parked
 	recoverAfter = 10 * time.Second // before lost state is recovered
 )
 
@@ -211,6 +214,7 @@
 	}
 	c.proposeLimits(now)
 	c.proposeJobs(now)
+	c.proposeParks(now)
 	c.proposeSnapshot(now)
 }
 
@@ -301,6 +305,49 @@
 	c.cancelUndeclared(declared)
 }
 
+// proposeParks sets aside queued tasks that can't run as declared.
+//
+// What goes wrong: a task needs more than any worker holds, or than its
+// group's limit, and stays queued for ever. One would notice it waiting beside
+// idle workers, with no reason shown. Parked, it shows the reason in the
+// status until it is cancelled.
+func (c *Controller) proposeParks(now time.Time) {
+	if !c.due(now, "parks") {
+		return
+	}
+	for t := range c.State().Queued() {
+		if now.Sub(t.Submitted) < parkAfter {
+			continue
+		}
+		if reason := c.misfit(t); reason != "" && c.once(now, "park/"+t.ID) {
+			c.log(Info, "parked", "task", t.ID, "reason", reason)
+			c.add(record.Record{Park: &record.Park{Task: t.ID, Reason: reason}})
+		}
+	}
+}
+
+// misfit returns why a task can't run in this zone, or nothing.
+func (c *Controller) misfit(t zone.Task) string {
+	limit := c.State().Group(t.Group).Limit
+	if !t.Need.Fits(limit) {
+		return fmt.Sprintf("needs %v, its group may hold %v", t.Need, limit)
+	}
+	workers := 0
+	for _, in := range c.listed {
+		if in.Role != platform.RoleWorker || in.AvailabilityZone != c.self.AvailabilityZone {
+			continue
+		}
+		workers++
+		if t.Need.Fits(in.Capacity) {
+			return ""
+		}
+	}
+	if workers == 0 {
+		return ""
+	}
+	return fmt.Sprintf("needs %v, more than any of %d workers holds", t.Need, workers)
+}
+
 func (c *Controller) proposeSnapshot(now time.Time) {
 	if c.snapshotAt.IsZero() {
 		c.snapshotAt = now
@@ -324,7 +371,16 @@
 // once reports whether a proposal is due: not made yet, or long ago and no
 // longer in line.
 func (c *Controller) once(now time.Time, key string) bool {
-	if at, ok := c.proposed[key]; ok && (now.Sub(at) < repropose || c.out.Waiting() > 0) {
+	if _, ok := c.proposed[key]; ok && c.out.Waiting() > 0 {
+		return false
+	}
+	return c.due(now, key)
+}
+
+// due reports whether something wasn't done lately, and notes that it is
+// done now.
+func (c *Controller) due(now time.Time, key string) bool {
+	if at, ok := c.proposed[key]; ok && now.Sub(at) < repropose {
 		return false
 	}
 	c.proposed[key] = now
--- a/zone/attempt.go
+++ b/zone/attempt.go
@@ -11,6 +11,10 @@
 const (
 	maxStreak = 3 // distinct tasks that a worker fails in a row before it is quarantined
 	maxBlames = 3 // distinct sound workers that a task fails on before it is parked
+
+	// maxFailures bounds the failed attempts of a task that finds no third
+	// worker to fail on.
+	maxFailures = 8
 )
 
 // current returns a task that hasn't ended, if a is its current attempt.
@@ -118,6 +122,7 @@
 	if w == nil || w.quarantined() {
 		return false
 	}
+	t.failures++
 	if first && len(w.streak) < maxStreak {
 		w.streak = append(w.streak, t.id)
 	}
@@ -126,7 +131,7 @@
 		return false
 	}
 	s.setBlame(w, t)
-	return len(s.blames[t]) >= maxBlames
+	return len(s.blames[t]) >= maxBlames || t.failures >= maxFailures
 }
 
 func (s *State) setBlame(w *worker, t *task) {
@@ -168,7 +173,8 @@
 }
 
 func (s *State) absolve(w *worker, t *task, o *Outcome) {
-	exhausted := len(s.blames[t]) >= maxBlames
+	exhausted := len(s.blames[t]) >= maxBlames || t.failures >= maxFailures
+	t.failures = 0
 	s.blames[t] = slices.DeleteFunc(s.blames[t], func(other *worker) bool { return other == w })
 	if len(s.blames[t]) == 0 {
 		delete(s.blames, t)
--- a/zone/task.go
+++ b/zone/task.go
@@ -33,6 +33,7 @@
 	Ended       time.Time // zero until done or cancelled
 	Worker      string    // last known
 	Failures    int       // distinct workers it failed on, not counting quarantined ones
+	FailedOn    []string  // those workers
 	Reason      string    // of the last failure or of parking
 	Result      string    // of a done task
 	Cancelling  bool      // cancelled while escrowed; its State stays Escrowed until it ends
@@ -71,7 +72,8 @@
 	attempt    uint32
 	state      chart.State
 	urgent     bool
-	suspect    bool // it has failed somewhere
+	suspect    bool   // it has failed somewhere
+	failures   uint32 // attempts that failed on workers that weren't quarantined
 }
 
 func (t *task) size() int {
@@ -92,6 +94,9 @@
 		Worker:     t.worker,
 		Failures:   len(s.blames[t]),
 	}
+	for _, w := range s.blames[t] {
+		v.FailedOn = append(v.FailedOn, w.id)
+	}
 	if t.state == stateCancelling {
 		v.State = Escrowed
 		v.Cancelling = true
