Batch protocol: what a review by attack found, mended

- A Return under way let the task start here while another instance took the same attempt: it now ends the attempt until it was read back.
- Starts that waited in line went out after the isolation bound, or for cancelled tasks: they are dropped unless the log was read lately.
- An older program put its own limits in force under a newer revision, and cancelled jobs that it didn't understand.
- A submission refused in part was answered as accepted; a repeat of a known one was answered as a conflict.
Both the other way round now.

--- a/controller/command.go
+++ b/controller/command.go
@@ -93,13 +93,39 @@
 		return
 	}
 	delete(c.commands, a.Record.Sequence)
-	if a.Outcome.Effect == zone.Void {
+	if err := refusedTask(a); err != nil {
+		c.do(Answer{ID: cmd.id, Err: err})
+		return
+	}
+	if a.Outcome.Effect == zone.Void && len(a.Outcome.Refused) == 0 {
 		c.do(Answer{ID: cmd.id, Err: fault.New(fault.Conflict, "%s %s", a.Outcome.Reason, a.Outcome.Detail)})
 		return
 	}
 	c.do(Answer{ID: cmd.id})
 }
 
+// refusedTask returns an error when the fold refused tasks of a submission,
+// but for those that it knows already: a repeat is no mistake. Of a record
+// that was taken in part the error doesn't say that nothing ran.
+func refusedTask(a follower.Applied) error {
+	if a.Record.Submit == nil {
+		return nil
+	}
+	var refused []string
+	for _, r := range a.Outcome.Refused {
+		if r.Reason != zone.KnownTask {
+			refused = append(refused, r.Task+" "+r.Reason.String())
+		}
+	}
+	switch {
+	case len(refused) == 0:
+		return nil
+	case a.Outcome.Effect == zone.Void:
+		return fault.New(fault.Conflict, "no task was taken: %s", strings.Join(refused, ", "))
+	}
+	return fault.New(fault.MayHaveRun, "not taken, unlike the others: %s", strings.Join(refused, ", "))
+}
+
 // expireCommands gives up on commands that the log didn't take in time. One
 // whose record was never sent did not run; for the others nobody can tell.
 func (c *Controller) expireCommands(now time.Time) {
--- a/controller/config.go
+++ b/controller/config.go
@@ -186,6 +186,7 @@
 		return
 	}
 	c.config.understood = current.Number
+	c.jobs = m.Tasks(c.self.AvailabilityZone)
 	c.manifest = m
 	c.dirty = true
 	c.log(Info, "configuration in force", "revision", current.Number, "author", current.Author)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -77,6 +77,7 @@
 	config  *configuration
 
 	manifest *manifest.Manifest
+	jobs     []record.Task // that the manifest declares for this zone
 	plan     *replica.Plan
 	planned  planKey
 	listed   []platform.Instance
@@ -95,10 +96,12 @@
 	scheduler  *share.Scheduler
 	neighbors  *neighbors
 	selectedAt time.Time // when tasks were last selected
+	shrunkAt   time.Time // when groups were last compared with their limits
 	claimed    uint64    // sequence of the newest Claim record
 	snapshotAt time.Time
+	snapshot   uint64    // sequence of the newest Snapshot record
 	lostAt     time.Time // since when no state is left
-	lastTick   time.Time
+	now        time.Time // of the step under way
 	leaving    bool
 	left       bool
 	dirty      bool // the routing table is out of date
@@ -137,6 +140,7 @@
 	c.reported = make(map[string]report)
 	c.proposed = make(map[string]time.Time)
 	c.claimed = 0
+	c.snapshot = 0
 	c.chosen = make(map[string]string)
 	c.fences = make(map[record.Writer]time.Time)
 	c.missed = make(map[record.Writer]time.Time)
@@ -146,6 +150,7 @@
 // Step takes one input and returns what to do about it.
 func (c *Controller) Step(now time.Time, in Input) []Action {
 	c.actions = nil
+	c.now = now
 	c.take(now, in)
 	return c.actions
 }
@@ -211,6 +216,7 @@
 		c.startEscrow(now)
 		c.claim(now)
 		c.askReports(now)
+		c.shrink(now)
 	}
 	c.placeReplicas(now)
 	c.expireCommands(now)
@@ -218,7 +224,6 @@
 	c.flush(now)
 	c.publish(now)
 	c.finishLeaving(now)
-	c.lastTick = now
 }
 
 func (c *Controller) writer() record.Writer {
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -37,6 +38,8 @@
 	epoch    uint64
 	recorded uint64    // sequence of the Own record
 	retryAt  time.Time // not to be acquired before
+	startAt  time.Time // no start before
+	written  bool      // the Own record of the epoch was put in line
 	extended time.Time // when the newest call that may have extended task leases was sent
 	tasks    map[string]*assignment
 	replicas map[string]*assignment // by service
@@ -208,6 +211,11 @@
 	c.forgetNeighbors(now, h)
 	h.phase = unowned
 	h.queue = nil
+	for _, p := range h.tasks {
+		if p.stage == stopping {
+			p.stage = running // the stop may have been in line
+		}
+	}
 	h.replicas = make(map[string]*assignment)
 	c.dirty = true
 }
@@ -269,7 +277,11 @@
 // pump sends the next call if none is under way. One call at a time per
 // worker means that an answer tells of everything asked before it.
 func (c *Controller) pump(h *holding) {
-	if h.busy || len(h.queue) == 0 {
+	if h.busy {
+		return
+	}
+	h.queue = slices.DeleteFunc(h.queue, func(q Call) bool { return c.outdated(h, q) })
+	if len(h.queue) == 0 {
 		return
 	}
 	next := h.queue[0]
@@ -280,6 +292,27 @@
 	c.do(next)
 }
 
+// outdated reports whether a start that waited in line must not be sent any
+// more.
+//
+// What goes wrong: starts wait behind slow calls while the log can't be read
+// or tasks are cancelled, and go out when others may have the tasks. One would
+// notice a task starting long after the last read of the log. It is due again
+// once the log was read.
+func (c *Controller) outdated(h *holding, q Call) bool {
+	if q.Verb != Start || q.Spec.Kind != platform.KindBatch {
+		return false
+	}
+	a := record.Attempt{Task: q.Spec.ID, Number: q.Spec.Attempt}
+	if c.fresh(c.now) && c.current(a) && !c.cancelling(a.Task) {
+		return false
+	}
+	if p := h.tasks[a.Task]; p != nil && p.stage == starting && !p.unsure {
+		c.unplace(h, a.Task)
+	}
+	return true
+}
+
 // leased takes the answer to a call about the lease itself.
 func (c *Controller) leased(now time.Time, in Leased) {
 	h, ok := c.holdings[in.Worker]
@@ -326,9 +359,15 @@
 	}
 	h.phase = granted
 	h.epoch = in.Lease.Epoch
+	h.recorded = 0
+	h.written = false
 	h.extended = now // whoever held the lease before extended no task later than this
 	h.capacity = in.Lease.Capacity
 	h.slots = in.Lease.Slots
+	if c.behind(h) {
+		c.reacquire(now, h)
+		return
+	}
 	c.seeReplicas(h, in.Lease.Tasks)
 	c.see(now, h, in.Lease.Tasks)
 	c.recordOwn(h, in.Lease.Tasks)
@@ -336,8 +375,22 @@
 	c.dirty = true
 }
 
+// behind reports whether the log has an epoch of the worker that isn't below
+// the one just granted, so that its Own record would be void: the worker
+// restarted and counts anew. Each acquisition brings it nearer.
+func (c *Controller) behind(h *holding) bool {
+	if c.State() == nil {
+		return false
+	}
+	w, ok := c.State().Worker(h.id)
+	return ok && w.Epoch >= h.epoch
+}
+
 // recordOwn writes the Own record of a holding.
 func (c *Controller) recordOwn(h *holding, tasks []platform.Running) {
+	if !c.follow.Ready() {
+		return // due again at the next renewal
+	}
 	own := &record.Own{Worker: h.id, Epoch: h.epoch, Capacity: h.capacity, Rack: h.rack}
 	for _, t := range tasks {
 		if t.Kind == platform.KindBatch {
@@ -349,6 +402,7 @@
 		return
 	}
 	h.recorded = sequence
+	h.written = true
 }
 
 // ownFolded follows up an Own record that is in force.
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -136,15 +136,12 @@
 // returnUnstarted gives back the escrowed tasks that are on no worker, those
 // of claims that were under way when the stop began included.
 func (c *Controller) returnUnstarted(now time.Time) {
-	var ids []string
 	for t := range c.State().Escrow(c.self.ID) {
-		if c.mine(t) && c.placed[attemptOf(t)] == nil {
-			ids = append(ids, t.ID)
+		a := attemptOf(t)
+		if c.mine(t) && c.placed[a] == nil {
+			c.endAttempt(a, record.Record{Return: &record.Return{Tasks: []string{t.ID}}})
 		}
 	}
-	if len(ids) > 0 && c.once(now, "return") {
-		c.add(record.Record{Return: &record.Return{Tasks: ids}})
-	}
 }
 
 // finishLeaving reports the end of a planned stop once nothing is held and
--- a/controller/service.go
+++ b/controller/service.go
@@ -342,7 +342,3 @@
 	}
 	return 1
 }
-
-func isDeclared(task string) bool {
-	return strings.HasPrefix(task, "job/")
-}
--- a/controller/stream.go
+++ b/controller/stream.go
@@ -35,6 +35,9 @@
 		return
 	}
 	applied := c.follow.Feed(now, in.Sent, in.Page)
+	if c.State() == nil {
+		c.passed(now, in.Page.Entries)
+	}
 	for _, a := range applied {
 		c.folded(now, a)
 	}
@@ -47,12 +50,43 @@
 	c.flush(now)
 }
 
+// passed takes note of own records that went by while there is no state to
+// fold them into.
+//
+// What goes wrong: the appender waits for them to be read back, and the
+// recovery snapshot that would bring a state waits behind them. One would
+// notice that no instance ever gets ready. What they said is due again once
+// there is a state.
+func (c *Controller) passed(now time.Time, entries []platform.Entry) {
+	for _, e := range entries {
+		r, err := record.Decode(e.Data)
+		if err != nil || r.Writer != c.writer() {
+			continue
+		}
+		c.out.Folded(now, r.Sequence)
+		c.forgetReport(r)
+		c.forgetClaim(r)
+		c.forgetOwn(r)
+	}
+}
+
+// forgetOwn notes that an Own record of ours isn't under way any more.
+func (c *Controller) forgetOwn(r record.Record) {
+	if r.Own == nil {
+		return
+	}
+	if h, ok := c.holdings[r.Own.Worker]; ok && h.recorded == r.Sequence {
+		h.recorded = 0
+	}
+}
+
 // folded follows up one record.
 func (c *Controller) folded(now time.Time, a follower.Applied) {
 	if a.Record.Writer == c.writer() {
 		c.out.Folded(now, a.Record.Sequence)
 		c.forgetReport(a.Record)
 		c.forgetClaim(a.Record)
+		c.forgetOwn(a.Record)
 		c.answerCommand(now, a)
 	}
 	if a.Outcome.Effect == zone.Void {
@@ -79,8 +113,14 @@
 	case r.Failed != nil:
 		task = r.Failed.Attempt.Task
 	}
-	if c.reported[task].sequence == r.Sequence {
-		delete(c.reported, task)
+	ids := []string{task}
+	if r.Return != nil {
+		ids = r.Return.Tasks
+	}
+	for _, id := range ids {
+		if c.reported[id].sequence == r.Sequence {
+			delete(c.reported, id)
+		}
 	}
 }
 
@@ -141,7 +181,7 @@
 		c.giveUp(now, h)
 	}
 	c.failCommands()
-	c.begin(max(c.self.Incarnation+1, uint64(now.UnixMilli())))
+	c.begin(max(s.Incarnation(c.self.ID)+1, uint64(now.UnixMilli())))
 	c.list(now, c.listed)
 }
 
@@ -273,8 +313,13 @@
 	}
 }
 
+// understands reports whether the manifest in use is the one in force.
+func (c *Controller) understands() bool {
+	return c.manifest != nil && c.config.understood == c.history.Current().Number
+}
+
 func (c *Controller) proposeLimits(now time.Time) {
-	if c.manifest == nil || c.history.Current().Number <= c.State().Revision() || !c.once(now, "limits") {
+	if !c.understands() || c.history.Current().Number <= c.State().Revision() || !c.once(now, "limits") {
 		return
 	}
 	c.add(record.Record{Limits: &record.Limits{
@@ -286,14 +331,15 @@
 // proposeJobs queues the tasks of declared jobs and cancels those of jobs
 // that are declared no more.
 func (c *Controller) proposeJobs(now time.Time) {
-	if c.manifest == nil || c.history.Current().Number != c.State().Revision() || !c.once(now, "jobs") {
+	if !c.understands() || c.history.Current().Number != c.State().Revision() || !c.once(now, "jobs") {
 		return
 	}
-	declared := make(map[string]bool)
+	declared := make(map[string]bool, len(c.jobs))
 	var missing []record.Task
-	for _, t := range c.manifest.Tasks(c.self.AvailabilityZone) {
+	for _, t := range c.jobs {
 		declared[t.ID] = true
-		if _, ok := c.State().Task(t.ID); !ok {
+		known, ok := c.State().Task(t.ID)
+		if !ok || !known.Declared && !known.Ended.IsZero() {
 			missing = append(missing, t)
 		}
 	}
@@ -356,7 +402,9 @@
 		return
 	}
 	c.snapshotAt = now
-	c.writeSnapshot()
+	if c.out.Settled(c.snapshot) { // else the last one still waits, and another would only lengthen the line
+		c.writeSnapshot()
+	}
 }
 
 func (c *Controller) writeSnapshot() {
@@ -365,7 +413,9 @@
 		c.log(Warn, "snapshot failed", "error", err.Error())
 		return
 	}
-	c.add(record.Record{Snapshot: &record.Snapshot{At: c.follow.Next() - 1, State: state}})
+	if sequence, ok := c.add(record.Record{Snapshot: &record.Snapshot{At: c.follow.Next() - 1, State: state}}); ok {
+		c.snapshot = sequence
+	}
 }
 
 // once reports whether a proposal is due: not made yet, or long ago and no
--- a/controller/task.go
+++ b/controller/task.go
@@ -1,7 +1,7 @@
 package controller
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
@@ -15,6 +15,9 @@
 // back.
 const holdFor = 2 * time.Second
 
+// refusedPause is how long a worker that refused a start gets no other one.
+const refusedPause = 10 * time.Second
+
 // renewed takes the answer to a renewal, which lists what the worker holds.
 func (c *Controller) renewed(now time.Time, h *holding, in Leased) {
 	if in.Lease.Epoch != h.epoch || !c.book.Granted(in.Sent, h.id, in.Lease) {
@@ -23,23 +26,42 @@
 	c.dirty = true
 	c.seeReplicas(h, in.Lease.Tasks)
 	gone := c.see(now, h, in.Lease.Tasks)
+	if c.State() == nil {
+		return // until the lost state is recovered nobody knows what is stale
+	}
+	if !c.onRecord(h) {
+		c.checkOwn(now, h, in.Lease.Tasks)
+		return
+	}
 	if h.phase == granted {
-		c.checkOwn(h, in.Lease.Tasks)
 		return
 	}
 	for _, p := range gone {
-		c.vanished(h, p)
+		c.vanished(now, h, p)
 	}
 	c.note(now, h)
 	c.dropStale(h)
 	c.confirm(h)
 }
 
-// checkOwn writes the Own record again if it was refused room earlier.
-func (c *Controller) checkOwn(h *holding, tasks []platform.Running) {
-	if h.recorded == 0 {
+// onRecord reports whether the log names this holding's epoch, or its Own
+// record is still under way.
+func (c *Controller) onRecord(h *holding) bool {
+	if !c.follow.Ready() || h.phase == granted && h.recorded != 0 {
+		return true
+	}
+	w, ok := c.State().Worker(h.id)
+	return h.phase == adopted && ok && w.Owner == c.self.ID && w.Incarnation == c.self.Incarnation && w.Epoch == h.epoch
+}
+
+// checkOwn writes the Own record when it was never written, and takes the
+// lease again when it was written and isn't in force.
+func (c *Controller) checkOwn(now time.Time, h *holding, tasks []platform.Running) {
+	if h.phase == granted && !h.written {
 		c.recordOwn(h, tasks)
+		return
 	}
+	c.reacquire(now, h)
 }
 
 // see brings the placements in line with what the worker holds, and returns
@@ -167,12 +189,18 @@
 }
 
 // vanished settles a placement that the worker doesn't hold.
-func (c *Controller) vanished(h *holding, p *assignment) {
+func (c *Controller) vanished(now time.Time, h *holding, p *assignment) {
 	a := record.Attempt{Task: p.id, Number: p.attempt}
 	if !c.current(a) {
 		c.unplace(h, p.id)
 		return
 	}
+	if p.stage == starting && h.inLine(Start, p.id) {
+		return // not sent yet
+	}
+	if p.stage == starting && !c.fresh(now) {
+		return // others may have given the task to another worker
+	}
 	if p.stage == starting {
 		c.call(h, Call{Verb: Start, Epoch: h.epoch, Spec: p.spec}) // repeated: the first answer was lost
 		return
@@ -180,6 +208,11 @@
 	c.endAttempt(a, record.Record{Evicted: &record.Evicted{Attempt: a, Worker: h.id, Checkpoint: p.spec.Checkpoint}})
 }
 
+// inLine reports whether a call about a task waits to be sent.
+func (h *holding) inLine(v Verb, task string) bool {
+	return slices.ContainsFunc(h.queue, func(q Call) bool { return q.Verb == v && (q.Task == task || q.Spec.ID == task) })
+}
+
 // place notes that an attempt was put on a worker.
 func (c *Controller) place(h *holding, p *assignment) {
 	h.tasks[p.id] = p
@@ -252,6 +285,9 @@
 	case !fault.Is(in.Err, fault.Unavailable):
 		c.log(Info, "start refused", "worker", h.id, "task", in.Task, "error", in.Err.Error())
 		c.unplace(h, in.Task)
+		if !fault.Is(in.Err, fault.Conflict) { // the worker still keeps an earlier attempt's result
+			h.startAt = now.Add(refusedPause)
+		}
 	}
 }
 
@@ -297,7 +333,7 @@
 		}
 		h := c.workerFor(now, room, t)
 		if h == nil {
-			c.giveBack(now, t.ID)
+			c.giveBack(now, t)
 			continue
 		}
 		if h.tasks[t.ID] != nil {
@@ -333,15 +369,20 @@
 }
 
 // giveBack returns an escrowed task that found no room for a while.
-func (c *Controller) giveBack(now time.Time, id string) {
-	key := "hold/" + id
+//
+// What goes wrong: room turns up while the Return is under way, and the task
+// is started here; once the Return is read, another instance starts the same
+// attempt. One would notice two runs of one attempt. A Return counts as the
+// end of the attempt until it was read back, so nothing is started meanwhile.
+func (c *Controller) giveBack(now time.Time, t zone.Task) {
+	key := "hold/" + t.ID
 	since, ok := c.proposed[key]
 	if !ok {
 		c.proposed[key] = now
 		return
 	}
-	if now.Sub(since) > holdFor && c.once(now, "return/"+id) {
-		c.add(record.Record{Return: &record.Return{Tasks: []string{id}}})
+	if now.Sub(since) > holdFor {
+		c.endAttempt(attemptOf(t), record.Record{Return: &record.Return{Tasks: []string{t.ID}}})
 	}
 }
 
@@ -350,7 +391,7 @@
 func (c *Controller) room(now time.Time) map[string]resource.Vector {
 	room := make(map[string]resource.Vector)
 	for _, h := range c.holdings {
-		if h.phase != adopted || h.leaving {
+		if h.phase != adopted || h.leaving || now.Before(h.startAt) {
 			continue
 		}
 		if w, ok := c.State().Worker(h.id); !ok || w.Quarantined {
@@ -383,17 +424,15 @@
 }
 
 // cancelUndeclared cancels the tasks of declared jobs that the manifest
-// names no more.
+// names no more, and lets the ended ones be forgotten.
 func (c *Controller) cancelUndeclared(declared map[string]bool) {
 	var gone []string
-	for t := range c.State().Active() {
-		if !t.Cancelling && isDeclared(t.ID) && !declared[t.ID] {
+	for t := range c.State().Declared() {
+		if !t.Cancelling && !declared[t.ID] {
 			gone = append(gone, t.ID)
 		}
 	}
-	if len(gone) == 0 {
-		return
+	if len(gone) > 0 {
+		c.add(record.Record{Cancel: &record.Cancel{Tasks: gone}})
 	}
-	sort.Strings(gone)
-	c.add(record.Record{Cancel: &record.Cancel{Tasks: gone}})
 }
--- a/manifest/place.go
+++ b/manifest/place.go
@@ -49,6 +49,7 @@
 				Command:  j.Command,
 				Duration: j.Duration,
 				Urgent:   j.Urgent,
+				Declared: true,
 			})
 		}
 	}
--- a/record/record.go
+++ b/record/record.go
@@ -57,7 +57,9 @@
 	Groups   map[string]resource.Vector `cbor:"2,keyasint"` // for batch, after services are taken off
 }
 
-// Submit adds tasks to the queue. A task whose ID is known changes nothing.
+// Submit adds tasks to the queue. A task whose ID is known changes nothing,
+// but for a declared one that was cancelled after it had ended: it is queued
+// again, with the next attempt.
 type Submit struct {
 	Tasks []Task `cbor:"1,keyasint"`
 }
@@ -71,6 +73,7 @@
 	Command  string          `cbor:"5,keyasint,omitempty"`
 	Duration time.Duration   `cbor:"6,keyasint,omitempty"`
 	Urgent   bool            `cbor:"7,keyasint,omitempty"`
+	Declared bool            `cbor:"8,keyasint,omitempty"` // remembered until it is cancelled, also when it has ended
 }
 
 // Own states that the writer holds a worker's lease at an epoch, and what
@@ -123,7 +126,8 @@
 	Reason  string  `cbor:"3,keyasint,omitempty"`
 }
 
-// Cancel ends tasks: a queued one at once, an escrowed one when its owner
+// Cancel ends tasks, and lets ended ones that were declared be forgotten: a
+// queued one ends at once, an escrowed one when its owner
 // reports that it stopped (Evicted, Failed or Done; whichever comes first).
 type Cancel struct {
 	Tasks []string `cbor:"1,keyasint,omitempty"`
--- a/zone/dump.go
+++ b/zone/dump.go
@@ -70,6 +70,9 @@
 	if t.duration > 0 {
 		fmt.Fprintf(out, " duration=%s", t.duration)
 	}
+	if t.declared {
+		fmt.Fprint(out, " declared")
+	}
 	if t.urgent {
 		fmt.Fprint(out, " urgent")
 	}
--- a/zone/life.go
+++ b/zone/life.go
@@ -1,6 +1,7 @@
 package zone
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/dogwoodladder/dogwoodladder/chart"
@@ -11,7 +12,7 @@
 func (s *State) add(r record.Task) *task {
 	s.serial++
 	t := &task{
-		id: r.ID, job: r.Job, command: r.Command, need: r.Need, duration: r.Duration, urgent: r.Urgent,
+		id: r.ID, job: r.Job, command: r.Command, need: r.Need, duration: r.Duration, urgent: r.Urgent, declared: r.Declared,
 		group: s.group(r.Group), serial: s.serial, submitted: s.now, attempt: 1, state: taskChart.Initial(),
 	}
 	t.group.Submitted++
@@ -87,9 +88,18 @@
 
 // forget drops the ended task that is kept longest.
 func (s *State) forget() {
-	t := s.ended[0]
-	s.ended[0] = nil
-	s.ended = s.ended[1:]
+	s.drop(0)
+}
+
+// drop forgets the ended task at an index.
+func (s *State) drop(i int) {
+	t := s.ended[i]
+	if i == 0 {
+		s.ended[0] = nil
+		s.ended = s.ended[1:]
+	} else {
+		s.ended = slices.Delete(s.ended, i, i+1)
+	}
 	delete(s.tasks, t.id)
 	s.bytes -= t.size()
 	s.endedBytes -= t.size()
--- a/zone/listing.go
+++ b/zone/listing.go
@@ -30,6 +30,11 @@
 	return s.listed(func(t Task) bool { return t.State != Done && t.State != Cancelled })
 }
 
+// Declared returns the declared tasks that are remembered, sorted by ID.
+func (s *State) Declared() iter.Seq[Task] {
+	return s.listed(func(t Task) bool { return t.Declared })
+}
+
 // Parked returns the parked tasks, sorted by ID.
 func (s *State) Parked() iter.Seq[Task] {
 	return s.listed(func(t Task) bool { return t.State == Parked })
--- a/zone/retention.go
+++ b/zone/retention.go
@@ -17,6 +17,10 @@
 		s.release(s.quarantine[0])
 	}
 	for len(s.ended) > 0 && s.ended[0].ended <= s.retained() {
+		if s.ended[0].declared {
+			s.keep()
+			continue
+		}
 		s.forget()
 	}
 	if s.now >= s.sweepAt {
@@ -24,6 +28,17 @@
 	}
 }
 
+// keep lets a declared task that has ended be known for another retention.
+//
+// What goes wrong: a declared job's tasks have ended and are forgotten, and
+// whoever compares the declaration with the state submits them again. One
+// would notice finished work running a second time a day later.
+func (s *State) keep() {
+	t := s.ended[0]
+	t.ended = s.now
+	s.ended = append(s.ended[1:], t)
+}
+
 // retained returns the time up to which things that ended are forgotten.
 func (s *State) retained() int64 {
 	return s.now - s.settings.Retention.Microseconds()
--- a/zone/run.go
+++ b/zone/run.go
@@ -198,6 +198,15 @@
 	return r.sequence
 }
 
+// Incarnation returns the newest incarnation on record of an instance.
+func (s *State) Incarnation(id string) uint64 {
+	i := s.instances[id]
+	if i == nil {
+		return 0
+	}
+	return i.newest().writer.Incarnation
+}
+
 func (s *State) run(w record.Writer) *run {
 	i := s.instances[w.ID]
 	if i == nil {
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -80,6 +80,7 @@
 	Ended      int64           `cbor:"17,keyasint,omitempty"`
 	Suspect    bool            `cbor:"18,keyasint,omitempty"`
 	Failures   uint32          `cbor:"19,keyasint,omitempty"`
+	Declared   bool            `cbor:"20,keyasint,omitempty"`
 }
 
 var snapshotEncoder = newSnapshotEncoder()
@@ -138,7 +139,7 @@
 	for _, t := range slices.Concat(s.liveTasks(), s.ended) {
 		image := snapshotTask{
 			t.id, t.job, groups[t.group], t.need, t.command, t.duration, t.urgent, t.state, t.attempt, runs[t.owner],
-			t.checkpoint, t.note, t.worker, nil, t.serial, t.submitted, t.ended, t.suspect, t.failures,
+			t.checkpoint, t.note, t.worker, nil, t.serial, t.submitted, t.ended, t.suspect, t.failures, t.declared,
 		}
 		for _, w := range s.blames[t] {
 			image.Blames = append(image.Blames, workers[w])
--- a/zone/submit.go
+++ b/zone/submit.go
@@ -1,6 +1,10 @@
 package zone
 
-import "github.com/dogwoodladder/dogwoodladder/record"
+import (
+	"slices"
+
+	"github.com/dogwoodladder/dogwoodladder/record"
+)
 
 func (s *State) submit(body *record.Submit, o *Outcome) {
 	taken := 0
@@ -9,17 +13,34 @@
 			o.refuse(r.ID, reason)
 			continue
 		}
-		o.change(s.add(r))
+		o.change(s.addAgain(r))
 		taken++
 	}
 	o.voidIfRefused(taken)
 }
 
+// addAgain adds a task, in place of a known one that was released.
+func (s *State) addAgain(r record.Task) *task {
+	before := s.tasks[r.ID]
+	if before == nil {
+		return s.add(r)
+	}
+	s.drop(slices.Index(s.ended, before))
+	t := s.add(r)
+	t.attempt = before.attempt + 1
+	return t
+}
+
+// released reports whether a known task may be declared anew.
+func released(t *task, r record.Task) bool {
+	return r.Declared && !t.declared && ended(t.state)
+}
+
 func (s *State) submittable(r record.Task) Reason {
 	if !validTask(r) {
 		return Malformed
 	}
-	if s.tasks[r.ID] != nil {
+	if t := s.tasks[r.ID]; t != nil && !released(t, r) {
 		return KnownTask
 	}
 	size := taskOverhead + len(r.ID) + len(r.Job) + len(r.Command) + len(r.Group)
@@ -54,9 +75,14 @@
 
 func (s *State) cancelTask(t *task, o *Outcome) Reason {
 	next, err := taskChart.Next(t.state, eventCancel)
-	if err != nil {
+	if err != nil && !t.declared {
 		return AlreadyEnded
 	}
+	t.declared = false
+	if err != nil {
+		o.change(t)
+		return None
+	}
 	if next == t.state {
 		return None
 	}
--- a/zone/task.go
+++ b/zone/task.go
@@ -72,6 +72,7 @@
 	attempt    uint32
 	state      chart.State
 	urgent     bool
+	declared   bool   // remembered when it has ended
 	suspect    bool   // it has failed somewhere
 	failures   uint32 // attempts that failed on workers that weren't quarantined
 }
@@ -84,7 +85,7 @@
 	v := Task{
 		Task: record.Task{
 			ID: t.id, Job: t.job, Group: t.group.name, Need: t.need,
-			Command: t.command, Duration: t.duration, Urgent: t.urgent,
+			Command: t.command, Duration: t.duration, Urgent: t.urgent, Declared: t.declared,
 		},
 		State:      TaskState(t.state),
 		Attempt:    t.attempt,
