--- a/dogwoodladder.go
+++ b/dogwoodladder.go
@@ -18,7 +18,7 @@
 //   - Decisions are pure: no input or output, no clock, no global randomness.
 //     Batch work: zone, follower, appender, lease. Services: replica,
 //     rendezvous, admission, balancer, limit, budget, forward. Configuration:
-//     document, manifest, revision. Instances: member. Interference: usage,
+//     document, manifest, revision. Instances: member, message. Interference: usage,
 //     interference, placement, mitigation. Package chart interprets the state
 //     charts, and package controller puts the decisions together. Each can be
 //     embedded alone.
--- a/interference/baseline.go
+++ b/interference/baseline.go
@@ -6,7 +6,6 @@
 	knots          = 32 // of a baseline, two for each doubling of the rate
 	knotsPerDouble = 2
 	knotDeviation  = 0.1 // between the baselines of two adjacent knots
-	residualGain   = 0.3
 )
 
 // baseline returns the terms of a victim's baseline at a request rate. It is
--- a/interference/coefficient.go
+++ b/interference/coefficient.go
@@ -8,14 +8,17 @@
 )
 
 const (
-	maxMean       = 3.0  // of a pair: a slowdown by 20
-	minDeviation  = 0.01 // keeps a coefficient able to learn
-	priorWeight   = 2.0  // pairs that the fixed prior counts for when pooling
-	baseDeviation = 0.7  // of a baseline that was never seen
-	baseDrift     = 0.05 // standard deviation of a baseline's change in one memory
-	startNoise    = 0.04 // variance of a report's logarithm at first
-	minNoise      = 0.0025
-	noiseGain     = 0.02
+	maxMean        = 3.0  // of a pair: a slowdown by 20
+	minDeviation   = 0.01 // keeps a coefficient able to learn
+	priorWeight    = 2.0  // pairs that the fixed prior counts for when pooling
+	baseDeviation  = 0.7  // of a baseline that was never seen
+	baseDrift      = 0.05 // standard deviation of a baseline's change in one memory
+	startNoise     = 0.04 // variance of a report's logarithm at first
+	minNoise       = 0.0025
+	noiseGain      = 0.02
+	residualMemory = 30 * time.Second // in which a residual without news falls to a third
+
+	residualDrift = 0.0004 // variance that a replica's residual gains with each report
 )
 
 // coefficient is a normal estimate of the logarithm of a ratio.
--- a/interference/history.go
+++ b/interference/history.go
@@ -26,7 +26,8 @@
 	Task
 	measured time.Time // of the newest accepted report
 	readings [readings]reading
-	residual float64 // what the classes beside it don't explain
+	residual float64   // what the classes beside it don't explain
+	learned  time.Time // when the residual was last brought up to date
 }
 
 // readings is how many observed ratios a median is taken of.
--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -93,10 +93,24 @@
 		take(t, 1)
 	}
 	out.Predicted = math.Exp(sum)
-	level := sum + r.residual
+	residual := r.remaining(now)
+	level := sum + residual
 	if silent {
-		level = sum + max(r.residual, 0) + math.Sqrt(variance)
+		level = sum + max(residual, 0) + math.Sqrt(variance)
 	}
 	out.Level = math.Exp(max(level, 0))
 	return out
 }
+
+// remaining returns what is left of a replica's residual.
+//
+// What goes wrong: a replica had slow answers, then no requests at all, so
+// that nothing corrects what was learnt from them. One would notice batch work
+// kept off an idle worker for ever. A residual without news fades.
+func (r *resident) remaining(now time.Time) float64 {
+	idle := now.Sub(r.learned)
+	if r.learned.IsZero() || idle <= 0 {
+		return r.residual
+	}
+	return r.residual * math.Exp(-idle.Seconds()/residualMemory.Seconds())
+}
--- a/interference/report.go
+++ b/interference/report.go
@@ -105,10 +105,18 @@
 	v.noise = max(v.noise+noiseGain*(clipped*clipped-spread), minNoise)
 
 	left := clipped * v.noise / spread
-	r.residual += residualGain * (left - r.residual)
+	r.residual += residualGain(v.noise) * (left - r.residual)
+	r.learned = now
 	r.read(from, math.Exp(innovation+pressure))
 }
 
+// residualGain is the steady gain of a filter that follows a replica's
+// residual: the noisier the reports, the slower.
+func residualGain(noise float64) float64 {
+	variance := (residualDrift + math.Sqrt(residualDrift*residualDrift+4*residualDrift*noise)) / 2
+	return variance / (variance + noise)
+}
+
 func rate(u platform.Usage) float64 {
 	return float64(u.Requests) / u.Interval.Seconds()
 }
--- a/mitigation/ladder.go
+++ b/mitigation/ladder.go
@@ -114,23 +114,23 @@
 	if actions := l.relieve(in); len(actions) > 0 {
 		return actions
 	}
-	worst, ok := worstOf(in.Victims)
-	if !ok {
+	if len(in.Victims) == 0 {
 		r.mode = Watching
-		return l.release(now, r, in, nil)
+		return l.release(now, r, in, 1)
 	}
-	if !worst.From.After(r.acted) {
+	worst, all := worstOf(in.Victims, r.acted)
+	if worst == nil {
 		return nil
 	}
 	if suffers(worst, l.limit) {
 		return l.protect(now, r, in, worst)
 	}
 	r.since = time.Time{}
-	if worst.Level > l.releaseLimit {
+	if !all || worst.Level > l.releaseLimit {
 		return nil
 	}
 	r.mode = Watching
-	return l.release(now, r, in, worst)
+	return l.release(now, r, in, worst.Level)
 }
 
 // suffers reports whether both the estimate and the reports are above a
@@ -139,18 +139,25 @@
 	return v.Level > limit && v.Observed > limit
 }
 
-func worstOf(victims []interference.Victim) (*interference.Victim, bool) {
-	var worst *interference.Victim
+// worstOf returns the worst service whose reports were measured after a
+// time, and whether there are such reports of all services.
+//
+// What goes wrong: reports from before the last action go on coming for the
+// lag, and are taken for its effect. One would notice a task throttled and
+// evicted within the lag. A service counts only by what came after.
+func worstOf(victims []interference.Victim, after time.Time) (worst *interference.Victim, all bool) {
+	all = true
 	for i := range victims {
 		v := &victims[i]
-		if v.From.IsZero() {
+		if !v.From.After(after) {
+			all = false
 			continue
 		}
 		if worst == nil || min(v.Level, v.Observed) > min(worst.Level, worst.Observed) {
 			worst = v
 		}
 	}
-	return worst, worst != nil
+	return worst, all
 }
 
 // hold throttles the batch tasks beside services to the silent percentage.
@@ -188,6 +195,9 @@
 	if actions := l.evict(now, suspects, worst); len(actions) > 0 {
 		return actions
 	}
+	if !suffers(worst, l.severe) {
+		return nil
+	}
 	if actions := l.throttle(suspects, worst, l.lastFloor); len(actions) > 0 {
 		r.throttled = now
 		return actions
--- a/mitigation/options.go
+++ b/mitigation/options.go
@@ -19,6 +19,7 @@
 type options struct {
 	limit         float64
 	releaseLimit  float64
+	severe        float64
 	floor         int
 	lastFloor     int
 	holdTime      time.Duration
@@ -35,6 +36,7 @@
 	return options{
 		limit:         1.12,
 		releaseLimit:  1.06,
+		severe:        1.25,
 		floor:         25,
 		lastFloor:     5,
 		holdTime:      time.Minute,
@@ -54,6 +56,12 @@
 	return func(o *options) { o.limit, o.releaseLimit = protect, release }
 }
 
+// WithSevere sets the slowdown of a service above which it is protected by all
+// means (default 1.25): by the last floor, and by a move.
+func WithSevere(ratio float64) Option {
+	return func(o *options) { o.severe = ratio }
+}
+
 // WithFloors sets the lowest throttle in percent before evictions, and the one
 // for tasks that may not be evicted (default 25 and 5).
 func WithFloors(first, last int) Option {
--- a/mitigation/release.go
+++ b/mitigation/release.go
@@ -22,21 +22,17 @@
 // release raises throttled tasks, the least harmful first, as far as the
 // model expects the service to stay below the target. A task that the model
 // has cleared since gets its full speed back at once; the others wait for the
-// hold time and rise by doubling. The worst service is nil when there is none
-// left.
-func (l *Ladder) release(now time.Time, r *record, in Worker, worst *interference.Victim) []Action {
+// hold time and rise by doubling. Level is that of the worst service.
+func (l *Ladder) release(now time.Time, r *record, in Worker, level float64) []Action {
 	held := now.Sub(r.acted) < l.holdOf(r)
 	if !held && r.backoff > 0 && now.Sub(r.throttled) > forgive*l.holdOf(r) {
 		r.backoff--
 	}
-	room := math.Inf(1)
-	if worst != nil {
-		room = math.Log(l.target() / worst.Level)
-	}
+	room := math.Log(l.target() / level)
 	spare := releaseLoad - in.Load
 	var actions []Action
-	for _, t := range throttled(in.Tasks, worst) {
-		harm := harmOf(worst, t)
+	for _, t := range throttled(in) {
+		harm := harmOf(in.Victims, t)
 		percent := full
 		if harm >= minRelief {
 			percent = min(max(t.Percent, 1)*2, full)
@@ -57,22 +53,23 @@
 }
 
 // throttled returns the throttled tasks by their harm, the least first.
-func throttled(tasks []Task, worst *interference.Victim) []Task {
-	list := slices.DeleteFunc(slices.Clone(tasks), func(t Task) bool { return t.Percent >= full })
+func throttled(in Worker) []Task {
+	list := slices.DeleteFunc(slices.Clone(in.Tasks), func(t Task) bool { return t.Percent >= full })
 	slices.SortStableFunc(list, func(a, b Task) int {
-		return cmp.Or(cmp.Compare(harmOf(worst, a), harmOf(worst, b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(harmOf(in.Victims, a), harmOf(in.Victims, b)), cmp.Compare(a.ID, b.ID))
 	})
 	return list
 }
 
-func harmOf(worst *interference.Victim, t Task) float64 {
-	if worst == nil {
-		return 0
-	}
-	for _, c := range worst.Culprits {
-		if c.Task == t.ID {
-			return c.Harm
+// harmOf returns the most harm that a task does to any service.
+func harmOf(victims []interference.Victim, t Task) float64 {
+	harm := 0.0
+	for _, v := range victims {
+		for _, c := range v.Culprits {
+			if c.Task == t.ID {
+				harm = max(harm, c.Harm)
+			}
 		}
 	}
-	return 0
+	return harm
 }
--- a/usage/sizes.go
+++ b/usage/sizes.go
@@ -10,10 +10,11 @@
 //
 // For each class and resource a Sizes keeps the ratio of measured to declared
 // as a moving mean and mean deviation. A need is the declared amount times the
-// mean plus a part of the deviation, since tasks seldom peak together; memory, which can't be squeezed, also keeps a peak
-// that decays slowly. The declared amount counts as a number of measurements,
-// so a class with few reports stays near what was declared. Accelerators are
-// whole devices and are taken as declared.
+// mean plus a part of the deviation, since tasks seldom peak together; memory,
+// which can't be squeezed, also keeps a peak that decays slowly. The declared
+// amount counts as a number of measurements, so a class with few reports stays
+// near what was declared. Accelerators are whole devices and are taken as
+// declared.
 //
 // State is bounded: a fixed amount for each class, and WithMaxClasses classes,
 // of which the one without news for the longest goes first. A Sizes isn't safe
