A planned stop of a zone's last instance keeps its workers for the next one

It released them and waited for reports that nobody could write, until the drain time was over. Submissions may name their zone: task IDs are unique within one.

--- a/cmd/dogwoodladder/operate.go
+++ b/cmd/dogwoodladder/operate.go
@@ -105,6 +105,7 @@
 	target
 	ID           string        `required:"" help:"Task ID; a repeat with the same ID changes nothing."`
 	Group        string        `required:"" help:"Group that the task is charged to."`
+	Zone         string        `help:"Zone that has to run it; an instance of another one refuses it. Task IDs are unique within a zone."`
 	Count        int           `default:"1" help:"Number of tasks; above 1 their IDs get -0, -1 and so on."`
 	Processors   float64       `default:"1" help:"Cores."`
 	Memory       int64         `default:"512" help:"MiB."`
@@ -115,7 +116,7 @@
 }
 
 func (c *submitCmd) Run(ctx context.Context) error {
-	body, err := json.Marshal(daemon.Submission{Tasks: c.tasks()})
+	body, err := json.Marshal(daemon.Submission{AvailabilityZone: c.Zone, Tasks: c.tasks()})
 	if err != nil {
 		return err
 	}
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -164,7 +164,7 @@
 		case want && h.listed && h.phase == unowned && !h.busy && !now.Before(h.retryAt):
 			h.phase = acquiring
 			c.call(h, Call{Verb: Acquire, Lease: c.book.Acquire()})
-		case !want && (h.phase == granted || h.phase == adopted):
+		case !want && (h.phase == granted || h.phase == adopted) && !c.lastInstance():
 			c.handOver(h)
 		}
 	}
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -144,12 +144,24 @@
 	}
 }
 
+// lastInstance reports whether this instance is leaving and nobody of its
+// zone is left to take its workers. It keeps them then: their tasks go on
+// until the task leases end, and whoever comes in time adopts them.
+func (c *Controller) lastInstance() bool {
+	return c.leaving && len(c.others()) == 0
+}
+
 // finishLeaving reports the end of a planned stop once nothing is held and
 // all that was written has been read back.
 func (c *Controller) finishLeaving(now time.Time) {
 	if !c.leaving || c.left || c.out.Waiting() > 0 {
 		return
 	}
+	if c.lastInstance() {
+		c.left = true
+		c.do(Left{At: now})
+		return
+	}
 	for _, h := range c.holdings {
 		if h.phase != unowned {
 			return
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -158,6 +158,12 @@
 	)
 }
 
+// Kill stops the process's work at once, with nothing handed over. It is what
+// a test does in place of the death of the process.
+func (d *Daemon) Kill() {
+	d.tomb.Kill(fault.New(fault.Internal, "killed"))
+}
+
 func timing(t setting.Timing) controller.Timing {
 	return controller.Timing{
 		Heartbeat: t.Heartbeat,
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -27,7 +27,8 @@
 
 // Submission is the body of POST /jobs.
 type Submission struct {
-	Tasks []record.Task `json:"tasks"`
+	AvailabilityZone string        `json:"zone,omitempty"` // refused elsewhere; task IDs are unique within a zone
+	Tasks            []record.Task `json:"tasks"`
 }
 
 // Cancellation is the body of POST /cancel.
@@ -131,6 +132,10 @@
 		refuse(w, err)
 		return
 	}
+	if s.AvailabilityZone != "" && s.AvailabilityZone != d.self.AvailabilityZone {
+		refuse(w, fault.New(fault.Invalid, "this instance is in zone %q, the submission is for zone %q", d.self.AvailabilityZone, s.AvailabilityZone))
+		return
+	}
 	_, err := d.command(func(id uint64) controller.Input {
 		return controller.Submit{ID: id, Tasks: s.Tasks}
 	})
