--- a/controller/mended_test.go
+++ b/controller/mended_test.go
@@ -173,9 +173,9 @@
 }
 
 // Symptom: tasks of a cancelled job are started, and the cancel takes minutes.
-// Sequence: four hundred tasks are claimed; half of their starts still wait in
+// Sequence: four hundred tasks are claimed; most of their starts still wait in
 // line when their job is cancelled.
-// Cause: the starts go out all the same, and each has to be stopped after it.
+// Cause: the starts go out all the same, and each task is stopped after that.
 func TestCancelOfManyTasks(t *testing.T) {
 	is := is.New(t)
 	const submitted = 400
@@ -183,8 +183,17 @@
 	s.feed(controller.Submit{ID: 5, Tasks: many(submitted, resource.Vector{Processors: 1, Memory: 1}, "sleep 1h")})
 	s.run(10 * time.Second)
 	s.feed(controller.Cancel{ID: 6, Jobs: []string{"j"}})
+	s.run(time.Second) // the cancel is read back
+	started := s.started()
+	is.True(started < submitted/2)
 	s.run(2 * time.Minute)
 	is.Equal(s.c.State().Group("red").Cancelled, uint64(submitted))
+	is.Equal(s.started(), started)
+}
+
+// started counts the tasks that ever ran.
+func (s *solo) started() int {
+	return len(worker.Merge(s.workers["w0"].Ledger(), s.workers["w1"].Ledger()).Tasks)
 }
 
 // Symptom: one attempt runs on two workers.
@@ -238,8 +247,8 @@
 // Symptom: a worker is idle for ever, and what it ran stays escrowed.
 // Sequence: a worker and its owner restart together; the worker counts its
 // epochs from one again.
-// Cause: the Own record of the low epoch is void, and nothing takes the lease
-// again.
+// Cause: the Own record of the low epoch is void, and the lease isn't taken
+// again until the epoch is above the one on record.
 func TestWorkerCountsEpochsAnew(t *testing.T) {
 	is := is.New(t)
 	s := newSolo(t)
