--- a/controller/holding.go
+++ b/controller/holding.go
@@ -40,9 +40,11 @@
 	retryAt  time.Time // not to be acquired before
 	startAt  time.Time // no start before
 	written  bool      // the Own record of the epoch was put in line
-	extended time.Time // when the newest call that may have extended task leases was sent
-	tasks    map[string]*assignment
-	replicas map[string]*assignment // by service
+
+	unanswered int       // renewals of the epoch since the last answered one
+	extended   time.Time // when the newest call that may have extended task leases was sent
+	tasks      map[string]*assignment
+	replicas   map[string]*assignment // by service
 
 	noted    map[string]*noted // what the estimator was told, by task
 	reportAt time.Time         // when the next report is due
@@ -184,6 +186,10 @@
 	if h.phase != granted && h.phase != adopted {
 		return
 	}
+	if c.quiet(now, h) {
+		c.reacquire(now, h)
+		return
+	}
 	request, ok := c.book.Renewal(now, h.id, c.follow.Tail())
 	if !ok {
 		return
@@ -348,6 +354,7 @@
 		c.giveUp(now, h)
 		return
 	}
+	h.unanswered++
 	c.book.Lost(now, h.id)
 }
 
@@ -361,6 +368,7 @@
 	h.epoch = in.Lease.Epoch
 	h.recorded = 0
 	h.written = false
+	h.unanswered = 0
 	h.extended = now // whoever held the lease before extended no task later than this
 	h.capacity = in.Lease.Capacity
 	h.slots = in.Lease.Slots
@@ -497,12 +505,30 @@
 	}
 }
 
+// maxUnanswered bounds the renewals of one epoch whose answers are missing.
+const maxUnanswered = 2
+
 // taskEnd returns how long after the last call that may extend task leases
-// the tasks have ended. A call that is under way when the worker stands still
-// takes effect late, but only while the worker's own lease is in force, so a
-// lease's length bounds how late.
+// the tasks have ended. A call that is under way takes effect late, but only
+// while the worker's own lease is in force, which each unanswered renewal may
+// prolong once.
 func (c *Controller) taskEnd() time.Duration {
-	return c.timing.Task + c.timing.Lease + c.timing.Drift
+	return c.timing.Task + (maxUnanswered+1)*c.timing.Lease + c.timing.Drift
+}
+
+// quiet reports whether an epoch must get no more calls.
+//
+// What goes wrong: renewals keep an epoch in force at the worker, so that an
+// earlier call that was delayed takes effect at any time: a start, or an
+// extension of task leases, long after others gave the tasks to other workers.
+// One would notice two runs of one task. After maxUnanswered renewals without
+// an answer, and once the isolation bound has passed, the lease is taken under
+// a new epoch instead, which fences whatever is still under way.
+func (c *Controller) quiet(now time.Time, h *holding) bool {
+	if h.unanswered >= maxUnanswered {
+		return true
+	}
+	return h.phase == adopted && now.Sub(c.follow.Tail()) > c.timing.Isolation
 }
 
 // reacquire takes the lease again under a new epoch, which fences every call
--- a/controller/task.go
+++ b/controller/task.go
@@ -23,6 +23,7 @@
 	if in.Lease.Epoch != h.epoch || !c.book.Granted(in.Sent, h.id, in.Lease) {
 		return
 	}
+	h.unanswered = 0
 	c.dirty = true
 	c.seeReplicas(h, in.Lease.Tasks)
 	gone := c.see(now, h, in.Lease.Tasks)
--- a/record/record.go
+++ b/record/record.go
@@ -99,7 +99,8 @@
 	Tasks []string `cbor:"1,keyasint"`
 }
 
-// Return gives back escrowed tasks that the writer has not started.
+// Return gives back escrowed tasks that the writer has not started. It is void
+// for a task whose attempt an Own record found on a worker.
 type Return struct {
 	Tasks []string `cbor:"1,keyasint"`
 }
--- a/zone/attempt.go
+++ b/zone/attempt.go
@@ -102,6 +102,7 @@
 		t.group.Evicted++
 	}
 	t.attempt++
+	t.found = false
 	s.move(t, next, nil)
 	o.change(t)
 }
--- a/zone/claim.go
+++ b/zone/claim.go
@@ -44,11 +44,20 @@
 }
 
 // giveBack queues escrowed tasks that weren't started; their attempt stays.
+//
+// What goes wrong: an instance gives a task back again after it was claimed
+// by another, started, and came back with a worker that was taken over. One
+// would notice the attempt queued while it runs. An attempt that was found on
+// a worker was started, so giving it back is void.
 func (s *State) giveBack(by *run, body *record.Return, o *Outcome) {
 	taken := 0
 	for _, id := range body.Tasks {
 		t := s.tasks[id]
-		if reason := s.heldBy(by, t); reason != None {
+		reason := s.heldBy(by, t)
+		if reason == None && t.found {
+			reason = Started
+		}
+		if reason != None {
 			o.refuse(id, reason)
 			continue
 		}
--- a/zone/outcome.go
+++ b/zone/outcome.go
@@ -37,6 +37,7 @@
 	NoFittingWorker        // no worker of the owner can hold the task
 	OverCapacity           // the owner's workers can't hold the task beside its escrow
 	Full                   // the state is at its size bound
+	Started                // the attempt was found on a worker
 )
 
 // Refusal names a task of a record that was not taken.
--- a/zone/restore.go
+++ b/zone/restore.go
@@ -161,7 +161,7 @@
 		id: image.ID, job: image.Job, command: image.Command, checkpoint: image.Checkpoint, note: image.Note,
 		worker: r.shared(image.Worker), need: image.Need, duration: image.Duration, group: r.groupsAt[image.Group],
 		owner: owner, serial: image.Serial, submitted: image.Submitted, ended: image.Ended, attempt: image.Attempt,
-		state: image.State, urgent: image.Urgent, suspect: image.Suspect, failures: image.Failures, declared: image.Declared,
+		state: image.State, urgent: image.Urgent, suspect: image.Suspect, failures: image.Failures, declared: image.Declared, found: image.Found,
 	}, true
 }
 
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -81,6 +81,7 @@
 	Suspect    bool            `cbor:"18,keyasint,omitempty"`
 	Failures   uint32          `cbor:"19,keyasint,omitempty"`
 	Declared   bool            `cbor:"20,keyasint,omitempty"`
+	Found      bool            `cbor:"21,keyasint,omitempty"`
 }
 
 var snapshotEncoder = newSnapshotEncoder()
@@ -139,7 +140,7 @@
 	for _, t := range slices.Concat(s.liveTasks(), s.ended) {
 		image := snapshotTask{
 			t.id, t.job, groups[t.group], t.need, t.command, t.duration, t.urgent, t.state, t.attempt, runs[t.owner],
-			t.checkpoint, t.note, t.worker, nil, t.serial, t.submitted, t.ended, t.suspect, t.failures, t.declared,
+			t.checkpoint, t.note, t.worker, nil, t.serial, t.submitted, t.ended, t.suspect, t.failures, t.declared, t.found,
 		}
 		for _, w := range s.blames[t] {
 			image.Blames = append(image.Blames, workers[w])
--- a/zone/task.go
+++ b/zone/task.go
@@ -73,6 +73,7 @@
 	state      chart.State
 	urgent     bool
 	declared   bool   // remembered when it has ended
+	found      bool   // an Own record found the attempt on a worker
 	suspect    bool   // it has failed somewhere
 	failures   uint32 // attempts that failed on workers that weren't quarantined
 }
--- a/zone/worker.go
+++ b/zone/worker.go
@@ -144,6 +144,7 @@
 		return
 	}
 	s.setWorker(t, w.id)
+	t.found = true
 	if t.owner == by {
 		return
 	}
