--- a/demo/failure.go
+++ b/demo/failure.go
@@ -32,7 +32,8 @@
 func (s *scenario) kill(ctx context.Context) error {
 	start := time.Now()
 	in := s.site.find(victim)
-	in.stop()
+	in.stopped.Store(true)
+	in.kill()
 	<-in.ended
 	s.report.event("killed", "instance=%s after=%v", in.id, short(time.Since(start)))
 	if err := pause(ctx, killTime/2); err != nil {
--- a/demo/instance.go
+++ b/demo/instance.go
@@ -35,14 +35,14 @@
 	addresses daemon.Addresses
 	operator  *operator
 	cancel    context.CancelFunc
+	kill      func()
 	stopped   atomic.Bool
 	ended     chan struct{}
 	err       error // once ended
 }
 
-func startInstance(s *site, id, zone string, drain time.Duration) (*instance, error) {
+func startInstance(s *site, id, zone string) (*instance, error) {
 	settings := s.settings(id, zone)
-	settings.Timing.Drain = drain
 	d := daemon.New(settings, daemon.WithLogger(s.logger.With(zap.String("instance", id))))
 	addresses, err := d.Listen()
 	if err != nil {
@@ -55,6 +55,7 @@
 		addresses: addresses,
 		operator:  newOperator(addresses.Operator),
 		cancel:    cancel,
+		kill:      d.Kill,
 		ended:     make(chan struct{}),
 	}
 	go func() {
--- a/demo/site.go
+++ b/demo/site.go
@@ -134,7 +134,7 @@
 func (s *site) startInstances(zone string) error {
 	for n := range instancePerZone {
 		id := fmt.Sprintf("e-%s-%d", zone, n+1)
-		in, err := startInstance(s, id, zone, drainOf(id))
+		in, err := startInstance(s, id, zone)
 		if err != nil {
 			return err
 		}
@@ -146,15 +146,6 @@
 	return nil
 }
 
-// drainOf returns how long an instance takes to shut down. The victim gets no
-// time, so that its stop cuts off requests and hands nothing over.
-func drainOf(id string) time.Duration {
-	if id == victim {
-		return time.Nanosecond
-	}
-	return timing.Drain
-}
-
 // close stops what still runs and waits for it.
 func (s *site) close() {
 	for _, in := range s.running() {
