--- a/controller/service_test.go
+++ b/controller/service_test.go
@@ -114,3 +114,72 @@
 	}
 	return n
 }
+
+// Symptom: requests are cut off when a service changes.
+// Sequence: a replica leaves the routing table; requests sent just before are
+// still answered; it is stopped.
+// Cause: it is stopped as soon as it leaves the table.
+func TestReplicaDrainsBeforeItStops(t *testing.T) {
+	is := is.New(t)
+	const drain = 2 * time.Second // longer than the service's timeout
+	h := withService(t)
+	before := keysOf(h.running())[0]
+	changed := strings.Replace(serviceManifest, "command: one", "command: two", 1)
+	h.feed(h.nodes["e1"], controller.Apply{ID: 2, Base: 1, Author: "bob", Manifest: []byte(changed)})
+	left := map[string]time.Time{}
+	stopped := 0
+	for range 300 {
+		h.run(step)
+		routed := h.routed("quote")
+		for id, w := range h.workers {
+			old := runs(w, before)
+			switch {
+			case old && !routed[id] && left[id].IsZero():
+				left[id] = h.now
+			case !old && !left[id].IsZero():
+				is.True(h.now.Sub(left[id]) >= drain)
+				left[id] = time.Time{}
+				stopped++
+			}
+		}
+	}
+	is.Equal(stopped, 4)
+}
+
+func runs(w *worker.Worker, attempt uint32) bool {
+	for _, r := range w.Report().Tasks {
+		if r.Kind == platform.KindService && r.State == platform.TaskRunning && r.Attempt == attempt {
+			return true
+		}
+	}
+	return false
+}
+
+func keysOf(m map[uint32]int) []uint32 {
+	var all []uint32
+	for k := range m {
+		all = append(all, k)
+	}
+	return all
+}
+
+// Symptom: a planned stop of a zone's last instance takes the whole drain time.
+// Sequence: the only instance, with tasks running, is told to leave.
+// Cause: it gives its workers up, and waits for reports of the tasks there.
+func TestLastInstanceLeavesAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1, 1, 2)
+	h.run(3 * time.Second)
+	h.feed(h.nodes["e0"], controller.Apply{ID: 1, Author: "ann", Manifest: []byte(testManifest)})
+	h.run(2 * time.Second)
+	h.perform("submit", []string{"e0", "6", "red", "sleep", "1m"})
+	h.run(5 * time.Second)
+	h.feed(h.nodes["e0"], controller.Leave{})
+	h.run(2 * time.Second)
+	is.Equal(len(h.nodes), 0) // it has left
+	running := 0
+	for _, w := range h.workers {
+		running += len(w.Report().Tasks)
+	}
+	is.Equal(running, 6) // and its tasks go on
+}
