--- a/dogwoodladder.go
+++ b/dogwoodladder.go
@@ -16,7 +16,7 @@
 //   - Contracts are plain data and interfaces: resource, fault, record,
 //     platform and route.
 //   - Decisions are pure: no input or output, no clock, no global randomness.
-//     Batch work: zone, follower, appender, lease. Services: replica,
+//     Batch work: zone, follower, appender, lease, share. Services: replica,
 //     rendezvous, admission, balancer, limit, budget, forward. Configuration:
 //     document, manifest, revision. Instances: member, message. Interference: usage,
 //     interference, placement, mitigation. Package chart interprets the state
