Controller: room for urgent tasks is made where it can be used

Evictions freed just what an urgent task needs, but the planner keeps headroom beside services and offers nothing on workers whose services suffer, so the task wasn't placed there.

--- a/controller/preempt.go
+++ b/controller/preempt.go
@@ -57,7 +57,11 @@
 	var on *holding
 	lost := time.Duration(-1)
 	for _, id := range sortedKeys(room) {
-		victims, sum, ok := c.victims(now, c.holdings[id], room[id], limit, t)
+		candidate := c.candidate(now, c.holdings[id], room[id])
+		if !c.neighbors.planner.Open(candidate) {
+			continue
+		}
+		victims, sum, ok := c.victims(now, c.holdings[id], c.neighbors.planner.Offer(candidate), limit, t)
 		if ok && (lost < 0 || sum < lost) {
 			best, on, lost = victims, c.holdings[id], sum
 		}
