--- a/controller/claim.go
+++ b/controller/claim.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	selectInterval = time.Second      // between selections, which look at the whole queue
-	reclaim        = 10 * time.Second // before a task is claimed again
-	foreignAge     = 3 * time.Second  // before a task is claimed that another instance should claim
-	claimMax       = 256              // tasks in one Claim record
+	urgentInterval = 400 * time.Millisecond // between selections while urgent tasks are queued
+	selectInterval = time.Second            // between selections, which look at the whole queue
+	reclaim        = 10 * time.Second       // before a task is claimed again
+	foreignAge     = 3 * time.Second        // before a task is claimed that another instance should claim
+	claimMax       = 256                    // tasks in one Claim record
 )
 
 // claim asks for queued tasks that fit the free room, in fair order.
@@ -25,7 +26,7 @@
 // has waited for a while. Urgent tasks are in everybody's selection, so that
 // all keep the rest of the group's limit free for them.
 func (c *Controller) claim(now time.Time) {
-	if c.leaving || !c.fresh(now) || !c.out.Settled(c.claimed) || now.Sub(c.selectedAt) < selectInterval {
+	if c.leaving || !c.fresh(now) || !c.out.Settled(c.claimed) || now.Sub(c.selectedAt) < c.selectEvery() {
 		return
 	}
 	c.selectedAt = now
@@ -40,10 +41,20 @@
 	c.claimChosen(now, choices)
 }
 
+// selectEvery returns the time between selections, which is shorter while
+// urgent tasks wait.
+func (c *Controller) selectEvery() time.Duration {
+	if c.urgentQueued {
+		return urgentInterval
+	}
+	return selectInterval
+}
+
 // queues returns the queued tasks that this instance should claim, and those
 // that another one should have claimed by now.
 func (c *Controller) queues(now time.Time, room map[string]resource.Vector) (own, foreign []share.Task) {
 	live := c.members.Live(c.self.AvailabilityZone)
+	c.urgentQueued = false
 	for t := range c.State().Queued() {
 		if at, ok := c.proposed["claim/"+t.ID]; ok && now.Sub(at) < reclaim {
 			continue
@@ -59,6 +70,7 @@
 			Submitted: t.Submitted,
 			Duration:  t.Duration,
 		}
+		c.urgentQueued = c.urgentQueued || t.Urgent
 		claimer, _ := rendezvous.Pick(t.ID, live)
 		switch {
 		case claimer == c.self.ID || t.Urgent:
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -93,18 +93,19 @@
 	peers    []message.Peer
 	table    *route.Table
 
-	scheduler  *share.Scheduler
-	neighbors  *neighbors
-	selectedAt time.Time // when tasks were last selected
-	shrunkAt   time.Time // when groups were last compared with their limits
-	claimed    uint64    // sequence of the newest Claim record
-	snapshotAt time.Time
-	snapshot   uint64    // sequence of the newest Snapshot record
-	lostAt     time.Time // since when no state is left
-	now        time.Time // of the step under way
-	leaving    bool
-	left       bool
-	dirty      bool // the routing table is out of date
+	scheduler    *share.Scheduler
+	neighbors    *neighbors
+	selectedAt   time.Time // when tasks were last selected
+	urgentQueued bool      // the last selection saw urgent tasks
+	shrunkAt     time.Time // when groups were last compared with their limits
+	claimed      uint64    // sequence of the newest Claim record
+	snapshotAt   time.Time
+	snapshot     uint64    // sequence of the newest Snapshot record
+	lostAt       time.Time // since when no state is left
+	now          time.Time // of the step under way
+	leaving      bool
+	left         bool
+	dirty        bool // the routing table is out of date
 
 	actions []Action
 }
--- a/controller/preempt.go
+++ b/controller/preempt.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	preemptInterval = 4 * time.Second // before room is made again for the same task
+	preemptInterval = 3 * time.Second // before room is made again for the same task
 	preemptMost     = 16              // urgent tasks that room is made for in one selection
 )
 
