--- a/bench/batch/batch.go
+++ b/bench/batch/batch.go
@@ -21,6 +21,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/controller"
 	"github.com/dogwoodladder/dogwoodladder/resource"
+	"github.com/dogwoodladder/dogwoodladder/setting"
 )
 
 // Bench runs the measurements.
@@ -121,15 +122,24 @@
 )
 
 func (b *Bench) plan(s Size) plan {
-	return plan{size: s, timing: DefaultTiming(), seed: b.seed, need: smallNeed, surge: 1, wire: b.wire}
+	return plan{size: s, timing: defaultTiming(), seed: b.seed, need: smallNeed, surge: 1, wire: b.wire}
 }
 
-// DefaultTiming is that of a daemon with default settings.
-func DefaultTiming() controller.Timing {
+// defaultTiming is what a daemon with default settings gives its controller.
+func defaultTiming() controller.Timing {
+	const command = 5 * time.Second
+	t := setting.Default().Timing
 	return controller.Timing{
-		Heartbeat: 500 * time.Millisecond, Suspicion: 3 * time.Second, Lease: 6 * time.Second, Task: time.Minute,
-		Drift: 200 * time.Millisecond, Isolation: 30 * time.Minute, Append: 250 * time.Millisecond,
-		Snapshot: 5 * time.Minute, Fence: 6 * time.Second, Command: 5 * time.Second,
+		Heartbeat: t.Heartbeat,
+		Suspicion: t.Suspicion,
+		Lease:     t.Lease,
+		Task:      t.Task,
+		Drift:     t.Drift,
+		Isolation: t.Isolation,
+		Append:    t.Append,
+		Snapshot:  t.Snapshot,
+		Fence:     2 * t.Suspicion,
+		Command:   command,
 	}
 }
 
--- a/bench/batch/driver.go
+++ b/bench/batch/driver.go
@@ -25,29 +25,33 @@
 	networkDelay  = 1500 * time.Microsecond
 	callTimeout   = 1500 * time.Millisecond
 	appendTimeout = 3 * time.Second
+	usageInterval = 5 * time.Second // of measurements at a worker
+	usageLag      = 2 * time.Second
 )
 
 // cluster joins controllers of all zones to a fake log and to stand-ins of
 // workers, in virtual time and in one goroutine.
 type cluster struct {
-	plan    plan
-	start   time.Time
-	now     time.Time
-	random  *rand.Rand
-	queue   events
-	serial  uint64
-	streams map[string]*stream
-	down    bool            // the log, for all
-	cut     map[string]bool // instances that can't reach the log
-	nodes   []*node
-	alive   map[string]*node
-	workers []*backend
-	byID    map[string]*backend
-	listed  []platform.Instance
-	answers map[uint64]func(error)
-	asked   uint64
-	sent    map[string]time.Time // submissions by task
-	meter   meter
+	plan     plan
+	start    time.Time
+	now      time.Time
+	random   *rand.Rand
+	queue    events
+	serial   uint64
+	streams  map[string]*stream
+	down     bool            // the log, for all
+	cut      map[string]bool // instances that can't reach the log
+	nodes    []*node
+	alive    map[string]*node
+	workers  []*backend
+	byID     map[string]*backend
+	listed   []platform.Instance
+	relisted int // times that the list changed
+	listSize int // bytes
+	answers  map[uint64]func(error)
+	asked    uint64
+	sent     map[string]time.Time // submissions by task
+	meter    meter
 }
 
 type node struct {
@@ -57,6 +61,7 @@
 	zone   string
 	gone   bool
 	booted uint64 // incarnation
+	seen   int    // the list's change that was read last
 }
 
 type backend struct {
@@ -128,7 +133,7 @@
 	b := &backend{
 		Worker: worker.New(id,
 			worker.WithClock(func() time.Time { return c.now }),
-			worker.WithUsage(time.Hour, time.Hour),
+			worker.WithUsage(usageInterval, usageLag),
 			worker.WithCapacity(workerCapacity)),
 		zone: zoneName(zone),
 		rack: fmt.Sprintf("r%02d", inZone/workersPerRack),
@@ -145,7 +150,7 @@
 	c.alive[id] = n
 	phase := time.Duration(len(c.nodes)) * 7 * time.Millisecond % tickInterval
 	c.after(phase, n.tick)
-	c.after(phase, n.poll)
+	c.after(phase, n.list)
 	c.after(phase, func() { n.follow(controller.ZoneStream(zone)) })
 	c.after(phase, func() { n.follow(controller.ConfigStream) })
 	return n
@@ -173,7 +178,8 @@
 			c.listed = append(c.listed, b.Instance(b.zone, b.rack, "10.0.1.1:7000"))
 		}
 	}
-	c.meter.listSize = jsonSize(c.listed)
+	c.relisted++
+	c.listSize = jsonSize(c.listed)
 }
 
 func (c *cluster) after(d time.Duration, run func()) {
@@ -211,13 +217,17 @@
 	n.after(tickInterval, n.tick)
 }
 
-func (n *node) poll() {
+func (n *node) list() {
 	if n.gone {
 		return
 	}
-	n.meter.add(n.id, listBytes, n.meter.listSize+n.plan.wire.list)
+	n.meter.add(n.id, listBytes, n.plan.wire.list)
+	if n.seen != n.relisted {
+		n.seen = n.relisted
+		n.meter.add(n.id, listBytes, n.listSize)
+	}
 	n.step(controller.Listed{Instances: n.listed})
-	n.after(listInterval, n.poll)
+	n.after(listInterval, n.list)
 }
 
 // follow reads a stream's tail, one page at a time.
@@ -265,6 +275,8 @@
 		n.append(a)
 	case controller.Call:
 		n.after(networkDelay, func() { n.arrive(a, n.now.Add(-networkDelay)) })
+	case controller.Poll:
+		n.after(networkDelay, func() { n.poll(n.byID[a.Worker]) })
 	case controller.Send:
 		n.send(a)
 	case controller.Answer:
@@ -300,6 +312,16 @@
 	n.after(networkDelay, func() { n.reply(a, sent, l, err) })
 }
 
+// poll brings an instance a worker's report.
+func (n *node) poll(b *backend) {
+	if b.dead {
+		return
+	}
+	r := b.Report()
+	n.meter.add(n.id, reportBytes, n.plan.wire.report+jsonSize(r))
+	n.after(networkDelay, func() { n.step(controller.Reported{Worker: r.Worker, Report: r}) })
+}
+
 func (n *node) reply(a controller.Call, sent time.Time, l platform.Lease, err error) {
 	switch a.Verb {
 	case controller.Acquire, controller.Renew, controller.Transfer:
--- a/bench/batch/fake.go
+++ b/bench/batch/fake.go
@@ -6,7 +6,7 @@
 	"github.com/dogwoodladder/dogwoodladder/controller"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/member"
-	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/message"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 )
 
@@ -79,15 +79,15 @@
 	return found
 }
 
-func inputOf(from string, m peer.Message) controller.Input {
+func inputOf(from string, m message.Message) controller.Input {
 	switch m := m.(type) {
-	case peer.Heartbeat:
+	case message.Heartbeat:
 		return controller.Heard{Heartbeat: member.Heartbeat(m)}
-	case peer.Handover:
+	case message.Handover:
 		return controller.HandedOver{From: from, Worker: m.Worker, Epoch: m.Epoch}
-	case peer.ConfigRequest:
+	case message.ConfigRequest:
 		return controller.Asked{From: from, Revision: m.Revision}
-	case peer.Config:
+	case message.Config:
 		return controller.Offered{From: from, Config: m}
 	}
 	return nil
--- a/bench/batch/load.go
+++ b/bench/batch/load.go
@@ -63,10 +63,7 @@
 	urgentPrefix   = "urgent-"
 )
 
-var (
-	workerCapacity = resource.Vector{Processors: 64_000, Memory: 250 << 10}
-	replicaNeed    = resource.Vector{Processors: 4000, Memory: 16 << 10}
-)
+var workerCapacity = resource.Vector{Processors: 64_000, Memory: 250 << 10}
 
 // plan is one run: a size, its timing and its load.
 type plan struct {
@@ -119,6 +116,9 @@
 
 func (c *cluster) groupFor(urgent bool) int {
 	all := c.plan.size.Groups
+	if c.plan.size.Queued > 0 {
+		all--
+	}
 	special := c.plan.urgentGroups
 	switch {
 	case special == 0:
@@ -140,7 +140,8 @@
 	}
 }
 
-// stall queues tasks that can't be claimed.
+// stall queues tasks of the last group, which nobody else submits to then:
+// its share holds a few of them, which run on and on, and the others wait.
 func (c *cluster) stall(zone string) {
 	const batch = 100
 	left := c.plan.size.Queued / c.plan.size.AvailabilityZones
@@ -148,8 +149,8 @@
 		tasks := make([]record.Task, min(left, batch))
 		for i := range tasks {
 			c.serial++
-			tasks[i] = c.task(fmt.Sprintf("stalled-%d", c.serial), "", c.random.IntN(c.plan.size.Groups), false, time.Hour)
-			tasks[i].Need = workerCapacity.Scale(int64(c.plan.size.Workers))
+			tasks[i] = c.task(fmt.Sprintf("stalled-%d", c.serial), "", c.plan.size.Groups-1, false, time.Hour)
+			tasks[i].Need = hugeNeed
 		}
 		c.submit(zone, tasks)
 	}
--- a/bench/batch/meter.go
+++ b/bench/batch/meter.go
@@ -8,7 +8,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/controller"
-	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/message"
 	"github.com/dogwoodladder/dogwoodladder/platform"
 )
 
@@ -26,13 +26,14 @@
 	beatBytes
 	leaseBytes // renewals and other calls about leases
 	callBytes  // starts, stops and acknowledgements
+	reportBytes
 	listBytes
 	traffics
 )
 
 var trafficNames = [traffics]string{
 	"zone stream, read", "zone stream, written", "snapshots, read", "snapshots, written",
-	"configuration, read", "configuration, written", "heartbeats", "worker leases", "task calls", "instance list",
+	"configuration, read", "configuration, written", "heartbeats", "worker leases", "task calls", "worker reports", "instance list",
 }
 
 // snapshotLeast tells a snapshot record from others by its size.
@@ -55,7 +56,6 @@
 	calls     map[controller.Verb]int
 	submitted int // tasks
 	refused   int // tasks
-	listSize  int
 }
 
 func newMeter() meter {
@@ -70,9 +70,7 @@
 }
 
 func (m *meter) reset() {
-	size := m.listSize
 	*m = newMeter()
-	m.listSize = size
 }
 
 func (m *meter) of(id string) *usage {
@@ -154,9 +152,9 @@
 	}
 }
 
-func (m *meter) sent(from, to string, message peer.Message, w wireSizes) {
+func (m *meter) sent(from, to string, sent message.Message, w wireSizes) {
 	n := w.beat
-	if c, ok := message.(peer.Config); ok {
+	if c, ok := sent.(message.Config); ok {
 		n = len(c.Manifest)
 	}
 	m.add(from, beatBytes, n)
--- a/bench/batch/outage.go
+++ b/bench/batch/outage.go
@@ -26,7 +26,7 @@
 	if err := b.each(jobs...); err != nil {
 		return err
 	}
-	header := []string{"load", "done/s before", "done/s, first minute", "done/s, second", "done/s, third", "done/s, rest", "lost of the outage's work", "running at its end", "starts again after", "running as before after", "refused of submitted", "ran in two places"}
+	header := []string{"load", "queued at its start", "done/s before", "done/s, first minute", "done/s, second", "done/s, third", "done/s, rest", "lost of the outage's work", "running at its end", "starts again after", "running as before after", "refused of submitted", "ran in two places"}
 	return table(w, fmt.Sprintf("The log down for %v, one zone at the peak", b.outage), header, rows)
 }
 
@@ -38,6 +38,10 @@
 	c.run(time.Minute)
 	at := c.now
 	c.meter.reset()
+	queued := 0
+	for _, g := range c.nodes[0].c.State().Groups() {
+		queued += g.Queued
+	}
 	c.down = true
 	c.run(b.outage)
 	c.down = false
@@ -63,7 +67,7 @@
 		}
 	}
 	return []string{
-		number(before), minute(0), minute(1), minute(2), number(rate(at.Add(3*time.Minute), up)),
+		fmt.Sprint(queued), number(before), minute(0), minute(1), minute(2), number(rate(at.Add(3*time.Minute), up)),
 		fmt.Sprintf("%.0f%%", 100*lost), fmt.Sprint(runningAt(runs, up)), seconds(resumed), asBefore,
 		fmt.Sprintf("%d of %d", c.meter.refused, c.meter.submitted), fmt.Sprint(overlaps),
 	}, nil
--- a/bench/batch/recovery.go
+++ b/bench/batch/recovery.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -145,13 +147,21 @@
 		fmt.Sprint(len(concerned)), fmt.Sprint(before), after(owned), after(recovered),
 		fmt.Sprint(ended), fmt.Sprint(again), after(last),
 		fmt.Sprint(startedIn(runs, at.Add(-time.Minute), at)), fmt.Sprint(startedIn(runs, at, at.Add(time.Minute))),
-		fmt.Sprint(runningAt(runs, at)), fmt.Sprint(fewest), fmt.Sprint(c.meter.refused), fmt.Sprint(overlaps), fmt.Sprint(c.meter.events),
+		fmt.Sprint(runningAt(runs, at)), fmt.Sprint(fewest), fmt.Sprint(c.meter.refused), fmt.Sprint(overlaps), c.eventText(),
 	}
 }
 
+func (c *cluster) eventText() string {
+	var words []string
+	for _, name := range slices.Sorted(maps.Keys(c.meter.events)) {
+		words = append(words, fmt.Sprintf("%s: %d", name, c.meter.events[name]))
+	}
+	return strings.Join(words, ", ")
+}
+
 func after(d time.Duration) string {
 	if d == 0 {
-		return "none, or not within " + settled.String()
+		return "none or not within " + settled.String()
 	}
 	return seconds(d)
 }
--- a/bench/batch/steady.go
+++ b/bench/batch/steady.go
@@ -49,8 +49,11 @@
 func (c *cluster) figures(d time.Duration) Figures {
 	f := Figures{Bytes: map[string]float64{}}
 	n := float64(len(c.alive)) * d.Seconds()
-	for id := range c.alive {
-		u := c.meter.of(id)
+	for _, node := range c.nodes {
+		if node.gone {
+			continue
+		}
+		u := c.meter.of(node.id)
 		f.Processor += u.time.Seconds() / n
 		f.Most = max(f.Most, u.time.Seconds()/d.Seconds())
 		f.LongStep = max(f.LongStep, u.most)
@@ -59,9 +62,11 @@
 			f.Total += float64(bytes) / n
 		}
 	}
-	for _, calls := range c.meter.appends {
-		f.Appends += float64(calls) / d.Seconds()
+	calls := 0
+	for _, n := range c.meter.appends {
+		calls += n
 	}
+	f.Appends = float64(calls) / d.Seconds()
 	f.Starts = float64(c.meter.calls[controller.Start]) / d.Seconds()
 	return f
 }
@@ -119,9 +124,7 @@
 	for _, name := range trafficNames {
 		rows = append(rows, []string{name, number(f.Bytes[name])})
 	}
-	rows = append(rows, []string{"all", number(f.Total)})
-	without := f.Total - f.Bytes[trafficNames[listBytes]]
-	return append(rows, []string{"all but the instance list", number(without)})
+	return append(rows, []string{"all", number(f.Total)})
 }
 
 func (c *cluster) stepRows(d time.Duration) [][]string {
--- a/bench/batch/urgent.go
+++ b/bench/batch/urgent.go
@@ -14,6 +14,10 @@
 	forceLimit  = 12 * time.Second
 )
 
+// urgentGroups is how many groups submit urgent tasks only where those are to
+// stay below their share: theirs take about half of it.
+const urgentGroups = 8
+
 // variant is one row of a comparison.
 type variant struct {
 	name   string
@@ -42,11 +46,11 @@
 		{"as it is", func(*plan) {}},
 		{"appends every 100 ms", func(p *plan) { p.timing.Append = 100 * time.Millisecond }},
 		{"appends every second", func(p *plan) { p.timing.Append = time.Second }},
-		{"heartbeats every second", func(p *plan) { p.timing.Heartbeat = time.Second }},
+		{"heartbeats every half second", func(p *plan) { p.timing.Heartbeat = 500 * time.Millisecond }},
 		{"leases of 12 s", func(p *plan) { p.timing.Lease = 12 * time.Second }},
 		{"full zone, groups at their share", fullZone},
-		{"full zone, urgent tasks from groups below their share", func(p *plan) { fullZone(p); p.urgentGroups = 4 }},
-		{"the same, and room only where a task ends", func(p *plan) { fullZone(p); p.urgentGroups = 4; scarceRoom(p) }},
+		{"full zone, urgent tasks from groups below their share", func(p *plan) { fullZone(p); p.urgentGroups = urgentGroups }},
+		{"the same, and room only where a task ends", func(p *plan) { fullZone(p); p.urgentGroups = urgentGroups; scarceRoom(p) }},
 	}
 	rows := make([][]string, len(variants))
 	var jobs []func() error
@@ -63,7 +67,7 @@
 		return err
 	}
 	title := fmt.Sprintf("Urgent submission to start, one zone at the peak, limit %v", urgentLimit)
-	return table(w, title, []string{"policy", "urgent tasks", "p50", "p99", "max", "not started", "appends/s", "starts/s", "running", "queued", "bytes/s without list", "Step, % of a core", "ran in two places"}, rows)
+	return table(w, title, []string{"policy", "urgent tasks", "p50", "p99", "max", "not started", "appends/s", "starts/s", "running", "queued", "bytes/s of an instance", "Step, % of a core", "ran in two places"}, rows)
 }
 
 func urgentRow(p plan, name string, window time.Duration) ([]string, error) {
@@ -85,7 +89,7 @@
 	return []string{
 		name, fmt.Sprint(len(waits)), seconds(quantile(waits, 0.5)), seconds(quantile(waits, 0.99)), seconds(quantile(waits, 1)), fmt.Sprint(left),
 		number(f.Appends), number(f.Starts), fmt.Sprint(runningAt(runs, c.now)), fmt.Sprint(queued),
-		number(f.Total - f.Bytes[trafficNames[listBytes]]), fmt.Sprintf("%.2f", 100*f.Processor), fmt.Sprint(overlaps),
+		number(f.Total), fmt.Sprintf("%.2f", 100*f.Processor), fmt.Sprint(overlaps),
 	}, nil
 }
 
--- a/bench/batch/wire.go
+++ b/bench/batch/wire.go
@@ -31,7 +31,8 @@
 	call   int // another call to a worker
 	append int
 	read   int
-	list   int
+	list   int // a reading of a list that hasn't changed
+	report int
 	entry  int // of a page, beside its data
 }
 
@@ -114,7 +115,16 @@
 	s.lease = size - jsonSize(request) - jsonSize(l)
 	ids := []string{"t"}
 	size, err = c.size(func() error { return w.Acknowledge(ctx, l.Epoch, ids) })
+	if err != nil {
+		return err
+	}
 	s.call = size - jsonSize(wire.Acknowledge{Epoch: l.Epoch, Tasks: ids})
+	var r platform.Report
+	size, err = c.size(func() (err error) {
+		r, err = w.Report(ctx)
+		return err
+	})
+	s.report = size - jsonSize(r)
 	return err
 }
 
--- a/cmd/dogwoodladder/bench.go
+++ b/cmd/dogwoodladder/bench.go
@@ -4,14 +4,16 @@
 	"os"
 
 	"github.com/dogwoodladder/dogwoodladder/bench/batch"
+	"github.com/dogwoodladder/dogwoodladder/bench/capacity"
 	"github.com/dogwoodladder/dogwoodladder/bench/mixed"
 	"github.com/dogwoodladder/dogwoodladder/bench/quick"
 )
 
 type benchCmd struct {
-	Quick quickBenchCmd `cmd:"" help:"Measure the policies of quick requests."`
-	Mixed mixedBenchCmd `cmd:"" help:"Measure what runs beside what."`
-	Batch batchBenchCmd `cmd:"" help:"Measure batch work at the planned size."`
+	Quick    quickBenchCmd    `cmd:"" help:"Measure the policies of quick requests."`
+	Mixed    mixedBenchCmd    `cmd:"" help:"Measure what runs beside what."`
+	Batch    batchBenchCmd    `cmd:"" help:"Measure batch work at the planned size."`
+	Capacity capacityBenchCmd `cmd:"" help:"Measure how costs grow with the size of a site, with real processes too."`
 }
 
 type quickBenchCmd struct {
@@ -24,15 +26,39 @@
 }
 
 type mixedBenchCmd struct {
-	Seeds int `default:"5" help:"Number of seeds."`
+	Seeds    int      `default:"5" help:"Number of seeds."`
+	Sections []string `help:"Tables to print; all by default."`
+	Parallel int      `default:"2" help:"Runs at the same time."`
 }
 
 func (c *mixedBenchCmd) Run() error {
-	return mixed.New(mixed.WithSeeds(c.Seeds)).Run(os.Stdout)
+	return mixed.New(mixed.WithSeeds(c.Seeds), mixed.WithSections(c.Sections...), mixed.WithParallel(c.Parallel)).Run(os.Stdout)
 }
 
-type batchBenchCmd struct{}
+type batchBenchCmd struct {
+	Sections []string `help:"Tables to print: steady, urgent, fold, recovery, outage, configuration; all by default."`
+	Parallel int      `default:"3" help:"Runs at the same time."`
+}
 
 func (c *batchBenchCmd) Run() error {
-	return batch.New().Run(os.Stdout)
+	return batch.New(batch.WithSections(c.Sections...), batch.WithParallel(c.Parallel)).Run(os.Stdout)
+}
+
+type capacityBenchCmd struct {
+	Sections []string `help:"Tables to print: state, control, process; all by default."`
+	Port     int      `default:"17000" help:"First port of the processes."`
+	Parallel int      `default:"3" help:"Runs at the same time."`
+}
+
+func (c *capacityBenchCmd) Run() error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	return capacity.New(
+		capacity.WithSections(c.Sections...),
+		capacity.WithPort(c.Port),
+		capacity.WithParallel(c.Parallel),
+		capacity.WithProgram(program),
+	).Run(os.Stdout)
 }
