--- a/bench/mixed/driver.go
+++ b/bench/mixed/driver.go
@@ -32,6 +32,19 @@
 	Moves     int // asked for; the fake moves no service
 }
 
+// task is a batch task, queued or running.
+type task struct {
+	id       string
+	class    int
+	worker   int
+	percent  int
+	progress float64
+	saved    float64
+	resumed  float64 // progress that it started with
+	started  time.Duration
+	savedAt  time.Duration
+}
+
 // driver feeds one policy from one fake and carries out what it decides.
 type driver struct {
 	*fake
--- a/bench/mixed/fake.go
+++ b/bench/mixed/fake.go
@@ -53,19 +53,6 @@
 	noisy    bool
 }
 
-// task is a batch task, queued or running.
-type task struct {
-	id       string
-	class    int
-	worker   int
-	percent  int
-	progress float64
-	saved    float64
-	resumed  float64 // progress that it started with
-	started  time.Duration
-	savedAt  time.Duration
-}
-
 // replica is a service on a worker.
 type replica struct {
 	id      string
--- a/bench/mixed/mixed.go
+++ b/bench/mixed/mixed.go
@@ -16,7 +16,9 @@
 import (
 	"io"
 	"math/rand/v2"
+	"slices"
 
+	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/interference"
 	"github.com/dogwoodladder/dogwoodladder/mitigation"
 	"github.com/dogwoodladder/dogwoodladder/placement"
@@ -45,8 +47,14 @@
 	Ladder  []mitigation.Option
 }
 
-// Run prints the tables that the options name.
+// Run prints the tables that the options name. A name that there isn't gives
+// fault.Invalid.
 func (b *Bench) Run(w io.Writer) error {
+	for _, name := range b.sections {
+		if !slices.ContainsFunc(sections, func(s section) bool { return s.name == name }) {
+			return fault.New(fault.Invalid, "no section %q", name)
+		}
+	}
 	for _, section := range sections {
 		if !b.wants(section.name) {
 			continue
--- a/bench/mixed/options.go
+++ b/bench/mixed/options.go
@@ -10,6 +10,7 @@
 
 type options struct {
 	seeds     int
+	first     uint64
 	duration  time.Duration
 	threshold float64
 	parallel  int
@@ -18,7 +19,7 @@
 }
 
 func defaults() options {
-	return options{seeds: 5, duration: 80 * time.Minute, threshold: 1.25, parallel: 2}
+	return options{seeds: 5, first: 1, duration: 80 * time.Minute, threshold: 1.25, parallel: 2}
 }
 
 // WithSeeds sets over how many seeds each figure is taken (default 5).
@@ -26,6 +27,11 @@
 	return func(o *options) { o.seeds = n }
 }
 
+// WithFirstSeed sets the lowest seed (default 1).
+func WithFirstSeed(seed uint64) Option {
+	return func(o *options) { o.first = seed }
+}
+
 // WithDuration sets the virtual time of a run, of which the first 10 minutes
 // are left out (default 80 minutes).
 func WithDuration(d time.Duration) Option {
--- a/bench/mixed/table.go
+++ b/bench/mixed/table.go
@@ -180,8 +180,8 @@
 	b.playAll(all)
 	var out strings.Builder
 	fmt.Fprintf(&out, "\n### %s\n\n", title)
-	fmt.Fprintf(&out, "%d seeds, %v of virtual time, mean (least to most). Tail: p99 of each service over the one without colocation, mean over services; worst: the highest of a service. Batch: core hours an hour that count, and over the oracle's.\n\n", b.seeds, b.duration)
-	out.WriteString("| | tail | worst tail | batch | of oracle | evictions | out of memory | wasted | throttles |\n|---|---|---|---|---|---|---|---|---|\n")
+	fmt.Fprintf(&out, "Seeds %d to %d, %v of virtual time, mean (least to most). Tail: p99 of each service over the one without colocation, mean over services; worst: the highest of a service. Batch: core hours an hour that count, and over the oracle's.\n\n", b.first, b.first+uint64(b.seeds)-1, b.duration)
+	out.WriteString("| | tail | worst tail | batch | of oracle | evictions | out of memory | wasted | throttles | moves asked |\n|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, r := range rows {
 		key := fmt.Sprint(r.scenario)
 		r.write(&out, references[nameSplit+key], references[nameOracle+key])
@@ -200,7 +200,7 @@
 			wait.Go(func() {
 				defer func() { <-slots }()
 				s := r.scenario
-				s.Seed = uint64(i + 1)
+				s.Seed = r.bench.first + uint64(i)
 				r.results[i] = r.bench.play(r.policy, s)
 			})
 		}
@@ -221,6 +221,7 @@
 	column("%.0f", func(i int) float64 { return float64(r.results[i].Killed) })
 	column("%.1f", func(i int) float64 { return r.results[i].Wasted })
 	column("%.0f", func(i int) float64 { return float64(r.results[i].Throttles) })
+	column("%.0f", func(i int) float64 { return float64(r.results[i].Moves) })
 	out.WriteString(" |\n")
 }
 
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -148,20 +148,22 @@
 	return all
 }
 
-// wanted reports whether this instance should own a worker.
-func (c *Controller) wanted(id string) bool {
+// wanted reports whether this instance should own a worker, given the zone's
+// live instances.
+func (c *Controller) wanted(id string, live []string) bool {
 	if c.leaving {
 		return false
 	}
-	owner, ok := rendezvous.Pick(id, c.members.Live(c.self.AvailabilityZone))
+	owner, ok := rendezvous.Pick(id, live)
 	return ok && owner == c.self.ID
 }
 
 // own acquires the workers that should be owned here and gives up those that
 // should not be.
 func (c *Controller) own(now time.Time) {
+	live := c.members.Live(c.self.AvailabilityZone)
 	for _, h := range c.sorted() {
-		want := c.wanted(h.id) && !(h.leaving && len(h.tasks)+len(h.replicas) == 0)
+		want := c.wanted(h.id, live) && !(h.leaving && len(h.tasks)+len(h.replicas) == 0)
 		switch {
 		case want && h.listed && h.phase == unowned && !h.busy && !now.Before(h.retryAt):
 			h.phase = acquiring
--- a/mitigation/ladder.go
+++ b/mitigation/ladder.go
@@ -58,9 +58,12 @@
 
 // Worker is what the ladder needs to know of a worker.
 type Worker struct {
-	ID      string
-	Silent  bool
-	Load    float64 // processors that its tasks are measured to use, over what it has
+	ID     string
+	Silent bool
+	// Load is the sum of all tasks' shares of the processors as throttled now.
+	// It must not wait for reports: a load that still shows what was before a
+	// throttle makes the next call throttle again.
+	Load    float64
 	Victims []interference.Victim
 	Tasks   []Task // batch tasks running there
 }
@@ -71,7 +74,7 @@
 	Job       string
 	Group     string
 	Percent   int           // its throttle, 100 for none
-	Share     float64       // of the worker's processors, at full speed
+	Share     float64       // of the worker's processors by its measured size, at full speed
 	Lost      time.Duration // work since its last checkpoint
 	Remaining time.Duration // expected at full speed
 }
