--- a/controller/neighbors.go
+++ b/controller/neighbors.go
@@ -42,9 +42,8 @@
 type noted struct {
 	class   string
 	percent int
-	used    resource.Vector // newest measurement
-	since   time.Time       // of the newest checkpoint
-	mark    string          // the newest checkpoint
+	since   time.Time // of the newest checkpoint
+	mark    string    // the newest checkpoint
 }
 
 // classOf returns what tasks of the same kind of work have in common.
@@ -113,7 +112,6 @@
 		if outcome != interference.Used || !known {
 			continue
 		}
-		n.used = u.Used
 		if p, ok := h.tasks[u.Task]; ok && n.percent == fullSpeed {
 			c.neighbors.sizes.Observe(now, n.class, p.need, u.Used)
 		}
@@ -163,13 +161,20 @@
 	}
 }
 
-// load returns the measured use of a worker's processors.
+// load returns what the tasks on a worker need of its processors at their
+// present speeds. It goes by learnt sizes, since measurements lag: a throttle
+// would be repeated until they show it.
 func (c *Controller) load(h *holding) float64 {
-	var used resource.Vector
-	for _, n := range h.noted {
-		used = used.Add(n.used)
+	var need int64
+	for _, p := range h.replicas {
+		need += p.need.Processors
 	}
-	return resource.Vector{Processors: used.Processors}.Dominant(h.capacity)
+	for id, p := range h.tasks {
+		if n := h.noted[id]; n != nil && p.stage == running {
+			need += c.neighbors.sizes.Need(n.class, p.need).Processors * int64(n.percent) / fullSpeed
+		}
+	}
+	return resource.Vector{Processors: need}.Dominant(h.capacity)
 }
 
 // mitigable returns the batch tasks on a worker that may be throttled or
@@ -188,7 +193,7 @@
 			Job:       n.class,
 			Group:     t.Group,
 			Percent:   n.percent,
-			Share:     resource.Vector{Processors: p.need.Processors}.Dominant(h.capacity),
+			Share:     resource.Vector{Processors: c.neighbors.sizes.Need(n.class, p.need).Processors}.Dominant(h.capacity),
 			Lost:      now.Sub(n.since),
 			Remaining: max(left, 0),
 		})
