--- a/controller/claim.go
+++ b/controller/claim.go
@@ -14,7 +14,7 @@
 	urgentInterval = 400 * time.Millisecond // between selections while urgent tasks are queued
 	selectInterval = time.Second            // between selections, which look at the whole queue
 	reclaim        = 10 * time.Second       // before a task is claimed again
-	foreignAge     = 3 * time.Second        // before a task is claimed that another instance should claim
+	foreignAge     = 2 * time.Second        // before a task is claimed that another instance should claim
 	claimMax       = 256                    // tasks in one Claim record
 )
 
--- a/interference/report.go
+++ b/interference/report.go
@@ -61,13 +61,21 @@
 	if u.Measured.After(w.heard) {
 		w.heard = u.Measured
 	}
-	if r.Kind == platform.KindService && u.Latency > 0 && u.Requests > 0 {
+	if r.Kind == platform.KindService && u.Latency > 0 && u.Requests >= minRequests {
 		e.learn(now, w, r, u)
 		e.shed(r.Class)
 	}
 	return Used
 }
 
+// minRequests is how many requests a report has to cover for its latency to
+// teach anything.
+//
+// What goes wrong: the first few answers of a replica are slow, as its
+// connections are new, and stand for its tail. One would notice batch work
+// kept off a worker that hardly gets requests.
+const minRequests = 5
+
 // learn takes a step of the victim's filter.
 //
 // What goes wrong: one wild report drags every estimate of its class. One
