Controller: state that nobody read, twin checks and loops the library has

The last routing table and the time of the configuration stream's tail were written and never read; a loop and a sort stood beside slices and maps; tick asked twice whether there is a state.

--- a/controller/command.go
+++ b/controller/command.go
@@ -1,12 +1,14 @@
 package controller
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/follower"
+	"github.com/dogwoodladder/dogwoodladder/manifest"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/zone"
 )
@@ -68,12 +70,7 @@
 }
 
 func (c *Controller) hasGroup(name string) bool {
-	for _, g := range c.manifest.Groups {
-		if g.Name == name {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.manifest.Groups, func(g manifest.Group) bool { return g.Name == name })
 }
 
 // await writes a command's record and answers once it is read back.
--- a/controller/config.go
+++ b/controller/config.go
@@ -23,7 +23,6 @@
 	pending  []*publication
 	inFlight bool
 	restated time.Time
-	tail     time.Time // when the newest read that reached the tail was sent
 
 	stale      bool   // a restatement was overtaken and is due again
 	understood uint64 // revision of the manifest in use
@@ -112,7 +111,9 @@
 	return f.pending[0].data, true
 }
 
-func (f *configuration) answered(now time.Time, err error) {
+// answered takes note that the append call ended. Whatever its outcome, the
+// record is appended again until it was read back.
+func (f *configuration) answered() {
 	f.inFlight = false
 }
 
@@ -148,9 +149,6 @@
 	for _, e := range in.Page.Entries {
 		c.takeConfig(e)
 	}
-	if c.history.Next() >= in.Page.Next {
-		c.config.tail = in.Sent
-	}
 	if c.history.Current().Number != before {
 		c.configured()
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -28,7 +28,6 @@
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/replica"
 	"github.com/dogwoodladder/dogwoodladder/revision"
-	"github.com/dogwoodladder/dogwoodladder/route"
 	"github.com/dogwoodladder/dogwoodladder/share"
 	"github.com/dogwoodladder/dogwoodladder/zone"
 )
@@ -91,7 +90,6 @@
 	commands map[uint64]*command         // by the sequence of the record they wait for
 	free     map[string]int
 	peers    []message.Peer
-	table    *route.Table
 
 	scheduler    *share.Scheduler
 	neighbors    *neighbors
@@ -208,10 +206,8 @@
 	c.lapseLeases(now)
 	c.own(now)
 	c.renew(now)
-	if c.follow.Ready() && c.leaving {
-		c.returnUnstarted(now)
-	}
 	if c.follow.Ready() {
+		c.returnUnstarted()
 		c.propose(now)
 		c.settleUnreachable(now)
 		c.startEscrow(now)
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -135,7 +135,10 @@
 
 // returnUnstarted gives back the escrowed tasks that are on no worker, those
 // of claims that were under way when the stop began included.
-func (c *Controller) returnUnstarted(now time.Time) {
+func (c *Controller) returnUnstarted() {
+	if !c.leaving {
+		return
+	}
 	for t := range c.State().Escrow(c.self.ID) {
 		a := attemptOf(t)
 		if c.mine(t) && c.placed[a] == nil {
--- a/controller/neighbors.go
+++ b/controller/neighbors.go
@@ -1,8 +1,8 @@
 package controller
 
 import (
+	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/interference"
@@ -272,10 +272,5 @@
 }
 
 func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
+	return slices.Sorted(maps.Keys(m))
 }
--- a/controller/service.go
+++ b/controller/service.go
@@ -308,7 +308,6 @@
 	for _, h := range c.sorted() {
 		c.addBackends(now, t, h)
 	}
-	c.table = t
 	c.do(Publish{Table: t})
 }
 
--- a/controller/stream.go
+++ b/controller/stream.go
@@ -137,7 +137,7 @@
 
 func (c *Controller) appended(now time.Time, in Appended) {
 	if in.Stream == ConfigStream {
-		c.config.answered(now, in.Err)
+		c.config.answered()
 		return
 	}
 	c.out.Answered(now, in.Err)
