--- a/bench/batch/driver.go
+++ b/bench/batch/driver.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/controller"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
 )
@@ -45,7 +45,7 @@
 	alive    map[string]*node
 	workers  []*backend
 	byID     map[string]*backend
-	listed   []platform.Instance
+	listed   []provider.Instance
 	relisted int // times that the list changed
 	listSize int // bytes
 	answers  map[uint64]func(error)
@@ -167,9 +167,9 @@
 	c.listed = nil
 	for _, n := range c.nodes {
 		if !n.gone {
-			c.listed = append(c.listed, platform.Instance{
-				ID: n.id, Role: platform.RoleEntry, AvailabilityZone: n.zone,
-				Address: "10.0.0.1:7000", Caller: "10.0.0.1:7001", Status: platform.StatusLive,
+			c.listed = append(c.listed, provider.Instance{
+				ID: n.id, Role: provider.RoleEntry, AvailabilityZone: n.zone,
+				Address: "10.0.0.1:7000", Caller: "10.0.0.1:7001", Status: provider.StatusLive,
 			})
 		}
 	}
@@ -239,16 +239,16 @@
 	from := n.c.Next(stream)
 	n.after(logDelay, func() {
 		if n.down || n.cut[n.id] {
-			n.after(appendTimeout, func() { n.taken(stream, sent, platform.Page{}, errLog) })
+			n.after(appendTimeout, func() { n.taken(stream, sent, provider.Page{}, errLog) })
 			return
 		}
-		n.stream(stream).read(n.cluster, from, func(page platform.Page) {
+		n.stream(stream).read(n.cluster, from, func(page provider.Page) {
 			n.after(logDelay, func() { n.taken(stream, sent, page, nil) })
 		})
 	})
 }
 
-func (n *node) taken(stream string, sent time.Time, page platform.Page, err error) {
+func (n *node) taken(stream string, sent time.Time, page provider.Page, err error) {
 	if n.gone {
 		return
 	}
@@ -304,7 +304,7 @@
 func (n *node) arrive(a controller.Call, sent time.Time) {
 	b := n.byID[a.Worker]
 	if b.dead {
-		n.after(callTimeout, func() { n.reply(a, sent, platform.Lease{}, errSilent) })
+		n.after(callTimeout, func() { n.reply(a, sent, provider.Lease{}, errSilent) })
 		return
 	}
 	l, err := b.execute(a)
@@ -322,7 +322,7 @@
 	n.after(networkDelay, func() { n.step(controller.Reported{Worker: r.Worker, Report: r}) })
 }
 
-func (n *node) reply(a controller.Call, sent time.Time, l platform.Lease, err error) {
+func (n *node) reply(a controller.Call, sent time.Time, l provider.Lease, err error) {
 	switch a.Verb {
 	case controller.Acquire, controller.Renew, controller.Transfer:
 		n.step(controller.Leased{Worker: a.Worker, Verb: a.Verb, Sent: sent, Lease: l, Err: err})
@@ -335,7 +335,7 @@
 	}
 }
 
-func (b *backend) execute(a controller.Call) (platform.Lease, error) {
+func (b *backend) execute(a controller.Call) (provider.Lease, error) {
 	switch a.Verb {
 	case controller.Acquire:
 		return b.Acquire(a.Lease)
@@ -344,13 +344,13 @@
 	case controller.Transfer:
 		return b.Transfer(a.Epoch, a.To)
 	case controller.Release:
-		return platform.Lease{}, b.Release(a.Epoch)
+		return provider.Lease{}, b.Release(a.Epoch)
 	case controller.Start:
-		return platform.Lease{}, b.Start(a.Epoch, a.Spec)
+		return provider.Lease{}, b.Start(a.Epoch, a.Spec)
 	case controller.Stop:
-		return platform.Lease{}, b.Stop(a.Epoch, a.Task, a.Checkpoint)
+		return provider.Lease{}, b.Stop(a.Epoch, a.Task, a.Checkpoint)
 	default:
-		return platform.Lease{}, b.Acknowledge(a.Epoch, a.Tasks)
+		return provider.Lease{}, b.Acknowledge(a.Epoch, a.Tasks)
 	}
 }
 
--- a/bench/batch/fake.go
+++ b/bench/batch/fake.go
@@ -7,7 +7,7 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/message"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 var (
@@ -18,13 +18,13 @@
 // stream is one stream of the fake log. Reads wait for the next record.
 type stream struct {
 	name    string
-	entries []platform.Entry
+	entries []provider.Entry
 	waiting []*waiter
 }
 
 type waiter struct {
 	from   uint64
-	answer func(platform.Page)
+	answer func(provider.Page)
 	done   bool
 }
 
@@ -40,7 +40,7 @@
 func (s *stream) append(c *cluster, records [][]byte) {
 	c.meter.appends[s.name]++
 	for _, data := range records {
-		s.entries = append(s.entries, platform.Entry{Offset: uint64(len(s.entries)), Time: c.now, Data: data})
+		s.entries = append(s.entries, provider.Entry{Offset: uint64(len(s.entries)), Time: c.now, Data: data})
 	}
 	waiting := s.waiting
 	s.waiting = nil
@@ -49,7 +49,7 @@
 	}
 }
 
-func (s *stream) read(c *cluster, from uint64, answer func(platform.Page)) {
+func (s *stream) read(c *cluster, from uint64, answer func(provider.Page)) {
 	w := &waiter{from: from, answer: answer}
 	if from < uint64(len(s.entries)) {
 		s.answer(w)
@@ -65,12 +65,12 @@
 	}
 	w.done = true
 	last := min(uint64(len(s.entries)), w.from+readLimit)
-	w.answer(platform.Page{Next: uint64(len(s.entries)), Entries: s.entries[w.from:last:last]})
+	w.answer(provider.Page{Next: uint64(len(s.entries)), Entries: s.entries[w.from:last:last]})
 }
 
 // window returns the entries of a stream accepted within [from, to).
-func (s *stream) window(from, to time.Time) []platform.Entry {
-	var found []platform.Entry
+func (s *stream) window(from, to time.Time) []provider.Entry {
+	var found []provider.Entry
 	for _, e := range s.entries {
 		if !e.Time.Before(from) && e.Time.Before(to) {
 			found = append(found, e)
--- a/bench/batch/meter.go
+++ b/bench/batch/meter.go
@@ -9,7 +9,7 @@
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/controller"
 	"github.com/dogwoodladder/dogwoodladder/message"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // traffic is a kind of control bytes.
@@ -102,7 +102,7 @@
 	return reflect.TypeOf(in).Name()
 }
 
-func (m *meter) read(id, stream string, page platform.Page, w wireSizes) {
+func (m *meter) read(id, stream string, page provider.Page, w wireSizes) {
 	if stream == controller.ConfigStream {
 		n := w.read
 		for _, e := range page.Entries {
@@ -136,7 +136,7 @@
 	m.add(id, kind, len(body)+w.append)
 }
 
-func (m *meter) call(id string, a controller.Call, l platform.Lease, w wireSizes) {
+func (m *meter) call(id string, a controller.Call, l provider.Lease, w wireSizes) {
 	m.calls[a.Verb]++
 	switch a.Verb {
 	case controller.Acquire, controller.Renew:
--- a/bench/batch/wire.go
+++ b/bench/batch/wire.go
@@ -14,7 +14,7 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/peer"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/standin/instancelist"
 	"github.com/dogwoodladder/dogwoodladder/standin/logservice"
@@ -103,8 +103,8 @@
 
 func (c *calibration) worker(ctx context.Context, s *wireSizes) error {
 	w := client.NewWorker("worker", c.opts...)
-	request := platform.LeaseRequest{Holder: "e00", TTL: time.Minute, Tasks: time.Minute}
-	var l platform.Lease
+	request := provider.LeaseRequest{Holder: "e00", TTL: time.Minute, Tasks: time.Minute}
+	var l provider.Lease
 	size, err := c.size(func() (err error) {
 		l, err = w.Acquire(ctx, request)
 		return err
@@ -119,7 +119,7 @@
 		return err
 	}
 	s.call = size - jsonSize(wire.Acknowledge{Epoch: l.Epoch, Tasks: ids})
-	var r platform.Report
+	var r provider.Report
 	size, err = c.size(func() (err error) {
 		r, err = w.Report(ctx)
 		return err
@@ -140,7 +140,7 @@
 		return err
 	}
 	s.append = size - len(body)
-	empty, err := wire.EncodePage(platform.Page{})
+	empty, err := wire.EncodePage(provider.Page{})
 	if err != nil {
 		return err
 	}
@@ -149,8 +149,8 @@
 		return err
 	}
 	s.read = size
-	e := platform.Entry{Offset: 1 << 20, Time: time.Now(), Data: data[0]}
-	page, err := wire.EncodePage(platform.Page{Entries: []platform.Entry{e}})
+	e := provider.Entry{Offset: 1 << 20, Time: time.Now(), Data: data[0]}
+	page, err := wire.EncodePage(provider.Page{Entries: []provider.Entry{e}})
 	s.entry = len(page) - len(empty) - len(data[0])
 	return err
 }
--- a/bench/capacity/process.go
+++ b/bench/capacity/process.go
@@ -17,7 +17,7 @@
 	"github.com/dogwoodladder/dogwoodladder/client"
 	"github.com/dogwoodladder/dogwoodladder/daemon"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 )
 
@@ -122,9 +122,9 @@
 func (s *site) pad(n int) error {
 	list := client.NewRegistrar(s.address(2))
 	for i := range n {
-		in := platform.Instance{
-			ID: fmt.Sprintf("other-%04d", i), Role: platform.RoleWorker, AvailabilityZone: "zone-b", Rack: "r00",
-			Address: "10.0.1.1:7000", Status: platform.StatusLive, Capacity: workerCapacity, Slots: 8,
+		in := provider.Instance{
+			ID: fmt.Sprintf("other-%04d", i), Role: provider.RoleWorker, AvailabilityZone: "zone-b", Rack: "r00",
+			Address: "10.0.1.1:7000", Status: provider.StatusLive, Capacity: workerCapacity, Slots: 8,
 		}
 		if err := list.Put(context.Background(), in); err != nil {
 			return err
@@ -143,8 +143,8 @@
 		return err
 	}
 	list := client.NewRegistrar(s.address(2))
-	in := platform.Instance{
-		ID: id, Role: platform.RoleEntry, AvailabilityZone: availabilityZone, Address: peer, Caller: caller, Status: platform.StatusLive,
+	in := provider.Instance{
+		ID: id, Role: provider.RoleEntry, AvailabilityZone: availabilityZone, Address: peer, Caller: caller, Status: provider.StatusLive,
 	}
 	if err := list.Put(context.Background(), in); err != nil {
 		return err
--- a/bench/mixed/blind.go
+++ b/bench/mixed/blind.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -47,7 +47,7 @@
 
 func (b *blind) started(*driver, *task)          {}
 func (b *blind) ended(*driver, *task, bool)      {}
-func (b *blind) report(*driver, platform.Report) {}
+func (b *blind) report(*driver, provider.Report) {}
 func (b *blind) protect(*driver, *machine)       {}
 
 // threshold is best fit with a fixed limit on each service's latency. The
@@ -64,7 +64,7 @@
 	return &threshold{limit: limit, evicts: evicts, last: map[string]float64{}, acted: map[string]time.Duration{}}
 }
 
-func (p *threshold) report(d *driver, r platform.Report) {
+func (p *threshold) report(d *driver, r provider.Report) {
 	for _, u := range r.Usage {
 		if u.Latency > 0 {
 			p.last[u.Task] = u.Latency.Seconds()
--- a/bench/mixed/driver.go
+++ b/bench/mixed/driver.go
@@ -8,7 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -66,7 +66,7 @@
 	reserve(d *driver, r *replica) resource.Vector
 	started(d *driver, t *task)
 	ended(d *driver, t *task, done bool)
-	report(d *driver, r platform.Report)
+	report(d *driver, r provider.Report)
 	// protect is called for each machine in each round.
 	protect(d *driver, m *machine)
 }
--- a/bench/mixed/fake.go
+++ b/bench/mixed/fake.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -92,7 +92,7 @@
 
 type lateReport struct {
 	due time.Duration
-	platform.Report
+	provider.Report
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -330,7 +330,7 @@
 
 // report queues a machine's report for delivery after the lag.
 func (f *fake) report(m *machine) {
-	r := platform.Report{Worker: m.name}
+	r := provider.Report{Worker: m.name}
 	at := epoch.Add(f.now)
 	for _, p := range m.replicas {
 		seconds := p.latency / float64(max(p.steps, 1)) * math.Exp(f.scenario.Noise*f.random.NormFloat64())
@@ -339,7 +339,7 @@
 		}
 		p.latency, p.steps = 0, 0
 		s := &f.services[p.service]
-		r.Usage = append(r.Usage, platform.Usage{
+		r.Usage = append(r.Usage, provider.Usage{
 			Task: p.id, Measured: at, Interval: reportEvery, Used: f.serviceUse(p.service),
 			Latency:  time.Duration(seconds * float64(time.Second)),
 			Requests: int(f.load(p.service) * s.rate * reportEvery.Seconds()),
@@ -349,7 +349,7 @@
 		used := f.batch[t.class].actual
 		noise := math.Exp(f.scenario.Noise * f.random.NormFloat64())
 		used.Processors = int64(float64(used.Processors) * noise * float64(t.percent) / 100)
-		r.Usage = append(r.Usage, platform.Usage{
+		r.Usage = append(r.Usage, provider.Usage{
 			Task: t.id, Group: f.batch[t.class].group, Measured: at, Interval: reportEvery, Used: used,
 		})
 	}
@@ -360,8 +360,8 @@
 }
 
 // arrived returns the reports that are due.
-func (f *fake) arrived() []platform.Report {
-	var due []platform.Report
+func (f *fake) arrived() []provider.Report {
+	var due []provider.Report
 	f.reports = slices.DeleteFunc(f.reports, func(r lateReport) bool {
 		if r.due > f.now {
 			return false
--- a/bench/mixed/informed.go
+++ b/bench/mixed/informed.go
@@ -7,7 +7,7 @@
 	"github.com/dogwoodladder/dogwoodladder/interference"
 	"github.com/dogwoodladder/dogwoodladder/mitigation"
 	"github.com/dogwoodladder/dogwoodladder/placement"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/usage"
 )
@@ -59,7 +59,7 @@
 }
 
 func (p *informed) describe(d *driver, t *task) interference.Task {
-	return interference.Task{ID: t.id, Class: d.batch[t.class].name, Kind: platform.KindBatch}
+	return interference.Task{ID: t.id, Class: d.batch[t.class].name, Kind: provider.KindBatch}
 }
 
 func (p *informed) worst(d *driver, m *machine, add *interference.Task) float64 {
@@ -100,7 +100,7 @@
 		for _, t := range tasks {
 			harm := math.Log1p(d.pairs[d.phase()][r.service][t.class] * (0.5 + d.load(r.service)))
 			v.Culprits = append(v.Culprits, interference.Culprit{
-				Task: t.id, Class: d.batch[t.class].name, Kind: platform.KindBatch,
+				Task: t.id, Class: d.batch[t.class].name, Kind: provider.KindBatch,
 				Harm: harm, Activity: float64(t.percent) / 100, Confidence: 1,
 			})
 		}
@@ -137,7 +137,7 @@
 	}
 }
 
-func (p *informed) report(d *driver, r platform.Report) {
+func (p *informed) report(d *driver, r provider.Report) {
 	for _, u := range r.Usage {
 		if p.pairs.Observe(d.at(), r.Worker, u) != interference.Used {
 			continue
@@ -205,7 +205,7 @@
 	for _, m := range d.machines {
 		for _, r := range m.replicas {
 			name := d.services[r.service].name
-			p.pairs.Placed(d.at(), m.name, interference.Task{ID: r.id, Class: name, Kind: platform.KindService})
+			p.pairs.Placed(d.at(), m.name, interference.Task{ID: r.id, Class: name, Kind: provider.KindService})
 		}
 	}
 }
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -17,7 +17,7 @@
 	"github.com/dogwoodladder/dogwoodladder/client"
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 	"github.com/dogwoodladder/dogwoodladder/standin/instancelist"
 	"github.com/dogwoodladder/dogwoodladder/standin/logservice"
@@ -129,7 +129,7 @@
 }
 
 // openConnections leaves several idle connections by calls at the same time.
-func openConnections(t *testing.T, log platform.Log) {
+func openConnections(t *testing.T, log provider.Log) {
 	page, err := log.Read(t.Context(), stream, 0, 1, 0)
 	is.New(t).NoErr(err)
 	var calls sync.WaitGroup
@@ -210,9 +210,9 @@
 	inBubble(t, newWorker, func(t *testing.T, _ server, opts []client.Option) {
 		is := is.New(t)
 		w := client.NewWorker("peer", opts...)
-		_, err := w.Acquire(t.Context(), platform.LeaseRequest{Holder: "a", TTL: 1500 * time.Millisecond})
+		_, err := w.Acquire(t.Context(), provider.LeaseRequest{Holder: "a", TTL: 1500 * time.Millisecond})
 		is.NoErr(err)
-		_, err = w.Acquire(t.Context(), platform.LeaseRequest{Holder: "b", TTL: time.Second})
+		_, err = w.Acquire(t.Context(), provider.LeaseRequest{Holder: "b", TTL: time.Second})
 		is.True(fault.Is(err, fault.Conflict))
 		is.Equal(err.(*fault.Error).RetryAfter, 1500*time.Millisecond) // not rounded to seconds
 		is.True(fault.Is(w.Stop(t.Context(), 9, "some/task", false), fault.StaleEpoch))
@@ -265,7 +265,7 @@
 	if r.Method == http.MethodPost {
 		return []byte(`{"first":1}`)
 	}
-	body, _ := wire.EncodePage(platform.Page{})
+	body, _ := wire.EncodePage(provider.Page{})
 	return body
 }
 
@@ -301,7 +301,7 @@
 	list := client.NewList(server.Listener.Addr().String())
 	for i, want := range []int{1, 1, 2} {
 		if want > len(instances.Instances()) {
-			is.NoErr(instances.Put(platform.Instance{ID: fmt.Sprint("w", i), Role: platform.RoleWorker, Status: platform.StatusLive, Address: "127.0.0.1:1", AvailabilityZone: "a"}))
+			is.NoErr(instances.Put(provider.Instance{ID: fmt.Sprint("w", i), Role: provider.RoleWorker, Status: provider.StatusLive, Address: "127.0.0.1:1", AvailabilityZone: "a"}))
 		}
 		got, err := list.Instances(t.Context())
 		is.NoErr(err)
--- a/client/list.go
+++ b/client/list.go
@@ -9,7 +9,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // list keeps the newest list with its entity tag, since it is asked for often
@@ -19,15 +19,15 @@
 
 	mu        sync.Mutex
 	tag       string
-	instances []platform.Instance
+	instances []provider.Instance
 }
 
 // NewList returns a client of the instance list at address.
-func NewList(address string, opts ...Option) platform.List {
+func NewList(address string, opts ...Option) provider.List {
 	return &list{peer: newPeer(address, opts)}
 }
 
-func (l *list) Instances(ctx context.Context) ([]platform.Instance, error) {
+func (l *list) Instances(ctx context.Context) ([]provider.Instance, error) {
 	tag, known := l.known()
 	c := call{method: http.MethodGet, path: wire.PathInstances, tag: tag, limit: wire.MaxControl}
 	a, err := l.peer.do(ctx, c)
@@ -39,7 +39,7 @@
 	case a.same && tag != "":
 		return known, nil
 	}
-	var instances []platform.Instance
+	var instances []provider.Instance
 	if err := json.Unmarshal(a.body, &instances); err != nil {
 		return nil, fault.Wrap(fault.Unavailable, err, "instance list")
 	}
@@ -47,13 +47,13 @@
 	return slices.Clone(instances), nil
 }
 
-func (l *list) known() (string, []platform.Instance) {
+func (l *list) known() (string, []provider.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.tag, slices.Clone(l.instances)
 }
 
-func (l *list) learn(tag string, instances []platform.Instance) {
+func (l *list) learn(tag string, instances []provider.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.tag = tag
--- a/client/log.go
+++ b/client/log.go
@@ -10,7 +10,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 type log struct {
@@ -18,7 +18,7 @@
 }
 
 // NewLog returns a client of the log service at address.
-func NewLog(address string, opts ...Option) platform.Log {
+func NewLog(address string, opts ...Option) provider.Log {
 	return &log{peer: newPeer(address, opts)}
 }
 
@@ -55,9 +55,9 @@
 	return appended.First, nil
 }
 
-func (l *log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (l *log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (provider.Page, error) {
 	if !wire.ValidStream(stream) {
-		return platform.Page{}, fault.New(fault.Invalid, "stream name %q", stream)
+		return provider.Page{}, fault.New(fault.Invalid, "stream name %q", stream)
 	}
 	wait = min(max(wait, 0), wire.MaxWait)
 	c := call{
@@ -73,18 +73,18 @@
 	}
 	a, err := l.peer.do(ctx, c)
 	if err != nil {
-		return platform.Page{}, err
+		return provider.Page{}, err
 	}
 	return readPage(a)
 }
 
-func readPage(a answer) (platform.Page, error) {
+func readPage(a answer) (provider.Page, error) {
 	if a.refusal != nil && a.refusal.Kind != fault.Expired {
-		return platform.Page{}, a.refusal
+		return provider.Page{}, a.refusal
 	}
 	page, err := wire.DecodePage(a.body)
 	if err != nil {
-		return platform.Page{}, fault.Wrap(fault.Unavailable, err, "answer of the log service")
+		return provider.Page{}, fault.Wrap(fault.Unavailable, err, "answer of the log service")
 	}
 	if a.refusal != nil {
 		return page, fault.New(fault.Expired, "oldest offset kept is %d", page.Oldest)
--- a/client/registrar.go
+++ b/client/registrar.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Registrar changes the stand-in of the instance list, where no platform
@@ -20,7 +20,7 @@
 }
 
 // Put lists an instance, or changes its entry.
-func (r *Registrar) Put(ctx context.Context, instance platform.Instance) error {
+func (r *Registrar) Put(ctx context.Context, instance provider.Instance) error {
 	c := call{method: http.MethodPut, path: instancePath(instance.ID), effect: true}
 	return r.peer.json(ctx, c, instance, nil)
 }
--- a/client/wire/log.go
+++ b/client/wire/log.go
@@ -7,7 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const maxElements = 1 << 20
@@ -32,23 +32,23 @@
 }
 
 // EncodePage returns the body that answers a read.
-func EncodePage(page platform.Page) ([]byte, error) {
+func EncodePage(page provider.Page) ([]byte, error) {
 	return encoder.Marshal(page)
 }
 
 // DecodePage returns the page in the answer to a read.
-func DecodePage(body []byte) (platform.Page, error) {
-	var page platform.Page
+func DecodePage(body []byte) (provider.Page, error) {
+	var page provider.Page
 	if err := decoder.Unmarshal(body, &page); err != nil {
-		return platform.Page{}, fault.Wrap(fault.Invalid, err, "decode page")
+		return provider.Page{}, fault.Wrap(fault.Invalid, err, "decode page")
 	}
 	return page, nil
 }
 
 // RefuseExpired answers a read of an offset that is no longer kept. The body
 // is a page with the offsets that are.
-func RefuseExpired(w http.ResponseWriter, page platform.Page) {
-	body, err := EncodePage(platform.Page{Oldest: page.Oldest, Next: page.Next})
+func RefuseExpired(w http.ResponseWriter, page provider.Page) {
+	body, err := EncodePage(provider.Page{Oldest: page.Oldest, Next: page.Next})
 	if err != nil {
 		Refuse(w, fault.Wrap(fault.Internal, err, "encode page"))
 		return
--- a/client/wire/wire.go
+++ b/client/wire/wire.go
@@ -14,7 +14,7 @@
 import (
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Headers of a request to a service replica, and of refusals.
@@ -82,7 +82,7 @@
 // Start starts a task.
 type Start struct {
 	Epoch uint64            `json:"epoch"`
-	Task  platform.TaskSpec `json:"task"`
+	Task  provider.TaskSpec `json:"task"`
 }
 
 // Stop ends a task, with a checkpoint on request.
--- a/client/worker.go
+++ b/client/worker.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 type worker struct {
@@ -13,15 +13,15 @@
 }
 
 // NewWorker returns a client of the control side of the worker at address.
-func NewWorker(address string, opts ...Option) platform.Worker {
+func NewWorker(address string, opts ...Option) provider.Worker {
 	return &worker{peer: newPeer(address, opts)}
 }
 
-func (w *worker) Acquire(ctx context.Context, request platform.LeaseRequest) (platform.Lease, error) {
+func (w *worker) Acquire(ctx context.Context, request provider.LeaseRequest) (provider.Lease, error) {
 	return w.lease(ctx, wire.PathAcquire, request)
 }
 
-func (w *worker) Renew(ctx context.Context, request platform.LeaseRequest) (platform.Lease, error) {
+func (w *worker) Renew(ctx context.Context, request provider.LeaseRequest) (provider.Lease, error) {
 	return w.lease(ctx, wire.PathRenew, request)
 }
 
@@ -29,11 +29,11 @@
 	return w.post(ctx, wire.PathRelease, wire.Release{Epoch: epoch}, nil)
 }
 
-func (w *worker) Transfer(ctx context.Context, epoch uint64, to string) (platform.Lease, error) {
+func (w *worker) Transfer(ctx context.Context, epoch uint64, to string) (provider.Lease, error) {
 	return w.lease(ctx, wire.PathTransfer, wire.Transfer{Epoch: epoch, To: to})
 }
 
-func (w *worker) Start(ctx context.Context, epoch uint64, task platform.TaskSpec) error {
+func (w *worker) Start(ctx context.Context, epoch uint64, task provider.TaskSpec) error {
 	return w.post(ctx, wire.PathStart, wire.Start{Epoch: epoch, Task: task}, nil)
 }
 
@@ -49,14 +49,14 @@
 	return w.post(ctx, wire.PathAcknowledge, wire.Acknowledge{Epoch: epoch, Tasks: tasks}, nil)
 }
 
-func (w *worker) Report(ctx context.Context) (platform.Report, error) {
-	var report platform.Report
+func (w *worker) Report(ctx context.Context) (provider.Report, error) {
+	var report provider.Report
 	err := w.peer.json(ctx, call{method: http.MethodGet, path: wire.PathReport}, nil, &report)
 	return report, err
 }
 
-func (w *worker) lease(ctx context.Context, path string, in any) (platform.Lease, error) {
-	var lease platform.Lease
+func (w *worker) lease(ctx context.Context, path string, in any) (provider.Lease, error) {
+	var lease provider.Lease
 	err := w.post(ctx, path, in, &lease)
 	return lease, err
 }
--- a/cmd/dogwoodladder/load.go
+++ b/cmd/dogwoodladder/load.go
@@ -10,7 +10,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/caller"
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
 )
@@ -32,7 +32,7 @@
 // Run sends requests to all entry instances on the list, and then compares
 // what was answered with what the workers ran.
 func (c *callerCmd) Run(ctx context.Context) error {
-	entries, err := listed(ctx, c.List, platform.RoleEntry)
+	entries, err := listed(ctx, c.List, provider.RoleEntry)
 	if err != nil {
 		return err
 	}
@@ -76,7 +76,7 @@
 	for _, a := range ledger.Tasks {
 		runs += len(a.Runs)
 		for _, r := range a.Runs {
-			if r.State == platform.TaskDone {
+			if r.State == provider.TaskDone {
 				done++
 			}
 		}
@@ -100,7 +100,7 @@
 
 // readLedger returns what ran on all listed workers together.
 func readLedger(ctx context.Context, list string) (worker.Ledger, error) {
-	workers, err := listed(ctx, list, platform.RoleWorker)
+	workers, err := listed(ctx, list, provider.RoleWorker)
 	if err != nil {
 		return worker.Ledger{}, err
 	}
@@ -132,14 +132,14 @@
 	return l, err
 }
 
-func listed(ctx context.Context, list string, role platform.Role) ([]platform.Instance, error) {
+func listed(ctx context.Context, list string, role provider.Role) ([]provider.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	all, err := client.NewList(list).Instances(ctx)
 	if err != nil {
 		return nil, err
 	}
-	var found []platform.Instance
+	var found []provider.Instance
 	for _, in := range all {
 		if in.Role == role {
 			found = append(found, in)
@@ -154,7 +154,7 @@
 
 // Run prints one line for each instance on the list.
 func (c *instancesCmd) Run(ctx context.Context) error {
-	for _, role := range []platform.Role{platform.RoleEntry, platform.RoleWorker} {
+	for _, role := range []provider.Role{provider.RoleEntry, provider.RoleWorker} {
 		instances, err := listed(ctx, c.List, role)
 		if err != nil {
 			return err
--- a/cmd/dogwoodladder/standin.go
+++ b/cmd/dogwoodladder/standin.go
@@ -9,7 +9,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/standin/instancelist"
 	"github.com/dogwoodladder/dogwoodladder/standin/logservice"
@@ -112,13 +112,13 @@
 }
 
 func (c *entryCmd) Run(ctx context.Context) error {
-	status := platform.StatusLive
+	status := provider.StatusLive
 	if c.Leaving {
-		status = platform.StatusLeaving
+		status = provider.StatusLeaving
 	}
-	return register(ctx, c.List, platform.Instance{
+	return register(ctx, c.List, provider.Instance{
 		ID:               c.ID,
-		Role:             platform.RoleEntry,
+		Role:             provider.RoleEntry,
 		AvailabilityZone: c.Zone,
 		Address:          c.Peer,
 		Caller:           c.Caller,
@@ -137,6 +137,6 @@
 	return f, nil
 }
 
-func register(ctx context.Context, list string, instance platform.Instance) error {
+func register(ctx context.Context, list string, instance provider.Instance) error {
 	return client.NewRegistrar(list).Put(ctx, instance)
 }
--- a/controller/action.go
+++ b/controller/action.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/message"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/route"
 )
 
@@ -42,9 +42,9 @@
 	Address    string // host:port
 	Verb       Verb
 	Epoch      uint64
-	Lease      platform.LeaseRequest // of Acquire and Renew
+	Lease      provider.LeaseRequest // of Acquire and Renew
 	To         string                // new holder, of Transfer
-	Spec       platform.TaskSpec     // of Start
+	Spec       provider.TaskSpec     // of Start
 	Task       string                // of Stop and Throttle
 	Checkpoint bool                  // of Stop
 	Percent    int                   // of Throttle
--- a/controller/config.go
+++ b/controller/config.go
@@ -9,7 +9,7 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/manifest"
 	"github.com/dogwoodladder/dogwoodladder/message"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/revision"
 )
 
@@ -156,7 +156,7 @@
 	c.flush(now)
 }
 
-func (c *Controller) takeConfig(e platform.Entry) {
+func (c *Controller) takeConfig(e provider.Entry) {
 	outcome := c.history.Apply(e.Offset, e.Data)
 	if len(c.config.pending) == 0 || !bytes.Equal(c.config.pending[0].data, e.Data) {
 		return
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -24,7 +24,7 @@
 	"github.com/dogwoodladder/dogwoodladder/manifest"
 	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/message"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/replica"
 	"github.com/dogwoodladder/dogwoodladder/revision"
@@ -79,7 +79,7 @@
 	jobs     []record.Task // that the manifest declares for this zone
 	plan     *replica.Plan
 	planned  planKey
-	listed   []platform.Instance
+	listed   []provider.Instance
 	holdings map[string]*holding
 	placed   map[record.Attempt]*holding // attempts and the workers they were put on
 	reported map[string]report           // by task
--- a/controller/guard_test.go
+++ b/controller/guard_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/controller"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
@@ -21,7 +21,7 @@
 	t       *testing.T
 	c       *controller.Controller
 	now     time.Time
-	streams map[string][]platform.Entry
+	streams map[string][]provider.Entry
 	unread  bool // reads of the log fail
 	closed  bool // appends fail
 	workers map[string]*worker.Worker
@@ -35,7 +35,7 @@
 	s := &solo{
 		t:       t,
 		now:     time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC),
-		streams: map[string][]platform.Entry{},
+		streams: map[string][]provider.Entry{},
 		workers: map[string]*worker.Worker{},
 	}
 	for _, id := range []string{"w0", "w1"} {
@@ -70,8 +70,8 @@
 	}
 }
 
-func (s *solo) instances() []platform.Instance {
-	all := []platform.Instance{{ID: "e0", Role: platform.RoleEntry, AvailabilityZone: "a", Address: "e0", Status: platform.StatusLive}}
+func (s *solo) instances() []provider.Instance {
+	all := []provider.Instance{{ID: "e0", Role: provider.RoleEntry, AvailabilityZone: "a", Address: "e0", Status: provider.StatusLive}}
 	for _, id := range s.list {
 		all = append(all, s.workers[id].Instance("a", "r", id))
 	}
@@ -85,7 +85,7 @@
 		return in
 	}
 	entries := s.streams[stream]
-	in.Page = platform.Page{Next: uint64(len(entries)), Entries: entries[s.c.Next(stream):]}
+	in.Page = provider.Page{Next: uint64(len(entries)), Entries: entries[s.c.Next(stream):]}
 	return in
 }
 
@@ -113,14 +113,14 @@
 
 func (s *solo) write(stream string, data []byte) {
 	all := s.streams[stream]
-	s.streams[stream] = append(all, platform.Entry{Offset: uint64(len(all)), Time: s.now, Data: data})
+	s.streams[stream] = append(all, provider.Entry{Offset: uint64(len(all)), Time: s.now, Data: data})
 }
 
 func (s *solo) call(a controller.Call) {
 	if s.keep != nil {
 		if err, ok := s.keep(a); ok {
 			s.kept = append(s.kept, a)
-			s.answer(a, platform.Lease{}, err)
+			s.answer(a, provider.Lease{}, err)
 			return
 		}
 	}
@@ -128,12 +128,12 @@
 	s.answer(a, l, err)
 }
 
-func (s *solo) execute(a controller.Call) (platform.Lease, error) {
+func (s *solo) execute(a controller.Call) (provider.Lease, error) {
 	h := harness{t: s.t, now: s.now, workers: s.workers}
 	return h.execute(a)
 }
 
-func (s *solo) answer(a controller.Call, l platform.Lease, err error) {
+func (s *solo) answer(a controller.Call, l provider.Lease, err error) {
 	switch a.Verb {
 	case controller.Acquire, controller.Renew, controller.Transfer:
 		s.inbox = append(s.inbox, controller.Leased{Worker: a.Worker, Verb: a.Verb, Sent: s.now, Lease: l, Err: err})
@@ -177,7 +177,7 @@
 // runsOn reports whether a worker runs the task now.
 func (s *solo) runsOn(id string) bool {
 	for _, t := range s.workers[id].Report().Tasks {
-		if t.State == platform.TaskRunning {
+		if t.State == provider.TaskRunning {
 			return true
 		}
 	}
@@ -200,7 +200,7 @@
 	s := newSolo(t)
 	s.list = []string{"w0"}
 	s.run(5 * time.Second)
-	l, err := s.workers["w1"].Acquire(platform.LeaseRequest{Holder: "e1", TTL: time.Second})
+	l, err := s.workers["w1"].Acquire(provider.LeaseRequest{Holder: "e1", TTL: time.Second})
 	is.NoErr(err)
 	s.other(1, record.Record{Own: &record.Own{Worker: "w1", Epoch: l.Epoch, Capacity: l.Capacity}})
 	s.run(5 * time.Second)
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -12,7 +12,7 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/message"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/route"
@@ -46,7 +46,7 @@
 	start   time.Time
 	now     time.Time
 	rand    *rand.Rand
-	streams map[string][]platform.Entry
+	streams map[string][]provider.Entry
 	oldest  uint64 // of the zone stream
 	nodes   map[string]*node
 	workers map[string]*worker.Worker
@@ -83,7 +83,7 @@
 	h := &harness{
 		t: t, start: start, now: start,
 		rand:    rand.New(rand.NewPCG(seed, 1)),
-		streams: map[string][]platform.Entry{},
+		streams: map[string][]provider.Entry{},
 		nodes:   map[string]*node{},
 		workers: map[string]*worker.Worker{},
 		dead:    map[string]bool{},
@@ -110,16 +110,16 @@
 	h.nodes[id] = &node{id: id, c: controller.New(self, testTiming)}
 }
 
-func (h *harness) list() []platform.Instance {
-	var all []platform.Instance
+func (h *harness) list() []provider.Instance {
+	var all []provider.Instance
 	for _, id := range keys(h.nodes) {
-		all = append(all, platform.Instance{ID: id, Role: platform.RoleEntry, AvailabilityZone: "a", Address: id, Status: platform.StatusLive})
+		all = append(all, provider.Instance{ID: id, Role: provider.RoleEntry, AvailabilityZone: "a", Address: id, Status: provider.StatusLive})
 	}
 	for _, id := range keys(h.workers) {
 		if !h.dead[id] {
 			in := h.workers[id].Instance("a", "r", id)
 			if h.leaving[id] {
-				in.Status = platform.StatusLeaving
+				in.Status = provider.StatusLeaving
 			}
 			all = append(all, in)
 		}
@@ -177,7 +177,7 @@
 	if stream != controller.ConfigStream {
 		oldest = h.oldest
 	}
-	in.Page = platform.Page{Oldest: oldest, Next: uint64(len(entries))}
+	in.Page = provider.Page{Oldest: oldest, Next: uint64(len(entries))}
 	from := n.c.Next(stream)
 	if from < oldest {
 		in.Page.Entries = entries[oldest:]
@@ -254,7 +254,7 @@
 		for _, data := range a.Data {
 			h.writeRecord(a.Stream, data)
 			s := h.streams[a.Stream]
-			h.streams[a.Stream] = append(s, platform.Entry{Offset: uint64(len(s)), Time: h.now, Data: data})
+			h.streams[a.Stream] = append(s, provider.Entry{Offset: uint64(len(s)), Time: h.now, Data: data})
 		}
 		var err error
 		if h.rand.Float64() < h.lose {
@@ -325,11 +325,11 @@
 
 func (h *harness) arrive(c *call) {
 	if h.isCut(c.n.id, c.a.Worker) || h.dead[c.a.Worker] {
-		h.after(timeout, func() { h.reply(c, platform.Lease{}, fault.New(fault.MayHaveRun, "no answer")) })
+		h.after(timeout, func() { h.reply(c, provider.Lease{}, fault.New(fault.MayHaveRun, "no answer")) })
 		return
 	}
 	if h.stalled[c.a.Worker] {
-		h.after(timeout, func() { h.reply(c, platform.Lease{}, fault.New(fault.MayHaveRun, "no answer")) })
+		h.after(timeout, func() { h.reply(c, provider.Lease{}, fault.New(fault.MayHaveRun, "no answer")) })
 		h.after(step, func() { h.resume(c) })
 		return
 	}
@@ -353,7 +353,7 @@
 	h.after(latency, func() { h.reply(c, l, err) })
 }
 
-func (h *harness) reply(c *call, l platform.Lease, err error) {
+func (h *harness) reply(c *call, l provider.Lease, err error) {
 	if c.answered {
 		return
 	}
@@ -371,7 +371,7 @@
 	}
 }
 
-func (h *harness) execute(a controller.Call) (platform.Lease, error) {
+func (h *harness) execute(a controller.Call) (provider.Lease, error) {
 	w := h.workers[a.Worker]
 	switch a.Verb {
 	case controller.Acquire:
@@ -381,21 +381,21 @@
 	case controller.Transfer:
 		return w.Transfer(a.Epoch, a.To)
 	case controller.Release:
-		return platform.Lease{}, w.Release(a.Epoch)
+		return provider.Lease{}, w.Release(a.Epoch)
 	case controller.Start:
 		err := w.Start(a.Epoch, a.Spec)
 		if fault.Is(err, fault.Overloaded) {
 			h.t.Errorf("%v: %s got more than it holds: %v", h.now.Sub(h.start), a.Worker, err)
 		}
-		return platform.Lease{}, err
+		return provider.Lease{}, err
 	case controller.Throttle:
-		return platform.Lease{}, w.Throttle(a.Epoch, a.Task, a.Percent)
+		return provider.Lease{}, w.Throttle(a.Epoch, a.Task, a.Percent)
 	case controller.Stop:
-		return platform.Lease{}, w.Stop(a.Epoch, a.Task, a.Checkpoint)
+		return provider.Lease{}, w.Stop(a.Epoch, a.Task, a.Checkpoint)
 	case controller.Acknowledge:
-		return platform.Lease{}, w.Acknowledge(a.Epoch, a.Tasks)
+		return provider.Lease{}, w.Acknowledge(a.Epoch, a.Tasks)
 	}
-	return platform.Lease{}, fault.New(fault.Internal, "no verb")
+	return provider.Lease{}, fault.New(fault.Internal, "no verb")
 }
 
 func (h *harness) poll(n *node, a controller.Poll) {
--- a/controller/holding.go
+++ b/controller/holding.go
@@ -7,7 +7,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/message"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/rendezvous"
 	"github.com/dogwoodladder/dogwoodladder/resource"
@@ -74,7 +74,7 @@
 	until   time.Time // when a draining replica is stopped
 	unsure  bool      // a start of it was not answered, and may arrive late
 	started time.Time // when this instance first knew of it
-	spec    platform.TaskSpec
+	spec    provider.TaskSpec
 }
 
 func newHolding(id string) *holding {
@@ -101,14 +101,14 @@
 }
 
 // list takes a reading of the instance list.
-func (c *Controller) list(now time.Time, instances []platform.Instance) {
+func (c *Controller) list(now time.Time, instances []provider.Instance) {
 	c.listed = instances
 	c.members.Listed(now, instances)
 	for _, h := range c.holdings {
 		h.listed = false
 	}
 	for _, in := range instances {
-		if in.Role != platform.RoleWorker || in.AvailabilityZone != c.self.AvailabilityZone {
+		if in.Role != provider.RoleWorker || in.AvailabilityZone != c.self.AvailabilityZone {
 			continue
 		}
 		h, ok := c.holdings[in.ID]
@@ -119,7 +119,7 @@
 		h.listed = true
 		h.address = in.Address
 		h.rack = in.Rack
-		h.leaving = in.Status == platform.StatusLeaving
+		h.leaving = in.Status == provider.StatusLeaving
 		if h.phase == unowned {
 			h.capacity = in.Capacity
 			h.slots = in.Slots
@@ -308,7 +308,7 @@
 // notice a task starting long after the last read of the log. It is due again
 // once the log was read.
 func (c *Controller) outdated(h *holding, q Call) bool {
-	if q.Verb != Start || q.Spec.Kind != platform.KindBatch {
+	if q.Verb != Start || q.Spec.Kind != provider.KindBatch {
 		return false
 	}
 	a := record.Attempt{Task: q.Spec.ID, Number: q.Spec.Attempt}
@@ -397,13 +397,13 @@
 }
 
 // recordOwn writes the Own record of a holding.
-func (c *Controller) recordOwn(h *holding, tasks []platform.Running) {
+func (c *Controller) recordOwn(h *holding, tasks []provider.Running) {
 	if !c.follow.Ready() {
 		return // due again at the next renewal
 	}
 	own := &record.Own{Worker: h.id, Epoch: h.epoch, Capacity: h.capacity, Rack: h.rack}
 	for _, t := range tasks {
-		if t.Kind == platform.KindBatch {
+		if t.Kind == provider.KindBatch {
 			own.Held = append(own.Held, record.Attempt{Task: t.ID, Number: t.Attempt})
 		}
 	}
--- a/controller/input.go
+++ b/controller/input.go
@@ -5,7 +5,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/message"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 )
 
@@ -20,7 +20,7 @@
 type Read struct {
 	Stream string
 	Sent   time.Time // when the read was sent
-	Page   platform.Page
+	Page   provider.Page
 	Err    error
 }
 
@@ -32,7 +32,7 @@
 
 // Listed is an answer of the instance list.
 type Listed struct {
-	Instances []platform.Instance
+	Instances []provider.Instance
 }
 
 // Heard is a heartbeat from another instance.
@@ -70,7 +70,7 @@
 	Worker string
 	Verb   Verb
 	Sent   time.Time
-	Lease  platform.Lease
+	Lease  provider.Lease
 	Err    error
 }
 
@@ -87,7 +87,7 @@
 // Reported is a worker's report with its usage measurements.
 type Reported struct {
 	Worker string
-	Report platform.Report
+	Report provider.Report
 }
 
 // Submit asks to queue tasks. It is answered once the stream holds them.
--- a/controller/mended_test.go
+++ b/controller/mended_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/controller"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	history "github.com/dogwoodladder/dogwoodladder/revision"
@@ -253,7 +253,7 @@
 	is := is.New(t)
 	s := newSolo(t)
 	for range 6 {
-		l, err := s.workers["w0"].Acquire(platform.LeaseRequest{Holder: "e1", TTL: time.Second})
+		l, err := s.workers["w0"].Acquire(provider.LeaseRequest{Holder: "e1", TTL: time.Second})
 		is.NoErr(err)
 		is.NoErr(s.workers["w0"].Release(l.Epoch))
 	}
@@ -456,7 +456,7 @@
 func (s *solo) readFrom(oldest uint64) controller.Input {
 	stream := controller.ZoneStream("a")
 	from := max(s.c.Next(stream), oldest)
-	page := platform.Page{Oldest: oldest, Next: s.length(), Entries: s.streams[stream][from:]}
+	page := provider.Page{Oldest: oldest, Next: s.length(), Entries: s.streams[stream][from:]}
 	return controller.Read{Stream: stream, Sent: s.now, Page: page}
 }
 
--- a/controller/neighbors.go
+++ b/controller/neighbors.go
@@ -8,7 +8,7 @@
 	"github.com/dogwoodladder/dogwoodladder/interference"
 	"github.com/dogwoodladder/dogwoodladder/mitigation"
 	"github.com/dogwoodladder/dogwoodladder/placement"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/usage"
 	"github.com/dogwoodladder/dogwoodladder/zone"
@@ -60,7 +60,7 @@
 	for _, p := range sortedAssignments(h.replicas) {
 		if p.stage == running {
 			present[p.id] = true
-			c.noteTask(now, h, interference.Task{ID: p.id, Class: p.service, Kind: platform.KindService})
+			c.noteTask(now, h, interference.Task{ID: p.id, Class: p.service, Kind: provider.KindService})
 		}
 	}
 	for _, p := range sortedAssignments(h.tasks) {
@@ -69,7 +69,7 @@
 			continue
 		}
 		present[p.id] = true
-		c.noteTask(now, h, interference.Task{ID: p.id, Class: classOf(t), Kind: platform.KindBatch})
+		c.noteTask(now, h, interference.Task{ID: p.id, Class: classOf(t), Kind: provider.KindBatch})
 		n := h.noted[p.id]
 		if p.spec.Checkpoint != n.mark {
 			n.mark = p.spec.Checkpoint
@@ -236,14 +236,14 @@
 
 // choose returns the worker that suits a task best, or nil.
 func (c *Controller) choose(now time.Time, room map[string]resource.Vector, t zone.Task) *holding {
-	add := interference.Task{ID: t.ID, Class: classOf(t), Kind: platform.KindBatch}
+	add := interference.Task{ID: t.ID, Class: classOf(t), Kind: provider.KindBatch}
 	var candidates []placement.Candidate
 	for _, id := range sortedKeys(room) {
 		if t.Need.Fits(room[id]) && !c.avoids(t, id) {
 			candidates = append(candidates, c.candidate(now, c.holdings[id], room[id], add))
 		}
 	}
-	task := placement.Task{ID: t.ID, Class: add.Class, Kind: platform.KindBatch, Need: t.Need}
+	task := placement.Task{ID: t.ID, Class: add.Class, Kind: provider.KindBatch, Need: t.Need}
 	id, ok := c.neighbors.planner.Choose(now, task, candidates)
 	if !ok {
 		return nil
--- a/controller/service.go
+++ b/controller/service.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dogwoodladder/dogwoodladder/manifest"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/replica"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/route"
@@ -58,7 +58,7 @@
 	var workers []replica.Worker
 	var b strings.Builder
 	for _, in := range c.listed {
-		if in.Role != platform.RoleWorker || in.AvailabilityZone != c.self.AvailabilityZone || in.Status == platform.StatusLeaving {
+		if in.Role != provider.RoleWorker || in.AvailabilityZone != c.self.AvailabilityZone || in.Status == provider.StatusLeaving {
 			continue
 		}
 		workers = append(workers, replica.Worker{ID: in.ID, Rack: in.Rack, Capacity: in.Capacity})
@@ -159,9 +159,9 @@
 }
 
 func (c *Controller) startReplica(h *holding, s manifest.Service) {
-	spec := platform.TaskSpec{
+	spec := provider.TaskSpec{
 		ID:      replicaID(s.Name, h.id),
-		Kind:    platform.KindService,
+		Kind:    provider.KindService,
 		Group:   s.Group,
 		Attempt: version(s),
 		Need:    s.Need,
@@ -214,14 +214,14 @@
 }
 
 // seeReplicas brings the known replicas in line with what the worker holds.
-func (c *Controller) seeReplicas(h *holding, tasks []platform.Running) {
+func (c *Controller) seeReplicas(h *holding, tasks []provider.Running) {
 	held := make(map[string]bool)
 	for _, t := range tasks {
 		name, ok := c.serviceOf(h, t)
 		if !ok {
 			continue
 		}
-		if t.State != platform.TaskRunning {
+		if t.State != provider.TaskRunning {
 			c.call(h, Call{Verb: Acknowledge, Epoch: h.epoch, Tasks: []string{t.ID}})
 			continue
 		}
@@ -243,8 +243,8 @@
 	}
 }
 
-func (c *Controller) serviceOf(h *holding, t platform.Running) (string, bool) {
-	if t.Kind != platform.KindService {
+func (c *Controller) serviceOf(h *holding, t provider.Running) (string, bool) {
+	if t.Kind != provider.KindService {
 		return "", false
 	}
 	return strings.CutSuffix(t.ID, "/"+h.id)
--- a/controller/service_test.go
+++ b/controller/service_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/controller"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
 )
 
@@ -46,7 +46,7 @@
 	attempts := map[uint32]int{}
 	for _, w := range h.workers {
 		for _, r := range w.Report().Tasks {
-			if r.Kind == platform.KindService && r.State == platform.TaskRunning {
+			if r.Kind == provider.KindService && r.State == provider.TaskRunning {
 				attempts[r.Attempt]++
 			}
 		}
@@ -95,7 +95,7 @@
 	started := h.ledger()
 	h.run(8 * time.Second)
 	for _, r := range h.workers["w1"].Report().Tasks {
-		is.True(r.State != platform.TaskRunning) // all has ended there
+		is.True(r.State != provider.TaskRunning) // all has ended there
 	}
 	is.Equal(startsOn(started, "w1"), startsOn(h.ledger(), "w1")) // and nothing new was started
 	h.dead["w1"] = true
@@ -148,7 +148,7 @@
 
 func runs(w *worker.Worker, attempt uint32) bool {
 	for _, r := range w.Report().Tasks {
-		if r.Kind == platform.KindService && r.State == platform.TaskRunning && r.Attempt == attempt {
+		if r.Kind == provider.KindService && r.State == provider.TaskRunning && r.Attempt == attempt {
 			return true
 		}
 	}
--- a/controller/stream.go
+++ b/controller/stream.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/follower"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/zone"
 )
@@ -57,7 +57,7 @@
 // recovery snapshot that would bring a state waits behind them. One would
 // notice that no instance ever gets ready. What they said is due again once
 // there is a state.
-func (c *Controller) passed(now time.Time, entries []platform.Entry) {
+func (c *Controller) passed(now time.Time, entries []provider.Entry) {
 	for _, e := range entries {
 		r, err := record.Decode(e.Data)
 		if err != nil || r.Writer != c.writer() {
@@ -380,7 +380,7 @@
 	}
 	workers := 0
 	for _, in := range c.listed {
-		if in.Role != platform.RoleWorker || in.AvailabilityZone != c.self.AvailabilityZone {
+		if in.Role != provider.RoleWorker || in.AvailabilityZone != c.self.AvailabilityZone {
 			continue
 		}
 		workers++
--- a/controller/task.go
+++ b/controller/task.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/zone"
@@ -57,7 +57,7 @@
 
 // checkOwn writes the Own record when it was never written, and takes the
 // lease again when it was written and isn't in force.
-func (c *Controller) checkOwn(now time.Time, h *holding, tasks []platform.Running) {
+func (c *Controller) checkOwn(now time.Time, h *holding, tasks []provider.Running) {
 	if h.phase == granted && !h.written {
 		c.recordOwn(h, tasks)
 		return
@@ -67,10 +67,10 @@
 
 // see brings the placements in line with what the worker holds, and returns
 // those it doesn't hold.
-func (c *Controller) see(now time.Time, h *holding, tasks []platform.Running) []*assignment {
+func (c *Controller) see(now time.Time, h *holding, tasks []provider.Running) []*assignment {
 	held := make(map[string]bool, len(tasks))
 	for _, t := range tasks {
-		if t.Kind != platform.KindBatch {
+		if t.Kind != provider.KindBatch {
 			continue
 		}
 		held[t.ID] = true
@@ -95,8 +95,8 @@
 	return gone
 }
 
-func stageOf(s platform.TaskState, before stage) stage {
-	if s != platform.TaskRunning {
+func stageOf(s provider.TaskState, before stage) stage {
+	if s != provider.TaskRunning {
 		return ended
 	}
 	if before == stopping {
@@ -106,17 +106,17 @@
 }
 
 // reportEnd writes down how an attempt ended, once per attempt.
-func (c *Controller) reportEnd(h *holding, t platform.Running) {
+func (c *Controller) reportEnd(h *holding, t provider.Running) {
 	a := record.Attempt{Task: t.ID, Number: t.Attempt}
-	if t.State == platform.TaskRunning || !c.current(a) {
+	if t.State == provider.TaskRunning || !c.current(a) {
 		return
 	}
 	switch t.State {
-	case platform.TaskDone:
+	case provider.TaskDone:
 		c.endAttempt(a, record.Record{Done: &record.Done{Attempt: a, Worker: h.id, Result: t.Result}})
-	case platform.TaskFailed:
+	case provider.TaskFailed:
 		c.endAttempt(a, record.Record{Failed: &record.Failed{Attempt: a, Worker: h.id, Reason: t.Reason}})
-	case platform.TaskStopped:
+	case provider.TaskStopped:
 		c.endAttempt(a, record.Record{Evicted: &record.Evicted{Attempt: a, Worker: h.id, Checkpoint: t.Checkpoint}})
 	}
 }
@@ -350,9 +350,9 @@
 		id:      t.ID,
 		attempt: t.Attempt,
 		need:    t.Need,
-		spec: platform.TaskSpec{
+		spec: provider.TaskSpec{
 			ID:         t.ID,
-			Kind:       platform.KindBatch,
+			Kind:       provider.KindBatch,
 			Group:      t.Group,
 			Attempt:    t.Attempt,
 			Need:       t.Need,
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -11,7 +11,7 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/peer"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const (
@@ -150,12 +150,12 @@
 }
 
 // worker returns the client of the worker at an address.
-func (d *Daemon) worker(address string) platform.Worker {
+func (d *Daemon) worker(address string) provider.Worker {
 	if w, ok := d.clients.Load(address); ok {
-		return w.(platform.Worker)
+		return w.(provider.Worker)
 	}
 	w, _ := d.clients.LoadOrStore(address, client.NewWorker(address))
-	return w.(platform.Worker)
+	return w.(provider.Worker)
 }
 
 // call makes one call to a worker and hands its answer to the controller.
@@ -186,7 +186,7 @@
 	d.put(controller.Reported{Worker: a.Worker, Report: report})
 }
 
-func (d *Daemon) callLease(ctx context.Context, w platform.Worker, a controller.Call) (platform.Lease, error) {
+func (d *Daemon) callLease(ctx context.Context, w provider.Worker, a controller.Call) (provider.Lease, error) {
 	switch a.Verb {
 	case controller.Acquire:
 		return w.Acquire(ctx, a.Lease)
@@ -197,7 +197,7 @@
 	}
 }
 
-func (d *Daemon) callTask(ctx context.Context, w platform.Worker, a controller.Call) error {
+func (d *Daemon) callTask(ctx context.Context, w provider.Worker, a controller.Call) error {
 	switch a.Verb {
 	case controller.Release:
 		return w.Release(ctx, a.Epoch)
--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -4,7 +4,7 @@
 	"expvar"
 
 	"github.com/dogwoodladder/dogwoodladder/controller"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // counters are the daemon's own metrics, published by expvar.
@@ -23,7 +23,7 @@
 	}
 }
 
-func (c *counters) read(page platform.Page, err error) {
+func (c *counters) read(page provider.Page, err error) {
 	c.reads.Add(1)
 	if err != nil {
 		c.readErrors.Add(1)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,7 +28,7 @@
 	"github.com/dogwoodladder/dogwoodladder/gateway"
 	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/peer"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/setting"
 )
 
@@ -45,9 +45,9 @@
 type Daemon struct {
 	settings setting.Settings
 	logger   *zap.Logger
-	log      platform.Log
-	list     platform.List
-	clients  sync.Map // address to platform.Worker
+	log      provider.Log
+	list     provider.List
+	clients  sync.Map // address to provider.Worker
 	mesh     *peer.Mesh
 	gateway  *gateway.Gateway
 	control  *controller.Controller
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/manifest"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/setting"
@@ -23,7 +23,7 @@
 	return time.Unix(int64(seconds), 0)
 }
 
-func run(attempt uint32, start, end int, from, to time.Duration, state platform.TaskState) worker.Interval {
+func run(attempt uint32, start, end int, from, to time.Duration, state provider.TaskState) worker.Interval {
 	return worker.Interval{Attempt: attempt, Start: moment(start), End: moment(end), From: from, To: to, State: state}
 }
 
@@ -31,12 +31,12 @@
 // and nothing in a run that is in order.
 func TestLedgerFaults(t *testing.T) {
 	good := []worker.Interval{
-		run(1, 0, 2, 0, 2*time.Second, platform.TaskStopped),
-		run(3, 2, 4, 2*time.Second, 4*time.Second, platform.TaskDone),
+		run(1, 0, 2, 0, 2*time.Second, provider.TaskStopped),
+		run(3, 2, 4, 2*time.Second, 4*time.Second, provider.TaskDone),
 	}
-	again := append(good[:2:2], run(4, 5, 6, 0, time.Second, platform.TaskDone))
-	repeated := []worker.Interval{good[0], run(1, 2, 4, 0, 2*time.Second, platform.TaskDone)}
-	ahead := []worker.Interval{good[0], run(2, 2, 4, 3*time.Second, 4*time.Second, platform.TaskDone)}
+	again := append(good[:2:2], run(4, 5, 6, 0, time.Second, provider.TaskDone))
+	repeated := []worker.Interval{good[0], run(1, 2, 4, 0, 2*time.Second, provider.TaskDone)}
+	ahead := []worker.Interval{good[0], run(2, 2, 4, 3*time.Second, 4*time.Second, provider.TaskDone)}
 	tests := []struct {
 		name                           string
 		account                        worker.Account
--- a/demo/failure.go
+++ b/demo/failure.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const (
@@ -49,7 +49,7 @@
 		return err
 	}
 	leaving := s.site.last(zones[1])
-	if err := s.site.list.Put(leaving.listed(platform.StatusLeaving)); err != nil {
+	if err := s.site.list.Put(leaving.listed(provider.StatusLeaving)); err != nil {
 		return err
 	}
 	inFlight := leaving.operator.inFlight(ctx)
--- a/demo/instance.go
+++ b/demo/instance.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodladder/dogwoodladder/daemon"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/setting"
 )
 
@@ -80,10 +80,10 @@
 }
 
 // listed returns the instance's line in the instance list.
-func (i *instance) listed(status platform.Status) platform.Instance {
-	return platform.Instance{
+func (i *instance) listed(status provider.Status) provider.Instance {
+	return provider.Instance{
 		ID:               i.id,
-		Role:             platform.RoleEntry,
+		Role:             provider.RoleEntry,
 		AvailabilityZone: i.zone,
 		Address:          i.addresses.Peer,
 		Caller:           i.addresses.Caller,
--- a/demo/site.go
+++ b/demo/site.go
@@ -10,7 +10,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 	"github.com/dogwoodladder/dogwoodladder/standin/instancelist"
@@ -139,7 +139,7 @@
 			return err
 		}
 		s.instances = append(s.instances, in)
-		if err := s.list.Put(in.listed(platform.StatusLive)); err != nil {
+		if err := s.list.Put(in.listed(provider.StatusLive)); err != nil {
 			return err
 		}
 	}
--- a/demo/verify.go
+++ b/demo/verify.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/standin/caller"
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
@@ -86,7 +86,7 @@
 	done := make(map[string]int)
 	for _, a := range l.Tasks {
 		for _, r := range a.Runs {
-			if r.State == platform.TaskDone {
+			if r.State == provider.TaskDone {
 				done[a.Task]++
 			}
 		}
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -53,7 +53,7 @@
 	for _, m := range w.site.workers {
 		var sum resource.Vector
 		for _, t := range m.Report().Tasks {
-			if t.State == platform.TaskRunning {
+			if t.State == provider.TaskRunning {
 				sum = sum.Add(t.Need)
 			}
 		}
--- a/dogwoodladder.go
+++ b/dogwoodladder.go
@@ -14,7 +14,7 @@
 // architecture. From the inside out:
 //
 //   - Contracts are plain data and interfaces: resource, fault, record,
-//     platform and route.
+//     provider and route.
 //   - Decisions are pure: no input or output, no clock, no global randomness.
 //     Batch work: zone, follower, appender, lease, share. Services: replica,
 //     rendezvous, admission, balancer, limit, budget, forward. Configuration:
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -17,7 +17,7 @@
 import (
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/zone"
 )
@@ -38,7 +38,7 @@
 	create  func() *zone.State
 	state   *zone.State
 	next    uint64
-	held    []platform.Entry // read before the tail was reached
+	held    []provider.Entry // read before the tail was reached
 	prior   *zone.State      // the state before a gap
 	rival   *rival           // a recovery snapshot that may be overruled
 	tail    time.Time        // when the newest read that reached the tail was sent
@@ -99,7 +99,7 @@
 }
 
 // Feed folds a page that was asked for at sentAt.
-func (f *Follower) Feed(now, sentAt time.Time, page platform.Page) []Applied {
+func (f *Follower) Feed(now, sentAt time.Time, page provider.Page) []Applied {
 	if f.newer != 0 {
 		return nil
 	}
@@ -128,7 +128,7 @@
 // records, so some were never folded. One would notice a state that differs
 // from that of others. Starting again from a snapshot record gives the state
 // that everyone who reads that record has.
-func (f *Follower) begin(page platform.Page) {
+func (f *Follower) begin(page provider.Page) {
 	if f.next < page.Oldest {
 		if f.state != nil || f.next > 0 {
 			f.gaps++
@@ -147,7 +147,7 @@
 	}
 }
 
-func (f *Follower) take(e platform.Entry, applied *[]Applied) bool {
+func (f *Follower) take(e provider.Entry, applied *[]Applied) bool {
 	r, err := record.Decode(e.Data)
 	if err != nil && r.Version > record.Version {
 		f.newer = r.Version
@@ -176,7 +176,7 @@
 	snapshot *record.Snapshot
 	offset   uint64
 	at       time.Time
-	entries  []platform.Entry
+	entries  []provider.Entry
 }
 
 // contest follows up recovery snapshots.
@@ -186,7 +186,7 @@
 // different states. Whoever has the state writes a regular snapshot, which
 // overrules the other when it comes within Grace; else the first recovery
 // snapshot takes effect at every reader, also at one that has a state.
-func (f *Follower) contest(e platform.Entry, r record.Record, applied *[]Applied) {
+func (f *Follower) contest(e provider.Entry, r record.Record, applied *[]Applied) {
 	switch {
 	case f.rival == nil && r.Snapshot != nil && r.Snapshot.Recovery:
 		f.rival = &rival{snapshot: r.Snapshot, offset: e.Offset, at: e.Time}
@@ -246,7 +246,7 @@
 }
 
 // replay folds the entries after an offset.
-func (f *Follower) replay(entries []platform.Entry, after uint64, applied *[]Applied) {
+func (f *Follower) replay(entries []provider.Entry, after uint64, applied *[]Applied) {
 	for _, e := range entries {
 		if e.Offset <= after {
 			continue
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/follower"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/zone"
@@ -23,7 +23,7 @@
 // stream is a stream with a reader that has followed it from the start.
 type stream struct {
 	t       *testing.T
-	entries []platform.Entry
+	entries []provider.Entry
 	state   *zone.State
 }
 
@@ -38,7 +38,7 @@
 	data, err := record.Encode(r)
 	is.New(s.t).NoErr(err)
 	offset := uint64(len(s.entries))
-	s.entries = append(s.entries, platform.Entry{Offset: offset, Time: start, Data: data})
+	s.entries = append(s.entries, provider.Entry{Offset: offset, Time: start, Data: data})
 	s.state.Apply(offset, start, r)
 }
 
@@ -54,8 +54,8 @@
 }
 
 // page returns what a read gets when older entries have expired.
-func (s *stream) page(from, oldest uint64, limit int) platform.Page {
-	p := platform.Page{Oldest: oldest, Next: uint64(len(s.entries))}
+func (s *stream) page(from, oldest uint64, limit int) provider.Page {
+	p := provider.Page{Oldest: oldest, Next: uint64(len(s.entries))}
 	for _, e := range s.entries[max(from, oldest):] {
 		if len(p.Entries) == limit {
 			break
@@ -189,11 +189,11 @@
 }
 
 // later returns a marker some time after the start.
-func (s *stream) later(t *testing.T, d time.Duration) platform.Entry {
+func (s *stream) later(t *testing.T, d time.Duration) provider.Entry {
 	sequence := uint64(len(s.entries) + 1)
 	data, err := record.Encode(record.Record{Writer: writer, Sequence: sequence, Marker: &record.Marker{}})
 	is.New(t).NoErr(err)
-	return platform.Entry{Offset: uint64(len(s.entries)), Time: start.Add(d), Data: data}
+	return provider.Entry{Offset: uint64(len(s.entries)), Time: start.Add(d), Data: data}
 }
 
 // Symptom: a new instance empties the queue of a zone.
@@ -224,7 +224,7 @@
 	s.submit()
 	data, err := cbor.Marshal(map[int]any{0: record.Version + 1, 99: "new"})
 	is.NoErr(err)
-	s.entries = append(s.entries, platform.Entry{Offset: 1, Time: start, Data: data})
+	s.entries = append(s.entries, provider.Entry{Offset: 1, Time: start, Data: data})
 	s.submit()
 	f := newFollower()
 	s.catchUp(f, 0, 100)
@@ -240,7 +240,7 @@
 	is := is.New(t)
 	s := newStream(t)
 	s.submit()
-	s.entries = append(s.entries, platform.Entry{Offset: 1, Time: start, Data: []byte("?")})
+	s.entries = append(s.entries, provider.Entry{Offset: 1, Time: start, Data: []byte("?")})
 	f := newFollower()
 	s.catchUp(f, 0, 100)
 	is.Equal(f.Damaged(), uint64(1))
--- a/interference/benchmark_test.go
+++ b/interference/benchmark_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/interference"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // BenchmarkObserve measures a service's report with 12 tasks beside it, from
@@ -45,7 +45,7 @@
 			e.Placed(now, fmt.Sprint("w", i%1100), batch(fmt.Sprint("t", i), fmt.Sprint("job", i%400)))
 		}
 		for i := range 2500 {
-			replica := interference.Task{ID: fmt.Sprint("r", i), Class: fmt.Sprint("service", i), Kind: platform.KindService}
+			replica := interference.Task{ID: fmt.Sprint("r", i), Class: fmt.Sprint("service", i), Kind: provider.KindService}
 			e.Placed(now, fmt.Sprint("w", i%1100), replica)
 		}
 		for range 3 {
--- a/interference/bound.go
+++ b/interference/bound.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // pairsKept is the share of the pairs that stay when too many are held.
@@ -94,7 +94,7 @@
 	e.pairs--
 	c.pairs--
 	c.margin.add(-p.weight, -p.sum)
-	if c.kind != platform.KindService {
+	if c.kind != provider.KindService {
 		v.margin.add(-p.weight, -p.sum)
 	}
 	if c.pairs == 0 {
--- a/interference/coefficient.go
+++ b/interference/coefficient.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const (
@@ -49,7 +49,7 @@
 
 // culprit pools the pairs that have one culprit.
 type culprit struct {
-	kind   platform.TaskKind
+	kind   provider.TaskKind
 	pairs  int
 	margin margin
 }
@@ -74,16 +74,16 @@
 
 // priorOf returns the mean for an unseen pair: the fixed prior of the kind,
 // pooled with the known pairs of the same culprit and of the same victim.
-func (e *Estimator) priorOf(v *victim, class string, kind platform.TaskKind) float64 {
+func (e *Estimator) priorOf(v *victim, class string, kind provider.TaskKind) float64 {
 	sum, weight := 0.0, priorWeight
-	if kind != platform.KindService {
+	if kind != provider.KindService {
 		sum = priorWeight * e.prior
 	}
 	if c := e.culprits[class]; c != nil {
 		sum += c.margin.sum
 		weight += c.margin.weight
 	}
-	if v != nil && kind != platform.KindService {
+	if v != nil && kind != provider.KindService {
 		sum += v.margin.sum
 		weight += v.margin.weight
 	}
@@ -97,7 +97,7 @@
 // that only shrinks makes the estimate deaf to it. One would notice that the
 // residuals of a class stay one-sided for long. Variance grows with time, so
 // later reports weigh more.
-func (e *Estimator) read(now time.Time, v *victim, class string, kind platform.TaskKind) coefficient {
+func (e *Estimator) read(now time.Time, v *victim, class string, kind provider.TaskKind) coefficient {
 	prior := e.priorOf(v, class, kind)
 	limit := e.deviation * e.deviation
 	if v == nil || v.pairs[class] == nil {
@@ -161,7 +161,7 @@
 	sum := weight * known.mean
 	c := e.culprits[class]
 	c.margin.add(weight-p.weight, sum-p.sum)
-	if c.kind != platform.KindService {
+	if c.kind != provider.KindService {
 		v.margin.add(weight-p.weight, sum-p.sum)
 	}
 	p.weight, p.sum = weight, sum
--- a/interference/estimator.go
+++ b/interference/estimator.go
@@ -4,7 +4,7 @@
 // Usage:
 //
 //	e := interference.New(interference.WithLagBound(2 * time.Minute))
-//	e.Placed(now, "w1", interference.Task{ID: "t1", Class: "press/rebuild", Kind: platform.KindBatch})
+//	e.Placed(now, "w1", interference.Task{ID: "t1", Class: "press/rebuild", Kind: provider.KindBatch})
 //	outcome := e.Observe(now, "w1", usage)
 //	for _, v := range e.Pressure(now, "w1", candidate) {
 //		worst = max(worst, v.Level)
@@ -30,14 +30,14 @@
 import (
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Task is what the estimator needs to know of a task.
 type Task struct {
 	ID    string
 	Class string // group and job of a batch task, name of a service
-	Kind  platform.TaskKind
+	Kind  provider.TaskKind
 }
 
 // Estimator learns pairwise slowdowns.
@@ -138,12 +138,12 @@
 	}
 }
 
-func (e *Estimator) kindOf(class string) platform.TaskKind {
+func (e *Estimator) kindOf(class string) provider.TaskKind {
 	if c := e.culprits[class]; c != nil {
 		return c.kind
 	}
 	if _, ok := e.victims[class]; ok {
-		return platform.KindService
+		return provider.KindService
 	}
-	return platform.KindBatch
+	return provider.KindBatch
 }
--- a/interference/estimator_test.go
+++ b/interference/estimator_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/interference"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -38,15 +38,15 @@
 }
 
 func service(id string) interference.Task {
-	return interference.Task{ID: id, Class: "price", Kind: platform.KindService}
+	return interference.Task{ID: id, Class: "price", Kind: provider.KindService}
 }
 
 func batch(id, class string) interference.Task {
-	return interference.Task{ID: id, Class: class, Kind: platform.KindBatch}
+	return interference.Task{ID: id, Class: class, Kind: provider.KindBatch}
 }
 
-func usage(task string, at time.Time, latency time.Duration) platform.Usage {
-	return platform.Usage{Task: task, Measured: at, Interval: interval, Latency: latency, Requests: 500}
+func usage(task string, at time.Time, latency time.Duration) provider.Usage {
+	return provider.Usage{Task: task, Measured: at, Interval: interval, Latency: latency, Requests: 500}
 }
 
 // settle places one replica and the classes on a worker.
@@ -114,7 +114,7 @@
 	known := w.slowdown("loud")
 	is.True(near(known, 1.6, 0.1))
 
-	var late []platform.Usage
+	var late []provider.Usage
 	for range 6 {
 		w.now = w.now.Add(interval)
 		late = append(late, usage("r-w1", w.now, w.latency("w1")))
@@ -265,20 +265,20 @@
 	cases := []struct {
 		name   string
 		worker string
-		change func(u *platform.Usage)
+		change func(u *provider.Usage)
 		want   interference.Outcome
 	}{
-		{"future", "w1", func(u *platform.Usage) { u.Measured = u.Measured.Add(time.Minute) }, interference.Future},
-		{"repeated", "w1", func(u *platform.Usage) { u.Measured = u.Measured.Add(-interval) }, interference.Repeated},
-		{"out of order", "w1", func(u *platform.Usage) { u.Measured = u.Measured.Add(-2 * interval) }, interference.OutOfOrder},
-		{"stale", "w1", func(u *platform.Usage) { u.Measured = u.Measured.Add(-time.Hour) }, interference.Stale},
-		{"unknown task", "w1", func(u *platform.Usage) { u.Task = "nobody" }, interference.UnknownTask},
-		{"another worker's task", "w2", func(*platform.Usage) {}, interference.UnknownTask},
-		{"unknown worker", "w9", func(*platform.Usage) {}, interference.UnknownTask},
-		{"negative processors", "w1", func(u *platform.Usage) { u.Used = resource.Vector{Processors: -1} }, interference.Negative},
-		{"negative latency", "w1", func(u *platform.Usage) { u.Latency = -1 }, interference.Negative},
-		{"negative requests", "w1", func(u *platform.Usage) { u.Requests = -1 }, interference.Negative},
-		{"empty interval", "w1", func(u *platform.Usage) { u.Interval = 0 }, interference.Negative},
+		{"future", "w1", func(u *provider.Usage) { u.Measured = u.Measured.Add(time.Minute) }, interference.Future},
+		{"repeated", "w1", func(u *provider.Usage) { u.Measured = u.Measured.Add(-interval) }, interference.Repeated},
+		{"out of order", "w1", func(u *provider.Usage) { u.Measured = u.Measured.Add(-2 * interval) }, interference.OutOfOrder},
+		{"stale", "w1", func(u *provider.Usage) { u.Measured = u.Measured.Add(-time.Hour) }, interference.Stale},
+		{"unknown task", "w1", func(u *provider.Usage) { u.Task = "nobody" }, interference.UnknownTask},
+		{"another worker's task", "w2", func(*provider.Usage) {}, interference.UnknownTask},
+		{"unknown worker", "w9", func(*provider.Usage) {}, interference.UnknownTask},
+		{"negative processors", "w1", func(u *provider.Usage) { u.Used = resource.Vector{Processors: -1} }, interference.Negative},
+		{"negative latency", "w1", func(u *provider.Usage) { u.Latency = -1 }, interference.Negative},
+		{"negative requests", "w1", func(u *provider.Usage) { u.Requests = -1 }, interference.Negative},
+		{"empty interval", "w1", func(u *provider.Usage) { u.Interval = 0 }, interference.Negative},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -347,7 +347,7 @@
 			w := newWorld(interference.WithLagBound(time.Hour), c.option)
 			for i := range 1000 {
 				worker, job := fmt.Sprint("w", i%10), fmt.Sprint("job", i%97)
-				replica := interference.Task{ID: "r" + worker, Class: "service" + worker, Kind: platform.KindService}
+				replica := interference.Task{ID: "r" + worker, Class: "service" + worker, Kind: provider.KindService}
 				w.e.Placed(w.now, worker, replica)
 				w.e.Placed(w.now, worker, batch(job, job))
 				w.now = w.now.Add(interval)
--- a/interference/fade_test.go
+++ b/interference/fade_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/interference"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Symptom: batch work is kept off an idle worker for ever.
@@ -18,11 +18,11 @@
 	is := is.New(t)
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	e := interference.New()
-	e.Placed(now, "w1", interference.Task{ID: "quote/w1", Class: "quote", Kind: platform.KindService})
+	e.Placed(now, "w1", interference.Task{ID: "quote/w1", Class: "quote", Kind: provider.KindService})
 	report := func(n int, latency time.Duration, requests int) {
 		for range n {
 			now = now.Add(5 * time.Second)
-			e.Observe(now, "w1", platform.Usage{Task: "quote/w1", Measured: now, Interval: 5 * time.Second, Latency: latency, Requests: requests})
+			e.Observe(now, "w1", provider.Usage{Task: "quote/w1", Measured: now, Interval: 5 * time.Second, Latency: latency, Requests: requests})
 		}
 	}
 	report(60, 20*time.Millisecond, 50)
@@ -39,9 +39,9 @@
 	is := is.New(t)
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	e := interference.New()
-	e.Placed(now, "w1", interference.Task{ID: "quote/w1", Class: "quote", Kind: platform.KindService})
+	e.Placed(now, "w1", interference.Task{ID: "quote/w1", Class: "quote", Kind: provider.KindService})
 	for i := range 60 {
-		u := platform.Usage{Task: "quote/w1", Interval: 5 * time.Second, Latency: 20 * time.Millisecond, Requests: 50}
+		u := provider.Usage{Task: "quote/w1", Interval: 5 * time.Second, Latency: 20 * time.Millisecond, Requests: 50}
 		if i >= 50 {
 			u.Latency = 90 * time.Millisecond
 			u.Requests = 1
--- a/interference/fuzz_test.go
+++ b/interference/fuzz_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/interference"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -26,7 +26,7 @@
 		w.run(5, "w1")
 		w.now = w.now.Add(interval)
 		before := w.slowdown("loud")
-		outcome := w.e.Observe(w.now, "w1", platform.Usage{
+		outcome := w.e.Observe(w.now, "w1", provider.Usage{
 			Task: task, Measured: w.now.Add(time.Duration(offset)), Interval: time.Duration(length),
 			Latency: time.Duration(latency), Requests: requests, Used: resource.Vector{Processors: processors},
 		})
--- a/interference/history.go
+++ b/interference/history.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // worker is the history of what ran on one worker, in the order of starts.
@@ -44,7 +44,7 @@
 // full speed for the whole interval.
 type exposure struct {
 	class  string
-	kind   platform.TaskKind
+	kind   provider.TaskKind
 	amount float64
 }
 
--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Victim is what a service on a worker suffers.
@@ -27,7 +27,7 @@
 type Culprit struct {
 	Task       string
 	Class      string
-	Kind       platform.TaskKind
+	Kind       provider.TaskKind
 	Harm       float64 // logarithm of the slowdown at full speed
 	Activity   float64 // 1 is full speed
 	Confidence float64
@@ -44,12 +44,12 @@
 	silent := e.Silent(now, worker)
 	for i := range w.spans {
 		s := &w.spans[i]
-		if s.to.IsZero() && s.resident.Kind == platform.KindService {
+		if s.to.IsZero() && s.resident.Kind == provider.KindService {
 			list = append(list, e.suffer(now, w, s.resident, add, silent))
 		}
 	}
 	for i, t := range add {
-		if t.Kind == platform.KindService {
+		if t.Kind == provider.KindService {
 			others := append(append([]Task(nil), add[:i]...), add[i+1:]...)
 			list = append(list, e.suffer(now, w, &resident{Task: t}, others, silent))
 		}
--- a/interference/report.go
+++ b/interference/report.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Outcome tells what became of a report.
@@ -26,13 +26,13 @@
 
 // Observe takes one task's usage as reported by a worker. A bad report is
 // counted and changes nothing else.
-func (e *Estimator) Observe(now time.Time, worker string, u platform.Usage) Outcome {
+func (e *Estimator) Observe(now time.Time, worker string, u provider.Usage) Outcome {
 	o := e.observe(now, worker, u)
 	e.counts[o]++
 	return o
 }
 
-func (e *Estimator) observe(now time.Time, worker string, u platform.Usage) Outcome {
+func (e *Estimator) observe(now time.Time, worker string, u provider.Usage) Outcome {
 	if u.Used.IsNegative() || u.Latency < 0 || u.Requests < 0 || u.Interval <= 0 {
 		return Negative
 	}
@@ -61,7 +61,7 @@
 	if u.Measured.After(w.heard) {
 		w.heard = u.Measured
 	}
-	if r.Kind == platform.KindService && u.Latency > 0 && u.Requests >= minRequests {
+	if r.Kind == provider.KindService && u.Latency > 0 && u.Requests >= minRequests {
 		e.learn(now, w, r, u)
 		e.shed(r.Class)
 	}
@@ -82,7 +82,7 @@
 // would notice throttles that follow single reports. The innovation is clipped
 // at a few standard deviations, so one report moves a coefficient by a bounded
 // amount.
-func (e *Estimator) learn(now time.Time, w *worker, r *resident, u platform.Usage) {
+func (e *Estimator) learn(now time.Time, w *worker, r *resident, u provider.Usage) {
 	from := u.Measured.Add(-u.Interval)
 	v := e.victim(now, r.Class)
 	e.loosen(now, v)
@@ -125,6 +125,6 @@
 	return variance / (variance + noise)
 }
 
-func rate(u platform.Usage) float64 {
+func rate(u provider.Usage) float64 {
 	return float64(u.Requests) / u.Interval.Seconds()
 }
--- a/lease/book.go
+++ b/lease/book.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Book is the holder's book of worker leases. It isn't safe for concurrent
@@ -50,8 +50,8 @@
 }
 
 // Acquire returns the request for a lease that isn't held.
-func (b *Book) Acquire() platform.LeaseRequest {
-	return platform.LeaseRequest{Holder: b.holder, TTL: b.ttl}
+func (b *Book) Acquire() provider.LeaseRequest {
+	return provider.LeaseRequest{Holder: b.holder, TTL: b.ttl}
 }
 
 // Granted books the answer to an acquisition or a renewal that was sent at
@@ -59,7 +59,7 @@
 // at which the worker is known not to have granted it yet. It reports whether
 // the lease is held with it: an answer that a later event overtook changes
 // nothing.
-func (b *Book) Granted(sentAt time.Time, worker string, l platform.Lease) bool {
+func (b *Book) Granted(sentAt time.Time, worker string, l provider.Lease) bool {
 	e, known := b.entries[worker]
 	if !known {
 		if len(b.entries) >= b.limit {
--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/lease"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const (
@@ -25,8 +25,8 @@
 	return b
 }
 
-func grant(epoch uint64) platform.Lease {
-	return platform.Lease{Epoch: epoch, TTL: ttl}
+func grant(epoch uint64) provider.Lease {
+	return provider.Lease{Epoch: epoch, TTL: ttl}
 }
 
 // run ticks up to a time, so that no pause is seen.
@@ -169,7 +169,7 @@
 	}
 	request, ok := b.Renewal(now, "w", start)
 	is.True(ok)
-	is.Equal(request, platform.LeaseRequest{Holder: "m", Epoch: 3, TTL: ttl, Tasks: 30 * time.Second})
+	is.Equal(request, provider.LeaseRequest{Holder: "m", Epoch: 3, TTL: ttl, Tasks: 30 * time.Second})
 	now = run(b, now, tick)
 	request, ok = b.Renewal(now, "w", start)
 	is.True(ok)
--- a/lease/renewal.go
+++ b/lease/renewal.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Due returns the workers whose renewal is to be sent now, those that lapse
@@ -30,12 +30,12 @@
 // Renewal returns the request that renews a worker's lease and, where that is
 // allowed, extends the leases of its batch tasks. lastTail is when the log's
 // tail was last read with success.
-func (b *Book) Renewal(now time.Time, worker string, lastTail time.Time) (platform.LeaseRequest, bool) {
+func (b *Book) Renewal(now time.Time, worker string, lastTail time.Time) (provider.LeaseRequest, bool) {
 	e, known := b.entries[worker]
 	if !known || !e.held {
-		return platform.LeaseRequest{}, false
+		return provider.LeaseRequest{}, false
 	}
-	request := platform.LeaseRequest{Holder: b.holder, Epoch: e.epoch, TTL: b.ttl}
+	request := provider.LeaseRequest{Holder: b.holder, Epoch: e.epoch, TTL: b.ttl}
 	if b.MayExtend(worker) {
 		request.Tasks = b.Extend(now, lastTail)
 	}
--- a/member/evidence.go
+++ b/member/evidence.go
@@ -3,17 +3,17 @@
 import (
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Listed takes the platform's instance list. The first list is believed until
 // the list grace ends, so that a starting instance doesn't take itself for the
 // only one. After that a listing only makes an instance known: it neither
 // revives a dead one nor makes a new one own workers.
-func (t *Table) Listed(now time.Time, list []platform.Instance) {
+func (t *Table) Listed(now time.Time, list []provider.Instance) {
 	listed := make(map[string]bool, len(list))
 	for _, instance := range list {
-		if instance.Role != platform.RoleEntry || instance.ID == t.self.ID || !validName(instance.ID) {
+		if instance.Role != provider.RoleEntry || instance.ID == t.self.ID || !validName(instance.ID) {
 			continue
 		}
 		listed[instance.ID] = true
@@ -29,7 +29,7 @@
 	t.seeded = t.seeded || len(listed) > 0
 }
 
-func (t *Table) list(now time.Time, instance platform.Instance) {
+func (t *Table) list(now time.Time, instance provider.Instance) {
 	e, known := t.members[instance.ID]
 	if !known {
 		if e = t.add(now, instance.ID, instance.AvailabilityZone); e == nil {
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/member"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const (
@@ -51,9 +51,9 @@
 }
 
 func (v *view) list(ids ...string) {
-	var list []platform.Instance
+	var list []provider.Instance
 	for _, id := range ids {
-		list = append(list, platform.Instance{ID: id, Role: platform.RoleEntry, AvailabilityZone: zone, Address: id + ":1"})
+		list = append(list, provider.Instance{ID: id, Role: provider.RoleEntry, AvailabilityZone: zone, Address: id + ":1"})
 	}
 	v.Listed(v.now, list)
 }
@@ -399,7 +399,7 @@
 	next   int
 	tables []*member.Table
 	names  []member.Self
-	list   []platform.Instance // as of lagged
+	list   []provider.Instance // as of lagged
 	lagged time.Time
 }
 
@@ -428,7 +428,7 @@
 	f.lagged = f.now
 	f.list = nil
 	for _, s := range f.names {
-		f.list = append(f.list, platform.Instance{ID: s.ID, Role: platform.RoleEntry, AvailabilityZone: s.AvailabilityZone})
+		f.list = append(f.list, provider.Instance{ID: s.ID, Role: provider.RoleEntry, AvailabilityZone: s.AvailabilityZone})
 	}
 }
 
--- a/mitigation/ladder.go
+++ b/mitigation/ladder.go
@@ -34,7 +34,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/interference"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Kind is a kind of action.
@@ -223,5 +223,5 @@
 
 // isBatch reports whether a culprit can be throttled.
 func isBatch(c interference.Culprit) bool {
-	return c.Kind == platform.KindBatch
+	return c.Kind == provider.KindBatch
 }
--- a/mitigation/ladder_test.go
+++ b/mitigation/ladder_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/interference"
 	"github.com/dogwoodladder/dogwoodladder/mitigation"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 var start = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
@@ -24,7 +24,7 @@
 	v := interference.Victim{Task: "r", Class: "price", Level: level, Observed: level, From: from}
 	for _, id := range []string{"a", "b", "c"} {
 		if harm, ok := harms[id]; ok {
-			v.Culprits = append(v.Culprits, interference.Culprit{Task: id, Kind: platform.KindBatch, Harm: harm, Confidence: 1})
+			v.Culprits = append(v.Culprits, interference.Culprit{Task: id, Kind: provider.KindBatch, Harm: harm, Confidence: 1})
 		}
 	}
 	return v
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -21,7 +21,7 @@
 import (
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -29,7 +29,7 @@
 type Task struct {
 	ID      string
 	Class   string
-	Kind    platform.TaskKind
+	Kind    provider.TaskKind
 	Need    resource.Vector
 	Current string // the worker it runs on, empty for a new task
 }
@@ -101,7 +101,7 @@
 	if c.Quarantined || !t.Need.Fits(c.Free) {
 		return false
 	}
-	if t.Kind == platform.KindService || c.Services == 0 {
+	if t.Kind == provider.KindService || c.Services == 0 {
 		return true
 	}
 	if c.Silent {
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/placement"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -38,8 +38,8 @@
 }
 
 func TestChoose(t *testing.T) {
-	batch := placement.Task{ID: "t", Class: "g/j", Kind: platform.KindBatch, Need: cores(4)}
-	service := placement.Task{ID: "r", Class: "price", Kind: platform.KindService, Need: cores(4)}
+	batch := placement.Task{ID: "t", Class: "g/j", Kind: provider.KindBatch, Need: cores(4)}
+	service := placement.Task{ID: "r", Class: "price", Kind: provider.KindService, Need: cores(4)}
 	running := batch
 	running.Current = "b"
 	cases := []struct {
@@ -82,7 +82,7 @@
 
 func TestOptionsWeigh(t *testing.T) {
 	is := is.New(t)
-	task := placement.Task{ID: "t", Kind: platform.KindBatch, Need: cores(4)}
+	task := placement.Task{ID: "t", Kind: provider.KindBatch, Need: cores(4)}
 	harmed := []placement.Candidate{worker("a", 20, serving(1.3, 1))}
 	_, ok := placement.New(placement.WithTailLimit(1.5)).Choose(time.Time{}, task, harmed)
 	is.True(ok)
--- a/platform/platform.go
+++ b/provider/provider.go
@@ -1,15 +1,15 @@
-// Package platform declares what the surrounding platform gives: a log
+// Package provider declares what the surrounding platform gives: a log
 // service, an instance list and workers. It holds interfaces and plain data
 // only, so that decision packages may use its types without any transport.
 //
 // Usage:
 //
 //	page, err := log.Read(ctx, "zone/a", next, 500)
-//	grant, err := worker.Acquire(ctx, platform.LeaseRequest{Holder: id, TTL: 6 * time.Second})
+//	grant, err := worker.Acquire(ctx, provider.LeaseRequest{Holder: id, TTL: 6 * time.Second})
 //
 // Errors carry a kind of package fault. An Append that returns
 // fault.MayHaveRun may still take effect later.
-package platform
+package provider
 
 import (
 	"context"
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/caller"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 	"github.com/dogwoodladder/dogwoodladder/standin/memory"
@@ -45,9 +45,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := worker.New("w1", worker.WithSlots(slots))
-		lease, err := w.Acquire(platform.LeaseRequest{Holder: "a", TTL: time.Hour})
+		lease, err := w.Acquire(provider.LeaseRequest{Holder: "a", TTL: time.Hour})
 		is.NoErr(err)
-		is.NoErr(w.Start(lease.Epoch, platform.TaskSpec{ID: "pricing/1", Kind: platform.KindService}))
+		is.NoErr(w.Start(lease.Epoch, provider.TaskSpec{ID: "pricing/1", Kind: provider.KindService}))
 		w.Set(f)
 		e := entry{worker: w}
 		if before != nil {
--- a/standin/instancelist/handler.go
+++ b/standin/instancelist/handler.go
@@ -17,7 +17,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const maxBody = 64 << 10
@@ -64,19 +64,19 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func parsePut(w http.ResponseWriter, r *http.Request) (platform.Instance, error) {
+func parsePut(w http.ResponseWriter, r *http.Request) (provider.Instance, error) {
 	id, err := idOf(r)
 	if err != nil {
-		return platform.Instance{}, err
+		return provider.Instance{}, err
 	}
-	var instance platform.Instance
+	var instance provider.Instance
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&instance); err != nil {
-		return platform.Instance{}, fault.Wrap(fault.Invalid, err, "instance")
+		return provider.Instance{}, fault.Wrap(fault.Invalid, err, "instance")
 	}
 	if instance.ID != id {
-		return platform.Instance{}, fault.New(fault.Invalid, "ID %q in the path, %q in the body", id, instance.ID)
+		return provider.Instance{}, fault.New(fault.Invalid, "ID %q in the path, %q in the body", id, instance.ID)
 	}
 	return instance, nil
 }
@@ -93,6 +93,6 @@
 	return id, nil
 }
 
-func byID(a, b platform.Instance) int {
+func byID(a, b provider.Instance) int {
 	return strings.Compare(a.ID, b.ID)
 }
--- a/standin/instancelist/instancelist.go
+++ b/standin/instancelist/instancelist.go
@@ -4,14 +4,14 @@
 // Usage:
 //
 //	list := instancelist.New(instancelist.WithLag(2 * time.Second))
-//	list.Put(platform.Instance{ID: "w1", Role: platform.RoleWorker})
+//	list.Put(provider.Instance{ID: "w1", Role: provider.RoleWorker})
 //	go list.Serve(ctx, listener)
 //	instances, err := client.NewList(listener.Addr().String()).Instances(ctx)
 //
 // Requests:
 //
-//	GET    /instances       JSON []platform.Instance, ordered by ID
-//	PUT    /instances/{id}  JSON platform.Instance
+//	GET    /instances       JSON []provider.Instance, ordered by ID
+//	PUT    /instances/{id}  JSON provider.Instance
 //	DELETE /instances/{id}
 //	GET, PUT /faults        see package faults
 package instancelist
@@ -25,7 +25,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 )
 
@@ -55,7 +55,7 @@
 	initial Faults
 
 	mu    sync.Mutex
-	seen  map[string]platform.Instance // the changes that have shown
+	seen  map[string]provider.Instance // the changes that have shown
 	past  []change                     // those that haven't, oldest first
 	known map[string]bool              // IDs that are listed in truth
 	stuck map[string]bool
@@ -65,14 +65,14 @@
 type change struct {
 	at       time.Time
 	id       string
-	instance *platform.Instance
+	instance *provider.Instance
 }
 
 // New returns an empty list.
 func New(opts ...Option) *List {
 	l := &List{
 		now:   time.Now,
-		seen:  make(map[string]platform.Instance),
+		seen:  make(map[string]provider.Instance),
 		known: make(map[string]bool),
 	}
 	for _, opt := range opts {
@@ -111,7 +111,7 @@
 }
 
 // Put lists an instance, or changes its entry.
-func (l *List) Put(instance platform.Instance) error {
+func (l *List) Put(instance provider.Instance) error {
 	if instance.ID == "" || len(instance.ID) > maxID {
 		return fault.New(fault.Invalid, "instance ID %q", instance.ID)
 	}
@@ -137,12 +137,12 @@
 }
 
 // Instances returns what the list shows now, ordered by ID.
-func (l *List) Instances() []platform.Instance {
+func (l *List) Instances() []provider.Instance {
 	lag := l.lag + time.Duration(l.Get().Lag)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.show(l.now().Add(-lag))
-	shown := make([]platform.Instance, 0, len(l.seen))
+	shown := make([]provider.Instance, 0, len(l.seen))
 	for _, instance := range l.seen {
 		shown = append(shown, instance)
 	}
--- a/standin/instancelist/instancelist_test.go
+++ b/standin/instancelist/instancelist_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/client"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 	"github.com/dogwoodladder/dogwoodladder/standin/instancelist"
 	"github.com/dogwoodladder/dogwoodladder/standin/memory"
@@ -42,14 +42,14 @@
 		}
 
 		for _, id := range []string{"w2", "w1"} {
-			is.NoErr(registrar.Put(t.Context(), platform.Instance{ID: id, Status: platform.StatusLive}))
+			is.NoErr(registrar.Put(t.Context(), provider.Instance{ID: id, Status: provider.StatusLive}))
 		}
 		is.Equal(shown(), nil)
 		time.Sleep(2 * time.Second)
 		is.Equal(shown(), []string{"w1 live", "w2 live"})
 
 		l.Set(instancelist.Faults{Stuck: []string{"w1"}})
-		is.NoErr(registrar.Put(t.Context(), platform.Instance{ID: "w2", Status: platform.StatusLeaving}))
+		is.NoErr(registrar.Put(t.Context(), provider.Instance{ID: "w2", Status: provider.StatusLeaving}))
 		is.NoErr(registrar.Delete(t.Context(), "w1"))
 		time.Sleep(2 * time.Second)
 		is.Equal(shown(), []string{"w1 live", "w2 leaving"})
--- a/standin/logservice/handler.go
+++ b/standin/logservice/handler.go
@@ -16,7 +16,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 )
 
@@ -85,7 +85,7 @@
 	}
 }
 
-func (s *Service) readWaiting(ctx context.Context, request readRequest) (platform.Page, error) {
+func (s *Service) readWaiting(ctx context.Context, request readRequest) (provider.Page, error) {
 	timer := time.NewTimer(request.wait)
 	defer timer.Stop()
 	for {
@@ -103,7 +103,7 @@
 	}
 }
 
-func writePage(w http.ResponseWriter, page platform.Page) {
+func writePage(w http.ResponseWriter, page provider.Page) {
 	body, err := wire.EncodePage(page)
 	if err != nil {
 		wire.Refuse(w, fault.Wrap(fault.Internal, err, "encode page"))
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -11,7 +11,7 @@
 // Requests:
 //
 //	POST /streams/zone/a/records                     CBOR array of byte strings -> {"first": offset}
-//	GET  /streams/zone/a/records?from=&limit=&wait=  -> CBOR platform.Page; 410 for an expired offset
+//	GET  /streams/zone/a/records?from=&limit=&wait=  -> CBOR provider.Page; 410 for an expired offset
 //	GET, PUT /faults                                 see package faults
 //
 // An append that comes while the fault "late" is set takes effect after that
@@ -28,7 +28,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 )
 
@@ -132,13 +132,13 @@
 
 // read returns a page and, when the page is empty at the stream's end, a
 // channel that is closed by the next append.
-func (s *Service) read(name string, from uint64, limit int) (platform.Page, <-chan struct{}, error) {
+func (s *Service) read(name string, from uint64, limit int) (provider.Page, <-chan struct{}, error) {
 	keep := s.keep()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st, err := s.stream(name)
 	if err != nil {
-		return platform.Page{}, nil, err
+		return provider.Page{}, nil, err
 	}
 	st.trim(keep, s.now().Add(-s.age))
 	return st.page(from, limit)
--- a/standin/logservice/logservice_test.go
+++ b/standin/logservice/logservice_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/logservice"
 )
 
@@ -21,7 +21,7 @@
 	return recorder
 }
 
-func read(s *logservice.Service, from uint64) (platform.Page, int) {
+func read(s *logservice.Service, from uint64) (provider.Page, int) {
 	recorder := httptest.NewRecorder()
 	target := "/streams/zone/a/records?limit=100&wait=0s&from=" + strconv.FormatUint(from, 10)
 	s.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, target, nil))
--- a/standin/logservice/stream.go
+++ b/standin/logservice/stream.go
@@ -5,13 +5,13 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // stream is the entries kept, the first of them at offset oldest.
 type stream struct {
 	oldest   uint64
-	entries  []platform.Entry
+	entries  []provider.Entry
 	bytes    int
 	appended chan struct{} // closed and replaced by each append
 }
@@ -27,7 +27,7 @@
 func (s *stream) append(records [][]byte, now time.Time) uint64 {
 	first := s.next()
 	for _, data := range records {
-		s.entries = append(s.entries, platform.Entry{Offset: s.next(), Time: now, Data: data})
+		s.entries = append(s.entries, provider.Entry{Offset: s.next(), Time: now, Data: data})
 		s.bytes += len(data)
 	}
 	close(s.appended)
@@ -40,7 +40,7 @@
 func (s *stream) trim(keep int, horizon time.Time) {
 	for len(s.entries) > 0 && s.isExpired(keep, horizon) {
 		s.bytes -= len(s.entries[0].Data)
-		s.entries[0] = platform.Entry{}
+		s.entries[0] = provider.Entry{}
 		s.entries = s.entries[1:]
 		s.oldest++
 	}
@@ -50,8 +50,8 @@
 	return len(s.entries) > keep || s.entries[0].Time.Before(horizon) || s.bytes > MaxBytes
 }
 
-func (s *stream) page(from uint64, limit int) (platform.Page, <-chan struct{}, error) {
-	page := platform.Page{Oldest: s.oldest, Next: s.next()}
+func (s *stream) page(from uint64, limit int) (provider.Page, <-chan struct{}, error) {
+	page := provider.Page{Oldest: s.oldest, Next: s.next()}
 	if from < s.oldest {
 		return page, nil, fault.New(fault.Expired, "offset %d, oldest kept %d", from, s.oldest)
 	}
@@ -68,7 +68,7 @@
 
 // fitting returns how many entries go into one page: at most limit, and no
 // more data than a page may hold, but always one.
-func fitting(entries []platform.Entry, limit int) int {
+func fitting(entries []provider.Entry, limit int) int {
 	size := 0
 	for n, e := range entries {
 		size += len(e.Data)
--- a/standin/worker/handler.go
+++ b/standin/worker/handler.go
@@ -8,7 +8,7 @@
 	"goji.io/pat"
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const pathLedger = "/ledger"
@@ -20,7 +20,7 @@
 	mux.HandleFunc(pat.Post(wire.PathRelease), handle(func(in wire.Release) (struct{}, error) {
 		return struct{}{}, w.Release(in.Epoch)
 	}))
-	mux.HandleFunc(pat.Post(wire.PathTransfer), handle(func(in wire.Transfer) (platform.Lease, error) {
+	mux.HandleFunc(pat.Post(wire.PathTransfer), handle(func(in wire.Transfer) (provider.Lease, error) {
 		return w.Transfer(in.Epoch, in.To)
 	}))
 	mux.HandleFunc(pat.Post(wire.PathStart), handle(func(in wire.Start) (struct{}, error) {
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 type lease struct {
@@ -20,9 +20,9 @@
 }
 
 // Acquire grants the lease with a new epoch, unless another holder has it.
-func (w *Worker) Acquire(request platform.LeaseRequest) (platform.Lease, error) {
+func (w *Worker) Acquire(request provider.LeaseRequest) (provider.Lease, error) {
 	if request.Holder == "" || len(request.Holder) > maxID {
-		return platform.Lease{}, fault.New(fault.Invalid, "lease holder %q", request.Holder)
+		return provider.Lease{}, fault.New(fault.Invalid, "lease holder %q", request.Holder)
 	}
 	now := w.now()
 	w.mu.Lock()
@@ -30,10 +30,10 @@
 	w.settle(now)
 	if w.lease.inForce(now) && w.lease.holder != request.Holder {
 		err := fault.New(fault.Conflict, "lease is held by %s", w.lease.holder)
-		return platform.Lease{}, err.After(w.lease.until.Sub(now))
+		return provider.Lease{}, err.After(w.lease.until.Sub(now))
 	}
 	if err := checkTimes(request); err != nil {
-		return platform.Lease{}, err
+		return provider.Lease{}, err
 	}
 	w.lease.holder = request.Holder
 	w.lease.epoch++
@@ -43,15 +43,15 @@
 
 // Renew extends the lease whose epoch is in force; the epoch stands for the
 // holder.
-func (w *Worker) Renew(request platform.LeaseRequest) (platform.Lease, error) {
+func (w *Worker) Renew(request provider.LeaseRequest) (provider.Lease, error) {
 	now := w.now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.enter(request.Epoch, now); err != nil {
-		return platform.Lease{}, err
+		return provider.Lease{}, err
 	}
 	if err := checkTimes(request); err != nil {
-		return platform.Lease{}, err
+		return provider.Lease{}, err
 	}
 	w.extend(request, now)
 	return w.granted(), nil
@@ -70,15 +70,15 @@
 }
 
 // Transfer gives the lease to another holder with a new epoch.
-func (w *Worker) Transfer(epoch uint64, to string) (platform.Lease, error) {
+func (w *Worker) Transfer(epoch uint64, to string) (provider.Lease, error) {
 	if to == "" || len(to) > maxID {
-		return platform.Lease{}, fault.New(fault.Invalid, "lease holder %q", to)
+		return provider.Lease{}, fault.New(fault.Invalid, "lease holder %q", to)
 	}
 	now := w.now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.enter(epoch, now); err != nil {
-		return platform.Lease{}, err
+		return provider.Lease{}, err
 	}
 	w.lease.holder = to
 	w.lease.epoch++
@@ -100,7 +100,7 @@
 	return nil
 }
 
-func (w *Worker) extend(request platform.LeaseRequest, now time.Time) {
+func (w *Worker) extend(request provider.LeaseRequest, now time.Time) {
 	w.lease.ttl = request.TTL
 	w.lease.until = now.Add(request.TTL)
 	if request.Tasks == 0 {
@@ -112,8 +112,8 @@
 	}
 }
 
-func (w *Worker) granted() platform.Lease {
-	return platform.Lease{
+func (w *Worker) granted() provider.Lease {
+	return provider.Lease{
 		Epoch:    w.lease.epoch,
 		TTL:      w.lease.ttl,
 		Capacity: w.capacity,
@@ -122,7 +122,7 @@
 	}
 }
 
-func checkTimes(request platform.LeaseRequest) error {
+func checkTimes(request provider.LeaseRequest) error {
 	if request.TTL <= 0 || request.TTL > MaxTTL {
 		return fault.New(fault.Invalid, "lease for %v, want up to %v", request.TTL, MaxTTL)
 	}
--- a/standin/worker/ledger.go
+++ b/standin/worker/ledger.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const maxLedger = 500_000 // entries of each map
@@ -36,7 +36,7 @@
 	End     time.Time          `json:"end,omitzero"`
 	From    time.Duration      `json:"from"` // work done before
 	To      time.Duration      `json:"to"`   // work done in the end
-	State   platform.TaskState `json:"state"`
+	State   provider.TaskState `json:"state"`
 }
 
 // Merge returns the accounts of several workers together, so that two runs
@@ -118,7 +118,7 @@
 		Attempt: t.spec.Attempt,
 		Start:   now,
 		From:    t.done,
-		State:   platform.TaskRunning,
+		State:   provider.TaskRunning,
 	})
 }
 
--- a/standin/worker/program.go
+++ b/standin/worker/program.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const failAfter = 10 * time.Millisecond
@@ -22,7 +22,7 @@
 
 // compile returns the program of a command on the worker called id. A
 // command that makes no sense gives a program that fails.
-func compile(spec platform.TaskSpec, id string) program {
+func compile(spec provider.TaskSpec, id string) program {
 	words := strings.Fields(spec.Command)
 	use, words, err := cutUse(words)
 	if err != nil {
--- a/standin/worker/service.go
+++ b/standin/worker/service.go
@@ -12,7 +12,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/answer"
 )
 
@@ -135,7 +135,7 @@
 func (w *Worker) slowdown(group string) float64 {
 	factor := 1.0
 	for _, t := range w.tasks {
-		if !t.isBatch() || t.state != platform.TaskRunning {
+		if !t.isBatch() || t.state != provider.TaskRunning {
 			continue
 		}
 		if pair, ok := w.interference[group][t.spec.Group]; ok {
@@ -147,7 +147,7 @@
 
 func serves(t *task, service string) bool {
 	name, _, _ := strings.Cut(t.spec.ID, "/")
-	return !t.isBatch() && t.state == platform.TaskRunning && name == service
+	return !t.isBatch() && t.state == provider.TaskRunning && name == service
 }
 
 func parseService(rw http.ResponseWriter, r *http.Request) (serviceRequest, error) {
--- a/standin/worker/service_test.go
+++ b/standin/worker/service_test.go
@@ -15,7 +15,7 @@
 	"github.com/dogwoodladder/dogwoodladder/client"
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/standin/answer"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 	"github.com/dogwoodladder/dogwoodladder/standin/memory"
@@ -35,7 +35,7 @@
 func startReplica(t *testing.T, w *worker.Worker) {
 	t.Helper()
 	lease := acquire(t, w, "a", time.Minute, 0)
-	replica := platform.TaskSpec{ID: "pricing/1", Kind: platform.KindService, Group: "yard"}
+	replica := provider.TaskSpec{ID: "pricing/1", Kind: provider.KindService, Group: "yard"}
 	is.New(t).NoErr(w.Start(lease.Epoch, replica))
 }
 
@@ -96,7 +96,7 @@
 		go request(w, "1", "/services/pricing/x?work=10s")
 		synctest.Wait()
 		is.Equal(request(w, "1", "/services/pricing/x").Header().Get(wire.HeaderFault), "Overloaded")
-		is.NoErr(w.Start(1, platform.TaskSpec{ID: "pricing/2", Kind: platform.KindService, Slots: 5}))
+		is.NoErr(w.Start(1, provider.TaskSpec{ID: "pricing/2", Kind: provider.KindService, Slots: 5}))
 		is.Equal(request(w, "1", "/services/pricing/x").Header().Get(wire.HeaderFault), "Overloaded") // the worker's slots bound all
 		is.NoErr(w.Stop(1, "t", false))
 		time.Sleep(30 * time.Second)
@@ -123,7 +123,7 @@
 				_ = w.Serve(ctx, listener)
 			}()
 			control := client.NewWorker("w1", client.WithDial(network.Dial), client.WithTimeout(time.Second))
-			lease, err := control.Acquire(t.Context(), platform.LeaseRequest{Holder: "a", TTL: 6 * time.Second})
+			lease, err := control.Acquire(t.Context(), provider.LeaseRequest{Holder: "a", TTL: 6 * time.Second})
 			is.NoErr(err)
 			w.Set(worker.Faults{Common: f})
 			err = control.Start(t.Context(), lease.Epoch, batch("t", 1, "never"))
--- a/standin/worker/task.go
+++ b/standin/worker/task.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -12,9 +12,9 @@
 // task is one attempt that the worker holds. Its progress is counted in work
 // at full speed and computed when asked for; nothing runs in between.
 type task struct {
-	spec       platform.TaskSpec
+	spec       provider.TaskSpec
 	program    program
-	state      platform.TaskState
+	state      provider.TaskState
 	checkpoint string
 	result     string
 	reason     string
@@ -25,11 +25,11 @@
 	traffic    traffic   // of a service replica
 }
 
-func newTask(spec platform.TaskSpec, p program, resumed time.Duration, now time.Time) *task {
+func newTask(spec provider.TaskSpec, p program, resumed time.Duration, now time.Time) *task {
 	return &task{
 		spec:       spec,
 		program:    p,
-		state:      platform.TaskRunning,
+		state:      provider.TaskRunning,
 		checkpoint: spec.Checkpoint,
 		percent:    fullSpeed,
 		done:       resumed,
@@ -38,7 +38,7 @@
 }
 
 func (t *task) isBatch() bool {
-	return t.spec.Kind == platform.KindBatch
+	return t.spec.Kind == provider.KindBatch
 }
 
 func (t *task) progress(now time.Time) time.Duration {
@@ -91,8 +91,8 @@
 	}
 }
 
-func (t *task) running() platform.Running {
-	return platform.Running{
+func (t *task) running() provider.Running {
+	return provider.Running{
 		ID:         t.spec.ID,
 		Kind:       t.spec.Kind,
 		Group:      t.spec.Group,
--- a/standin/worker/tasks.go
+++ b/standin/worker/tasks.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
 // Start runs a task. To start an attempt that is held already changes
 // nothing.
-func (w *Worker) Start(epoch uint64, spec platform.TaskSpec) error {
+func (w *Worker) Start(epoch uint64, spec provider.TaskSpec) error {
 	if err := checkSpec(spec); err != nil {
 		return err
 	}
@@ -43,10 +43,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t, err := w.find(epoch, id, now)
-	if err != nil || t.state != platform.TaskRunning {
+	if err != nil || t.state != provider.TaskRunning {
 		return err
 	}
-	w.end(t, now, platform.TaskStopped, "stopped on request")
+	w.end(t, now, provider.TaskStopped, "stopped on request")
 	if checkpoint && t.isBatch() {
 		t.checkpoint = t.progress(now).String()
 	}
@@ -62,7 +62,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t, err := w.find(epoch, id, now)
-	if err != nil || t.state != platform.TaskRunning {
+	if err != nil || t.state != provider.TaskRunning {
 		return err
 	}
 	t.throttle(percent, now)
@@ -78,7 +78,7 @@
 		return err
 	}
 	for _, id := range ids {
-		if t, ok := w.tasks[id]; ok && t.state != platform.TaskRunning {
+		if t, ok := w.tasks[id]; ok && t.state != provider.TaskRunning {
 			delete(w.tasks, id)
 		}
 	}
@@ -102,7 +102,7 @@
 		w.endByItself(t, at, finished)
 	}
 	for _, t := range w.tasks {
-		if t.isBatch() && t.state == platform.TaskRunning {
+		if t.isBatch() && t.state == provider.TaskRunning {
 			t.checkpoint = t.lastCheckpoint(now, w.checkpoint)
 		}
 	}
@@ -110,7 +110,7 @@
 
 func (w *Worker) nextEnd() (next *task, at time.Time, finished bool) {
 	for _, t := range w.tasks {
-		if !t.isBatch() || t.state != platform.TaskRunning {
+		if !t.isBatch() || t.state != provider.TaskRunning {
 			continue
 		}
 		end, byItself := t.next()
@@ -124,16 +124,16 @@
 func (w *Worker) endByItself(t *task, at time.Time, finished bool) {
 	switch {
 	case !finished:
-		w.end(t, at, platform.TaskStopped, "task lease ended")
+		w.end(t, at, provider.TaskStopped, "task lease ended")
 	case t.program.failure != "":
-		w.end(t, at, platform.TaskFailed, t.program.failure)
+		w.end(t, at, provider.TaskFailed, t.program.failure)
 	default:
-		w.end(t, at, platform.TaskDone, "")
+		w.end(t, at, provider.TaskDone, "")
 		t.result = "done on " + w.id
 	}
 }
 
-func (w *Worker) end(t *task, at time.Time, state platform.TaskState, reason string) {
+func (w *Worker) end(t *task, at time.Time, state provider.TaskState, reason string) {
 	if t.isBatch() {
 		t.checkpoint = t.lastCheckpoint(at, w.checkpoint)
 	}
@@ -153,20 +153,20 @@
 	return t, nil
 }
 
-func (w *Worker) program(spec platform.TaskSpec, fails bool) program {
+func (w *Worker) program(spec provider.TaskSpec, fails bool) program {
 	if fails {
 		return failing("worker " + w.id + " fails everything")
 	}
 	return compile(spec, w.id)
 }
 
-func (w *Worker) checkRoom(spec platform.TaskSpec) error {
+func (w *Worker) checkRoom(spec provider.TaskSpec) error {
 	if len(w.tasks) >= MaxTasks {
 		return fault.New(fault.Overloaded, "more than %d tasks held", MaxTasks)
 	}
 	var sum resource.Vector
 	for _, t := range w.tasks {
-		if t.state == platform.TaskRunning {
+		if t.state == provider.TaskRunning {
 			sum = sum.Add(t.spec.Need)
 		}
 	}
@@ -176,27 +176,27 @@
 	return nil
 }
 
-func (w *Worker) running() []platform.Running {
-	held := make([]platform.Running, 0, len(w.tasks))
+func (w *Worker) running() []provider.Running {
+	held := make([]provider.Running, 0, len(w.tasks))
 	for _, t := range w.tasks {
 		held = append(held, t.running())
 	}
-	slices.SortFunc(held, func(a, b platform.Running) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(held, func(a, b provider.Running) int { return strings.Compare(a.ID, b.ID) })
 	return held
 }
 
-func checkHeld(held *task, spec platform.TaskSpec) error {
+func checkHeld(held *task, spec provider.TaskSpec) error {
 	if held.spec.Attempt == spec.Attempt {
 		return nil
 	}
 	return fault.New(fault.Conflict, "task %q is held, attempt %d, %s", spec.ID, held.spec.Attempt, held.state)
 }
 
-func checkSpec(spec platform.TaskSpec) error {
+func checkSpec(spec provider.TaskSpec) error {
 	switch {
 	case spec.ID == "" || len(spec.ID) > maxID:
 		return fault.New(fault.Invalid, "task ID %q", spec.ID)
-	case spec.Kind != platform.KindBatch && spec.Kind != platform.KindService:
+	case spec.Kind != provider.KindBatch && spec.Kind != provider.KindService:
 		return fault.New(fault.Invalid, "task kind %q", spec.Kind)
 	case spec.Need.IsNegative():
 		return fault.New(fault.Invalid, "need %v", spec.Need)
--- a/standin/worker/usage.go
+++ b/standin/worker/usage.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 const (
@@ -16,7 +16,7 @@
 // sample is the usage of all tasks over the interval that ended at a time.
 type sample struct {
 	at    time.Time
-	usage []platform.Usage
+	usage []provider.Usage
 }
 
 // traffic is what a service replica answered in the present interval.
@@ -44,10 +44,10 @@
 func (w *Worker) sample(at time.Time) {
 	s := sample{at: at}
 	for _, t := range w.tasks {
-		if t.state != platform.TaskRunning {
+		if t.state != provider.TaskRunning {
 			continue
 		}
-		s.usage = append(s.usage, platform.Usage{
+		s.usage = append(s.usage, provider.Usage{
 			Task:     t.spec.ID,
 			Group:    t.spec.Group,
 			Measured: at,
@@ -74,7 +74,7 @@
 }
 
 // usage returns the newest measurements made by a time.
-func (w *Worker) usage(until time.Time) []platform.Usage {
+func (w *Worker) usage(until time.Time) []provider.Usage {
 	for _, s := range slices.Backward(w.samples) {
 		if !s.at.After(until) {
 			return s.usage
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -7,7 +7,7 @@
 //	w := worker.New("w1", worker.WithCapacity(capacity), worker.WithSlots(8))
 //	go w.Serve(ctx, listener)
 //	control := client.NewWorker(listener.Addr().String())
-//	lease, err := control.Acquire(ctx, platform.LeaseRequest{Holder: "a", TTL: 6 * time.Second})
+//	lease, err := control.Acquire(ctx, provider.LeaseRequest{Holder: "a", TTL: 6 * time.Second})
 //
 // Requests, besides those of package client/wire:
 //
@@ -43,7 +43,7 @@
 	"sync"
 	"time"
 
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 )
@@ -173,27 +173,27 @@
 }
 
 // Instance returns the worker's line in the instance list.
-func (w *Worker) Instance(zone, rack, address string) platform.Instance {
-	return platform.Instance{
+func (w *Worker) Instance(zone, rack, address string) provider.Instance {
+	return provider.Instance{
 		ID:               w.id,
-		Role:             platform.RoleWorker,
+		Role:             provider.RoleWorker,
 		AvailabilityZone: zone,
 		Rack:             rack,
 		Address:          address,
-		Status:           platform.StatusLive,
+		Status:           provider.StatusLive,
 		Capacity:         w.capacity,
 		Slots:            w.slots,
 	}
 }
 
 // Report returns the worker's account of itself.
-func (w *Worker) Report() platform.Report {
+func (w *Worker) Report() provider.Report {
 	now := w.now()
 	lag := w.lag + time.Duration(w.Get().Lag)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.settle(now)
-	return platform.Report{
+	return provider.Report{
 		Worker: w.id,
 		Epoch:  w.lease.epoch,
 		Tasks:  w.running(),
@@ -211,8 +211,8 @@
 	defer w.mu.Unlock()
 	w.settle(now)
 	for _, t := range w.tasks {
-		if t.state == platform.TaskRunning {
-			w.end(t, now, platform.TaskStopped, "worker died")
+		if t.state == provider.TaskRunning {
+			w.end(t, now, provider.TaskStopped, "worker died")
 		}
 	}
 }
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/platform"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
@@ -25,16 +25,16 @@
 func (c *clock) now() time.Time          { return c.at }
 func (c *clock) advance(d time.Duration) { c.at = c.at.Add(d) }
 
-func acquire(t *testing.T, w *worker.Worker, holder string, ttl, tasks time.Duration) platform.Lease {
+func acquire(t *testing.T, w *worker.Worker, holder string, ttl, tasks time.Duration) provider.Lease {
 	t.Helper()
-	lease, err := w.Acquire(platform.LeaseRequest{Holder: holder, TTL: ttl, Tasks: tasks})
+	lease, err := w.Acquire(provider.LeaseRequest{Holder: holder, TTL: ttl, Tasks: tasks})
 	is.New(t).NoErr(err)
 	return lease
 }
 
-func batch(id string, attempt uint32, command string) platform.TaskSpec {
+func batch(id string, attempt uint32, command string) provider.TaskSpec {
 	need := resource.Vector{Processors: 1000, Memory: 100}
-	return platform.TaskSpec{ID: id, Kind: platform.KindBatch, Group: "batch", Attempt: attempt, Need: need, Command: command}
+	return provider.TaskSpec{ID: id, Kind: provider.KindBatch, Group: "batch", Attempt: attempt, Need: need, Command: command}
 }
 
 // Symptom: two entry instances start work on one worker.
@@ -48,12 +48,12 @@
 	a := acquire(t, w, "a", 6*time.Second, 0)
 
 	c.advance(2 * time.Second)
-	_, err := w.Acquire(platform.LeaseRequest{Holder: "b", TTL: time.Second})
+	_, err := w.Acquire(provider.LeaseRequest{Holder: "b", TTL: time.Second})
 	is.True(fault.Is(err, fault.Conflict))
 	is.Equal(err.(*fault.Error).RetryAfter, 4*time.Second)
 
 	c.advance(4 * time.Second)
-	_, err = w.Renew(platform.LeaseRequest{Holder: "a", Epoch: a.Epoch, TTL: time.Second})
+	_, err = w.Renew(provider.LeaseRequest{Holder: "a", Epoch: a.Epoch, TTL: time.Second})
 	is.True(fault.Is(err, fault.StaleEpoch)) // lapsed, though nobody else has it
 
 	b := acquire(t, w, "b", 6*time.Second, 0)
@@ -85,12 +85,12 @@
 	is.NoErr(w.Start(a.Epoch, batch("t", 1, "sleep 1m")))
 
 	c.advance(9500 * time.Millisecond)
-	is.Equal(w.Report().Tasks[0].State, platform.TaskRunning)
+	is.Equal(w.Report().Tasks[0].State, provider.TaskRunning)
 
 	c.advance(time.Minute)
 	b := acquire(t, w, "b", 2*time.Second, 10*time.Second)
 	stopped := b.Tasks[0]
-	is.Equal(stopped.State, platform.TaskStopped)
+	is.Equal(stopped.State, provider.TaskStopped)
 	is.Equal(stopped.Checkpoint, "10s") // it ran to its lease's end, no further
 
 	is.True(fault.Is(w.Start(b.Epoch, batch("t", 2, "sleep 1m")), fault.Conflict)) // the result is still kept
@@ -99,7 +99,7 @@
 	resumed.Checkpoint = stopped.Checkpoint
 	is.NoErr(w.Start(b.Epoch, resumed))
 	c.advance(time.Second)
-	is.Equal(w.Report().Tasks[0].State, platform.TaskDone) // only the last second was left
+	is.Equal(w.Report().Tasks[0].State, provider.TaskDone) // only the last second was left
 
 	account := w.Ledger().Tasks[0]
 	is.Equal(len(account.Runs), 2)
@@ -132,19 +132,19 @@
 		command string
 		percent int
 		after   time.Duration
-		state   platform.TaskState
+		state   provider.TaskState
 	}{
-		{"sleep 2s", 100, 1999 * time.Millisecond, platform.TaskRunning},
-		{"sleep 2s", 100, 2 * time.Second, platform.TaskDone},
-		{"sleep 2s use=1.5", 50, 3 * time.Second, platform.TaskRunning},
-		{"sleep 2s use=1.5", 50, 4 * time.Second, platform.TaskDone},
-		{"sleep 2s", 0, 50 * time.Second, platform.TaskRunning},
-		{"", 100, 3 * time.Second, platform.TaskDone}, // the declared duration
-		{"fail 1s", 100, time.Second, platform.TaskFailed},
-		{"fail-here w0,w1", 100, time.Second, platform.TaskFailed},
-		{"fail-here w0 2s", 100, 2 * time.Second, platform.TaskDone},
-		{"never", 100, 59 * time.Second, platform.TaskRunning},
-		{"rm -rf", 100, time.Second, platform.TaskFailed},
+		{"sleep 2s", 100, 1999 * time.Millisecond, provider.TaskRunning},
+		{"sleep 2s", 100, 2 * time.Second, provider.TaskDone},
+		{"sleep 2s use=1.5", 50, 3 * time.Second, provider.TaskRunning},
+		{"sleep 2s use=1.5", 50, 4 * time.Second, provider.TaskDone},
+		{"sleep 2s", 0, 50 * time.Second, provider.TaskRunning},
+		{"", 100, 3 * time.Second, provider.TaskDone}, // the declared duration
+		{"fail 1s", 100, time.Second, provider.TaskFailed},
+		{"fail-here w0,w1", 100, time.Second, provider.TaskFailed},
+		{"fail-here w0 2s", 100, 2 * time.Second, provider.TaskDone},
+		{"never", 100, 59 * time.Second, provider.TaskRunning},
+		{"rm -rf", 100, time.Second, provider.TaskFailed},
 	}
 	for _, tt := range tests {
 		t.Run(tt.command, func(t *testing.T) {
