--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,343 @@
+// Package catalog folds two keyed streams into what is known of all jobs:
+// what was accepted and cancelled, written by any instance, and what became of
+// it, written by the owner of the cell.
+//
+// Usage:
+//
+//	c := catalog.New()
+//	c.Accept(record)    // of stream catalog.Accepts
+//	c.Progress(record)  // of stream catalog.Progress
+//	state, known := c.State(id)
+//
+// The two kinds of record stand under different keys, so that the fold doesn't
+// depend on the order in which the streams are read, and an accept that is
+// written twice, or late, never replaces the progress of a job that has run
+// since. A Catalog may be used by several goroutines.
+package catalog
+
+import (
+	"strings"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/progress"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// Streams that are folded.
+const (
+	Accepts  = "jobs"     // jobs and cancellations, by any instance
+	Progress = "progress" // by the owner alone, fenced
+)
+
+// Prefixes of keys.
+const (
+	acceptKey   = "a/"
+	cancelKey   = "c/"
+	progressKey = "p/"
+	hostKey     = "w/"
+	ownerKey    = "owner"
+)
+
+// Entry is what is known of one job. Its fields may be nil.
+type Entry struct {
+	Job       *job.Job
+	Cancelled bool
+	Progress  *progress.Progress
+}
+
+// Owner tells who owns the cell. An owner that leaves says so, so that others
+// needn't wait for its silence.
+type Owner struct {
+	Term     uint64 `cbor:"1,keyasint"`
+	Instance string `cbor:"2,keyasint"`
+	Leaving  bool   `cbor:"3,keyasint,omitempty"`
+	Beat     uint64 `cbor:"4,keyasint,omitempty"` // counts the owner's heartbeats
+	Nonce    uint64 `cbor:"5,keyasint,omitempty"` // of the process; tells a restarted one from the one before
+}
+
+// Catalog is the fold.
+type Catalog struct {
+	mu      sync.RWMutex
+	entries map[string]*Entry
+	hosts   map[string]provider.Host
+	owner   Owner
+	news    []string // jobs that were accepted or cancelled since the last Take
+}
+
+// New returns an empty Catalog.
+func New() *Catalog {
+	return &Catalog{entries: make(map[string]*Entry), hosts: make(map[string]provider.Host)}
+}
+
+// AcceptRecord returns the record of an accepted job.
+func AcceptRecord(j *job.Job) (provider.KeyedRecord, error) {
+	data, err := cbor.Marshal(j)
+	if err != nil {
+		return provider.KeyedRecord{}, fault.Wrap(fault.Internal, err, "record of job %s", j.ID)
+	}
+	return provider.KeyedRecord{Key: acceptKey + j.ID, Value: data}, nil
+}
+
+// CancelRecord returns the record of a cancellation.
+func CancelRecord(id string) provider.KeyedRecord {
+	return provider.KeyedRecord{Key: cancelKey + id, Value: []byte{1}}
+}
+
+// ProgressRecord returns the record of a job's progress.
+func ProgressRecord(id string, p *progress.Progress) (provider.KeyedRecord, error) {
+	data, err := p.Encode()
+	return provider.KeyedRecord{Key: progressKey + id, Value: data}, err
+}
+
+// HostRecord returns the record of a worker that the owner may give work to.
+// Without a host, it drops the worker.
+func HostRecord(id string, h *provider.Host) (provider.KeyedRecord, error) {
+	if h == nil {
+		return provider.KeyedRecord{Key: hostKey + id}, nil
+	}
+	data, err := cbor.Marshal(h)
+	if err != nil {
+		return provider.KeyedRecord{}, fault.Wrap(fault.Internal, err, "record of worker %s", id)
+	}
+	return provider.KeyedRecord{Key: hostKey + id, Value: data}, nil
+}
+
+// OwnerRecord returns the record of the cell's owner.
+func OwnerRecord(o Owner) (provider.KeyedRecord, error) {
+	data, err := cbor.Marshal(o)
+	if err != nil {
+		return provider.KeyedRecord{}, fault.Wrap(fault.Internal, err, "record of owner %s", o.Instance)
+	}
+	return provider.KeyedRecord{Key: ownerKey, Value: data}, nil
+}
+
+// Accept folds a record of stream Accepts. The first accept of a job wins.
+func (c *Catalog) Accept(r provider.KeyedRecord) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case strings.HasPrefix(r.Key, acceptKey):
+		return c.accept(r.Key[len(acceptKey):], r.Value)
+	case strings.HasPrefix(r.Key, cancelKey):
+		c.cancel(r.Key[len(cancelKey):], len(r.Value) > 0)
+		return nil
+	}
+	return fault.New(fault.Invalid, "unknown key %q", r.Key)
+}
+
+func (c *Catalog) accept(id string, value []byte) error {
+	if len(value) == 0 {
+		delete(c.entries, id)
+		return nil
+	}
+	e := c.entry(id)
+	if e.Job != nil {
+		return nil
+	}
+	j := &job.Job{}
+	if err := cbor.Unmarshal(value, j); err != nil {
+		return fault.Wrap(fault.Invalid, err, "record of job %s", id)
+	}
+	e.Job = j
+	if e.Progress != nil {
+		e.Progress.Bind(j)
+	}
+	c.news = append(c.news, id)
+	return nil
+}
+
+func (c *Catalog) cancel(id string, set bool) {
+	if !set {
+		return
+	}
+	e := c.entry(id)
+	if !e.Cancelled {
+		e.Cancelled = true
+		c.news = append(c.news, id)
+	}
+}
+
+func (c *Catalog) entry(id string) *Entry {
+	e := c.entries[id]
+	if e == nil {
+		e = &Entry{}
+		c.entries[id] = e
+	}
+	return e
+}
+
+// Progress folds a record of stream Progress.
+func (c *Catalog) Progress(r provider.KeyedRecord) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case r.Key == ownerKey:
+		return c.setOwner(r.Value)
+	case strings.HasPrefix(r.Key, progressKey):
+		return c.setProgress(r.Key[len(progressKey):], r.Value)
+	case strings.HasPrefix(r.Key, hostKey):
+		return c.setHost(r.Key[len(hostKey):], r.Value)
+	}
+	return fault.New(fault.Invalid, "unknown key %q", r.Key)
+}
+
+func (c *Catalog) setOwner(value []byte) error {
+	var o Owner
+	if err := cbor.Unmarshal(value, &o); err != nil {
+		return fault.Wrap(fault.Invalid, err, "record of the owner")
+	}
+	c.owner = o
+	return nil
+}
+
+func (c *Catalog) setProgress(id string, value []byte) error {
+	if len(value) == 0 {
+		return nil
+	}
+	p, err := progress.Decode(value)
+	if err != nil {
+		return err
+	}
+	e := c.entry(id)
+	if e.Progress != nil && e.Progress.State.Final() {
+		return nil // a state that is final stays, also if an older record is read again
+	}
+	if e.Job != nil {
+		p.Bind(e.Job)
+	}
+	e.Progress = p
+	return nil
+}
+
+func (c *Catalog) setHost(id string, value []byte) error {
+	if len(value) == 0 {
+		delete(c.hosts, id)
+		return nil
+	}
+	var h provider.Host
+	if err := cbor.Unmarshal(value, &h); err != nil {
+		return fault.Wrap(fault.Invalid, err, "record of worker %s", id)
+	}
+	c.hosts[id] = h
+	return nil
+}
+
+// State returns the state of a job, and whether it was accepted. A job whose
+// cancellation is on record is cancelled, unless it had ended before.
+func (c *Catalog) State(id string) (progress.State, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	e := c.entries[id]
+	if e == nil || e.Job == nil {
+		return progress.Queued, false
+	}
+	return e.state(), true
+}
+
+func (e *Entry) state() progress.State {
+	if e.Progress != nil && e.Progress.State.Final() {
+		return e.Progress.State
+	}
+	if e.Cancelled {
+		return progress.Cancelled
+	}
+	if e.Progress == nil {
+		return progress.Queued
+	}
+	return e.Progress.State
+}
+
+// Pending returns the number of a queue's jobs of which no task has started.
+func (c *Catalog) Pending(queue string) int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	n := 0
+	for _, e := range c.entries {
+		if e.Job != nil && e.Job.Queue == queue && e.state() == progress.Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// Owner returns the owner of the cell as last recorded.
+func (c *Catalog) Owner() Owner {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.owner
+}
+
+// Hosts returns the workers that an owner may have given work to.
+func (c *Catalog) Hosts() map[string]provider.Host {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	hosts := make(map[string]provider.Host, len(c.hosts))
+	for id, h := range c.hosts {
+		hosts[id] = h
+	}
+	return hosts
+}
+
+// Entries returns every job that was accepted. The Progress is a copy that
+// the caller may change.
+func (c *Catalog) Entries() (map[string]Entry, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	entries := make(map[string]Entry, len(c.entries))
+	for id, e := range c.entries {
+		if e.Job == nil {
+			continue
+		}
+		copied := *e
+		p, err := e.copyProgress()
+		if err != nil {
+			return nil, err
+		}
+		copied.Progress = p
+		entries[id] = copied
+	}
+	c.news = nil
+	return entries, nil
+}
+
+func (e *Entry) copyProgress() (*progress.Progress, error) {
+	if e.Progress == nil {
+		return progress.New(e.Job), nil
+	}
+	data, err := e.Progress.Encode()
+	if err != nil {
+		return nil, err
+	}
+	p, err := progress.Decode(data)
+	if err != nil {
+		return nil, err
+	}
+	p.Bind(e.Job)
+	return p, nil
+}
+
+// Take returns the jobs that were accepted or cancelled since the last Take
+// or Entries.
+func (c *Catalog) Take() []Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	entries := make([]Entry, 0, len(c.news))
+	for _, id := range c.news {
+		if e := c.entries[id]; e != nil && e.Job != nil {
+			entries = append(entries, Entry{Job: e.Job, Cancelled: e.Cancelled})
+		}
+	}
+	c.news = c.news[:0]
+	return entries
+}
+
+// Len returns the number of jobs.
+func (c *Catalog) Len() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return len(c.entries)
+}
--- /dev/null
+++ b/cell/cell.go
@@ -0,0 +1,203 @@
+// Package cell decides for a set of workers and the jobs that run on them:
+// which task starts where and when, and what an end means. A cell has one
+// owner at a time, the instance that holds the highest term.
+//
+// Usage:
+//
+//	c, err := cell.New(cell.Self{Instance: id, Term: term}, timing, catalog, now)
+//	for _, a := range c.Step(now, cell.Tick{Wall: time.Now()}) {
+//		carryOut(a) // its outcome comes back as an input
+//	}
+//
+// A Cell is pure: no input or output, no clock, no randomness. It is used by
+// one goroutine.
+//
+// What makes it safe to own a cell without an agreement:
+//
+//   - The term fences the owner's writes at the store and its orders at the
+//     workers, which ignore lower terms than they have seen.
+//   - What runs is known by the workers. A new owner asks each worker that an
+//     earlier one may have used before it starts anything that an earlier one
+//     may have started.
+//   - A worker that it can't ask is waited out: its lease ends, and an owner
+//     without the store stops extending leases.
+//   - An end is recorded before it is acknowledged, so that the worker lists
+//     it until it is on record.
+package cell
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/queue"
+)
+
+// attemptsPerTerm is how many times one owner may start a task. Attempts of a
+// later owner are above it, so that they rise without being recorded.
+const attemptsPerTerm = 1 << 12
+
+// Self tells who owns the cell.
+type Self struct {
+	Instance string
+	Nonce    uint64 // of the process
+	Term     uint64
+}
+
+// Cell is the owner's state.
+type Cell struct {
+	self    Self
+	timing  Timing
+	now     time.Duration
+	wall    time.Time
+	table   *queue.Table
+	jobs    map[string]*jobState
+	workers map[string]*worker
+	pools   map[string][]*worker // by service, in a fixed order
+	waiting []*stepState         // steps with tasks to start
+	sorted  bool                 // whether waiting is in order
+	changed bool                 // whether a start may have become possible
+	timed   []*jobState          // jobs with occurrences to come
+	saves   saver
+	survey  survey
+	deposed bool
+	beats   uint64
+	checked time.Duration // when the workers were last looked over
+	actions []Action
+}
+
+// New returns the Cell of a new owner that knows all jobs of a catalog read
+// after its term was set.
+func New(self Self, timing Timing, known *catalog.Catalog, now time.Duration) (*Cell, error) {
+	c := &Cell{
+		self:    self,
+		timing:  timing,
+		now:     now,
+		table:   queue.New(0, queue.Limits{}, nil, nil),
+		jobs:    make(map[string]*jobState),
+		workers: make(map[string]*worker),
+		pools:   make(map[string][]*worker),
+		saves:   newSaver(now),
+	}
+	entries, err := known.Entries()
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		c.addJob(e)
+	}
+	for _, h := range known.Hosts() {
+		w := c.addWorker(h)
+		w.registered = true
+		c.survey.add(w)
+	}
+	c.survey.begin(now, &timing)
+	return c, nil
+}
+
+// Step takes an input and returns what is to be done.
+func (c *Cell) Step(now time.Duration, in Input) []Action {
+	if c.deposed {
+		return nil
+	}
+	c.actions = nil
+	c.now = max(c.now, now)
+	switch in := in.(type) {
+	case Arrived:
+		c.arrived(in.Entry)
+	case Hosts:
+		c.listed(in.Hosts)
+	case Configured:
+		c.configured(in.Table)
+	case HoldReply:
+		c.held(in)
+	case StartReply:
+		c.started(in)
+	case StopReply:
+		c.stopped(in)
+	case PaceReply:
+		c.paced(in)
+	case Saved:
+		c.saved(in)
+	case Tick:
+		c.tick(in)
+	}
+	if c.deposed {
+		return c.actions
+	}
+	c.settle()
+	return c.actions
+}
+
+// settle does what follows from any input.
+func (c *Cell) settle() {
+	if c.changed {
+		c.changed = false
+		c.dispatch()
+	}
+	c.save()
+}
+
+func (c *Cell) tick(in Tick) {
+	c.wall = in.Wall
+	c.openOccurrences()
+	if c.now-c.checked >= checkEvery {
+		c.checked = c.now
+		c.checkWorkers()
+		c.changed = true
+	}
+	c.holdIdle()
+}
+
+// checkEvery is the time between two looks over all workers for leases that
+// ran out, stops that are overdue and tasks that hang.
+const checkEvery = 100 * time.Millisecond
+
+func (c *Cell) do(a Action) {
+	c.actions = append(c.actions, a)
+}
+
+func (c *Cell) note(event string, fields ...any) {
+	c.do(Note{Event: event, Fields: fields})
+}
+
+func (c *Cell) depose(reason string) {
+	c.deposed = true
+	c.do(Deposed{Reason: reason})
+}
+
+func (c *Cell) configured(t *queue.Table) {
+	c.table = t
+	for _, j := range c.jobs {
+		j.terms = c.termsOf(j.job)
+	}
+	c.sorted = false
+	c.changed = true
+}
+
+// termsOf returns the terms in force for a job's queue, or those it was
+// accepted on if the queue is gone.
+func (c *Cell) termsOf(j *job.Job) job.Terms {
+	if q, ok := c.table.Named(j.Queue); ok {
+		return q.Terms
+	}
+	return j.Terms
+}
+
+// mayOrder reports whether the owner wrote to the store so recently that a
+// successor, which waits longer than this, can't have given up on its leases.
+func (c *Cell) mayOrder() bool {
+	return c.now-c.saves.contact < c.timing.Isolation
+}
+
+// Idle reports whether the cell has nothing that an orderly handover would
+// have to wait for.
+func (c *Cell) Idle() bool {
+	return !c.saves.busy()
+}
+
+// hostOf returns the worker's data for orders.
+func (w *worker) order(token uint64, r *run) provider.RunOrder {
+	return provider.RunOrder{Host: w.host, Token: token, Task: r.name, Attempt: r.attempt}
+}
--- /dev/null
+++ b/cell/input.go
@@ -0,0 +1,82 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/queue"
+)
+
+// Input is what a cell reacts to.
+type Input interface{ input() }
+
+// Arrived is a job that was accepted or cancelled.
+type Arrived struct {
+	Entry catalog.Entry
+}
+
+// Hosts is the list of workers, whole.
+type Hosts struct {
+	Hosts []provider.Host
+}
+
+// Configured is a new configuration.
+type Configured struct {
+	Table *queue.Table
+}
+
+// HoldReply is the outcome of a Hold.
+type HoldReply struct {
+	Host string
+	Sent time.Duration // when the order went out
+	Held provider.Held
+	Err  error
+}
+
+// StartReply is the outcome of a Start.
+type StartReply struct {
+	Host    string
+	Task    string
+	Attempt uint64
+	Refusal provider.Refusal
+	Err     error
+}
+
+// StopReply is the outcome of a Stop.
+type StopReply struct {
+	Host    string
+	Task    string
+	Attempt uint64
+	Err     error
+}
+
+// PaceReply is the outcome of a Pace.
+type PaceReply struct {
+	Host    string
+	Task    string
+	Attempt uint64
+	Percent int
+	Err     error
+}
+
+// Saved is the outcome of a Save.
+type Saved struct {
+	Sequence uint64
+	Err      error
+}
+
+// Tick says that time has passed. Wall is the time of day, for schedules.
+type Tick struct {
+	Wall time.Time
+}
+
+func (Arrived) input()    {}
+func (Hosts) input()      {}
+func (Configured) input() {}
+func (HoldReply) input()  {}
+func (StartReply) input() {}
+func (StopReply) input()  {}
+func (PaceReply) input()  {}
+func (Saved) input()      {}
+func (Tick) input()       {}
--- /dev/null
+++ b/cell/job.go
@@ -0,0 +1,316 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/progress"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+)
+
+// jobState is a job as its owner sees it.
+type jobState struct {
+	job      *job.Job
+	terms    job.Terms
+	progress *progress.Progress
+	arrived  time.Duration
+	rounds   map[int]*round
+	opened   int  // occurrences that were opened so far
+	flagged  bool // it is on record that tasks may have started
+	flagging bool // that record is under way
+	old      bool // an earlier owner may have started tasks
+}
+
+// round is one occurrence of a job.
+type round struct {
+	number int
+	steps  []*stepState
+	left   int // steps that aren't done
+}
+
+// stepState is one step of a round.
+type stepState struct {
+	job     *jobState
+	round   *round
+	number  int
+	spec    *job.Step
+	tasks   []*task
+	ready   []*task // waiting to be started
+	queued  bool    // in Cell.waiting
+	open    bool    // the steps it depends on are done
+	left    int     // tasks that aren't done
+	attempt uint64  // highest one given to a gang
+	need    resource.Vector
+	onHost  map[*worker]int // runs by worker, kept for PerWorker
+	due     time.Duration   // when it should be done to meet the objective
+}
+
+// task is one task of a step.
+type task struct {
+	id      job.Task
+	name    string
+	step    *stepState
+	run     *run // the run that counts, nil while there is none
+	done    bool
+	queued  bool // in step.ready
+	starts  uint64
+	attempt uint64    // highest one seen or given
+	saved   string    // newest checkpoint
+	avoid   []*worker // where it failed or hung
+}
+
+// final reports whether nothing is left to do for the job.
+func (j *jobState) final() bool {
+	return j.progress.State.Final()
+}
+
+func (c *Cell) arrived(e catalog.Entry) {
+	j := c.jobs[e.Job.ID]
+	if j == nil {
+		e.Progress = progress.New(e.Job)
+		j = c.addJob(e)
+		c.note("job", "job", e.Job.ID, "queue", e.Job.Queue, "tasks", e.Job.Width(), "times", e.Job.Times, "cancelled", e.Cancelled)
+		return
+	}
+	if e.Cancelled && !j.final() {
+		c.cancel(j)
+	}
+}
+
+func (c *Cell) addJob(e catalog.Entry) *jobState {
+	j := &jobState{
+		job:      e.Job,
+		terms:    c.termsOf(e.Job),
+		progress: e.Progress,
+		arrived:  c.now,
+		rounds:   make(map[int]*round),
+		flagged:  e.Progress.State != progress.Queued,
+		old:      e.Progress.State != progress.Queued,
+	}
+	c.jobs[e.Job.ID] = j
+	if j.final() {
+		return j
+	}
+	if e.Cancelled {
+		c.cancel(j)
+		return j
+	}
+	if j.job.Scheduled() {
+		c.timed = append(c.timed, j)
+		return j
+	}
+	j.opened = 1
+	c.openRound(j, 0)
+	return j
+}
+
+// openOccurrences opens the rounds of scheduled jobs that are due.
+func (c *Cell) openOccurrences() {
+	kept := c.timed[:0]
+	for _, j := range c.timed {
+		for !j.final() && j.opened < j.job.Occurrences() && j.job.Due(j.opened) <= c.wall.UnixMilli() {
+			c.openRound(j, j.opened)
+			j.opened++
+		}
+		if !j.final() && j.opened < j.job.Occurrences() {
+			kept = append(kept, j)
+		}
+	}
+	c.timed = kept
+}
+
+func (c *Cell) openRound(j *jobState, number int) {
+	if j.progress.IsClosed(number) {
+		return
+	}
+	r := &round{number: number, left: len(j.job.Steps)}
+	for i := range j.job.Steps {
+		r.steps = append(r.steps, newStep(j, r, i))
+	}
+	j.rounds[number] = r
+	for _, s := range r.steps {
+		c.restore(s)
+	}
+	for _, s := range r.steps {
+		c.openStep(s)
+	}
+	c.closeRound(j, r)
+}
+
+func newStep(j *jobState, r *round, number int) *stepState {
+	spec := &j.job.Steps[number]
+	s := &stepState{
+		job:    j,
+		round:  r,
+		number: number,
+		spec:   spec,
+		left:   spec.Count,
+		need:   spec.Reserved(),
+		onHost: make(map[*worker]int),
+	}
+	s.tasks = make([]*task, spec.Count)
+	for i := range s.tasks {
+		id := job.Task{Job: j.job.ID, Occurrence: r.number, Step: number, Index: i}
+		s.tasks[i] = &task{id: id, name: id.String(), step: s}
+	}
+	return s
+}
+
+// restore takes over what is on record of a step.
+func (c *Cell) restore(s *stepState) {
+	for _, t := range s.tasks {
+		t.saved = s.job.progress.Saved(t.id)
+		if s.job.progress.IsDone(t.id) {
+			t.done = true
+			s.left--
+		}
+	}
+	if s.left == 0 {
+		s.round.left--
+	}
+}
+
+// openStep makes a step's tasks ready once the steps before it are done.
+func (c *Cell) openStep(s *stepState) {
+	if s.open || s.left == 0 {
+		return
+	}
+	for _, a := range s.spec.After {
+		if s.round.steps[a].left > 0 {
+			return
+		}
+	}
+	s.open = true
+	s.due = c.now + c.slack(s)
+	for _, t := range s.tasks {
+		c.enqueue(t)
+	}
+}
+
+// slack returns how long the step may take without its job missing the
+// objective, by the rough estimates given.
+func (c *Cell) slack(s *stepState) time.Duration {
+	stretch := max(s.job.terms.Stretch, 1)
+	return time.Duration(stretch*float64(s.spec.Estimate)) + s.job.terms.Objective
+}
+
+// enqueue makes a task wait for its start.
+func (c *Cell) enqueue(t *task) {
+	s := t.step
+	if t.queued || t.done || t.run != nil || !s.open || s.job.final() {
+		return
+	}
+	t.queued = true
+	s.ready = append(s.ready, t)
+	c.changed = true
+	if !s.queued {
+		s.queued = true
+		c.waiting = append(c.waiting, s)
+		c.sorted = false
+	}
+}
+
+// doneTask takes note that a task is done.
+func (c *Cell) doneTask(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	s := t.step
+	s.job.progress.Done(t.id)
+	c.saves.dirty(s.job)
+	s.left--
+	if s.left > 0 {
+		return
+	}
+	s.round.left--
+	for _, next := range s.round.steps {
+		c.openStep(next)
+	}
+	c.closeRound(s.job, s.round)
+}
+
+// closeRound ends an occurrence that is done, and its job with the last one.
+func (c *Cell) closeRound(j *jobState, r *round) {
+	if r.left > 0 || j.final() {
+		return
+	}
+	delete(j.rounds, r.number)
+	j.progress.Close(r.number)
+	c.saves.dirty(j)
+	if len(j.progress.Closed) == j.job.Occurrences() {
+		c.finish(j, progress.Completed)
+	}
+}
+
+// finish makes a job's state final.
+func (c *Cell) finish(j *jobState, state progress.State) {
+	j.progress.State = state
+	j.progress.Ended = c.wall.UnixMilli()
+	c.saves.dirty(j)
+	c.note("job ended", "job", j.job.ID, "state", state.String(), "after", c.now-j.arrived)
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			s.ready = nil
+			for _, t := range s.tasks {
+				t.queued = false
+			}
+		}
+	}
+	c.sorted = false
+	c.stopAll(j)
+}
+
+func (c *Cell) cancel(j *jobState) {
+	c.finish(j, progress.Cancelled)
+}
+
+func (c *Cell) stopAll(j *jobState) {
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			for _, t := range s.tasks {
+				if t.run != nil {
+					c.stopRun(t.run, "job "+j.progress.State.String())
+				}
+			}
+		}
+	}
+}
+
+// failTask counts a failed attempt, and fails the job with the last one that
+// its queue allows. Lasting tasks have no such bound.
+func (c *Cell) failTask(t *task, attempt uint64) {
+	s := t.step
+	counted := t.id
+	if s.spec.Gang {
+		counted.Index = 0 // members that fail together count once
+	}
+	if s.spec.Lasting || !s.job.progress.Fail(counted, attempt) {
+		return
+	}
+	c.saves.dirty(s.job)
+	n := s.job.progress.Failures(counted)
+	if n < max(1, s.job.terms.Attempts) || s.job.final() {
+		return
+	}
+	c.note("attempts used up", "task", t.name, "failures", n)
+	c.finish(s.job, progress.Failed)
+}
+
+// find returns a task by its name, nil if it isn't known.
+func (c *Cell) find(name string) *task {
+	id, err := job.ParseTask(name)
+	if err != nil {
+		return nil
+	}
+	j := c.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	r := j.rounds[id.Occurrence]
+	if r == nil || id.Step >= len(r.steps) || id.Index >= len(r.steps[id.Step].tasks) {
+		return nil
+	}
+	return r.steps[id.Step].tasks[id.Index]
+}
--- /dev/null
+++ b/cell/run.go
@@ -0,0 +1,448 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// orderOutcome is what became of an order that had no good answer.
+type orderOutcome uint8
+
+const (
+	orderUnknown   orderOutcome = iota // it may be carried out, now or later
+	orderFenced                        // a higher token was seen
+	orderElsewhere                     // another life of the worker answered
+)
+
+func kindOf(err error) orderOutcome {
+	switch fault.KindOf(err) {
+	case fault.StaleEpoch:
+		return orderFenced
+	case fault.NotFound:
+		return orderElsewhere
+	}
+	return orderUnknown
+}
+
+// startRun orders a worker to start a task.
+func (c *Cell) startRun(t *task, w *worker, attempt uint64) {
+	r := c.addRun(t, t.name, w, attempt)
+	r.deadline = c.clockNow(w) + c.timing.StartWindow.Milliseconds()
+	t.attempt = max(t.attempt, attempt)
+	w.deadline = max(w.deadline, r.deadline)
+	c.do(Start{Order: provider.StartOrder{
+		Host:       w.host,
+		Token:      c.self.Term,
+		Task:       t.name,
+		Attempt:    attempt,
+		Spec:       t.step.job.job.Spec,
+		Deadline:   r.deadline,
+		Checkpoint: t.saved,
+		Ticket:     c.ticket(t.step, w),
+	}})
+	c.note("start", "task", t.name, "attempt", attempt, "worker", w.host.ID, "token", c.self.Term,
+		"waited", c.now-t.step.job.arrived, "resumes", t.saved != "")
+}
+
+// nextAttempt returns an attempt number above all that earlier owners gave.
+func (c *Cell) nextAttempt(t *task) uint64 {
+	t.starts++
+	return max(c.self.Term*attemptsPerTerm+t.starts, t.attempt+1)
+}
+
+func (c *Cell) addRun(t *task, name string, w *worker, attempt uint64) *run {
+	r := &run{task: t, name: name, worker: w, attempt: attempt, began: c.now, advanced: c.now, pace: 100}
+	if t != nil {
+		r.need = t.step.need
+		t.run = r
+		t.queued = false
+		t.step.onHost[w]++
+		if t.step.spec.Fills {
+			w.filling += t.step.spec.Need.Processors
+		}
+		if t.step.spec.Serves() {
+			w.serving++
+		}
+	}
+	w.used = w.used.Add(r.need)
+	w.runs[name] = r
+	return r
+}
+
+// removeRun frees what a run held.
+func (c *Cell) removeRun(r *run) {
+	w := r.worker
+	delete(w.runs, r.name)
+	w.used = w.used.Sub(r.need)
+	c.changed = true
+	t := r.task
+	if t == nil {
+		return
+	}
+	if t.run == r {
+		t.run = nil
+	}
+	if t.step.onHost[w]--; t.step.onHost[w] <= 0 {
+		delete(t.step.onHost, w)
+	}
+	if t.step.spec.Fills {
+		w.filling -= t.step.spec.Need.Processors
+	}
+	if t.step.spec.Serves() {
+		w.serving--
+	}
+}
+
+// started takes the outcome of a start. Without an answer the run counts as
+// there until a list shows it, or its deadline has passed without.
+func (c *Cell) started(in StartReply) {
+	w := c.workers[in.Host]
+	if w == nil {
+		return
+	}
+	r := w.runs[in.Task]
+	if r == nil || r.attempt != in.Attempt {
+		return
+	}
+	if in.Err != nil {
+		c.note("start unanswered", "task", in.Task, "attempt", in.Attempt, "worker", in.Host, "err", in.Err)
+		switch kindOf(in.Err) {
+		case orderFenced:
+			c.depose("worker " + in.Host + " has seen a higher term")
+		case orderElsewhere:
+			c.lose(w, "another life answers")
+		}
+		return
+	}
+	switch in.Refusal {
+	case provider.Accepted:
+		if r.state == runStarting {
+			r.state = runRunning
+			r.advanced = c.now
+		}
+	case provider.RefusedToken:
+		c.depose("worker " + in.Host + " has seen a higher term")
+	default:
+		c.refused(r, in.Refusal)
+	}
+}
+
+// refused takes a start that the worker provably didn't carry out.
+func (c *Cell) refused(r *run, why provider.Refusal) {
+	c.note("start refused", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", int(why))
+	w := r.worker
+	t := r.task
+	if r.state != runStarting {
+		return
+	}
+	c.removeRun(r)
+	switch why {
+	case provider.RefusedTicket:
+		c.dropTicket(t.step, w)
+	case provider.RefusedLate:
+		w.holdAt = c.now // its clock is ahead of the estimate
+	default:
+		w.resting = c.now + refusedPause
+	}
+	c.requeue(t)
+}
+
+// refusedPause is how long a worker that refused a start gets no other one.
+const refusedPause = 500 * time.Millisecond
+
+// requeue makes a task wait for another start. Members of a gang wait until
+// all of them have ended.
+func (c *Cell) requeue(t *task) {
+	s := t.step
+	if !s.spec.Gang {
+		c.enqueue(t)
+		return
+	}
+	for _, m := range s.tasks {
+		if m.run != nil {
+			return
+		}
+	}
+	for _, m := range s.tasks {
+		c.enqueue(m)
+	}
+}
+
+// stopRun orders a run to stop. Its capacity stays taken until its end is
+// listed.
+func (c *Cell) stopRun(r *run, reason string) {
+	if r.state == runStopping || r.worker.lost {
+		return
+	}
+	c.note("stop", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", reason)
+	r.state = runStopping
+	c.sendStop(r)
+}
+
+func (c *Cell) sendStop(r *run) {
+	r.stopSent = c.now
+	c.do(Stop{Order: r.worker.order(c.self.Term, r)})
+}
+
+func (c *Cell) stopped(in StopReply) {
+	if in.Err == nil {
+		return
+	}
+	switch kindOf(in.Err) {
+	case orderFenced:
+		c.depose("worker " + in.Host + " has seen a higher term")
+	case orderElsewhere:
+		if w := c.workers[in.Host]; w != nil {
+			c.lose(w, "another life answers")
+		}
+	}
+}
+
+// checkRun repeats a stop without effect, and stops a run that hangs.
+func (c *Cell) checkRun(r *run) {
+	w := r.worker
+	if r.state == runStopping {
+		if c.now-r.stopSent > c.timing.StopRetry && w.misses == 0 && c.mayOrder() {
+			c.sendStop(r)
+		}
+		return
+	}
+	if r.task == nil || r.state != runRunning || r.task.step.spec.Gang || w.misses > 0 {
+		return
+	}
+	if r.percent >= 100 || r.pace < 100 || c.now-r.advanced < c.stallOf(r) {
+		return
+	}
+	r.task.shun(w)
+	w.failures++
+	c.judge(w)
+	c.stopRun(r, "no advance")
+}
+
+// stallOf returns how long a run may show no advance. Percents are whole, so
+// a long task may take a while for each.
+func (c *Cell) stallOf(r *run) time.Duration {
+	return c.timing.Stall + r.task.step.spec.Estimate/5
+}
+
+// takeRuns takes the list of what runs on a worker.
+func (c *Cell) takeRuns(w *worker, running []provider.Run) {
+	for i := range running {
+		c.takeRun(w, &running[i])
+	}
+}
+
+func (c *Cell) takeRun(w *worker, p *provider.Run) {
+	r := w.runs[p.Task]
+	if r == nil || r.attempt != p.Attempt {
+		r = c.adopt(w, p)
+	}
+	if r.state == runStarting {
+		r.state = runRunning
+	}
+	if p.Percent != r.percent {
+		r.percent = p.Percent
+		r.advanced = c.now
+	}
+	if r.task == nil {
+		return
+	}
+	if p.Checkpoint != "" {
+		r.task.saved = p.Checkpoint
+	}
+	r.tail = p.Tail
+	c.watch(r)
+}
+
+// adopt takes over a run that an earlier owner started. One that no job
+// needs, or that has been started elsewhere since, is stopped.
+func (c *Cell) adopt(w *worker, p *provider.Run) *run {
+	t := c.find(p.Task)
+	if old := w.runs[p.Task]; old != nil {
+		c.removeRun(old) // a lower attempt than the one listed can't be there too
+	}
+	wanted := t != nil && !t.done && t.run == nil && !t.step.job.final()
+	if !wanted {
+		r := c.addRun(nil, p.Task, w, p.Attempt)
+		r.state = runRunning
+		if t != nil {
+			r.need = t.step.need
+			w.used = w.used.Add(r.need)
+		}
+		c.stopRun(r, "not wanted")
+		return r
+	}
+	c.unqueue(t)
+	r := c.addRun(t, p.Task, w, p.Attempt)
+	r.state = runRunning
+	t.attempt = max(t.attempt, p.Attempt)
+	c.note("adopted", "task", p.Task, "attempt", p.Attempt, "worker", w.host.ID)
+	return r
+}
+
+func (c *Cell) unqueue(t *task) {
+	if !t.queued {
+		return
+	}
+	t.queued = false
+	for i, q := range t.step.ready {
+		if q == t {
+			t.step.ready = append(t.step.ready[:i], t.step.ready[i+1:]...)
+			return
+		}
+	}
+}
+
+// settleRuns looks for runs that a worker's answer doesn't list. A start whose
+// deadline had passed when the answer was made can't happen any more. A run
+// that was listed before and isn't now has ended without a word.
+func (c *Cell) settleRuns(w *worker, held provider.Held) {
+	if len(w.runs) <= len(held.Running) {
+		return
+	}
+	there := make(map[string]uint64, len(held.Running))
+	for i := range held.Running {
+		there[held.Running[i].Task] = held.Running[i].Attempt
+	}
+	for name, r := range w.runs {
+		if a, ok := there[name]; ok && a == r.attempt {
+			continue
+		}
+		if held.Clock > r.deadline {
+			c.note("not running", "task", name, "attempt", r.attempt, "worker", w.host.ID, "state", int(r.state))
+			c.endRun(r, provider.EndLapsed, "")
+		}
+	}
+}
+
+// takeEnds takes the list of runs that ended.
+func (c *Cell) takeEnds(w *worker, ended []provider.Ended) {
+	for i := range ended {
+		e := &ended[i]
+		if e.Number <= w.ended {
+			continue
+		}
+		w.ended = e.Number
+		c.takeEnd(w, e)
+	}
+}
+
+func (c *Cell) takeEnd(w *worker, e *provider.Ended) {
+	r := w.runs[e.Task]
+	if r != nil && r.attempt == e.Attempt {
+		c.endRun(r, e.How, e.Checkpoint)
+		return
+	}
+	t := c.find(e.Task)
+	if t == nil || t.step.job.final() {
+		return
+	}
+	t.attempt = max(t.attempt, e.Attempt)
+	switch e.How {
+	case provider.EndDone:
+		c.endStale(t)
+	case provider.EndFailed:
+		c.failTask(t, e.Attempt)
+	default:
+		c.keepCheckpoint(t, e.Checkpoint)
+	}
+}
+
+// endStale takes the end of a run that this owner didn't follow: the task is
+// done, and what was started of it since is stopped.
+func (c *Cell) endStale(t *task) {
+	c.unqueue(t)
+	if t.run != nil {
+		c.stopRun(t.run, "done elsewhere")
+	}
+	c.doneTask(t)
+}
+
+// endRun takes the end of a run.
+func (c *Cell) endRun(r *run, how provider.End, checkpoint string) {
+	c.removeRun(r)
+	t := r.task
+	if t == nil {
+		return
+	}
+	w := r.worker
+	c.note("end", "task", r.name, "attempt", r.attempt, "worker", w.host.ID, "how", int(how), "ran", c.now-r.began)
+	s := t.step
+	if s.job.final() {
+		return
+	}
+	c.keepCheckpoint(t, checkpoint)
+	switch how {
+	case provider.EndDone:
+		w.failures = 0
+		c.endDone(t)
+		return
+	case provider.EndFailed:
+		t.shun(w)
+		w.failures++
+		c.judge(w)
+		c.failTask(t, r.attempt)
+	}
+	if s.spec.Gang && how != provider.EndDone {
+		c.breakGang(s)
+	}
+	c.requeue(t)
+}
+
+// endDone takes a run that completed. The members of a gang complete
+// together, so the first such end stands for all.
+func (c *Cell) endDone(t *task) {
+	if !t.step.spec.Gang {
+		c.doneTask(t)
+		return
+	}
+	for _, m := range t.step.tasks {
+		c.doneTask(m)
+	}
+}
+
+// breakGang stops the members that still run: they can't end without the one
+// that is gone.
+func (c *Cell) breakGang(s *stepState) {
+	for _, m := range s.tasks {
+		if m.run != nil {
+			c.stopRun(m.run, "gang broken")
+		}
+	}
+}
+
+// keepCheckpoint records where an interrupted task resumes.
+func (c *Cell) keepCheckpoint(t *task, checkpoint string) {
+	if checkpoint != "" {
+		t.saved = checkpoint
+	}
+	if t.saved != "" && t.step.job.progress.Save(t.id, t.saved) {
+		c.saves.dirty(t.step.job)
+	}
+}
+
+// shunned is how many workers a task remembers that it failed on.
+const shunned = 4
+
+func (t *task) shun(w *worker) {
+	t.avoid = append(t.avoid, w)
+	if len(t.avoid) > shunned {
+		t.avoid = t.avoid[1:]
+	}
+}
+
+// judge puts a worker that failed several tasks in a row into quarantine.
+func (c *Cell) judge(w *worker) {
+	if w.failures < failuresToRest {
+		return
+	}
+	w.resting = c.now + c.timing.Quarantine
+	w.failures = failuresToRest - 1 // the next failure after it is judged at once
+	c.note("quarantine", "worker", w.host.ID, "for", c.timing.Quarantine)
+}
+
+// failuresToRest is how many tasks in a row have to fail on a worker before it
+// gets no more. One failure is usually the task's own.
+const failuresToRest = 2
--- /dev/null
+++ b/cell/survey.go
@@ -0,0 +1,64 @@
+package cell
+
+import "time"
+
+// survey is what a new owner has to find out before it may start tasks that
+// an earlier owner may have started: what runs on each worker that it may
+// have given orders to.
+type survey struct {
+	open  map[*worker]struct{}
+	until time.Duration // when the leases of workers that don't answer have ended
+	done  bool
+}
+
+func (s *survey) add(w *worker) {
+	if s.open == nil {
+		s.open = make(map[*worker]struct{})
+	}
+	s.open[w] = struct{}{}
+}
+
+// begin starts the wait. An earlier owner that is cut off from the store goes
+// on extending leases for Timing.Isolation, and the last one runs for the
+// longest lease of the worker's clock.
+func (s *survey) begin(now time.Duration, t *Timing) {
+	s.until = now + t.Isolation + t.stretched(t.MaxLease)
+	s.done = len(s.open) == 0
+}
+
+// surveyed takes note that a worker's runs are known, or that it has none.
+func (c *Cell) surveyed(w *worker) {
+	if _, ok := c.survey.open[w]; !ok {
+		return
+	}
+	delete(c.survey.open, w)
+	c.endSurvey()
+}
+
+// checkSurvey gives up on workers that didn't answer once their leases have
+// ended.
+func (c *Cell) checkSurvey() {
+	if c.survey.done || c.now < c.survey.until || c.saves.contact < c.survey.until {
+		return
+	}
+	for w := range c.survey.open {
+		c.note("lease ended", "worker", w.host.ID, "silent", c.now-w.heard)
+		delete(c.survey.open, w)
+	}
+	c.endSurvey()
+}
+
+func (c *Cell) endSurvey() {
+	if c.survey.done || len(c.survey.open) > 0 {
+		return
+	}
+	c.survey.done = true
+	c.changed = true
+	c.note("workers surveyed", "workers", len(c.workers))
+}
+
+// mayStart reports whether a job's tasks can't be running where this owner
+// doesn't see them.
+func (c *Cell) mayStart(j *jobState) bool {
+	return !j.old || c.survey.done
+}
--- /dev/null
+++ b/cell/timing.go
@@ -0,0 +1,74 @@
+package cell
+
+import "time"
+
+// Timing holds the cell's bounds. Durations are on the clock that Step is
+// given, unless a comment says otherwise.
+type Timing struct {
+	// Lease is how long a worker goes on without hearing from an owner, on
+	// the worker's clock. It outlives a takeover, a freeze of the owner and
+	// most cuts, so that they cost no work; it isn't needed for safety in a
+	// takeover, where the token does the taking.
+	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// Isolation is how long an owner gives orders since it last wrote to the
+	// store. A successor that can't reach a worker waits for Isolation and a
+	// lease before it takes the worker's tasks as ended.
+	Isolation time.Duration
+	// StartWindow is how long a start order stays good. One that is held up
+	// for longer is refused, which settles what became of it.
+	StartWindow time.Duration
+	// HoldWait is how long a worker may keep a hold unanswered for want of
+	// news. It bounds the age of what is known of running tasks.
+	HoldWait time.Duration
+	// IdleWait is the same for a worker that runs nothing.
+	IdleWait time.Duration
+	// Beat is the longest time between two writes of the owner.
+	Beat time.Duration
+	// SaveGap is the least time between two writes; it batches them.
+	SaveGap time.Duration
+	// SaveRetry is the pause before a write without an answer is repeated.
+	SaveRetry time.Duration
+	// StopRetry is the pause before a stop without effect is repeated.
+	StopRetry time.Duration
+	// Silence is how long a worker may be out of reach before it gets no new
+	// tasks.
+	Silence time.Duration
+	// Stall is how long a running task may show no advance before it counts
+	// as hanging.
+	Stall time.Duration
+	// Quarantine is how long a worker that fails or hangs gets no tasks.
+	Quarantine time.Duration
+	// Margin is added to every wait for a lease's end, for the time that an
+	// answer took.
+	Margin time.Duration
+	// Drift is how much slower than ours a worker's clock may run.
+	Drift float64
+}
+
+// DefaultTiming returns bounds for workers that grant at most 10 s.
+func DefaultTiming() Timing {
+	return Timing{
+		Lease:       9 * time.Second,
+		MaxLease:    10 * time.Second,
+		Isolation:   8 * time.Second,
+		StartWindow: time.Second,
+		HoldWait:    time.Second,
+		IdleWait:    2 * time.Second,
+		Beat:        500 * time.Millisecond,
+		SaveGap:     15 * time.Millisecond,
+		SaveRetry:   100 * time.Millisecond,
+		StopRetry:   600 * time.Millisecond,
+		Silence:     300 * time.Millisecond,
+		Stall:       2500 * time.Millisecond,
+		Quarantine:  5 * time.Second,
+		Margin:      150 * time.Millisecond,
+		Drift:       0.025,
+	}
+}
+
+// stretched returns how long a span of a worker's clock may take on ours.
+func (t *Timing) stretched(span time.Duration) time.Duration {
+	return span + time.Duration(float64(span)*t.Drift) + t.Margin
+}
--- /dev/null
+++ b/cell/worker.go
@@ -0,0 +1,290 @@
+package cell
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+)
+
+// worker is a worker as the owner sees it.
+type worker struct {
+	host       provider.Host
+	listed     bool // on the platform's list
+	registered bool // on record, so that a successor asks it
+	asked      bool // it has answered this owner; its runs are known
+	lost       bool // that life of it is over
+
+	runs    map[string]*run // by task name
+	used    resource.Vector
+	filling int64 // thousandths of a core that filling runs would use
+	serving int   // serving runs
+
+	clock    int64         // as last reported, milliseconds
+	clockAt  time.Duration // when that report arrived
+	deadline int64         // latest lease end that was sent, on the worker's clock
+
+	holding  bool          // a hold is under way
+	holdAt   time.Duration // when the next one is due
+	misses   int           // holds without an answer, in a row
+	heard    time.Duration // last answer
+	ended    uint64        // highest end that was handled
+	seen     uint64        // highest end that is on record
+	failures int           // of different tasks, in a row
+	resting  time.Duration // in quarantine until then
+}
+
+// runState is how far a run is.
+type runState uint8
+
+const (
+	runStarting runState = iota // ordered; it isn't known whether it runs
+	runRunning
+	runStopping
+)
+
+// run is one attempt at a task on a worker. It holds its share of the
+// worker's capacity from the order to start until its end is known.
+type run struct {
+	task     *task // nil for a run that belongs to no job known
+	name     string
+	worker   *worker
+	attempt  uint64
+	state    runState
+	need     resource.Vector
+	deadline int64 // on the worker's clock: a start is refused after it
+	began    time.Duration
+	stopSent time.Duration
+	percent  int
+	advanced time.Duration // when percent last grew
+	pace     int           // share of full speed, 0 to 100
+	tail     time.Duration // of a serving run
+	strained time.Duration // since when its tail is near the target, zero if it isn't
+	vain     bool          // stopped or lost by our doing; its end counts for nothing
+}
+
+func (c *Cell) addWorker(h provider.Host) *worker {
+	w := &worker{host: h, runs: make(map[string]*run), holdAt: c.now, heard: c.now}
+	c.workers[h.ID] = w
+	pool := append(c.pools[h.Service], w)
+	slices.SortFunc(pool, func(a, b *worker) int { return strings.Compare(a.host.ID, b.host.ID) })
+	c.pools[h.Service] = pool
+	return w
+}
+
+func (c *Cell) dropWorker(w *worker) {
+	delete(c.workers, w.host.ID)
+	pool := c.pools[w.host.Service]
+	if i := slices.Index(pool, w); i >= 0 {
+		c.pools[w.host.Service] = slices.Delete(pool, i, i+1)
+	}
+	if w.registered {
+		c.saves.host(w.host.ID, nil)
+	}
+}
+
+// listed takes the platform's list of workers. One that isn't on it any more
+// gets no new tasks, but its runs stay: the list also forgets workers that
+// merely can't reach the store.
+func (c *Cell) listed(hosts []provider.Host) {
+	on := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		on[h.ID] = true
+		w := c.workers[h.ID]
+		if w == nil {
+			w = c.addWorker(h)
+			c.note("worker", "worker", h.ID, "zone", h.AvailabilityZone, "labels", strings.Join(h.Labels, ","), "draining", h.Draining)
+		}
+		c.updateHost(w, h)
+	}
+	for id, w := range c.workers {
+		if w.listed && !on[id] {
+			w.listed = false
+			c.note("worker unlisted", "worker", id, "runs", len(w.runs))
+		}
+	}
+	c.changed = true
+}
+
+func (c *Cell) updateHost(w *worker, h provider.Host) {
+	if h.Draining && !w.host.Draining {
+		c.note("worker draining", "worker", h.ID, "runs", len(w.runs), "left", h.Left)
+		w.host = h
+		c.evacuate(w)
+	}
+	w.host = h
+	w.listed = true
+	if !w.registered {
+		c.saves.host(h.ID, &h)
+	}
+}
+
+// usable reports whether new tasks may be started on a worker.
+func (c *Cell) usable(w *worker) bool {
+	return w.registered && w.listed && w.asked && !w.lost && !w.host.Draining &&
+		w.misses == 0 && c.now-w.heard < c.timing.IdleWait+c.timing.Silence && c.now >= w.resting
+}
+
+// clockNow returns the worker's clock, as reported and aged. A worker's clock
+// may be slow, so the estimate is rather late than early; a deadline made
+// from it is never too short.
+func (c *Cell) clockNow(w *worker) int64 {
+	return w.clock + (c.now - w.clockAt).Milliseconds()
+}
+
+// leaseEnds returns when the last lease that was sent to a worker has
+// certainly ended.
+func (c *Cell) leaseEnds(w *worker) time.Duration {
+	if w.deadline == 0 {
+		return w.clockAt
+	}
+	left := time.Duration(w.deadline-w.clock) * time.Millisecond
+	return w.clockAt + c.timing.stretched(max(0, left))
+}
+
+// holdIdle sends a hold to each worker that is due for one.
+func (c *Cell) holdIdle() {
+	for _, w := range c.workers {
+		if !w.holding && !w.lost && c.now >= w.holdAt {
+			c.hold(w)
+		}
+	}
+}
+
+func (c *Cell) hold(w *worker) {
+	order := provider.HoldOrder{Host: w.host, Token: c.self.Term, Seen: w.seen, Wait: c.timing.HoldWait}
+	if len(w.runs) == 0 {
+		order.Wait = c.timing.IdleWait
+	}
+	if !w.asked || w.misses > 0 {
+		order.Wait = 0
+	}
+	if w.asked && c.mayOrder() {
+		order.Deadline = c.clockNow(w) + c.timing.Lease.Milliseconds()
+		w.deadline = max(w.deadline, order.Deadline)
+	}
+	w.holding = true
+	c.do(Hold{Order: order})
+}
+
+// held takes a worker's answer to a hold.
+func (c *Cell) held(in HoldReply) {
+	w := c.workers[in.Host]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	if in.Err != nil {
+		c.missed(w, in)
+		return
+	}
+	if w.misses > 0 {
+		c.note("worker regained", "worker", w.host.ID, "after", c.now-w.heard, "runs", len(w.runs))
+	}
+	w.misses = 0
+	w.heard = c.now
+	w.clock = in.Held.Clock
+	w.clockAt = c.now
+	first := !w.asked
+	w.asked = true
+	c.takeEnds(w, in.Held.Ended)
+	c.takeRuns(w, in.Held.Running)
+	c.settleRuns(w, in.Held)
+	if first {
+		c.surveyed(w)
+	}
+	w.holdAt = c.now
+	if w.ended > w.seen {
+		if c.saves.wait(w) {
+			w.holdAt = c.now + c.timing.HoldWait
+		} else {
+			w.seen = w.ended
+		}
+	}
+	c.changed = true
+	if c.now >= w.holdAt {
+		c.hold(w)
+	}
+}
+
+// missed takes a hold that had no good answer.
+func (c *Cell) missed(w *worker, in HoldReply) {
+	switch kindOf(in.Err) {
+	case orderFenced:
+		c.depose("worker " + w.host.ID + " has seen a higher term")
+		return
+	case orderElsewhere:
+		c.lose(w, "another life answers")
+		return
+	}
+	w.misses++
+	if w.misses == 1 {
+		c.note("worker silent", "worker", w.host.ID, "runs", len(w.runs), "err", in.Err)
+	}
+	w.holdAt = c.now + min(maxHoldPause, firstHoldPause<<min(w.misses, 4))
+}
+
+// Pauses after holds without an answer. They bound what a worker that is out
+// of reach costs, and how late its return is noticed.
+const (
+	firstHoldPause = 50 * time.Millisecond
+	maxHoldPause   = 500 * time.Millisecond
+)
+
+// lose ends all runs of a worker whose life is over.
+func (c *Cell) lose(w *worker, reason string) {
+	if w.lost {
+		return
+	}
+	w.lost = true
+	c.note("worker lost", "worker", w.host.ID, "reason", reason, "runs", len(w.runs))
+	for _, r := range w.runs {
+		c.endRun(r, provider.EndLost, "")
+	}
+	c.surveyed(w)
+	c.dropWorker(w)
+}
+
+// checkWorkers looks for leases that ran out, stops to repeat and tasks that
+// hang.
+func (c *Cell) checkWorkers() {
+	for _, w := range c.workers {
+		if w.misses > 0 {
+			c.checkLease(w)
+		}
+		for _, r := range w.runs {
+			c.checkRun(r)
+		}
+	}
+	c.checkSurvey()
+}
+
+// checkLease gives up a worker that is out of reach once its lease has ended.
+// An owner that was replaced without knowing would start a task again that
+// its successor keeps running. So the lease's end counts only after a write
+// that was fenced by our term succeeded later than it.
+func (c *Cell) checkLease(w *worker) {
+	if !w.asked {
+		return
+	}
+	ends := c.leaseEnds(w)
+	if c.now < ends || c.saves.contact < ends {
+		return
+	}
+	if len(w.runs) > 0 {
+		c.note("lease ended", "worker", w.host.ID, "runs", len(w.runs), "silent", c.now-w.heard)
+		for _, r := range w.runs {
+			c.endRun(r, provider.EndLapsed, "")
+		}
+		c.changed = true
+	}
+	if !w.listed && c.now-w.heard > forgetAfter {
+		c.lose(w, "unlisted and silent")
+	}
+}
+
+// forgetAfter is how long a worker that left the platform's list may be silent
+// before it is forgotten. It is above every lease.
+const forgetAfter = 15 * time.Second
--- /dev/null
+++ b/dispatcher/control.go
@@ -0,0 +1,224 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/cell"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// Time-outs of calls. They are far above a calm answer, a few milliseconds,
+// and above that of a slow store, a quarter of a second.
+const (
+	orderTimeout = 900 * time.Millisecond
+	claimTimeout = 1500 * time.Millisecond
+	saveTimeout  = 1200 * time.Millisecond
+)
+
+// claim is the outcome of a claim of the cell.
+type claim struct {
+	term uint64
+	err  error
+}
+
+// control is the goroutine that alone touches the election and the cell.
+func (d *Dispatcher) control() error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	leave := d.leave
+	for {
+		select {
+		case <-d.tomb.Dying():
+			return nil
+		case <-ticker.C:
+			d.tick()
+		case in := <-d.inputs:
+			d.step(in)
+		case <-d.woken:
+			d.news()
+		case c := <-d.claims:
+			d.claimed(c)
+		case hosts := <-d.wanting:
+			d.hosts = hosts
+			d.step(cell.Hosts{Hosts: hosts})
+		case <-leave:
+			leave = nil
+			d.beginLeave()
+		}
+	}
+}
+
+func (d *Dispatcher) tick() {
+	if d.cell != nil {
+		d.step(cell.Tick{Wall: time.Now()})
+		if d.cell != nil && d.cell.Left() {
+			d.drop("left")
+		}
+		return
+	}
+	select {
+	case <-d.leave:
+		return
+	default:
+	}
+	if !d.claiming && d.known() && d.election.Stand(d.clock(), d.progress.Age()) {
+		d.claim()
+	}
+}
+
+// known reports whether both streams were read.
+func (d *Dispatcher) known() bool {
+	select {
+	case <-d.accepts.Loaded():
+	default:
+		return false
+	}
+	select {
+	case <-d.progress.Loaded():
+		return true
+	default:
+		return false
+	}
+}
+
+// news looks at what the streams brought.
+func (d *Dispatcher) news() {
+	if t := d.table.Load(); t != d.seen {
+		d.seen = t
+		d.step(cell.Configured{Table: t})
+	}
+	if d.cell != nil {
+		for _, e := range d.catalog.Take() {
+			d.step(cell.Arrived{Entry: e})
+		}
+		return
+	}
+	if !d.known() {
+		return
+	}
+	owner := d.catalog.Owner()
+	d.election.Observe(d.clock(), owner)
+	if owner.Nonce == d.nonce && owner.Term > d.term && !owner.Leaving && !d.claiming {
+		d.own(owner.Term) // a claim whose answer was lost
+	}
+}
+
+// claim tries to become the cell's owner.
+func (d *Dispatcher) claim() {
+	d.claiming = true
+	term := d.election.Term()
+	next := d.progress.Next()
+	d.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), claimTimeout)
+		defer cancel()
+		d.claims <- claim{term: term, err: d.tryClaim(ctx, term, next)}
+		return nil
+	})
+}
+
+// tryClaim writes the owner's record under a new term. The record is what
+// makes the term its own: a second claim of the same term finds the stream
+// longer than it expects. Both streams are read to the end afterwards, so that
+// what the last owner wrote before it was fenced is known.
+func (d *Dispatcher) tryClaim(ctx context.Context, term, next uint64) error {
+	record, err := catalog.OwnerRecord(catalog.Owner{Term: term, Instance: d.instance, Nonce: d.nonce})
+	if err != nil {
+		return err
+	}
+	writer := provider.Writer{Name: writerName, Term: term, Sequence: 1}
+	if err := d.platform.Store.Claim(ctx, catalog.Progress, writer, next, record); err != nil {
+		return err
+	}
+	if err := d.progress.Refresh(ctx); err != nil {
+		return fault.Wrap(fault.MayHaveRun, err, "read what was written before the claim")
+	}
+	return d.accepts.Refresh(ctx)
+}
+
+// writerName is the fenced writer of the progress stream.
+const writerName = "owner"
+
+func (d *Dispatcher) claimed(c claim) {
+	d.claiming = false
+	d.logger.Info("claim", zap.Uint64("term", c.term), zap.Error(c.err))
+	if c.err != nil {
+		d.election.Failed(d.clock())
+		return
+	}
+	d.own(c.term)
+}
+
+// own begins to decide for the cell.
+func (d *Dispatcher) own(term uint64) {
+	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term}
+	owned, err := cell.New(self, d.timing, d.catalog, d.clock())
+	if err != nil {
+		d.logger.Error("cell not taken", zap.Uint64("term", term), zap.Error(err))
+		d.election.Failed(d.clock())
+		return
+	}
+	d.term = term
+	d.cell = owned
+	d.owning.Store(true)
+	d.accepts.SetSpacing(ownerSpacing)
+	d.counters.owned.Add(1)
+	d.logger.Info("owner", zap.Uint64("term", term), zap.Int("jobs", d.catalog.Len()), zap.Int("workers", len(d.catalog.Hosts())))
+	d.step(cell.Configured{Table: d.table.Load()})
+	d.step(cell.Hosts{Hosts: d.hosts})
+	d.step(cell.Tick{Wall: time.Now()})
+}
+
+// drop stops deciding.
+func (d *Dispatcher) drop(reason string) {
+	d.logger.Info("owner no more", zap.Uint64("term", d.term), zap.String("reason", reason))
+	d.cell = nil
+	d.owning.Store(false)
+	d.accepts.SetSpacing(followerSpacing)
+	d.election.Failed(d.clock())
+	d.endLeave()
+}
+
+func (d *Dispatcher) beginLeave() {
+	if d.cell == nil {
+		d.endLeave()
+		return
+	}
+	d.cell.Leave()
+	d.step(cell.Tick{Wall: time.Now()})
+}
+
+// endLeave tells Leave that the cell is given up.
+func (d *Dispatcher) endLeave() {
+	select {
+	case <-d.leave:
+	default:
+		return
+	}
+	select {
+	case <-d.left:
+	default:
+		close(d.left)
+	}
+}
+
+func (d *Dispatcher) step(in cell.Input) {
+	if d.cell == nil {
+		return
+	}
+	for _, a := range d.cell.Step(d.clock(), in) {
+		d.carryOut(a)
+	}
+}
+
+// put hands an input to the control goroutine.
+func (d *Dispatcher) put(in cell.Input) {
+	select {
+	case d.inputs <- in:
+	case <-d.tomb.Dying():
+	}
+}
--- /dev/null
+++ b/dispatcher/counters.go
@@ -0,0 +1,136 @@
+package dispatcher
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+)
+
+// Latencies are counted from a tenth of a millisecond to a minute.
+const (
+	leastLatency  = 100
+	longestMicros = 60_000_000
+	digits        = 2
+)
+
+// Latency is a histogram of durations. It may be used by several goroutines.
+type Latency struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func newLatency() *Latency {
+	return &Latency{h: hdrhistogram.New(leastLatency, longestMicros, digits)}
+}
+
+// Record counts a duration.
+func (l *Latency) Record(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.h.RecordValue(min(d.Microseconds(), longestMicros)) // in range by min
+}
+
+// Quantiles returns the count and some quantiles, in microseconds.
+func (l *Latency) Quantiles() map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return map[string]int64{
+		"count": l.h.TotalCount(),
+		"p50":   l.h.ValueAtQuantile(50),
+		"p90":   l.h.ValueAtQuantile(90),
+		"p99":   l.h.ValueAtQuantile(99),
+		"max":   l.h.Max(),
+	}
+}
+
+// Counters are the dispatcher's metrics.
+type Counters struct {
+	vars       *expvar.Map
+	owned      expvar.Int
+	starts     expvar.Int
+	stops      expvar.Int
+	holds      expvar.Int
+	holdsLost  expvar.Int
+	saves      expvar.Int
+	savesLost  expvar.Int
+	jobs       expvar.Int
+	rejected   expvar.Int
+	startTime  *Latency
+	saveTime   *Latency
+	acceptTime *Latency
+}
+
+func newCounters() *Counters {
+	c := &Counters{vars: new(expvar.Map).Init(), startTime: newLatency(), saveTime: newLatency(), acceptTime: newLatency()}
+	for name, v := range map[string]expvar.Var{
+		"owned": &c.owned, "starts": &c.starts, "stops": &c.stops, "holds": &c.holds, "holds_unanswered": &c.holdsLost,
+		"saves": &c.saves, "saves_failed": &c.savesLost, "jobs_accepted": &c.jobs, "jobs_rejected": &c.rejected,
+		"start_us": quantiles(c.startTime), "save_us": quantiles(c.saveTime), "accept_us": quantiles(c.acceptTime),
+	} {
+		c.vars.Set(name, v)
+	}
+	return c
+}
+
+func quantiles(l *Latency) expvar.Func {
+	return func() any { return l.Quantiles() }
+}
+
+func (c *Counters) held(err error) {
+	c.holds.Add(1)
+	if err != nil {
+		c.holdsLost.Add(1)
+	}
+}
+
+func (c *Counters) saved(took time.Duration, err error) {
+	c.saves.Add(1)
+	c.saveTime.Record(took)
+	if err != nil {
+		c.savesLost.Add(1)
+	}
+}
+
+func (c *Counters) accepted(took time.Duration, err error) {
+	c.acceptTime.Record(took)
+	if err != nil {
+		c.rejected.Add(1)
+		return
+	}
+	c.jobs.Add(1)
+}
+
+// Vars returns the metrics.
+func (d *Dispatcher) Vars() *expvar.Map {
+	return d.counters.vars
+}
+
+// reporter logs the loss and the return of a dependency, a line each.
+type reporter struct {
+	logger *zap.Logger
+	mu     sync.Mutex
+	failed func(error)
+}
+
+func newReporter(l *zap.Logger, dependency, part string) *reporter {
+	r := &reporter{logger: l}
+	last := time.Time{}
+	r.failed = func(err error) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if time.Since(last) < reportEvery {
+			return
+		}
+		last = time.Now()
+		l.Warn("no answer", zap.String("from", dependency), zap.String("part", part), zap.Stringer("kind", fault.KindOf(err)), zap.Error(err))
+	}
+	return r
+}
+
+// reportEvery bounds the lines about a dependency that stays away.
+const reportEvery = time.Second
--- /dev/null
+++ b/dispatcher/intake.go
@@ -0,0 +1,207 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/progress"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// Bounds of accepting. A window of a few milliseconds puts what arrives
+// together into one write, of which the store takes a few hundred a second.
+const (
+	intakeWindow  = 3 * time.Millisecond
+	intakeBatch   = 64
+	intakeFlights = 4 // writes under way, so that one lost answer doesn't hold up the rest
+	intakeTimeout = 700 * time.Millisecond
+	intakeRetry   = 100 * time.Millisecond
+	intakeReserve = 250 * time.Millisecond // left of a request's time to answer it
+)
+
+// intake writes what callers hand in.
+type intake struct {
+	d       *Dispatcher
+	pending chan entry
+	flights chan struct{}
+}
+
+// entry is a record on its way to the store.
+type entry struct {
+	record provider.KeyedRecord
+	done   chan error
+}
+
+func newIntake(d *Dispatcher) *intake {
+	return &intake{d: d, pending: make(chan entry, 1024), flights: make(chan struct{}, intakeFlights)}
+}
+
+func (i *intake) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case first := <-i.pending:
+			batch := i.collect(ctx, first)
+			select {
+			case i.flights <- struct{}{}:
+			case <-ctx.Done():
+				return nil
+			}
+			i.d.tomb.Go(func() error {
+				i.write(ctx, batch)
+				<-i.flights
+				return nil
+			})
+		}
+	}
+}
+
+func (i *intake) collect(ctx context.Context, first entry) []entry {
+	batch := []entry{first}
+	window := time.NewTimer(intakeWindow)
+	defer window.Stop()
+	for len(batch) < intakeBatch {
+		select {
+		case e := <-i.pending:
+			batch = append(batch, e)
+		case <-window.C:
+			return batch
+		case <-ctx.Done():
+			return batch
+		}
+	}
+	return batch
+}
+
+func (i *intake) write(ctx context.Context, batch []entry) {
+	ctx, cancel := context.WithTimeout(ctx, intakeTimeout)
+	defer cancel()
+	records := make([]provider.KeyedRecord, len(batch))
+	for n, e := range batch {
+		records[n] = e.record
+	}
+	err := i.d.platform.Store.Put(ctx, catalog.Accepts, nil, records)
+	for _, e := range batch {
+		e.done <- err
+	}
+}
+
+// put writes one record and repeats it until it is on record or ctx has
+// nearly run out. Writing a record twice does no harm.
+func (i *intake) put(ctx context.Context, record provider.KeyedRecord) error {
+	ctx, cancel := reserve(ctx, intakeReserve)
+	defer cancel()
+	ambiguous := false
+	var last error
+	for ctx.Err() == nil {
+		e := entry{record: record, done: make(chan error, 1)}
+		select {
+		case i.pending <- e:
+		default:
+			return fault.New(fault.Overloaded, "too many requests wait to be written")
+		}
+		select {
+		case last = <-e.done:
+		case <-ctx.Done():
+			ambiguous = true
+			continue
+		}
+		if last == nil {
+			return nil
+		}
+		ambiguous = ambiguous || fault.Is(last, fault.MayHaveRun)
+		wait(ctx, intakeRetry)
+	}
+	if ambiguous {
+		return fault.Wrap(fault.MayHaveRun, last, "not known to be on record")
+	}
+	return fault.Wrap(fault.Unavailable, last, "not on record")
+}
+
+// reserve returns a context that ends some time before its parent's deadline.
+func reserve(ctx context.Context, left time.Duration) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-left))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// Submit puts a job on record. A job that is on record already, by whichever
+// instance, is accepted again. An error of kind fault.Unavailable or
+// fault.Overloaded says that the job will never run, one of kind
+// fault.MayHaveRun that it may.
+func (d *Dispatcher) Submit(ctx context.Context, j *job.Job) error {
+	if _, known := d.catalog.State(j.ID); known {
+		return nil
+	}
+	record, err := catalog.AcceptRecord(j)
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	err = d.intake.put(ctx, record)
+	d.counters.accepted(time.Since(begun), err)
+	d.logger.Info("accept", zap.String("job", j.ID), zap.String("queue", j.Queue), zap.Duration("took", time.Since(begun)), zap.Error(err))
+	if err != nil {
+		return err
+	}
+	return d.remember(record)
+}
+
+// remember folds a record that was just written, so that this instance knows
+// it before its next read.
+func (d *Dispatcher) remember(r provider.KeyedRecord) error {
+	defer d.wake()
+	return d.catalog.Accept(r)
+}
+
+// State returns the state of a job. A job that isn't known is looked for in
+// the store first. It returns fault.NotFound for one that was never accepted,
+// and fault.Unavailable where that can't be told.
+func (d *Dispatcher) State(ctx context.Context, id string) (progress.State, error) {
+	if s, known := d.catalog.State(id); known {
+		return s, nil
+	}
+	if err := d.accepts.Refresh(ctx); err != nil {
+		return progress.Queued, fault.Wrap(fault.Unavailable, err, "look for job %s", id)
+	}
+	s, known := d.catalog.State(id)
+	if !known {
+		return s, fault.New(fault.NotFound, "no job %s", id)
+	}
+	return s, nil
+}
+
+// Cancel puts the cancellation of a job on record, unless it has ended.
+func (d *Dispatcher) Cancel(ctx context.Context, id string) error {
+	s, err := d.State(ctx, id)
+	if err != nil || s.Final() {
+		return err
+	}
+	record := catalog.CancelRecord(id)
+	err = d.intake.put(ctx, record)
+	d.logger.Info("cancel", zap.String("job", id), zap.String("state", s.String()), zap.Error(err))
+	if err != nil {
+		return err
+	}
+	return d.remember(record)
+}
+
+// Pending returns the number of a queue's jobs that haven't begun.
+func (d *Dispatcher) Pending(queue string) int {
+	return d.catalog.Pending(queue)
+}
--- /dev/null
+++ b/dispatcher/order.go
@@ -0,0 +1,106 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/cell"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// carryOut does what an action asks for, without waiting for its outcome.
+func (d *Dispatcher) carryOut(a cell.Action) {
+	switch a := a.(type) {
+	case cell.Hold:
+		d.order(a.Order.Wait, func(ctx context.Context) cell.Input { return d.hold(ctx, a) })
+	case cell.Start:
+		d.counters.starts.Add(1)
+		d.order(0, func(ctx context.Context) cell.Input { return d.start(ctx, a) })
+	case cell.Stop:
+		d.counters.stops.Add(1)
+		d.order(0, func(ctx context.Context) cell.Input { return d.stop(ctx, a) })
+	case cell.Pace:
+		d.order(0, func(ctx context.Context) cell.Input { return d.pace(ctx, a) })
+	case cell.Save:
+		d.tomb.Go(func() error { d.save(a); return nil })
+	case cell.Deposed:
+		d.drop(a.Reason)
+	case cell.Note:
+		d.note(a)
+	}
+}
+
+// order gives an order and hands its outcome to the control goroutine.
+func (d *Dispatcher) order(wait time.Duration, call func(context.Context) cell.Input) {
+	d.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), wait+orderTimeout)
+		defer cancel()
+		d.put(call(ctx))
+		return nil
+	})
+}
+
+func (d *Dispatcher) hold(ctx context.Context, a cell.Hold) cell.Input {
+	sent := d.clock()
+	held, err := d.platform.Executor.Hold(ctx, a.Order)
+	d.counters.held(err)
+	return cell.HoldReply{Host: a.Order.Host.ID, Sent: sent, Held: held, Err: err}
+}
+
+func (d *Dispatcher) start(ctx context.Context, a cell.Start) cell.Input {
+	sent := time.Now()
+	refusal, err := d.platform.Executor.Start(ctx, a.Order)
+	d.counters.startTime.Record(time.Since(sent))
+	return cell.StartReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Refusal: refusal, Err: err}
+}
+
+func (d *Dispatcher) stop(ctx context.Context, a cell.Stop) cell.Input {
+	err := d.platform.Executor.Stop(ctx, a.Order)
+	return cell.StopReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Err: err}
+}
+
+func (d *Dispatcher) pace(ctx context.Context, a cell.Pace) cell.Input {
+	err := d.platform.Executor.Pace(ctx, a.Order)
+	return cell.PaceReply{
+		Host:    a.Order.Host.ID,
+		Task:    a.Order.Task,
+		Attempt: a.Order.Attempt,
+		Percent: a.Order.Percent,
+		Err:     err,
+	}
+}
+
+// save writes the owner's records. What was written counts for this
+// instance's own answers without a read.
+func (d *Dispatcher) save(a cell.Save) {
+	ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), saveTimeout)
+	defer cancel()
+	sent := time.Now()
+	writer := &provider.Writer{Name: writerName, Term: a.Term, Sequence: a.Sequence}
+	err := d.platform.Store.Put(ctx, catalog.Progress, writer, a.Records)
+	d.counters.saved(time.Since(sent), err)
+	if err == nil {
+		d.applySaved(a.Records)
+	}
+	d.put(cell.Saved{Sequence: a.Sequence, Err: err})
+}
+
+func (d *Dispatcher) applySaved(records []provider.KeyedRecord) {
+	for _, r := range records {
+		if err := d.catalog.Progress(r); err != nil {
+			d.logger.Warn("record not understood", zap.String("key", r.Key), zap.Error(err))
+		}
+	}
+}
+
+// note writes a decision of the cell to the log.
+func (d *Dispatcher) note(n cell.Note) {
+	fields := make([]zap.Field, 0, len(n.Fields)/2+1)
+	for i := 0; i+1 < len(n.Fields); i += 2 {
+		fields = append(fields, zap.Any(n.Fields[i].(string), n.Fields[i+1]))
+	}
+	d.logger.Info(n.Event, fields...)
+}
--- /dev/null
+++ b/provider/executor.go
@@ -0,0 +1,186 @@
+package provider
+
+import (
+	"context"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/resource"
+)
+
+// Host is one life of a worker that runs tasks of jobs. A worker that
+// restarts has a new ID, runs nothing and knows no token.
+type Host struct {
+	ID               string          `cbor:"1,keyasint"`
+	Address          string          `cbor:"2,keyasint"` // host:port of its control side
+	Service          string          `cbor:"3,keyasint"` // pool that it belongs to
+	AvailabilityZone string          `cbor:"4,keyasint"`
+	Machine          string          `cbor:"5,keyasint,omitempty"`
+	Labels           []string        `cbor:"6,keyasint,omitempty"` // its kind and its rack
+	Capacity         resource.Vector `cbor:"7,keyasint"`
+	Draining         bool            `cbor:"8,keyasint,omitempty"`
+	Left             time.Duration   `cbor:"9,keyasint,omitempty"`  // at least so long until a draining worker goes
+	Cold             time.Duration   `cbor:"10,keyasint,omitempty"` // slow for so long after its start
+}
+
+// HasLabel reports whether the worker carries a label.
+func (h *Host) HasLabel(label string) bool {
+	for _, l := range h.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// End tells how a run of a task ended.
+type End uint8
+
+// Ends of runs.
+const (
+	EndDone    End = iota // it completed
+	EndFailed             // by its own fault or the worker's
+	EndStopped            // on order
+	EndLapsed             // its lease ran out
+	EndBroken             // another member of its gang ended
+	EndAlone              // the rest of its gang didn't come in time
+	EndLost               // its worker is gone
+)
+
+// Run is a task that a worker runs.
+type Run struct {
+	Task       string
+	Attempt    uint64
+	Checkpoint string        // newest one
+	Percent    int           // of its work that is done; of a lasting task 100 once it is at work
+	Tail       time.Duration // of a serving task: the tail of its response times
+	Processors int64         // of any other: thousandths of a core in use
+}
+
+// Ended is a run that a worker lists until it is acknowledged.
+type Ended struct {
+	Number     uint64 // counts the ends of one life of the worker from 1
+	Task       string
+	Attempt    uint64
+	How        End
+	Checkpoint string
+}
+
+// Held is a worker's answer to a HoldOrder: all that runs there, and all ends
+// that aren't acknowledged.
+type Held struct {
+	Clock   int64 // worker's steady clock, milliseconds
+	Running []Run
+	Ended   []Ended
+}
+
+// HoldOrder extends the lease of all that runs on a worker, acknowledges ends
+// and asks what runs.
+type HoldOrder struct {
+	Host     Host
+	Token    uint64 // fencing token; the worker ignores lower ones than it has seen
+	Seen     uint64 // ends up to this number are recorded and may be forgotten
+	Deadline int64  // lease end on the worker's clock, milliseconds; zero leaves it
+	Wait     time.Duration
+}
+
+// StartOrder starts a task on a worker. It is refused after Deadline, so that
+// an order that was held up on its way does nothing.
+type StartOrder struct {
+	Host       Host
+	Token      uint64
+	Task       string
+	Attempt    uint64
+	Spec       string
+	Deadline   int64 // on the worker's clock, milliseconds
+	Checkpoint string
+	Ticket     string // from the adviser, where the queue has one
+}
+
+// RunOrder stops or paces a run.
+type RunOrder struct {
+	Host    Host
+	Token   uint64
+	Task    string
+	Attempt uint64
+	Percent int // of full speed, for a pace
+}
+
+// Refusal tells why a worker didn't start a task.
+type Refusal uint8
+
+// Refusals of a start.
+const (
+	Accepted      Refusal = iota
+	RefusedToken          // a higher token was seen
+	RefusedOld            // the attempt isn't higher than one that ended there
+	RefusedLate           // the deadline had passed
+	RefusedRoom           // no capacity
+	RefusedTicket         // the ticket isn't valid
+	RefusedHealth         // the worker is unhealthy and did nothing
+	RefusedOther          // the order was malformed or named unknown work
+)
+
+// Executor gives orders to workers. An error of kind fault.NotFound says that
+// another life of the worker, or another worker, answered at the address; one
+// of kind fault.StaleEpoch that a higher token was seen. After fault.MayHaveRun
+// an order may still be carried out.
+type Executor interface {
+	Hold(ctx context.Context, order HoldOrder) (Held, error)
+	Start(ctx context.Context, order StartOrder) (Refusal, error)
+	Stop(ctx context.Context, order RunOrder) error
+	Pace(ctx context.Context, order RunOrder) error
+}
+
+// Ticket allows a worker to run a step.
+type Ticket struct {
+	Host   string
+	Ticket string
+}
+
+// Adviser says which workers may run a step of a queue that asks for it.
+type Adviser interface {
+	Advise(ctx context.Context, step string, hosts []string) ([]Ticket, time.Duration, error)
+}
+
+// MachineState is what the platform says of a machine.
+type MachineState uint8
+
+// States of a machine.
+const (
+	MachineUp MachineState = iota
+	MachineMoving
+	MachineUpkeep
+	MachineDown
+)
+
+// Machine is a machine that carries one life of a worker at a time.
+type Machine struct {
+	ID    string
+	Pool  string
+	State MachineState
+	Host  string // ID of its worker
+}
+
+// MachineOrder moves a machine to another pool, or has its upkeep done.
+type MachineOrder struct {
+	Machine string
+	Pool    string // for a move
+	Wave    int    // for an upkeep
+	Holder  string
+	Token   uint64
+}
+
+// Machines is the platform's interface to the machines under the workers.
+type Machines interface {
+	List(ctx context.Context) ([]Machine, error)
+	Upkeep(ctx context.Context, order MachineOrder) error
+	Move(ctx context.Context, order MachineOrder) error
+}
+
+// Wave asks that each of its machines has its upkeep in time.
+type Wave struct {
+	Number   int
+	Machines []string
+	Within   time.Duration // from when it was published
+	Most     int           // at once
+}
