A claim of the cell draws its first sequence at random

Cause: all instances claimed term 1 with sequence 1 under one writer's name, and the store answers a repeated sequence as the first time, so all eight were told they own the cell.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -57,6 +57,7 @@
 	Leaving  bool   `cbor:"3,keyasint,omitempty"`
 	Beat     uint64 `cbor:"4,keyasint,omitempty"` // counts the owner's heartbeats
 	Nonce    uint64 `cbor:"5,keyasint,omitempty"` // of the process; tells a restarted one from the one before
+	Sequence uint64 `cbor:"6,keyasint,omitempty"` // of the write that claimed the term
 }
 
 // Catalog is the fold.
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -43,6 +43,7 @@
 	Instance string
 	Nonce    uint64 // of the process
 	Term     uint64
+	Sequence uint64 // of the write that claimed the term; the next ones follow
 }
 
 // Cell is the owner's state.
@@ -78,7 +79,7 @@
 		jobs:    make(map[string]*jobState),
 		workers: make(map[string]*worker),
 		pools:   make(map[string][]*worker),
-		saves:   newSaver(now),
+		saves:   newSaver(now, self.Sequence+1),
 	}
 	entries, err := known.Entries()
 	if err != nil {
--- a/cell/save.go
+++ b/cell/save.go
@@ -36,15 +36,12 @@
 	leaving bool
 }
 
-// firstSave is the sequence of an owner's first write. The claim was before it.
-const firstSave = 2
-
-func newSaver(now time.Duration) saver {
+func newSaver(now time.Duration, first uint64) saver {
 	return saver{
 		jobs:    make(map[*jobState]struct{}),
 		hosts:   make(map[string]*provider.Host),
 		waiting: make(map[*worker]struct{}),
-		next:    firstSave,
+		next:    first,
 		contact: now,
 		begun:   -time.Hour,
 	}
@@ -112,6 +109,7 @@
 		Term:     c.self.Term,
 		Instance: c.self.Instance,
 		Nonce:    c.self.Nonce,
+		Sequence: c.self.Sequence,
 		Beat:     c.beats,
 		Leaving:  s.leaving,
 	})
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,8 +23,8 @@
 
 // claim is the outcome of a claim of the cell.
 type claim struct {
-	term uint64
-	err  error
+	owner catalog.Owner
+	err   error
 }
 
 // control is the goroutine that alone touches the election and the cell.
@@ -104,33 +105,43 @@
 	owner := d.catalog.Owner()
 	d.election.Observe(d.clock(), owner)
 	if owner.Nonce == d.nonce && owner.Term > d.term && !owner.Leaving && !d.claiming {
-		d.own(owner.Term) // a claim whose answer was lost
+		d.own(owner) // a claim whose answer was lost
 	}
 }
 
 // claim tries to become the cell's owner.
 func (d *Dispatcher) claim() {
 	d.claiming = true
-	term := d.election.Term()
+	owner := catalog.Owner{
+		Term:     d.election.Term(),
+		Instance: d.instance,
+		Nonce:    d.nonce,
+		Sequence: rand.Uint64N(sequences),
+	}
 	next := d.progress.Next()
 	d.tomb.Go(func() error {
 		ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), claimTimeout)
 		defer cancel()
-		d.claims <- claim{term: term, err: d.tryClaim(ctx, term, next)}
+		d.claims <- claim{owner: owner, err: d.tryClaim(ctx, owner, next)}
 		return nil
 	})
 }
 
-// tryClaim writes the owner's record under a new term. The record is what
-// makes the term its own: a second claim of the same term finds the stream
-// longer than it expects. Both streams are read to the end afterwards, so that
-// what the last owner wrote before it was fenced is known.
-func (d *Dispatcher) tryClaim(ctx context.Context, term, next uint64) error {
-	record, err := catalog.OwnerRecord(catalog.Owner{Term: term, Instance: d.instance, Nonce: d.nonce})
+// sequences is the range of a claim's first sequence. Two instances that
+// claim the same term with the same sequence would both be told that they have
+// it, the second as if it repeated the first one's write. Drawn at random from
+// so many, that doesn't happen.
+const sequences = 1 << 48
+
+// tryClaim writes the owner's record under a new term, if nothing was written
+// since this instance last read. Both streams are read to the end afterwards,
+// so that what the last owner wrote before it was fenced is known.
+func (d *Dispatcher) tryClaim(ctx context.Context, owner catalog.Owner, next uint64) error {
+	record, err := catalog.OwnerRecord(owner)
 	if err != nil {
 		return err
 	}
-	writer := provider.Writer{Name: writerName, Term: term, Sequence: 1}
+	writer := provider.Writer{Name: writerName, Term: owner.Term, Sequence: owner.Sequence}
 	if err := d.platform.Store.Claim(ctx, catalog.Progress, writer, next, record); err != nil {
 		return err
 	}
@@ -145,17 +156,18 @@
 
 func (d *Dispatcher) claimed(c claim) {
 	d.claiming = false
-	d.logger.Info("claim", zap.Uint64("term", c.term), zap.Error(c.err))
+	d.logger.Info("claim", zap.Uint64("term", c.owner.Term), zap.Error(c.err))
 	if c.err != nil {
 		d.election.Failed(d.clock())
 		return
 	}
-	d.own(c.term)
+	d.own(c.owner)
 }
 
 // own begins to decide for the cell.
-func (d *Dispatcher) own(term uint64) {
-	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term}
+func (d *Dispatcher) own(owner catalog.Owner) {
+	term := owner.Term
+	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term, Sequence: owner.Sequence}
 	owned, err := cell.New(self, d.timing, d.catalog, d.clock())
 	if err != nil {
 		d.logger.Error("cell not taken", zap.Uint64("term", term), zap.Error(err))
