--- a/cell/cell.go
+++ b/cell/cell.go
@@ -48,24 +48,25 @@
 
 // Cell is the owner's state.
 type Cell struct {
-	self    Self
-	timing  Timing
-	now     time.Duration
-	wall    time.Time
-	table   *queue.Table
-	jobs    map[string]*jobState
-	workers map[string]*worker
-	pools   map[string][]*worker // by service, in a fixed order
-	waiting []*stepState         // steps with tasks to start
-	sorted  bool                 // whether waiting is in order
-	changed bool                 // whether a start may have become possible
-	timed   []*jobState          // jobs with occurrences to come
-	saves   saver
-	survey  survey
-	deposed bool
-	beats   uint64
-	checked time.Duration // when the workers were last looked over
-	actions []Action
+	self     Self
+	timing   Timing
+	now      time.Duration
+	wall     time.Time
+	table    *queue.Table
+	jobs     map[string]*jobState
+	workers  map[string]*worker
+	pools    map[string][]*worker // by service, in a fixed order
+	waiting  []*stepState         // steps with tasks to start
+	sorted   bool                 // whether waiting is in order
+	changed  bool                 // whether a start may have become possible
+	timed    []*jobState          // jobs with occurrences to come
+	saves    saver
+	survey   survey
+	deposed  bool
+	beats    uint64
+	reported time.Duration // when the load was last logged
+	checked  time.Duration // when the workers were last looked over
+	actions  []Action
 }
 
 // New returns the Cell of a new owner that knows all jobs of a catalog read
@@ -149,6 +150,7 @@
 		c.changed = true
 	}
 	c.holdIdle()
+	c.reportLoad()
 }
 
 // checkEvery is the time between two looks over all workers for leases that
--- /dev/null
+++ b/cell/load.go
@@ -0,0 +1,46 @@
+package cell
+
+import "time"
+
+// reportEvery is the time between two lines on the cell's load.
+const reportEvery = time.Second
+
+// reportLoad logs how full the workers are and what waits.
+func (c *Cell) reportLoad() {
+	if c.now-c.reported < reportEvery {
+		return
+	}
+	c.reported = c.now
+	var processors, memory, wholeProcessors, wholeMemory, filling int64
+	usable, serving, runs := 0, 0, 0
+	for _, w := range c.workers {
+		processors += w.used.Processors
+		memory += w.used.Memory
+		filling += w.filling
+		wholeProcessors += w.host.Capacity.Processors
+		wholeMemory += w.host.Capacity.Memory
+		runs += len(w.runs)
+		if c.usable(w) {
+			usable++
+		}
+		if w.serving > 0 {
+			serving++
+		}
+	}
+	waiting, fills := 0, 0
+	for _, s := range c.waiting {
+		waiting += len(s.ready)
+		if s.spec.Fills {
+			fills += len(s.ready)
+		}
+	}
+	c.note("load", "waiting", waiting, "filling_waiting", fills, "runs", runs, "workers", len(c.workers), "usable", usable, "serving", serving,
+		"processors", percent(processors, wholeProcessors), "memory", percent(memory, wholeMemory), "filling", percent(filling, wholeProcessors))
+}
+
+func percent(part, whole int64) int64 {
+	if whole <= 0 {
+		return 0
+	}
+	return part * 100 / whole
+}
