Filling tasks beside serving ones, by learned pressure

Cause: all batch jobs of tare-settle fill, and workers without serving tasks hold a fifth of the room.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -30,6 +30,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/pressure"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/queue"
 )
@@ -62,6 +63,7 @@
 	timed    []*jobState          // jobs with occurrences to come
 	saves    saver
 	survey   survey
+	pressure *pressure.Estimator
 	deposed  bool
 	beats    uint64
 	reported time.Duration // when the load was last logged
@@ -73,14 +75,15 @@
 // after its term was set.
 func New(self Self, timing Timing, known *catalog.Catalog, now time.Duration) (*Cell, error) {
 	c := &Cell{
-		self:    self,
-		timing:  timing,
-		now:     now,
-		table:   queue.New(0, queue.Limits{}, nil, nil),
-		jobs:    make(map[string]*jobState),
-		workers: make(map[string]*worker),
-		pools:   make(map[string][]*worker),
-		saves:   newSaver(now, self.Sequence+1),
+		self:     self,
+		timing:   timing,
+		now:      now,
+		table:    queue.New(0, queue.Limits{}, nil, nil),
+		jobs:     make(map[string]*jobState),
+		workers:  make(map[string]*worker),
+		pools:    make(map[string][]*worker),
+		pressure: pressure.New(),
+		saves:    newSaver(now, self.Sequence+1),
 	}
 	entries, err := known.Entries()
 	if err != nil {
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -80,6 +80,9 @@
 			continue
 		}
 		score := t.step.score(w)
+		if t.step.spec.Fills {
+			score += c.pressure.Cost(w.room, t.step.spec.Image, w.share(t.step.spec.Need.Processors))
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = w, score
 		}
@@ -102,7 +105,7 @@
 	if w.runs[t.name] != nil || slices.Contains(t.avoid, w) {
 		return false
 	}
-	if s.spec.Fills && w.serving > 0 || s.spec.Serves() && w.filling > 0 {
+	if s.spec.Fills && !c.bears(w, s) {
 		return false
 	}
 	return c.hasTicket(s, w)
@@ -113,7 +116,8 @@
 const (
 	remoteWeight  = 4.0 // a task away from its data takes a multiple of its time
 	fillingWeight = 0.5 // work beside filling tasks slows them
-	servingWeight = 2.0 // serving tasks together leave workers for tasks that fill
+	servingWeight = 2.0 // serving tasks of one image together are slowed by fewer filling images
+	mixedWeight   = 1.0 // of each further image of serving tasks
 )
 
 // score says how well a worker suits a step's tasks. Batch work is spread, so
@@ -129,10 +133,7 @@
 	}
 	switch {
 	case s.spec.Serves():
-		score -= load
-		if w.serving > 0 {
-			score -= servingWeight
-		}
+		score += s.servingScore(w) - load
 	case s.spec.Fills:
 		score += load + filling
 	default:
@@ -141,6 +142,23 @@
 	return score
 }
 
+// servingScore prefers workers whose serving tasks are of the same image.
+// Which filling tasks slow a serving task down depends on its image, so a
+// worker with one image bears most of the filling ones, and one with five
+// hardly any.
+func (s *stepState) servingScore(w *worker) float64 {
+	score := 0.0
+	if w.images[s.spec.Image] > 0 {
+		score -= servingWeight
+	}
+	for image := range w.images {
+		if image != s.spec.Image {
+			score += mixedWeight
+		}
+	}
+	return score
+}
+
 // dispatchGang starts all members of a gang at once, or none.
 func (c *Cell) dispatchGang(s *stepState) {
 	if len(s.ready) < s.left {
@@ -259,11 +277,6 @@
 	}
 }
 
-// watch looks at what a run reports of itself.
-func (c *Cell) watch(*run) {}
-
-func (c *Cell) paced(PaceReply) {}
-
 func (c *Cell) hasTicket(*stepState, *worker) bool { return true }
 
 func (c *Cell) ticket(*stepState, *worker) string { return "" }
--- a/cell/run.go
+++ b/cell/run.go
@@ -61,9 +61,12 @@
 		t.step.onHost[w]++
 		if t.step.spec.Fills {
 			w.filling += t.step.spec.Need.Processors
+			c.pressed(w, t.step)
+			w.fillChange = c.now
 		}
 		if t.step.spec.Serves() {
 			w.serving++
+			w.images[t.step.spec.Image]++
 		}
 	}
 	w.used = w.used.Add(r.need)
@@ -89,9 +92,13 @@
 	}
 	if t.step.spec.Fills {
 		w.filling -= t.step.spec.Need.Processors
+		w.fillChange = c.now
 	}
 	if t.step.spec.Serves() {
 		w.serving--
+		if w.images[t.step.spec.Image]--; w.images[t.step.spec.Image] == 0 {
+			delete(w.images, t.step.spec.Image)
+		}
 	}
 }
 
@@ -232,6 +239,7 @@
 	for i := range running {
 		c.takeRun(w, &running[i])
 	}
+	c.reportServing(w)
 }
 
 func (c *Cell) takeRun(w *worker, p *provider.Run) {
@@ -253,7 +261,7 @@
 		r.task.saved = p.Checkpoint
 	}
 	r.tail = p.Tail
-	c.watch(r)
+	r.use = p.Processors
 }
 
 // adopt takes over a run that an earlier owner started. One that no job
--- /dev/null
+++ b/cell/serving.go
@@ -0,0 +1,202 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/pressure"
+)
+
+// Bounds of the care for serving tasks.
+const (
+	strained  = 0.9                    // part of the target from which filling tasks beside are slowed
+	relieved  = 0.6                    // part of it below which they may go on
+	patience  = 800 * time.Millisecond // a filling task that stands still for longer is moved
+	pauseFill = 1500 * time.Millisecond
+)
+
+// reportServing hands what a worker reports of its serving and filling tasks
+// to the estimator, and slows the filling ones down where a serving one is
+// near its target.
+func (c *Cell) reportServing(w *worker) {
+	if w.serving == 0 {
+		return
+	}
+	served, fills, expected := w.mixture()
+	if len(served) == 0 {
+		return
+	}
+	if c.now-w.fillChange > settled {
+		c.pressure.Observe(c.now, served, fills)
+	}
+	w.room = c.pressure.Room(c.now, served, expected)
+	c.relieve(w)
+}
+
+// mixture returns a worker's serving tasks that are at work, and its filling
+// ones with what they use and with what they may use.
+func (w *worker) mixture() (served []pressure.Served, fills, expected []pressure.Fill) {
+	for _, r := range w.runs {
+		if r.task == nil {
+			continue
+		}
+		spec := r.task.step.spec
+		switch {
+		case spec.Serves() && r.percent >= wholePercent && r.tail > 0:
+			served = append(served, pressure.Served{Job: r.task.id.Job, Image: spec.Image, Target: spec.Target, Tail: r.tail})
+		case spec.Fills:
+			fills = append(fills, pressure.Fill{Image: spec.Image, Share: w.share(r.use)})
+			if r.pace > 0 && r.state != runStopping {
+				expected = append(expected, pressure.Fill{Image: spec.Image, Share: w.share(spec.Need.Processors)})
+			}
+		}
+	}
+	return served, fills, expected
+}
+
+// settled is how long filling tasks must have been as they are for a tail to
+// tell of them. A tail is measured over half a second, and what has queued up
+// takes some more to drain.
+const settled = 700 * time.Millisecond
+
+// wholePercent is what a lasting task reports once it is at work.
+const wholePercent = 100
+
+func (w *worker) share(processors int64) float64 {
+	return float64(processors) / float64(max(1, w.host.Capacity.Processors))
+}
+
+// bears reports whether a worker's serving tasks bear another filling task.
+func (c *Cell) bears(w *worker, s *stepState) bool {
+	if w.serving == 0 {
+		return true
+	}
+	if c.now < w.fillAfter {
+		return false
+	}
+	return c.pressure.Bears(w.room, s.spec.Image, w.share(s.spec.Need.Processors))
+}
+
+// pressed takes a started filling task off the room of the serving ones beside
+// it, until the worker's next report tells better.
+func (c *Cell) pressed(w *worker, s *stepState) {
+	c.pressure.Add(w.room, s.spec.Image, w.share(s.spec.Need.Processors))
+}
+
+// relieve stops or pauses the filling tasks that slow a serving task near its
+// target. Otherwise its users would wait for as long as they last.
+func (c *Cell) relieve(w *worker) {
+	victim := w.worst()
+	if victim == nil {
+		return
+	}
+	strain := float64(victim.tail) / float64(victim.task.step.spec.Target)
+	if strain > strained {
+		c.pauseCulprits(w, victim.task.step.spec.Image)
+		return
+	}
+	if strain < relieved {
+		c.resumePaused(w)
+	}
+}
+
+// pauseCulprits pauses the filling tasks that take most of a serving image's
+// slack, and moves those that have stood still for a while.
+func (c *Cell) pauseCulprits(w *worker, image string) {
+	most := 0.0
+	for _, r := range w.runs {
+		if r.fills() {
+			most = max(most, c.pressureOf(r, image))
+		}
+	}
+	for _, r := range w.runs {
+		if !r.fills() || r.state != runRunning || c.pressureOf(r, image) < max(most*culpable, harmless) {
+			continue
+		}
+		w.fillAfter = c.now + pauseFill
+		switch {
+		case r.pace > 0:
+			c.setPace(r, 0)
+		case c.now-r.pacedAt > patience:
+			c.stopRun(r, "slows a serving task")
+		}
+	}
+}
+
+// culpable is the part of the greatest pressure from which a filling task is
+// taken for a cause.
+const culpable = 0.4
+
+// harmless is the pressure below which a filling task isn't worth stopping:
+// the tail would stay where the load of its users has put it.
+const harmless = 0.12
+
+func (r *run) fills() bool {
+	return r.task != nil && r.task.step.spec.Fills
+}
+
+func (c *Cell) pressureOf(r *run, image string) float64 {
+	spec := r.task.step.spec
+	return c.pressure.Weight(image, spec.Image) * r.worker.share(spec.Need.Processors)
+}
+
+// resumePaused lets paused filling tasks go on if the serving ones bear them,
+// and moves the others.
+func (c *Cell) resumePaused(w *worker) {
+	for _, r := range w.runs {
+		if !r.fills() || r.state != runRunning || r.pace > 0 {
+			continue
+		}
+		spec := r.task.step.spec
+		switch {
+		case c.pressure.Bears(w.room, spec.Image, w.share(spec.Need.Processors)):
+			c.setPace(r, wholePercent)
+			c.pressed(w, r.task.step)
+		case c.now-r.pacedAt > patience:
+			c.stopRun(r, "slows a serving task")
+		}
+	}
+}
+
+// worst returns the serving run whose tail is the largest part of its target.
+func (w *worker) worst() *run {
+	var worst *run
+	most := 0.0
+	for _, r := range w.runs {
+		if r.task == nil || !r.task.step.spec.Serves() || r.percent < wholePercent {
+			continue
+		}
+		if part := float64(r.tail) / float64(r.task.step.spec.Target); part > most {
+			worst, most = r, part
+		}
+	}
+	return worst
+}
+
+func (c *Cell) setPace(r *run, percent int) {
+	r.pace = percent
+	r.pacedAt = c.now
+	r.worker.fillChange = c.now
+	order := r.worker.order(c.self.Term, r)
+	order.Percent = percent
+	c.do(Pace{Order: order})
+	c.note("pace", "task", r.name, "worker", r.worker.host.ID, "percent", percent)
+}
+
+// paced takes the outcome of a pace. One without an answer is given again at
+// the worker's next report.
+func (c *Cell) paced(in PaceReply) {
+	if in.Err == nil {
+		return
+	}
+	if kindOf(in.Err) == orderFenced {
+		c.depose("worker " + in.Host + " has seen a higher term")
+		return
+	}
+	w := c.workers[in.Host]
+	if w == nil {
+		return
+	}
+	if r := w.runs[in.Task]; r != nil && r.attempt == in.Attempt && r.pace == in.Percent {
+		r.pace = wholePercent - in.Percent
+	}
+}
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -24,6 +24,9 @@
 	HoldWait time.Duration
 	// IdleWait is the same for a worker that runs nothing.
 	IdleWait time.Duration
+	// MixedWait is the same for one that runs filling tasks beside serving
+	// ones. It bounds how long a serving task is slowed before that is seen.
+	MixedWait time.Duration
 	// Beat is the longest time between two writes of the owner.
 	Beat time.Duration
 	// SaveGap is the least time between two writes; it batches them.
@@ -56,6 +59,7 @@
 		StartWindow: time.Second,
 		HoldWait:    time.Second,
 		IdleWait:    2 * time.Second,
+		MixedWait:   400 * time.Millisecond,
 		Beat:        500 * time.Millisecond,
 		SaveGap:     15 * time.Millisecond,
 		SaveRetry:   100 * time.Millisecond,
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/dogwoodladder/dogwoodladder/pressure"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
@@ -19,8 +20,13 @@
 
 	runs    map[string]*run // by task name
 	used    resource.Vector
-	filling int64 // thousandths of a core that filling runs would use
-	serving int   // serving runs
+	filling int64          // thousandths of a core that filling runs would use
+	serving int            // serving runs
+	images  map[string]int // serving runs by image
+
+	room       []pressure.Room // slack of the serving runs, as last reported
+	fillAfter  time.Duration   // no new filling tasks before then
+	fillChange time.Duration   // when its filling tasks last changed
 
 	clock    int64         // as last reported, milliseconds
 	clockAt  time.Duration // when that report arrived
@@ -61,12 +67,13 @@
 	advanced time.Duration // when percent last grew
 	pace     int           // share of full speed, 0 to 100
 	tail     time.Duration // of a serving run
-	strained time.Duration // since when its tail is near the target, zero if it isn't
+	use      int64         // thousandths of a core in use, of one that doesn't serve
+	pacedAt  time.Duration // when pace was set
 	vain     bool          // stopped or lost by our doing; its end counts for nothing
 }
 
 func (c *Cell) addWorker(h provider.Host) *worker {
-	w := &worker{host: h, runs: make(map[string]*run), holdAt: c.now, heard: c.now}
+	w := &worker{host: h, runs: make(map[string]*run), images: make(map[string]int), holdAt: c.now, heard: c.now}
 	c.workers[h.ID] = w
 	pool := append(c.pools[h.Service], w)
 	slices.SortFunc(pool, func(a, b *worker) int { return strings.Compare(a.host.ID, b.host.ID) })
@@ -158,6 +165,9 @@
 	if len(w.runs) == 0 {
 		order.Wait = c.timing.IdleWait
 	}
+	if w.serving > 0 && w.filling > 0 {
+		order.Wait = c.timing.MixedWait
+	}
 	if !w.asked || w.misses > 0 {
 		order.Wait = 0
 	}
