--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -52,7 +52,7 @@
 	for len(s.ready) > 0 {
 		t := s.ready[0]
 		w := c.choose(t)
-		if w == nil || !c.flag(j) {
+		if w == nil || !c.claim(j) {
 			return
 		}
 		s.ready = s.ready[1:]
@@ -60,15 +60,15 @@
 	}
 }
 
-// flag puts on record that a job's tasks may have been started, before the
-// first of them is. It reports whether that is done. A successor may start
-// the tasks of all other jobs at once, without having asked every worker.
-func (c *Cell) flag(j *jobState) bool {
-	if !j.flagged && !j.flagging {
-		j.flagging = true
+// claim puts on record that a job's tasks may have been started, before the
+// first of them is. It reports whether that is done. A successor may start the
+// tasks of all other jobs at once, without having asked every worker.
+func (c *Cell) claim(j *jobState) bool {
+	if !j.progress.Claimed {
+		j.progress.Claimed = true
 		c.saves.dirty(j)
 	}
-	return j.flagged
+	return j.claimed
 }
 
 // choose returns the worker for a task, nil if it fits nowhere.
@@ -165,7 +165,7 @@
 		return
 	}
 	places := c.placeGang(s)
-	if places == nil || !c.flag(s.job) {
+	if places == nil || !c.claim(s.job) {
 		return
 	}
 	attempt := c.nextAttempt(s.ready[0])
--- a/cell/job.go
+++ b/cell/job.go
@@ -17,8 +17,7 @@
 	arrived  time.Duration
 	rounds   map[int]*round
 	opened   int  // occurrences that were opened so far
-	flagged  bool // it is on record that tasks may have started
-	flagging bool // that record is under way
+	claimed  bool // it is on record that tasks may have been started
 	old      bool // an earlier owner may have started tasks
 }
 
@@ -85,8 +84,8 @@
 		progress: e.Progress,
 		arrived:  c.now,
 		rounds:   make(map[int]*round),
-		flagged:  e.Progress.State != progress.Queued,
-		old:      e.Progress.State != progress.Queued,
+		claimed:  e.Progress.Claimed,
+		old:      e.Progress.Claimed,
 	}
 	c.jobs[e.Job.ID] = j
 	if j.final() {
--- a/cell/run.go
+++ b/cell/run.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/progress"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
@@ -31,6 +33,7 @@
 	r := c.addRun(t, t.name, w, attempt)
 	r.deadline = c.clockNow(w) + c.timing.StartWindow.Milliseconds()
 	t.attempt = max(t.attempt, attempt)
+	c.begun(t.step.job)
 	w.deadline = max(w.deadline, r.deadline)
 	c.do(Start{Order: provider.StartOrder{
 		Host:       w.host,
@@ -46,6 +49,14 @@
 		"waited", c.now-t.step.job.arrived, "resumes", t.saved != "")
 }
 
+// begun has a job's first start recorded with whatever is written next.
+func (c *Cell) begun(j *jobState) {
+	if j.progress.State == progress.Queued {
+		j.progress.State = progress.Running
+		c.saves.dirty(j)
+	}
+}
+
 // nextAttempt returns an attempt number above all that earlier owners gave.
 func (c *Cell) nextAttempt(t *task) uint64 {
 	t.starts++
@@ -273,23 +284,32 @@
 	}
 	wanted := t != nil && !t.done && t.run == nil && !t.step.job.final()
 	if !wanted {
-		r := c.addRun(nil, p.Task, w, p.Attempt)
-		r.state = runRunning
-		if t != nil {
-			r.need = t.step.need
-			w.used = w.used.Add(r.need)
-		}
-		c.stopRun(r, "not wanted")
-		return r
+		return c.reject(w, p)
 	}
 	c.unqueue(t)
 	r := c.addRun(t, p.Task, w, p.Attempt)
 	r.state = runRunning
 	t.attempt = max(t.attempt, p.Attempt)
+	c.begun(t.step.job)
 	c.note("adopted", "task", p.Task, "attempt", p.Attempt, "worker", w.host.ID)
 	return r
 }
 
+// reject stops a run that nobody needs. What it takes of the worker is known
+// from its job, also if that has ended; a run of no job known is taken for one
+// that fills the worker.
+func (c *Cell) reject(w *worker, p *provider.Run) *run {
+	r := c.addRun(nil, p.Task, w, p.Attempt)
+	r.state = runRunning
+	r.need = w.host.Capacity
+	if id, err := job.ParseTask(p.Task); err == nil && c.jobs[id.Job] != nil && id.Step < len(c.jobs[id.Job].job.Steps) {
+		r.need = c.jobs[id.Job].job.Steps[id.Step].Reserved()
+	}
+	w.used = w.used.Add(r.need)
+	c.stopRun(r, "not wanted")
+	return r
+}
+
 func (c *Cell) unqueue(t *task) {
 	if !t.queued {
 		return
--- a/cell/save.go
+++ b/cell/save.go
@@ -5,7 +5,6 @@
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/progress"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
@@ -30,7 +29,7 @@
 	sent    time.Duration
 	pending bool // sent, not answered
 	retryAt time.Duration
-	flagged []*jobState
+	claimed []*jobState
 	hosts   []string
 	seen    map[*worker]uint64
 	leaving bool
@@ -118,16 +117,13 @@
 	}
 	b.save.Records = append(b.save.Records, owner)
 	for j := range s.jobs {
-		if j.flagging && j.progress.State == progress.Queued {
-			j.progress.State = progress.Running
-		}
 		r, err := catalog.ProgressRecord(j.job.ID, j.progress)
 		if err != nil {
 			return nil, err
 		}
 		b.save.Records = append(b.save.Records, r)
-		if j.flagging {
-			b.flagged = append(b.flagged, j)
+		if j.progress.Claimed && !j.claimed {
+			b.claimed = append(b.claimed, j)
 		}
 	}
 	for id, h := range s.hosts {
@@ -173,9 +169,8 @@
 }
 
 func (c *Cell) acknowledge(b *batch) {
-	for _, j := range b.flagged {
-		j.flagged = true
-		j.flagging = false
+	for _, j := range b.claimed {
+		j.claimed = true
 		c.changed = true
 	}
 	for _, id := range b.hosts {
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -43,14 +43,15 @@
 	return s >= Completed
 }
 
-// Progress is what became of one job. Running says that tasks may have been
-// started; it is recorded before the first start.
+// Progress is what became of one job. Claimed is recorded before the first
+// start: the tasks of a job without it were never started by anyone.
 type Progress struct {
-	State  State         `cbor:"1,keyasint,omitempty"`
-	Rounds map[int]Round `cbor:"2,keyasint,omitempty"` // by occurrence, of those begun and not yet done
-	Closed []int         `cbor:"3,keyasint,omitempty"` // occurrences that are done
-	Ended  int64         `cbor:"4,keyasint,omitempty"` // when the state became final, Unix milliseconds
-	offset []int         // number of tasks before each step
+	State   State         `cbor:"1,keyasint,omitempty"`
+	Rounds  map[int]Round `cbor:"2,keyasint,omitempty"` // by occurrence, of those begun and not yet done
+	Closed  []int         `cbor:"3,keyasint,omitempty"` // occurrences that are done
+	Ended   int64         `cbor:"4,keyasint,omitempty"` // when the state became final, Unix milliseconds
+	Claimed bool          `cbor:"5,keyasint,omitempty"`
+	offset  []int         // number of tasks before each step
 }
 
 // Round is the progress of one occurrence. Tasks are numbered through all
