--- a/cell/action.go
+++ b/cell/action.go
@@ -36,6 +36,9 @@
 	Records  []provider.KeyedRecord
 }
 
+// ListMachines asks the platform what became of its machines.
+type ListMachines struct{}
+
 // Deposed says that another owner took the cell; the cell gives no more
 // orders.
 type Deposed struct {
@@ -48,10 +51,11 @@
 	Fields []any // names and values in turn
 }
 
-func (Hold) action()    {}
-func (Start) action()   {}
-func (Stop) action()    {}
-func (Pace) action()    {}
-func (Save) action()    {}
-func (Deposed) action() {}
-func (Note) action()    {}
+func (Hold) action()         {}
+func (Start) action()        {}
+func (Stop) action()         {}
+func (Pace) action()         {}
+func (Save) action()         {}
+func (Deposed) action()      {}
+func (ListMachines) action() {}
+func (Note) action()         {}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -64,6 +64,8 @@
 	saves    saver
 	survey   survey
 	pressure *pressure.Estimator
+	asking   bool // a ListMachines is under way
+	askedAt  time.Duration
 	deposed  bool
 	beats    uint64
 	reported time.Duration // when the load was last logged
@@ -123,6 +125,8 @@
 		c.stopped(in)
 	case PaceReply:
 		c.paced(in)
+	case MachineList:
+		c.machines(in)
 	case Saved:
 		c.saved(in)
 	case Tick:
@@ -150,6 +154,7 @@
 	if c.now-c.checked >= checkEvery {
 		c.checked = c.now
 		c.checkWorkers()
+		c.askMachines()
 		c.changed = true
 	}
 	c.holdIdle()
--- a/cell/input.go
+++ b/cell/input.go
@@ -66,17 +66,24 @@
 	Err      error
 }
 
+// MachineList is the outcome of a ListMachines.
+type MachineList struct {
+	Machines []provider.Machine
+	Err      error
+}
+
 // Tick says that time has passed. Wall is the time of day, for schedules.
 type Tick struct {
 	Wall time.Time
 }
 
-func (Arrived) input()    {}
-func (Hosts) input()      {}
-func (Configured) input() {}
-func (HoldReply) input()  {}
-func (StartReply) input() {}
-func (StopReply) input()  {}
-func (PaceReply) input()  {}
-func (Saved) input()      {}
-func (Tick) input()       {}
+func (Arrived) input()     {}
+func (Hosts) input()       {}
+func (Configured) input()  {}
+func (HoldReply) input()   {}
+func (StartReply) input()  {}
+func (StopReply) input()   {}
+func (PaceReply) input()   {}
+func (Saved) input()       {}
+func (MachineList) input() {}
+func (Tick) input()        {}
--- /dev/null
+++ b/cell/machines.go
@@ -0,0 +1,76 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// Times of questions about machines. The platform takes a few dozen a second
+// from all instances together, and each is paid for.
+const (
+	askAfter = 400 * time.Millisecond // of a worker's silence
+	askEvery = 700 * time.Millisecond
+)
+
+// askMachines asks the platform what became of workers that are silent. One
+// whose machine is off, or carries another life, runs nothing any more, so its
+// tasks needn't wait for the end of its lease.
+func (c *Cell) askMachines() {
+	if c.asking || c.now-c.askedAt < askEvery || !c.doubts() {
+		return
+	}
+	c.asking = true
+	c.askedAt = c.now
+	c.do(ListMachines{})
+}
+
+// doubts reports whether any worker's silence holds something up.
+func (c *Cell) doubts() bool {
+	for _, w := range c.workers {
+		if c.doubtful(w) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Cell) doubtful(w *worker) bool {
+	if w.misses == 0 || c.now-w.heard < askAfter {
+		return false
+	}
+	_, open := c.survey.open[w]
+	return open || len(w.runs) > 0
+}
+
+// machines takes the platform's list of machines.
+func (c *Cell) machines(in MachineList) {
+	c.asking = false
+	if in.Err != nil {
+		c.note("machines not listed", "err", in.Err)
+		return
+	}
+	by := make(map[string]*provider.Machine, len(in.Machines))
+	for i := range in.Machines {
+		by[in.Machines[i].ID] = &in.Machines[i]
+	}
+	for _, w := range c.workers {
+		if c.doubtful(w) && w.host.Machine != "" {
+			c.judgeMachine(w, by[w.host.Machine])
+		}
+	}
+}
+
+func (c *Cell) judgeMachine(w *worker, m *provider.Machine) {
+	switch {
+	case m == nil:
+		c.lose(w, "machine is gone")
+	case m.Host != "" && m.Host != w.host.ID:
+		c.lose(w, "machine carries another life")
+	case m.State != provider.MachineUp:
+		c.lose(w, "machine isn't up")
+	case !w.vouched:
+		w.vouched = true
+		c.note("machine up", "worker", w.host.ID, "machine", m.ID, "silent", c.now-w.heard)
+	}
+}
--- a/cell/serving.go
+++ b/cell/serving.go
@@ -90,6 +90,15 @@
 		return
 	}
 	strain := float64(victim.tail) / float64(victim.task.step.spec.Target)
+	if strain <= 1 {
+		w.overSince = 0
+	} else if w.overSince == 0 {
+		w.overSince = c.now
+	}
+	if w.overSince > 0 && c.now-w.overSince > enough {
+		c.pauseAll(w)
+		return
+	}
 	if strain > strained {
 		c.pauseCulprits(w, victim.task.step.spec.Image)
 		return
@@ -122,6 +131,26 @@
 	}
 }
 
+// enough is how long a serving task may be over its target before all filling
+// tasks beside it are stopped, whichever of them is the cause. A cause that the
+// estimate gets wrong would otherwise last.
+const enough = 1500 * time.Millisecond
+
+// pauseAll pauses all filling tasks of a worker, and moves those that are.
+func (c *Cell) pauseAll(w *worker) {
+	w.fillAfter = c.now + pauseFill
+	for _, r := range w.runs {
+		if !r.fills() || r.state != runRunning {
+			continue
+		}
+		if r.pace > 0 {
+			c.setPace(r, 0)
+		} else if c.now-r.pacedAt > patience {
+			c.stopRun(r, "slows a serving task")
+		}
+	}
+}
+
 // culpable is the part of the greatest pressure from which a filling task is
 // taken for a cause.
 const culpable = 0.4
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -27,6 +27,7 @@
 	room       []pressure.Room // slack of the serving runs, as last reported
 	fillAfter  time.Duration   // no new filling tasks before then
 	fillChange time.Duration   // when its filling tasks last changed
+	overSince  time.Duration   // since when a serving task is over its target, zero if none is
 
 	clock    int64         // as last reported, milliseconds
 	clockAt  time.Duration // when that report arrived
@@ -34,6 +35,7 @@
 
 	holding  bool          // a hold is under way
 	holdAt   time.Duration // when the next one is due
+	vouched  bool          // the platform says that its machine is up, though it is silent
 	misses   int           // holds without an answer, in a row
 	heard    time.Duration // last answer
 	ended    uint64        // highest end that was handled
@@ -194,6 +196,7 @@
 		c.note("worker regained", "worker", w.host.ID, "after", c.now-w.heard, "runs", len(w.runs))
 	}
 	w.misses = 0
+	w.vouched = false
 	w.heard = c.now
 	w.clock = in.Held.Clock
 	w.clockAt = c.now
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -16,9 +16,10 @@
 // Time-outs of calls. They are far above a calm answer, a few milliseconds,
 // and above that of a slow store, a quarter of a second.
 const (
-	orderTimeout = 900 * time.Millisecond
-	claimTimeout = 1500 * time.Millisecond
-	saveTimeout  = 1200 * time.Millisecond
+	orderTimeout    = 900 * time.Millisecond
+	machinesTimeout = 600 * time.Millisecond // on top of orderTimeout; the list may come in pages
+	claimTimeout    = 1500 * time.Millisecond
+	saveTimeout     = 1200 * time.Millisecond
 )
 
 // claim is the outcome of a claim of the cell.
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -24,6 +24,8 @@
 		d.order(0, func(ctx context.Context) cell.Input { return d.stop(ctx, a) })
 	case cell.Pace:
 		d.order(0, func(ctx context.Context) cell.Input { return d.pace(ctx, a) })
+	case cell.ListMachines:
+		d.order(machinesTimeout, d.listMachines)
 	case cell.Save:
 		d.tomb.Go(func() error { d.save(a); return nil })
 	case cell.Deposed:
@@ -96,6 +98,15 @@
 	}
 }
 
+// listMachines asks the platform for its machines.
+func (d *Dispatcher) listMachines(ctx context.Context) cell.Input {
+	if d.platform.Machines == nil {
+		return cell.MachineList{}
+	}
+	machines, err := d.platform.Machines.List(ctx)
+	return cell.MachineList{Machines: machines, Err: err}
+}
+
 // note writes a decision of the cell to the log.
 func (d *Dispatcher) note(n cell.Note) {
 	fields := make([]zap.Field, 0, len(n.Fields)/2+1)
