--- a/cell/cell.go
+++ b/cell/cell.go
@@ -4,7 +4,7 @@
 //
 // Usage:
 //
-//	c, err := cell.New(cell.Self{Instance: id, Term: term}, timing, catalog, now)
+//	c, err := cell.New(cell.Self{Instance: id, Term: term}, timing, catalog, now, time.Now())
 //	for _, a := range c.Step(now, cell.Tick{Wall: time.Now()}) {
 //		carryOut(a) // its outcome comes back as an input
 //	}
@@ -59,6 +59,7 @@
 	pools    map[string][]*worker // by service, in a fixed order
 	waiting  []*stepState         // steps with tasks to start
 	sorted   bool                 // whether waiting is in order
+	ordered  time.Duration        // when waiting was last put in order
 	changed  bool                 // whether a start may have become possible
 	timed    []*jobState          // jobs with occurrences to come
 	saves    saver
@@ -75,11 +76,12 @@
 
 // New returns the Cell of a new owner that knows all jobs of a catalog read
 // after its term was set.
-func New(self Self, timing Timing, known *catalog.Catalog, now time.Duration) (*Cell, error) {
+func New(self Self, timing Timing, known *catalog.Catalog, now time.Duration, wall time.Time) (*Cell, error) {
 	c := &Cell{
 		self:     self,
 		timing:   timing,
 		now:      now,
+		wall:     wall,
 		table:    queue.New(0, queue.Limits{}, nil, nil),
 		jobs:     make(map[string]*jobState),
 		workers:  make(map[string]*worker),
--- a/cell/job.go
+++ b/cell/job.go
@@ -16,9 +16,10 @@
 	progress *progress.Progress
 	arrived  time.Duration
 	rounds   map[int]*round
-	opened   int  // occurrences that were opened so far
-	claimed  bool // it is on record that tasks may have been started
-	old      bool // an earlier owner may have started tasks
+	chains   []time.Duration // longest chain of estimates from each step on
+	opened   int             // occurrences that were opened so far
+	claimed  bool            // it is on record that tasks may have been started
+	old      bool            // an earlier owner may have started tasks
 }
 
 // round is one occurrence of a job.
@@ -26,23 +27,25 @@
 	number int
 	steps  []*stepState
 	left   int // steps that aren't done
+	opened time.Duration
 }
 
 // stepState is one step of a round.
 type stepState struct {
-	job     *jobState
-	round   *round
-	number  int
-	spec    *job.Step
-	tasks   []*task
-	ready   []*task // waiting to be started
-	queued  bool    // in Cell.waiting
-	open    bool    // the steps it depends on are done
-	left    int     // tasks that aren't done
-	attempt uint64  // highest one given to a gang
-	need    resource.Vector
-	onHost  map[*worker]int // runs by worker, kept for PerWorker
-	due     time.Duration   // when it should be done to meet the objective
+	job      *jobState
+	round    *round
+	number   int
+	spec     *job.Step
+	tasks    []*task
+	ready    []*task // waiting to be started
+	queued   bool    // in Cell.waiting
+	open     bool    // the steps it depends on are done
+	left     int     // tasks that aren't done
+	attempt  uint64  // highest one given to a gang
+	need     resource.Vector
+	onHost   map[*worker]int // runs by worker, kept for PerWorker
+	standing standing
+	due      time.Duration // when it has to begin for the job to be in time
 }
 
 // task is one task of a step.
@@ -82,7 +85,7 @@
 		job:      e.Job,
 		terms:    c.termsOf(e.Job),
 		progress: e.Progress,
-		arrived:  c.now,
+		arrived:  c.now - c.age(e.Job),
 		rounds:   make(map[int]*round),
 		claimed:  e.Progress.Claimed,
 		old:      e.Progress.Claimed,
@@ -104,6 +107,18 @@
 	return j
 }
 
+// age returns how long ago a job was accepted. That was at another instance,
+// by the time of day, so it is only a hint.
+func (c *Cell) age(j *job.Job) time.Duration {
+	if c.wall.IsZero() || j.Accepted == 0 {
+		return 0
+	}
+	return max(0, min(mostAge, c.wall.Sub(time.UnixMilli(j.Accepted))))
+}
+
+// mostAge bounds what a clock that is off can do to the order of jobs.
+const mostAge = time.Minute
+
 // openOccurrences opens the rounds of scheduled jobs that are due.
 func (c *Cell) openOccurrences() {
 	kept := c.timed[:0]
@@ -123,7 +138,7 @@
 	if j.progress.IsClosed(number) {
 		return
 	}
-	r := &round{number: number, left: len(j.job.Steps)}
+	r := &round{number: number, left: len(j.job.Steps), opened: c.now}
 	for i := range j.job.Steps {
 		r.steps = append(r.steps, newStep(j, r, i))
 	}
@@ -181,17 +196,46 @@
 		}
 	}
 	s.open = true
-	s.due = c.now + c.slack(s)
 	for _, t := range s.tasks {
 		c.enqueue(t)
 	}
 }
 
-// slack returns how long the step may take without its job missing the
-// objective, by the rough estimates given.
-func (c *Cell) slack(s *stepState) time.Duration {
-	stretch := max(s.job.terms.Stretch, 1)
-	return time.Duration(stretch*float64(s.spec.Estimate)) + s.job.terms.Objective
+// begin returns when a round could begin.
+func (j *jobState) begin(r *round) time.Duration {
+	if j.job.Scheduled() {
+		return r.opened
+	}
+	return j.arrived
+}
+
+// chain returns the estimated length of the longest chain of steps.
+func (j *jobState) chain() time.Duration {
+	longest := time.Duration(0)
+	for i := range j.job.Steps {
+		longest = max(longest, j.chainFrom(i))
+	}
+	return longest
+}
+
+// chainFrom returns the estimated length of the longest chain that begins with
+// a step.
+func (j *jobState) chainFrom(step int) time.Duration {
+	if j.chains == nil {
+		j.chains = chains(j.job.Steps)
+	}
+	return j.chains[step]
+}
+
+func chains(steps []job.Step) []time.Duration {
+	lengths := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
+		lengths[i] += steps[i].Estimate
+		for _, a := range steps[i].After {
+			lengths[a] = max(lengths[a], lengths[i])
+		}
+	}
+	return lengths
 }
 
 // enqueue makes a task wait for its start.
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -169,7 +169,7 @@
 func (d *Dispatcher) own(owner catalog.Owner) {
 	term := owner.Term
 	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term, Sequence: owner.Sequence}
-	owned, err := cell.New(self, d.timing, d.catalog, d.clock())
+	owned, err := cell.New(self, d.timing, d.catalog, d.clock(), time.Now())
 	if err != nil {
 		d.logger.Error("cell not taken", zap.Uint64("term", term), zap.Error(err))
 		d.election.Failed(d.clock())
