Fewer store calls, quick rejections, lists replaced whole

A list that is read anew drops what is gone; a worker off the list gets tasks for 3 s if it answers.

--- a/cell/timing.go
+++ b/cell/timing.go
@@ -38,6 +38,10 @@
 	// Silence is how long a worker may be out of reach before it gets no new
 	// tasks.
 	Silence time.Duration
+	// Unlisted is how long a worker that answers gets tasks after it went off
+	// the list. Entries that lapsed in an outage of the store are back within
+	// two seconds.
+	Unlisted time.Duration
 	// Stall is how long a running task may show no advance before it counts
 	// as hanging.
 	Stall time.Duration
@@ -65,6 +69,7 @@
 		SaveRetry:   100 * time.Millisecond,
 		StopRetry:   600 * time.Millisecond,
 		Silence:     300 * time.Millisecond,
+		Unlisted:    3 * time.Second,
 		Stall:       2500 * time.Millisecond,
 		Quarantine:  5 * time.Second,
 		Margin:      150 * time.Millisecond,
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -14,6 +14,7 @@
 type worker struct {
 	host       provider.Host
 	listed     bool // on the platform's list
+	unlistedAt time.Duration
 	registered bool // on record, so that a successor asks it
 	asked      bool // it has answered this owner; its runs are known
 	lost       bool // that life of it is over
@@ -111,6 +112,7 @@
 	for id, w := range c.workers {
 		if w.listed && !on[id] {
 			w.listed = false
+			w.unlistedAt = c.now
 			c.note("worker unlisted", "worker", id, "runs", len(w.runs))
 		}
 	}
@@ -132,7 +134,8 @@
 
 // usable reports whether new tasks may be started on a worker.
 func (c *Cell) usable(w *worker) bool {
-	return w.registered && w.listed && w.asked && !w.lost && !w.host.Draining &&
+	listed := w.listed || c.now-w.unlistedAt < c.timing.Unlisted
+	return w.registered && listed && w.asked && !w.lost && !w.host.Draining &&
 		w.misses == 0 && c.now-w.heard < c.timing.IdleWait+c.timing.Silence && c.now >= w.resting
 }
 
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -177,8 +177,7 @@
 	}
 	d.term = term
 	d.cell = owned
-	d.owning.Store(true)
-	d.accepts.SetSpacing(ownerSpacing)
+	d.setOwning(true, ownerSpacing)
 	d.counters.owned.Add(1)
 	d.logger.Info("owner", zap.Uint64("term", term), zap.Int("jobs", d.catalog.Len()), zap.Int("workers", len(d.catalog.Hosts())))
 	d.step(cell.Configured{Table: d.table.Load()})
@@ -186,12 +185,17 @@
 	d.step(cell.Tick{Wall: time.Now()})
 }
 
+func (d *Dispatcher) setOwning(owning bool, spacing time.Duration) {
+	d.owning.Store(owning)
+	d.accepts.SetSpacing(spacing)
+	d.onOwning(owning)
+}
+
 // drop stops deciding.
 func (d *Dispatcher) drop(reason string) {
 	d.logger.Info("owner no more", zap.Uint64("term", d.term), zap.String("reason", reason))
 	d.cell = nil
-	d.owning.Store(false)
-	d.accepts.SetSpacing(followerSpacing)
+	d.setOwning(false, acceptsSpacing)
 	d.election.Failed(d.clock())
 	d.endLeave()
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -45,7 +45,8 @@
 // answer for it, and each of their reads costs the store a call.
 const (
 	ownerSpacing    = 10 * time.Millisecond
-	followerSpacing = 100 * time.Millisecond
+	acceptsSpacing  = time.Second            // a job that isn't known is looked for at once
+	progressSpacing = 250 * time.Millisecond // by which a state may be old
 	progressWait    = 300 * time.Millisecond // below election.Timing.Fresh
 )
 
@@ -73,6 +74,7 @@
 	leave    chan struct{}
 	left     chan struct{}
 	owning   atomic.Bool
+	onOwning func(bool)
 	counters *Counters
 
 	// Owned by the control goroutine.
@@ -104,6 +106,12 @@
 	return func(d *Dispatcher) { d.timing = t }
 }
 
+// WithOwning sets what is told when this instance becomes the cell's owner and
+// when it is no more. Only an owner needs the list of workers.
+func WithOwning(f func(bool)) Option {
+	return func(d *Dispatcher) { d.onOwning = f }
+}
+
 // WithClock sets the clock of all decisions. It has to go on while the machine
 // is suspended, or leases that ended meanwhile would count as in force.
 func WithClock(clock func() time.Duration) Option {
@@ -127,19 +135,20 @@
 		claims:   make(chan claim, 1),
 		wanting:  make(chan []provider.Host, 1),
 		counters: newCounters(),
+		onOwning: func(bool) {},
 	}
 	for _, opt := range opts {
 		opt(d)
 	}
 	d.election = election.New(d.instance, d.nonce, election.DefaultTiming(), rand.Float64)
-	d.accepts = d.newTail(catalog.Accepts, d.catalog.Accept, tail.WithSpacing(followerSpacing))
-	d.progress = d.newTail(catalog.Progress, d.catalog.Progress, tail.WithSpacing(followerSpacing), tail.WithWait(progressWait))
+	d.accepts = d.newTail(catalog.Accepts, d.catalog.Accept, tail.WithSpacing(acceptsSpacing))
+	d.progress = d.newTail(catalog.Progress, d.catalog.Progress, tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
 	d.intake = newIntake(d)
 	return d
 }
 
 func (d *Dispatcher) newTail(stream string, fold func(provider.KeyedRecord) error, opts ...tail.Option) *tail.Tail {
-	apply := func(records []provider.KeyedRecord) {
+	apply := func(records []provider.KeyedRecord, _ bool) {
 		for _, r := range records {
 			if err := fold(r); err != nil {
 				d.logger.Warn("record not understood", zap.String("stream", stream), zap.String("key", r.Key), zap.Error(err))
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,15 +21,19 @@
 	intakeBatch   = 64
 	intakeFlights = 4 // writes under way, so that one lost answer doesn't hold up the rest
 	intakeTimeout = 700 * time.Millisecond
-	intakeRetry   = 100 * time.Millisecond
-	intakeReserve = 250 * time.Millisecond // left of a request's time to answer it
+	intakeRetry   = 50 * time.Millisecond
+	intakeRejects = 2                      // rejections by the store after which a caller is better off elsewhere
+	intakePause   = 300 * time.Millisecond // for which the store is taken to reject after that
+	intakeReserve = 250 * time.Millisecond // most of a request's time that is left to answer it
 )
 
 // intake writes what callers hand in.
 type intake struct {
-	d       *Dispatcher
-	pending chan entry
-	flights chan struct{}
+	d        *Dispatcher
+	pending  chan entry
+	flights  chan struct{}
+	begun    time.Time
+	rejected atomic.Int64 // when the store last rejected a record for good, nanoseconds since begun
 }
 
 // entry is a record on its way to the store.
@@ -38,7 +43,7 @@
 }
 
 func newIntake(d *Dispatcher) *intake {
-	return &intake{d: d, pending: make(chan entry, 1024), flights: make(chan struct{}, intakeFlights)}
+	return &intake{d: d, pending: make(chan entry, 1024), flights: make(chan struct{}, intakeFlights), begun: time.Now()}
 }
 
 func (i *intake) run(ctx context.Context) error {
@@ -92,44 +97,74 @@
 	}
 }
 
-// put writes one record and repeats it until it is on record or ctx has
-// nearly run out. Writing a record twice does no harm.
+// put writes one record and repeats it until it is on record, ctx has nearly
+// run out, or the store rejects it. Writing a record twice does no harm. A
+// record that the store only ever rejected isn't held back until the caller's
+// time is up: the next instance that the caller asks may reach the store.
 func (i *intake) put(ctx context.Context, record provider.KeyedRecord) error {
-	ctx, cancel := reserve(ctx, intakeReserve)
+	ctx, cancel := reserve(ctx)
 	defer cancel()
+	if i.rejecting() {
+		return fault.New(fault.Unavailable, "the store rejects writes").After(rejectedRetry)
+	}
 	ambiguous := false
+	rejections := 0
 	var last error
 	for ctx.Err() == nil {
-		e := entry{record: record, done: make(chan error, 1)}
-		select {
-		case i.pending <- e:
-		default:
-			return fault.New(fault.Overloaded, "too many requests wait to be written")
+		last = i.try(ctx, record)
+		if last == nil {
+			return nil
 		}
-		select {
-		case last = <-e.done:
-		case <-ctx.Done():
+		if fault.Is(last, fault.MayHaveRun) {
 			ambiguous = true
-			continue
+		} else {
+			rejections++
 		}
-		if last == nil {
-			return nil
+		if rejections >= intakeRejects && !ambiguous {
+			i.rejected.Store(int64(time.Since(i.begun)))
+			break
 		}
-		ambiguous = ambiguous || fault.Is(last, fault.MayHaveRun)
 		wait(ctx, intakeRetry)
 	}
 	if ambiguous {
 		return fault.Wrap(fault.MayHaveRun, last, "not known to be on record")
 	}
-	return fault.Wrap(fault.Unavailable, last, "not on record")
+	return fault.Wrap(fault.Unavailable, last, "not on record").After(rejectedRetry)
+}
+
+// rejectedRetry is when a caller should come back whose job the store
+// rejected. Most outages are over, or have moved callers elsewhere, by then.
+const rejectedRetry = time.Second
+
+// rejecting reports whether the store rejected writes a moment ago.
+func (i *intake) rejecting() bool {
+	at := i.rejected.Load()
+	return at > 0 && time.Since(i.begun)-time.Duration(at) < intakePause
+}
+
+// try has a record written once.
+func (i *intake) try(ctx context.Context, record provider.KeyedRecord) error {
+	e := entry{record: record, done: make(chan error, 1)}
+	select {
+	case i.pending <- e:
+	default:
+		return fault.New(fault.Overloaded, "too many requests wait to be written")
+	}
+	select {
+	case err := <-e.done:
+		return err
+	case <-ctx.Done():
+		return fault.Wrap(fault.MayHaveRun, ctx.Err(), "write without an answer")
+	}
 }
 
 // reserve returns a context that ends some time before its parent's deadline.
-func reserve(ctx context.Context, left time.Duration) (context.Context, context.CancelFunc) {
+func reserve(ctx context.Context) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return context.WithCancel(ctx)
 	}
+	left := min(intakeReserve, time.Until(deadline)/4)
 	return context.WithDeadline(ctx, deadline.Add(-left))
 }
 
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -32,11 +32,15 @@
 	longestPause = 400 * time.Millisecond
 )
 
+// Apply takes records. Whole says that they are the newest record of every
+// key, so that a key which isn't among them is gone.
+type Apply func(records []provider.KeyedRecord, whole bool)
+
 // Tail follows one stream. It may be used by several goroutines.
 type Tail struct {
 	store  provider.Keyed
 	stream string
-	apply  func([]provider.KeyedRecord)
+	apply  Apply
 	wait   time.Duration
 
 	spacing atomic.Int64 // least time between two reads
@@ -44,10 +48,13 @@
 	begun   time.Time
 	loaded  chan struct{}
 	onError func(error)
+	paused  atomic.Bool
+	resume  chan struct{}
 
-	mu   sync.Mutex // guards next and the order of apply
-	next uint64
-	have bool
+	loadOnce sync.Once  // closes loaded
+	mu       sync.Mutex // guards next and the order of apply
+	next     uint64
+	have     bool
 }
 
 // Option sets up a Tail.
@@ -64,13 +71,18 @@
 	return func(t *Tail) { t.wait = d }
 }
 
+// WithPause has the reader begin paused.
+func WithPause() Option {
+	return func(t *Tail) { t.paused.Store(true) }
+}
+
 // WithErrors sets what is told of reads that fail.
 func WithErrors(f func(error)) Option {
 	return func(t *Tail) { t.onError = f }
 }
 
 // New returns a Tail that hands records to apply.
-func New(store provider.Keyed, stream string, apply func([]provider.KeyedRecord), opts ...Option) *Tail {
+func New(store provider.Keyed, stream string, apply Apply, opts ...Option) *Tail {
 	t := &Tail{
 		store:   store,
 		stream:  stream,
@@ -79,6 +91,7 @@
 		begun:   time.Now(),
 		loaded:  make(chan struct{}),
 		onError: func(error) {},
+		resume:  make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -91,6 +104,31 @@
 	t.spacing.Store(int64(d))
 }
 
+// Pause has the reader stop, or go on. One that goes on starts anew with the
+// newest records, as those between may not be kept any more.
+func (t *Tail) Pause(paused bool) {
+	if t.paused.Swap(paused) == paused || paused {
+		return
+	}
+	t.mu.Lock()
+	t.have = false
+	t.mu.Unlock()
+	select {
+	case t.resume <- struct{}{}:
+	default:
+	}
+}
+
+// waitResumed waits while the reader is paused.
+func (t *Tail) waitResumed(ctx context.Context) {
+	for t.paused.Load() && ctx.Err() == nil {
+		select {
+		case <-t.resume:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Loaded is closed once the newest records were applied.
 func (t *Tail) Loaded() <-chan struct{} {
 	return t.loaded
@@ -117,6 +155,7 @@
 func (t *Tail) Run(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
+		t.waitResumed(ctx)
 		sent := time.Now()
 		err := t.once(ctx, t.wait)
 		if err != nil && ctx.Err() == nil {
@@ -175,13 +214,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.apply(page.Records)
+	t.apply(page.Records, true)
 	t.next = max(t.next, page.Next)
 	t.read.Store(int64(time.Since(t.begun)))
-	if !t.have {
-		t.have = true
-		close(t.loaded)
-	}
+	t.have = true
+	t.loadOnce.Do(func() { close(t.loaded) })
 	return nil
 }
 
@@ -194,7 +231,7 @@
 		records = records[min(uint64(len(records)), t.next-from):]
 	}
 	if len(records) > 0 {
-		t.apply(records)
+		t.apply(records, false)
 	}
 	t.next = max(t.next, from+uint64(len(page.Records)))
 }
