--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -16,6 +16,8 @@
 package catalog
 
 import (
+	"maps"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -39,7 +41,9 @@
 	cancelKey   = "c/"
 	progressKey = "p/"
 	hostKey     = "w/"
+	waveKey     = "v/"
 	ownerKey    = "owner"
+	learnedKey  = "learned"
 )
 
 // Entry is what is known of one job. Its fields may be nil.
@@ -66,12 +70,14 @@
 	entries map[string]*Entry
 	hosts   map[string]provider.Host
 	owner   Owner
+	learned []byte
+	waves   map[int]Wave
 	news    []string // jobs that were accepted or cancelled since the last Take
 }
 
 // New returns an empty Catalog.
 func New() *Catalog {
-	return &Catalog{entries: make(map[string]*Entry), hosts: make(map[string]provider.Host)}
+	return &Catalog{entries: make(map[string]*Entry), hosts: make(map[string]provider.Host), waves: make(map[int]Wave)}
 }
 
 // AcceptRecord returns the record of an accepted job.
@@ -116,6 +122,54 @@
 	return provider.KeyedRecord{Key: ownerKey, Value: data}, nil
 }
 
+// Wave is how far a wave of upkeep is.
+type Wave struct {
+	Begun     []string `cbor:"1,keyasint,omitempty"` // machines whose upkeep has begun
+	Completed bool     `cbor:"2,keyasint,omitempty"`
+}
+
+// WaveRecord returns the record of a wave of upkeep.
+func WaveRecord(number int, w Wave) (provider.KeyedRecord, error) {
+	data, err := cbor.Marshal(w)
+	if err != nil {
+		return provider.KeyedRecord{}, fault.Wrap(fault.Internal, err, "record of wave %d", number)
+	}
+	return provider.KeyedRecord{Key: waveKey + strconv.Itoa(number), Value: data}, nil
+}
+
+func (c *Catalog) setWave(name string, value []byte) error {
+	number, err := strconv.Atoi(name)
+	if err != nil {
+		return fault.Wrap(fault.Invalid, err, "wave %q", name)
+	}
+	var w Wave
+	if err := cbor.Unmarshal(value, &w); err != nil {
+		return fault.Wrap(fault.Invalid, err, "record of wave %d", number)
+	}
+	c.waves[number] = w
+	return nil
+}
+
+// Waves returns how far the waves of upkeep are.
+func (c *Catalog) Waves() map[int]Wave {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return maps.Clone(c.waves)
+}
+
+// LearnedRecord returns the record of what an owner has learned, which its
+// successor goes on from.
+func LearnedRecord(data []byte) provider.KeyedRecord {
+	return provider.KeyedRecord{Key: learnedKey, Value: data}
+}
+
+// Learned returns what the last owner has learned, nil if nothing.
+func (c *Catalog) Learned() []byte {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.learned
+}
+
 // Accept folds a record of stream Accepts. The first accept of a job wins.
 func (c *Catalog) Accept(r provider.KeyedRecord) error {
 	c.mu.Lock()
@@ -178,8 +232,13 @@
 	switch {
 	case r.Key == ownerKey:
 		return c.setOwner(r.Value)
+	case r.Key == learnedKey:
+		c.learned = r.Value
+		return nil
 	case strings.HasPrefix(r.Key, progressKey):
 		return c.setProgress(r.Key[len(progressKey):], r.Value)
+	case strings.HasPrefix(r.Key, waveKey):
+		return c.setWave(r.Key[len(waveKey):], r.Value)
 	case strings.HasPrefix(r.Key, hostKey):
 		return c.setHost(r.Key[len(hostKey):], r.Value)
 	}
--- a/cell/action.go
+++ b/cell/action.go
@@ -4,7 +4,7 @@
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
-// Action is what a cell asks to be done. Each but Note and Deposed is
+// Action is what a cell asks to be done. Each but Note, Deposed and ReportWave is
 // answered by the input that is named after it.
 type Action interface{ action() }
 
@@ -36,6 +36,24 @@
 	Records  []provider.KeyedRecord
 }
 
+// Advise asks which workers may run a step.
+type Advise struct {
+	Job         string
+	Round, Step int
+	Hosts       []string
+}
+
+// Upkeep takes a machine down for its upkeep.
+type Upkeep struct {
+	Order provider.MachineOrder
+}
+
+// ReportWave tells the operators how far a wave is. It has no answer.
+type ReportWave struct {
+	Number    int
+	Completed bool
+}
+
 // ListMachines asks the platform what became of its machines.
 type ListMachines struct{}
 
@@ -57,5 +75,8 @@
 func (Pace) action()         {}
 func (Save) action()         {}
 func (Deposed) action()      {}
+func (Advise) action()       {}
+func (Upkeep) action()       {}
+func (ReportWave) action()   {}
 func (ListMachines) action() {}
 func (Note) action()         {}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -49,29 +49,37 @@
 
 // Cell is the owner's state.
 type Cell struct {
-	self     Self
-	timing   Timing
-	now      time.Duration
-	wall     time.Time
-	table    *queue.Table
-	jobs     map[string]*jobState
-	workers  map[string]*worker
-	pools    map[string][]*worker // by service, in a fixed order
-	waiting  []*stepState         // steps with tasks to start
-	sorted   bool                 // whether waiting is in order
-	ordered  time.Duration        // when waiting was last put in order
-	changed  bool                 // whether a start may have become possible
-	timed    []*jobState          // jobs with occurrences to come
-	saves    saver
-	survey   survey
-	pressure *pressure.Estimator
-	asking   bool // a ListMachines is under way
-	askedAt  time.Duration
-	deposed  bool
-	beats    uint64
-	reported time.Duration // when the load was last logged
-	checked  time.Duration // when the workers were last looked over
-	actions  []Action
+	self        Self
+	timing      Timing
+	now         time.Duration
+	wall        time.Time
+	table       *queue.Table
+	jobs        map[string]*jobState
+	workers     map[string]*worker
+	all         []*worker            // in a fixed order, nil if it has to be made anew
+	pools       map[string][]*worker // by service, in a fixed order
+	waiting     []*stepState         // steps with tasks to start
+	sorted      bool                 // whether waiting is in order
+	ordered     time.Duration        // when waiting was last put in order
+	changed     bool                 // whether a start may have become possible
+	timed       []*jobState          // jobs with occurrences to come
+	saves       saver
+	survey      survey
+	pressure    *pressure.Estimator
+	adviceBusy  bool // an Advise is under way
+	adviceAfter time.Duration
+	waves       map[int]*wave
+	known       map[int]catalog.Wave // progress of waves as read from the record
+	wavedAt     time.Duration
+	began       time.Duration // when this owner took the cell
+	asking      bool          // a ListMachines is under way
+	askedAt     time.Duration
+	deposed     bool
+	learnedAt   time.Duration // when what was learned was last put on record
+	beats       uint64
+	reported    time.Duration // when the load was last logged
+	checked     time.Duration // when the workers were last looked over
+	actions     []Action
 }
 
 // New returns the Cell of a new owner that knows all jobs of a catalog read
@@ -84,6 +92,9 @@
 		wall:     wall,
 		table:    queue.New(0, queue.Limits{}, nil, nil),
 		jobs:     make(map[string]*jobState),
+		waves:    make(map[int]*wave),
+		known:    known.Waves(),
+		began:    now,
 		workers:  make(map[string]*worker),
 		pools:    make(map[string][]*worker),
 		pressure: pressure.New(),
@@ -93,10 +104,15 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, e := range entries {
+	if data := known.Learned(); len(data) > 0 {
+		if err := c.pressure.Load(data); err != nil {
+			c.note("weights not loaded", "err", err)
+		}
+	}
+	for _, e := range inOrder(entries) {
 		c.addJob(e)
 	}
-	for _, h := range known.Hosts() {
+	for _, h := range inOrder(known.Hosts()) {
 		w := c.addWorker(h)
 		w.registered = true
 		c.survey.add(w)
@@ -127,6 +143,12 @@
 		c.stopped(in)
 	case PaceReply:
 		c.paced(in)
+	case Waves:
+		c.setWaves(in.Waves)
+	case Advised:
+		c.advised(in)
+	case UpkeepReply:
+		c.upkept(in)
 	case MachineList:
 		c.machines(in)
 	case Saved:
@@ -157,6 +179,7 @@
 		c.checked = c.now
 		c.checkWorkers()
 		c.askMachines()
+		c.workWaves()
 		c.changed = true
 	}
 	c.holdIdle()
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -96,7 +96,11 @@
 	for len(s.ready) > 0 {
 		t := s.ready[0]
 		w := c.choose(t)
-		if w == nil || !c.claim(j) {
+		if w == nil {
+			c.ask(s)
+			return
+		}
+		if !c.claim(j) {
 			return
 		}
 		s.ready = s.ready[1:]
@@ -136,6 +140,11 @@
 
 // fits reports whether a task may be started on a worker now.
 func (c *Cell) fits(t *task, w *worker) bool {
+	return c.suits(t, w) && c.hasTicket(t.step, w)
+}
+
+// suits is fits but for advice.
+func (c *Cell) suits(t *task, w *worker) bool {
 	s := t.step
 	if !c.usable(w) || !w.used.Add(s.need).Fits(w.host.Capacity) {
 		return false
@@ -152,7 +161,7 @@
 	if s.spec.Fills && !c.bears(w, s) {
 		return false
 	}
-	return c.hasTicket(s, w)
+	return true
 }
 
 // Weights of a worker's score; the lowest score wins. Load is a fraction of
@@ -209,7 +218,11 @@
 		return
 	}
 	places := c.placeGang(s)
-	if places == nil || !c.claim(s.job) {
+	if places == nil {
+		c.ask(s)
+		return
+	}
+	if !c.claim(s.job) {
 		return
 	}
 	attempt := c.nextAttempt(s.ready[0])
@@ -307,22 +320,18 @@
 }
 
 // evacuate moves what runs on a worker that is about to leave. Lasting tasks
-// go at once; others that save their progress are moved, the rest may end in
-// the time that is left.
+// go at once, though not so many of a step that its users would notice unless
+// the worker leaves by itself; others that save their progress are moved, the
+// rest may end in the time that is left.
 func (c *Cell) evacuate(w *worker) {
-	for _, r := range w.runs {
-		if r.task == nil {
+	for _, r := range inOrder(w.runs) {
+		if r.task == nil || r.state == runStopping {
 			continue
 		}
 		spec := r.task.step.spec
-		if spec.Lasting || spec.Checkpoints && !spec.Gang {
+		lasting := spec.Lasting && (w.host.Draining || r.task.step.mayMiss(r))
+		if lasting || spec.Checkpoints && !spec.Gang {
 			c.stopRun(r, "worker leaves")
 		}
 	}
 }
-
-func (c *Cell) hasTicket(*stepState, *worker) bool { return true }
-
-func (c *Cell) ticket(*stepState, *worker) string { return "" }
-
-func (c *Cell) dropTicket(*stepState, *worker) {}
--- a/cell/input.go
+++ b/cell/input.go
@@ -66,6 +66,29 @@
 	Err      error
 }
 
+// Waves are the waves of upkeep that the operators asked for.
+type Waves struct {
+	Waves []provider.Wave
+}
+
+// Advised is the outcome of an Advise.
+type Advised struct {
+	Job         string
+	Round, Step int
+	Hosts       []string
+	Tickets     []provider.Ticket
+	Valid       time.Duration
+	Sent        time.Duration
+	Err         error
+}
+
+// UpkeepReply is the outcome of an Upkeep.
+type UpkeepReply struct {
+	Machine string
+	Wave    int
+	Err     error
+}
+
 // MachineList is the outcome of a ListMachines.
 type MachineList struct {
 	Machines []provider.Machine
@@ -85,5 +108,8 @@
 func (StopReply) input()   {}
 func (PaceReply) input()   {}
 func (Saved) input()       {}
+func (Waves) input()       {}
+func (Advised) input()     {}
+func (UpkeepReply) input() {}
 func (MachineList) input() {}
 func (Tick) input()        {}
--- a/cell/job.go
+++ b/cell/job.go
@@ -43,6 +43,7 @@
 	left     int     // tasks that aren't done
 	attempt  uint64  // highest one given to a gang
 	need     resource.Vector
+	advice   *advice         // where the queue asks for it
 	onHost   map[*worker]int // runs by worker, kept for PerWorker
 	standing standing
 	due      time.Duration // when it has to begin for the job to be in time
@@ -293,7 +294,7 @@
 	j.progress.Ended = c.wall.UnixMilli()
 	c.saves.dirty(j)
 	c.note("job ended", "job", j.job.ID, "state", state.String(), "after", c.now-j.arrived)
-	for _, r := range j.rounds {
+	for _, r := range inOrder(j.rounds) {
 		for _, s := range r.steps {
 			s.ready = nil
 			for _, t := range s.tasks {
@@ -310,7 +311,7 @@
 }
 
 func (c *Cell) stopAll(j *jobState) {
-	for _, r := range j.rounds {
+	for _, r := range inOrder(j.rounds) {
 		for _, s := range r.steps {
 			for _, t := range s.tasks {
 				if t.run != nil {
--- a/cell/load.go
+++ b/cell/load.go
@@ -13,7 +13,7 @@
 	c.reported = c.now
 	var processors, memory, wholeProcessors, wholeMemory, filling int64
 	usable, serving, images, runs := 0, 0, 0, 0
-	for _, w := range c.workers {
+	for _, w := range c.everyWorker() {
 		processors += w.used.Processors
 		memory += w.used.Memory
 		filling += w.filling
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -27,7 +27,7 @@
 
 // doubts reports whether any worker's silence holds something up.
 func (c *Cell) doubts() bool {
-	for _, w := range c.workers {
+	for _, w := range c.everyWorker() {
 		if c.doubtful(w) {
 			return true
 		}
@@ -54,7 +54,7 @@
 	for i := range in.Machines {
 		by[in.Machines[i].ID] = &in.Machines[i]
 	}
-	for _, w := range c.workers {
+	for _, w := range c.everyWorker() {
 		if c.doubtful(w) && w.host.Machine != "" {
 			c.judgeMachine(w, by[w.host.Machine])
 		}
--- a/cell/run.go
+++ b/cell/run.go
@@ -333,7 +333,7 @@
 	for i := range held.Running {
 		there[held.Running[i].Task] = held.Running[i].Attempt
 	}
-	for name, r := range w.runs {
+	for name, r := range inOrder(w.runs) {
 		if a, ok := there[name]; ok && a == r.attempt {
 			continue
 		}
--- a/cell/save.go
+++ b/cell/save.go
@@ -1,6 +1,9 @@
 package cell
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
@@ -14,6 +17,7 @@
 type saver struct {
 	jobs    map[*jobState]struct{}
 	hosts   map[string]*provider.Host
+	waves   map[int]catalog.Wave
 	waiting map[*worker]struct{} // with ends to acknowledge after the next write
 	batch   *batch
 	next    uint64        // sequence
@@ -31,15 +35,29 @@
 	retryAt time.Duration
 	claimed []*jobState
 	hosts   []string
-	seen    map[*worker]uint64
+	seen    []acknowledgement
 	leaving bool
 }
 
+// acknowledgement is the highest end of a worker that a write covers.
+type acknowledgement struct {
+	worker *worker
+	ended  uint64
+}
+
+// inOrder returns the jobs to write, by ID.
+func (s *saver) inOrder() []*jobState {
+	jobs := slices.Collect(maps.Keys(s.jobs))
+	slices.SortFunc(jobs, func(a, b *jobState) int { return cmp.Compare(a.job.ID, b.job.ID) })
+	return jobs
+}
+
 func newSaver(now time.Duration, first uint64) saver {
 	return saver{
 		jobs:    make(map[*jobState]struct{}),
 		hosts:   make(map[string]*provider.Host),
 		waiting: make(map[*worker]struct{}),
+		waves:   make(map[int]catalog.Wave),
 		next:    first,
 		contact: now,
 		begun:   -time.Hour,
@@ -65,7 +83,7 @@
 }
 
 func (s *saver) busy() bool {
-	return s.batch != nil || len(s.jobs) > 0 || len(s.hosts) > 0
+	return s.batch != nil || len(s.jobs) > 0 || len(s.hosts) > 0 || len(s.waves) > 0
 }
 
 // save writes what has changed, and a heartbeat where nothing has.
@@ -101,7 +119,7 @@
 
 func (c *Cell) newBatch() (*batch, error) {
 	s := &c.saves
-	b := &batch{save: Save{Term: c.self.Term, Sequence: s.next}, seen: make(map[*worker]uint64), leaving: s.leaving}
+	b := &batch{save: Save{Term: c.self.Term, Sequence: s.next}, leaving: s.leaving}
 	s.next++
 	c.beats++
 	owner, err := catalog.OwnerRecord(catalog.Owner{
@@ -116,7 +134,7 @@
 		return nil, err
 	}
 	b.save.Records = append(b.save.Records, owner)
-	for j := range s.jobs {
+	for _, j := range s.inOrder() {
 		r, err := catalog.ProgressRecord(j.job.ID, j.progress)
 		if err != nil {
 			return nil, err
@@ -126,7 +144,7 @@
 			b.claimed = append(b.claimed, j)
 		}
 	}
-	for id, h := range s.hosts {
+	for id, h := range inOrder(s.hosts) {
 		r, err := catalog.HostRecord(id, h)
 		if err != nil {
 			return nil, err
@@ -134,15 +152,45 @@
 		b.save.Records = append(b.save.Records, r)
 		b.hosts = append(b.hosts, id)
 	}
+	for n, w := range inOrder(s.waves) {
+		r, err := catalog.WaveRecord(n, w)
+		if err != nil {
+			return nil, err
+		}
+		b.save.Records = append(b.save.Records, r)
+	}
+	clear(s.waves)
+	if err := c.addLearned(b); err != nil {
+		return nil, err
+	}
 	for w := range s.waiting {
-		b.seen[w] = w.ended
+		b.seen = append(b.seen, acknowledgement{worker: w, ended: w.ended})
 	}
+	slices.SortFunc(b.seen, func(x, y acknowledgement) int { return cmp.Compare(x.worker.host.ID, y.worker.host.ID) })
 	clear(s.jobs)
 	clear(s.hosts)
 	clear(s.waiting)
 	return b, nil
 }
 
+// addLearned adds what was learned to a write now and then, so that a
+// successor needn't learn it at the expense of serving tasks.
+func (c *Cell) addLearned(b *batch) error {
+	if c.now-c.learnedAt < learnedEvery {
+		return nil
+	}
+	c.learnedAt = c.now
+	data, err := c.pressure.Encode()
+	if err != nil {
+		return err
+	}
+	b.save.Records = append(b.save.Records, catalog.LearnedRecord(data))
+	return nil
+}
+
+// learnedEvery is the time between two records of what was learned.
+const learnedEvery = 2 * time.Second
+
 // saved takes the outcome of a write.
 func (c *Cell) saved(in Saved) {
 	s := &c.saves
@@ -179,8 +227,9 @@
 			c.changed = true
 		}
 	}
-	for w, n := range b.seen {
-		w.seen = max(w.seen, n)
+	for _, a := range b.seen {
+		w := a.worker
+		w.seen = max(w.seen, a.ended)
 		if w.lost || w.holding {
 			continue
 		}
--- /dev/null
+++ b/cell/schedule_test.go
@@ -0,0 +1,115 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/job"
+)
+
+const (
+	schedules     = 60
+	scheduleFor   = 25 * time.Second
+	scheduleJobs  = 14
+	scheduleHosts = 5
+)
+
+// TestRandomSchedules plays faults drawn from fixed seeds, alone and together,
+// and holds every start against what must never happen. Once they are over,
+// every job has to end.
+func TestRandomSchedules(t *testing.T) {
+	for seed := range uint64(schedules) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSite(t, 100+seed, scheduleHosts, 3)
+			s.failing = func(_ string, attempt uint64) bool { return attempt%5 == 4 }
+			s.arrivals()
+			s.owners[0].take()
+			for range 7 {
+				at := time.Duration(s.rng.Int64N(int64(scheduleFor)))
+				s.after(at, s.fault)
+			}
+			s.after(scheduleFor, s.heal)
+			s.run(scheduleFor + 3*quiet)
+			is.Equal(s.broken, nil)
+			for id := range s.jobs {
+				state := s.state(id)
+				is.True(state == "completed" || state == "cancelled" || state == "failed") // nothing is left
+			}
+		})
+	}
+}
+
+// arrivals submits jobs over the time of the schedule.
+func (s *site) arrivals() {
+	for i := range scheduleJobs {
+		at := time.Duration(s.rng.Int64N(int64(scheduleFor)))
+		j := &job.Job{ID: jobID(i), Steps: []job.Step{step(1+s.rng.IntN(4), 1+s.rng.Int64N(4)), step(1+s.rng.IntN(3), 2, 0)}}
+		j.Steps[0].Gang = s.rng.IntN(6) == 0
+		j.Steps[0].Checkpoints = s.rng.IntN(2) == 0
+		s.after(at, func() { s.submit(j) })
+		if s.rng.IntN(6) == 0 {
+			s.after(at+time.Duration(s.rng.Int64N(int64(3*time.Second))), func() { s.cancel(j.ID) })
+		}
+	}
+}
+
+// fault plays one fault, which ends by itself.
+func (s *site) fault() {
+	o := s.owners[s.rng.IntN(len(s.owners))]
+	w := s.workers[s.rng.IntN(len(s.workers))]
+	span := time.Second + time.Duration(s.rng.Int64N(int64(7*time.Second)))
+	switch s.rng.IntN(7) {
+	case 0:
+		o.kill()
+		s.after(time.Second, s.successor)
+	case 1:
+		o.freeze(span)
+		s.after(1700*time.Millisecond, s.successor)
+	case 2:
+		o.noStore = true
+		s.after(span, func() { o.noStore = false })
+		s.after(1700*time.Millisecond, s.successor)
+	case 3:
+		for i := range s.workers {
+			o.noWorker[i] = s.rng.IntN(2) == 0
+		}
+		s.after(span, func() { clear(o.noWorker) })
+	case 4:
+		if w.up {
+			w.crash(span/4, int(s.now/time.Millisecond)+1)
+		}
+	case 5:
+		s.lateOrders = 0.2
+		s.after(span, func() { s.lateOrders = 0 })
+	case 6:
+		s.lostSaves = 0.5
+		s.after(span, func() { s.lostSaves = 0 })
+	}
+}
+
+// successor has an instance that reaches the store take the cell.
+func (s *site) successor() {
+	for range 10 {
+		o := s.owners[s.rng.IntN(len(s.owners))]
+		if !o.noStore && !o.frozen {
+			o.take()
+			return
+		}
+	}
+}
+
+// heal ends all faults and sees to it that there is an owner.
+func (s *site) heal() {
+	s.lateOrders = 0
+	s.lostSaves = 0
+	for _, o := range s.owners {
+		o.noStore = false
+		clear(o.noWorker)
+	}
+	s.after(9*time.Second, s.owners[0].take)
+}
--- a/cell/serving.go
+++ b/cell/serving.go
@@ -36,7 +36,7 @@
 // mixture returns a worker's serving tasks that are at work, and its filling
 // ones with what they use and with what they may use.
 func (w *worker) mixture() (served []pressure.Served, fills, expected []pressure.Fill) {
-	for _, r := range w.runs {
+	for _, r := range inOrder(w.runs) {
 		if r.task == nil {
 			continue
 		}
@@ -136,7 +136,7 @@
 // on a serving image first.
 func (c *Cell) culprits(w *worker, image string) []*run {
 	var fills []*run
-	for _, r := range w.runs {
+	for _, r := range inOrder(w.runs) {
 		if r.fills() && r.state == runRunning {
 			fills = append(fills, r)
 		}
@@ -155,7 +155,7 @@
 // pauseAll pauses all filling tasks of a worker, and moves those that are.
 func (c *Cell) pauseAll(w *worker) {
 	w.fillAfter = c.now + pauseFill
-	for _, r := range w.runs {
+	for _, r := range inOrder(w.runs) {
 		if !r.fills() || r.state != runRunning {
 			continue
 		}
@@ -183,7 +183,7 @@
 // resumePaused lets paused filling tasks go on if the serving ones bear them,
 // and moves the others.
 func (c *Cell) resumePaused(w *worker) {
-	for _, r := range w.runs {
+	for _, r := range inOrder(w.runs) {
 		if !r.fills() || r.state != runRunning || r.pace > 0 {
 			continue
 		}
@@ -202,7 +202,7 @@
 func (w *worker) worst() *run {
 	var worst *run
 	most := 0.0
-	for _, r := range w.runs {
+	for _, r := range inOrder(w.runs) {
 		if r.task == nil || !r.task.step.spec.Serves() || r.percent < wholePercent {
 			continue
 		}
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -35,6 +35,9 @@
 	SaveRetry time.Duration
 	// StopRetry is the pause before a stop without effect is repeated.
 	StopRetry time.Duration
+	// Handover is how long a new owner gives no orders for machines, which
+	// don't check whose order is newer.
+	Handover time.Duration
 	// Silence is how long a worker may be out of reach before it gets no new
 	// tasks.
 	Silence time.Duration
@@ -68,6 +71,7 @@
 		SaveGap:     15 * time.Millisecond,
 		SaveRetry:   100 * time.Millisecond,
 		StopRetry:   600 * time.Millisecond,
+		Handover:    3500 * time.Millisecond,
 		Silence:     300 * time.Millisecond,
 		Unlisted:    3 * time.Second,
 		Stall:       2500 * time.Millisecond,
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -16,6 +16,7 @@
 	listed     bool // on the platform's list
 	unlistedAt time.Duration
 	registered bool // on record, so that a successor asks it
+	leaving    bool // its machine is about to go down; it gets no new tasks
 	asked      bool // it has answered this owner; its runs are known
 	lost       bool // that life of it is over
 
@@ -78,6 +79,7 @@
 func (c *Cell) addWorker(h provider.Host) *worker {
 	w := &worker{host: h, runs: make(map[string]*run), images: make(map[string]int), holdAt: c.now, heard: c.now}
 	c.workers[h.ID] = w
+	c.all = nil
 	pool := append(c.pools[h.Service], w)
 	slices.SortFunc(pool, func(a, b *worker) int { return strings.Compare(a.host.ID, b.host.ID) })
 	c.pools[h.Service] = pool
@@ -86,6 +88,7 @@
 
 func (c *Cell) dropWorker(w *worker) {
 	delete(c.workers, w.host.ID)
+	c.all = nil
 	pool := c.pools[w.host.Service]
 	if i := slices.Index(pool, w); i >= 0 {
 		c.pools[w.host.Service] = slices.Delete(pool, i, i+1)
@@ -109,7 +112,7 @@
 		}
 		c.updateHost(w, h)
 	}
-	for id, w := range c.workers {
+	for id, w := range inOrder(c.workers) {
 		if w.listed && !on[id] {
 			w.listed = false
 			w.unlistedAt = c.now
@@ -135,7 +138,7 @@
 // usable reports whether new tasks may be started on a worker.
 func (c *Cell) usable(w *worker) bool {
 	listed := w.listed || c.now-w.unlistedAt < c.timing.Unlisted
-	return w.registered && listed && w.asked && !w.lost && !w.host.Draining &&
+	return w.registered && listed && w.asked && !w.lost && !w.leaving && !w.host.Draining &&
 		w.misses == 0 && c.now-w.heard < c.timing.IdleWait+c.timing.Silence && c.now >= w.resting
 }
 
@@ -158,7 +161,7 @@
 
 // holdIdle sends a hold to each worker that is due for one.
 func (c *Cell) holdIdle() {
-	for _, w := range c.workers {
+	for _, w := range c.everyWorker() {
 		if !w.holding && !w.lost && c.now >= w.holdAt {
 			c.hold(w)
 		}
@@ -256,7 +259,7 @@
 	}
 	w.lost = true
 	c.note("worker lost", "worker", w.host.ID, "reason", reason, "runs", len(w.runs))
-	for _, r := range w.runs {
+	for _, r := range inOrder(w.runs) {
 		c.endRun(r, provider.EndLost, "")
 	}
 	c.surveyed(w)
@@ -266,11 +269,11 @@
 // checkWorkers looks for leases that ran out, stops to repeat and tasks that
 // hang.
 func (c *Cell) checkWorkers() {
-	for _, w := range c.workers {
+	for _, w := range c.everyWorker() {
 		if w.misses > 0 {
 			c.checkLease(w)
 		}
-		for _, r := range w.runs {
+		for _, r := range inOrder(w.runs) {
 			c.checkRun(r)
 		}
 	}
@@ -291,7 +294,7 @@
 	}
 	if len(w.runs) > 0 {
 		c.note("lease ended", "worker", w.host.ID, "runs", len(w.runs), "silent", c.now-w.heard)
-		for _, r := range w.runs {
+		for _, r := range inOrder(w.runs) {
 			c.endRun(r, provider.EndLapsed, "")
 		}
 		c.changed = true
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -17,6 +17,7 @@
 // and above that of a slow store, a quarter of a second.
 const (
 	orderTimeout    = 900 * time.Millisecond
+	adviceTimeout   = 4 * time.Second        // an answer takes time for each worker named
 	machinesTimeout = 600 * time.Millisecond // on top of orderTimeout; the list may come in pages
 	claimTimeout    = 1500 * time.Millisecond
 	saveTimeout     = 1200 * time.Millisecond
@@ -45,6 +46,9 @@
 			d.news()
 		case c := <-d.claims:
 			d.claimed(c)
+		case waves := <-d.wavesIn:
+			d.waves = waves
+			d.step(cell.Waves{Waves: waves})
 		case hosts := <-d.wanting:
 			d.hosts = hosts
 			d.step(cell.Hosts{Hosts: hosts})
@@ -182,6 +186,7 @@
 	d.logger.Info("owner", zap.Uint64("term", term), zap.Int("jobs", d.catalog.Len()), zap.Int("workers", len(d.catalog.Hosts())))
 	d.step(cell.Configured{Table: d.table.Load()})
 	d.step(cell.Hosts{Hosts: d.hosts})
+	d.step(cell.Waves{Waves: d.waves})
 	d.step(cell.Tick{Wall: time.Now()})
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -86,6 +86,8 @@
 	hosts    []provider.Host
 	seen     *queue.Table
 	wanting  chan []provider.Host
+	waves    []provider.Wave
+	wavesIn  chan []provider.Wave
 }
 
 // Option sets up a Dispatcher.
@@ -134,6 +136,7 @@
 		left:     make(chan struct{}),
 		claims:   make(chan claim, 1),
 		wanting:  make(chan []provider.Host, 1),
+		wavesIn:  make(chan []provider.Wave, 1),
 		counters: newCounters(),
 		onOwning: func(bool) {},
 	}
@@ -222,14 +225,25 @@
 
 // SetHosts hands over the platform's list of workers, whole.
 func (d *Dispatcher) SetHosts(hosts []provider.Host) {
+	replace(d.wanting, hosts)
+}
+
+// SetWaves hands over the waves of upkeep that the operators asked for, whole.
+func (d *Dispatcher) SetWaves(waves []provider.Wave) {
+	replace(d.wavesIn, waves)
+}
+
+// replace puts a value into a channel of one, in place of an older one that
+// nobody has looked at.
+func replace[T any](c chan T, value T) {
 	for {
 		select {
-		case d.wanting <- hosts:
+		case c <- value:
 			return
 		default:
 		}
 		select {
-		case <-d.wanting: // an older list that nobody has looked at
+		case <-c:
 		default:
 		}
 	}
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -8,6 +8,8 @@
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/cell"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
@@ -24,6 +26,12 @@
 		d.order(0, func(ctx context.Context) cell.Input { return d.stop(ctx, a) })
 	case cell.Pace:
 		d.order(0, func(ctx context.Context) cell.Input { return d.pace(ctx, a) })
+	case cell.Advise:
+		d.order(adviceTimeout, func(ctx context.Context) cell.Input { return d.advise(ctx, a) })
+	case cell.Upkeep:
+		d.order(0, func(ctx context.Context) cell.Input { return d.upkeep(ctx, a) })
+	case cell.ReportWave:
+		d.tomb.Go(func() error { d.reportWave(a); return nil })
 	case cell.ListMachines:
 		d.order(machinesTimeout, d.listMachines)
 	case cell.Save:
@@ -107,6 +115,44 @@
 	return cell.MachineList{Machines: machines, Err: err}
 }
 
+// advise asks the adviser.
+func (d *Dispatcher) advise(ctx context.Context, a cell.Advise) cell.Input {
+	reply := cell.Advised{Job: a.Job, Round: a.Round, Step: a.Step, Hosts: a.Hosts, Sent: d.clock()}
+	if d.platform.Adviser == nil {
+		reply.Err = fault.New(fault.Unavailable, "the site has no adviser")
+		return reply
+	}
+	reply.Tickets, reply.Valid, reply.Err = d.platform.Adviser.Advise(ctx, job.StepName(a.Job, a.Round, a.Step), a.Hosts)
+	return reply
+}
+
+// upkeep orders a machine's upkeep.
+func (d *Dispatcher) upkeep(ctx context.Context, a cell.Upkeep) cell.Input {
+	reply := cell.UpkeepReply{Machine: a.Order.Machine, Wave: a.Order.Wave}
+	if d.platform.Machines == nil {
+		reply.Err = fault.New(fault.Unavailable, "the site has no machines")
+		return reply
+	}
+	reply.Err = d.platform.Machines.Upkeep(ctx, a.Order)
+	return reply
+}
+
+// reportWave tells the operators how far a wave is, and repeats it until it is
+// known.
+func (d *Dispatcher) reportWave(a cell.ReportWave) {
+	ctx := d.tomb.Context(context.Background())
+	for ctx.Err() == nil && d.platform.Machines != nil {
+		once, cancel := context.WithTimeout(ctx, saveTimeout)
+		err := d.platform.Machines.Report(once, a.Number, a.Completed)
+		cancel()
+		if err == nil {
+			return
+		}
+		d.logger.Warn("wave not reported", zap.Int("wave", a.Number), zap.Error(err))
+		wait(ctx, saveTimeout)
+	}
+}
+
 // note writes a decision of the cell to the log.
 func (d *Dispatcher) note(n cell.Note) {
 	fields := make([]zap.Field, 0, len(n.Fields)/2+1)
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -175,6 +175,8 @@
 	List(ctx context.Context) ([]Machine, error)
 	Upkeep(ctx context.Context, order MachineOrder) error
 	Move(ctx context.Context, order MachineOrder) error
+	// Report tells the operators how far a wave of upkeep is.
+	Report(ctx context.Context, wave int, completed bool) error
 }
 
 // Wave asks that each of its machines has its upkeep in time.
