--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -155,7 +155,7 @@
 	if s.spec.PerWorker > 0 && s.onHost[w] >= s.spec.PerWorker {
 		return false
 	}
-	if w.runs[t.name] != nil || slices.Contains(t.avoid, w) {
+	if w.runs[t.name] != nil || c.now < t.shunned[w] {
 		return false
 	}
 	if s.spec.Fills && !c.bears(w, s) {
--- a/cell/job.go
+++ b/cell/job.go
@@ -58,9 +58,9 @@
 	done    bool
 	queued  bool // in step.ready
 	starts  uint64
-	attempt uint64    // highest one seen or given
-	saved   string    // newest checkpoint
-	avoid   []*worker // where it failed or hung
+	attempt uint64                    // highest one seen or given
+	saved   string                    // newest checkpoint
+	shunned map[*worker]time.Duration // where it failed or hung, until when
 }
 
 // final reports whether nothing is left to do for the job.
--- a/cell/run.go
+++ b/cell/run.go
@@ -229,10 +229,10 @@
 	if r.task == nil || r.state != runRunning || r.task.step.spec.Gang || w.misses > 0 {
 		return
 	}
-	if r.percent >= 100 || r.pace < 100 || c.now-r.advanced < c.stallOf(r) {
+	if r.percent >= 100 || r.pace < 100 || w.heard-r.advanced < c.stallOf(r) {
 		return
 	}
-	r.task.shun(w)
+	c.shun(r.task, w)
 	w.failures++
 	c.judge(w)
 	c.stopRun(r, "no advance")
@@ -369,7 +369,9 @@
 	t.attempt = max(t.attempt, e.Attempt)
 	switch e.How {
 	case provider.EndDone:
-		c.endStale(t)
+		if !t.step.spec.Lasting {
+			c.endStale(t)
+		}
 	case provider.EndFailed:
 		c.failTask(t, e.Attempt)
 	default:
@@ -401,13 +403,14 @@
 		return
 	}
 	c.keepCheckpoint(t, checkpoint)
-	switch how {
-	case provider.EndDone:
+	if how == provider.EndDone && !s.spec.Lasting {
 		w.failures = 0
 		c.endDone(t)
 		return
+	}
+	switch how {
 	case provider.EndFailed:
-		t.shun(w)
+		c.shun(t, w)
 		w.failures++
 		c.judge(w)
 		c.failTask(t, r.attempt)
@@ -450,14 +453,16 @@
 	}
 }
 
-// shunned is how many workers a task remembers that it failed on.
-const shunned = 4
+// shunFor is how long a task isn't started again on a worker that it failed or
+// hung on, if there is another one. After it the worker is taken again, as it
+// may be the only one that fits.
+const shunFor = 4 * time.Second
 
-func (t *task) shun(w *worker) {
-	t.avoid = append(t.avoid, w)
-	if len(t.avoid) > shunned {
-		t.avoid = t.avoid[1:]
+func (c *Cell) shun(t *task, w *worker) {
+	if t.shunned == nil {
+		t.shunned = make(map[*worker]time.Duration)
 	}
+	t.shunned[w] = c.now + shunFor
 }
 
 // judge puts a worker that failed several tasks in a row into quarantine.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -179,7 +179,9 @@
 	if !w.asked || w.misses > 0 {
 		order.Wait = 0
 	}
-	if w.asked && c.mayOrder() {
+	// A worker that doesn't answer isn't extended: such an order may be carried
+	// out all the same, and its tasks would never count as ended.
+	if w.asked && w.misses == 0 && c.mayOrder() {
 		order.Deadline = c.clockNow(w) + c.timing.Lease.Milliseconds()
 		w.deadline = max(w.deadline, order.Deadline)
 	}
