Adopted filling tasks go on at full speed; a filling task without processors is no fault of its worker

Cause: a successor took runs that its predecessor had paused for hanging ones, stopped them and put 46 of 66 workers into quarantine.

--- a/cell/run.go
+++ b/cell/run.go
@@ -233,8 +233,10 @@
 		return
 	}
 	c.shun(r.task, w)
-	w.failures++
-	c.judge(w)
+	if !r.fills() {
+		w.failures++ // a filling task may merely find no idle processors
+		c.judge(w)
+	}
 	c.stopRun(r, "no advance")
 }
 
@@ -290,6 +292,9 @@
 	r.state = runRunning
 	t.attempt = max(t.attempt, p.Attempt)
 	c.begun(t.step.job)
+	if r.fills() {
+		c.setPace(r, wholePercent) // an earlier owner may have paused it
+	}
 	c.note("adopted", "task", p.Task, "attempt", p.Attempt, "worker", w.host.ID)
 	return r
 }
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -63,7 +63,7 @@
 		Lease:       9 * time.Second,
 		MaxLease:    10 * time.Second,
 		Isolation:   8 * time.Second,
-		StartWindow: time.Second,
+		StartWindow: 700 * time.Millisecond,
 		HoldWait:    time.Second,
 		IdleWait:    2 * time.Second,
 		MixedWait:   400 * time.Millisecond,
