--- a/cell/serving.go
+++ b/cell/serving.go
@@ -120,6 +120,12 @@
 		if p < harmless && needed > 0 {
 			continue
 		}
+		if needed > 0 && p > heavy && r.task.step.spec.Checkpoints {
+			c.stopRun(r, "slows a serving task")
+			w.fillAfter = c.now + pauseFill
+			needed -= p
+			continue
+		}
 		if r.pace > 0 && needed > 0 {
 			c.setPace(r, 0)
 			w.fillAfter = c.now + pauseFill
@@ -171,6 +177,10 @@
 // the tail would stay where the load of its users has put it.
 const harmless = 0.12
 
+// heavy is the pressure from which a filling task that keeps its progress is
+// moved at once: it could go on only at the trough of the users' load.
+const heavy = 0.6
+
 func (r *run) fills() bool {
 	return r.task != nil && r.task.step.spec.Fills
 }
