--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -16,22 +16,27 @@
 
 // Bounds of accepting. A window of a few milliseconds puts what arrives
 // together into one write, of which the store takes a few hundred a second.
+// While a write is under way, what arrives waits for the next one: a store that
+// is fifty times slower than usual takes 9 writes a second from all instances
+// together, and a write beside it only for an answer that may be lost.
 const (
-	intakeWindow  = 3 * time.Millisecond
-	intakeBatch   = 64
-	intakeFlights = 4 // writes under way, so that one lost answer doesn't hold up the rest
-	intakeTimeout = 700 * time.Millisecond
-	intakeRetry   = 50 * time.Millisecond
-	intakeRejects = 2                      // rejections by the store after which a caller is better off elsewhere
-	intakePause   = 300 * time.Millisecond // for which the store is taken to reject after that
-	intakeReserve = 250 * time.Millisecond // most of a request's time that is left to answer it
+	intakeWindow   = 3 * time.Millisecond
+	intakeBatch    = 64
+	intakeFlights  = 3                      // writes under way at the most
+	intakePatience = 400 * time.Millisecond // with a write under way before another one begins beside it
+	intakeTimeout  = 1800 * time.Millisecond
+	intakeRetry    = 50 * time.Millisecond
+	intakeRejects  = 2                      // rejections by the store after which a caller is better off elsewhere
+	intakePause    = 300 * time.Millisecond // for which the store is taken to reject after that
+	intakeReserve  = 250 * time.Millisecond // most of a request's time that is left to answer it
 )
 
 // intake writes what callers hand in.
 type intake struct {
 	d        *Dispatcher
 	pending  chan entry
-	flights  chan struct{}
+	landed   chan struct{} // a value for each write that has ended
+	under    int           // writes under way; of run alone
 	begun    time.Time
 	rejected atomic.Int64 // when the store last rejected a record for good, nanoseconds since begun
 }
@@ -43,7 +48,7 @@
 }
 
 func newIntake(d *Dispatcher) *intake {
-	return &intake{d: d, pending: make(chan entry, 1024), flights: make(chan struct{}, intakeFlights), begun: time.Now()}
+	return &intake{d: d, pending: make(chan entry, 1024), landed: make(chan struct{}, intakeFlights), begun: time.Now()}
 }
 
 func (i *intake) run(ctx context.Context) error {
@@ -52,21 +57,43 @@
 		case <-ctx.Done():
 			return nil
 		case first := <-i.pending:
-			batch := i.collect(ctx, first)
-			select {
-			case i.flights <- struct{}{}:
-			case <-ctx.Done():
+			if !i.board(ctx) {
 				return nil
 			}
+			batch := i.collect(ctx, first)
 			i.d.tomb.Go(func() error {
 				i.write(ctx, batch)
-				<-i.flights
+				i.landed <- struct{}{}
 				return nil
 			})
 		}
 	}
 }
 
+// board waits until a write may begin: none is under way, or the last one has
+// been for a while.
+func (i *intake) board(ctx context.Context) bool {
+	for {
+		patience := time.After(intakePatience)
+		if i.under == 0 {
+			i.under++
+			return true
+		}
+		if i.under >= intakeFlights {
+			patience = nil
+		}
+		select {
+		case <-i.landed:
+			i.under--
+		case <-patience:
+			i.under++
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (i *intake) collect(ctx context.Context, first entry) []entry {
 	batch := []entry{first}
 	window := time.NewTimer(intakeWindow)
