Owners with processors first, fewer looks for starts

A gang whose step had ended was looked at again, which crashed the owner in a random schedule; found and mended with it.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -72,7 +72,7 @@
 // or weren't asked about.
 func (c *Cell) toAsk(s *stepState) []string {
 	var hosts []string
-	for _, w := range c.pools[s.job.terms.Service] {
+	for _, w := range c.ready[s.job.terms.Service] {
 		may, asked := s.advice.asked[w.host.ID]
 		if asked && !may || c.ticket(s, w) != "" || !c.suits(s.ready[0], w) {
 			continue
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -58,6 +58,7 @@
 	workers     map[string]*worker
 	all         []*worker            // in a fixed order, nil if it has to be made anew
 	pools       map[string][]*worker // by service, in a fixed order
+	ready       map[string][]*worker // of those, the ones that may get tasks now
 	waiting     []*stepState         // steps with tasks to start
 	sorted      bool                 // whether waiting is in order
 	ordered     time.Duration        // when waiting was last put in order
@@ -74,6 +75,7 @@
 	began       time.Duration // when this owner took the cell
 	asking      bool          // a ListMachines is under way
 	askedAt     time.Duration
+	dispatched  time.Duration // when starts were last looked for
 	deposed     bool
 	learnedAt   time.Duration // when what was learned was last put on record
 	beats       uint64
@@ -97,6 +99,7 @@
 		began:    now,
 		workers:  make(map[string]*worker),
 		pools:    make(map[string][]*worker),
+		ready:    make(map[string][]*worker),
 		pressure: pressure.New(),
 		saves:    newSaver(now, self.Sequence+1),
 	}
@@ -165,8 +168,9 @@
 
 // settle does what follows from any input.
 func (c *Cell) settle() {
-	if c.changed {
+	if c.changed && c.now-c.dispatched >= dispatchGap {
 		c.changed = false
+		c.dispatched = c.now
 		c.dispatch()
 	}
 	c.save()
@@ -186,6 +190,11 @@
 	c.reportLoad()
 }
 
+// dispatchGap is the least time between two looks for starts. Under load each
+// of thousands of reports a second makes a start possible, and a look goes over
+// all steps and workers.
+const dispatchGap = 5 * time.Millisecond
+
 // checkEvery is the time between two looks over all workers for leases that
 // ran out, stops that are overdue and tasks that hang.
 const checkEvery = 100 * time.Millisecond
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -13,6 +13,7 @@
 		return
 	}
 	c.orderSteps()
+	c.findUsable()
 	kept := c.waiting[:0]
 	for _, s := range c.waiting {
 		c.dispatchStep(s)
@@ -84,9 +85,22 @@
 	return tooLate, due
 }
 
+// findUsable collects the workers that may get tasks, for this look.
+func (c *Cell) findUsable() {
+	for service, pool := range c.pools {
+		ready := c.ready[service][:0]
+		for _, w := range pool {
+			if c.usable(w) {
+				ready = append(ready, w)
+			}
+		}
+		c.ready[service] = ready
+	}
+}
+
 func (c *Cell) dispatchStep(s *stepState) {
 	j := s.job
-	if j.final() || !c.mayStart(j) {
+	if len(s.ready) == 0 || j.final() || !c.mayStart(j) {
 		return
 	}
 	if s.spec.Gang {
@@ -123,7 +137,7 @@
 func (c *Cell) choose(t *task) *worker {
 	var best *worker
 	var bestScore float64
-	for _, w := range c.pools[t.step.job.terms.Service] {
+	for _, w := range c.ready[t.step.job.terms.Service] {
 		if !c.fits(t, w) {
 			continue
 		}
@@ -146,7 +160,7 @@
 // suits is fits but for advice.
 func (c *Cell) suits(t *task, w *worker) bool {
 	s := t.step
-	if !c.usable(w) || !w.used.Add(s.need).Fits(w.host.Capacity) {
+	if !w.used.Add(s.need).Fits(w.host.Capacity) {
 		return false
 	}
 	if s.spec.Label != "" && !w.host.HasLabel(s.spec.Label) {
@@ -264,7 +278,7 @@
 }
 
 func (c *Cell) placeIn(s *stepState, rack string) []*worker {
-	pool := c.pools[s.job.terms.Service]
+	pool := c.ready[s.job.terms.Service]
 	taken := make(map[*worker]int64)
 	places := make([]*worker, 0, len(s.ready))
 	for _, t := range s.ready {
--- a/cell/job.go
+++ b/cell/job.go
@@ -261,6 +261,7 @@
 		return
 	}
 	t.done = true
+	c.unqueue(t)
 	s := t.step
 	s.job.progress.Done(t.id)
 	c.saves.dirty(s.job)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -52,16 +52,17 @@
 
 // tickEvery is the time between two looks at the clock. It bounds how late
 // the owner repeats, extends and gives up.
-const tickEvery = 20 * time.Millisecond
+const tickEvery = 10 * time.Millisecond
 
 // Dispatcher is one instance. It is run once.
 type Dispatcher struct {
-	platform Platform
-	instance string
-	nonce    uint64
-	timing   cell.Timing
-	logger   *zap.Logger
-	clock    func() time.Duration
+	platform   Platform
+	instance   string
+	processors float64
+	nonce      uint64
+	timing     cell.Timing
+	logger     *zap.Logger
+	clock      func() time.Duration
 
 	tomb     tomb.Tomb
 	catalog  *catalog.Catalog
@@ -98,6 +99,12 @@
 	return func(d *Dispatcher) { d.instance = name }
 }
 
+// WithProcessors sets how many processors the instance has, a fraction where
+// it has a share of one. Instances with more of them become owner first.
+func WithProcessors(n float64) Option {
+	return func(d *Dispatcher) { d.processors = n }
+}
+
 // WithLogger sets where decisions go; the default drops them.
 func WithLogger(l *zap.Logger) Option {
 	return func(d *Dispatcher) { d.logger = l }
@@ -143,7 +150,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
-	d.election = election.New(d.instance, d.nonce, election.DefaultTiming(), rand.Float64)
+	d.election = election.New(d.instance, d.nonce, d.processors, election.DefaultTiming(), rand.Float64)
 	d.accepts = d.newTail(catalog.Accepts, d.catalog.Accept, tail.WithSpacing(acceptsSpacing))
 	d.progress = d.newTail(catalog.Progress, d.catalog.Progress, tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
 	d.intake = newIntake(d)
--- a/election/election.go
+++ b/election/election.go
@@ -4,7 +4,7 @@
 //
 // Usage:
 //
-//	e := election.New(self, election.DefaultTiming(), rand.Float64)
+//	e := election.New(id, nonce, 0.4, election.DefaultTiming(), rand.Float64)
 //	e.Observe(now, owner)       // after every good read of the owner's record
 //	if e.Stand(now, age) { ... } // age is the time since that read
 package election
@@ -28,6 +28,11 @@
 	Spread time.Duration
 	// Handover is that span when the owner has said that it leaves.
 	Handover time.Duration
+	// Handicap is how long an instance without any processors would wait in
+	// addition. One with Ample of them doesn't wait, so that a cell is owned by
+	// an instance that can carry it where there is one.
+	Handicap time.Duration
+	Ample    float64
 	// Again is the pause after a claim that failed.
 	Again time.Duration
 }
@@ -39,6 +44,8 @@
 		Fresh:    700 * time.Millisecond,
 		Spread:   300 * time.Millisecond,
 		Handover: 60 * time.Millisecond,
+		Handicap: 500 * time.Millisecond,
+		Ample:    0.8,
 		Again:    200 * time.Millisecond,
 	}
 }
@@ -54,12 +61,20 @@
 	since    time.Duration // when the owner was last heard, as far as reads tell
 	wait     time.Duration // this instance's random part
 	notUntil time.Duration
+	handicap time.Duration
 }
 
-// New returns an Election of an instance. The nonce tells this process from
-// the one before it; random returns numbers from 0 to 1.
-func New(instance string, nonce uint64, timing Timing, random func() float64) *Election {
-	return &Election{instance: instance, nonce: nonce, timing: timing, random: random}
+// New returns an Election of an instance with so many processors. The nonce
+// tells this process from the one before it; random returns numbers from 0 to 1.
+func New(instance string, nonce uint64, processors float64, timing Timing, random func() float64) *Election {
+	lack := 1 - min(1, processors/timing.Ample)
+	return &Election{
+		instance: instance,
+		nonce:    nonce,
+		timing:   timing,
+		random:   random,
+		handicap: time.Duration(lack * float64(timing.Handicap)),
+	}
 }
 
 // Observe takes the owner's record as just read.
@@ -97,7 +112,7 @@
 	if e.gone() {
 		silence = 0
 	}
-	return now-e.since >= silence+e.wait
+	return now-e.since >= silence+e.wait+e.handicap
 }
 
 // Failed takes note that a claim failed.
