--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,110 @@
+package catalog_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/progress"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+func newJob(id string) *job.Job {
+	return &job.Job{ID: id, Queue: "q", Steps: []job.Step{{Count: 2}}}
+}
+
+func accept(t require, id string) provider.KeyedRecord {
+	r, err := catalog.AcceptRecord(newJob(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func ended(t require, id string, s progress.State) provider.KeyedRecord {
+	p := progress.New(newJob(id))
+	p.State = s
+	r, err := catalog.ProgressRecord(id, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+type require interface{ Fatal(...any) }
+
+func TestState(t *testing.T) {
+	tests := []struct {
+		name     string
+		accepts  []provider.KeyedRecord
+		progress []provider.KeyedRecord
+		state    progress.State
+		known    bool
+	}{
+		{name: "never accepted"},
+		{name: "accepted", accepts: []provider.KeyedRecord{accept(t, "a")}, state: progress.Queued, known: true},
+		{name: "cancelled", accepts: []provider.KeyedRecord{accept(t, "a"), catalog.CancelRecord("a")}, state: progress.Cancelled, known: true},
+		{name: "cancelled before it was seen", accepts: []provider.KeyedRecord{catalog.CancelRecord("a"), accept(t, "a")}, state: progress.Cancelled, known: true},
+		{
+			name:     "cancelled after it had completed",
+			accepts:  []provider.KeyedRecord{accept(t, "a"), catalog.CancelRecord("a")},
+			progress: []provider.KeyedRecord{ended(t, "a", progress.Completed)},
+			state:    progress.Completed,
+			known:    true,
+		},
+		{
+			name:     "an older record is read again",
+			accepts:  []provider.KeyedRecord{accept(t, "a")},
+			progress: []provider.KeyedRecord{ended(t, "a", progress.Completed), ended(t, "a", progress.Running)},
+			state:    progress.Completed,
+			known:    true,
+		},
+		{name: "progress alone is no job", progress: []provider.KeyedRecord{ended(t, "a", progress.Running)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := catalog.New()
+			for _, r := range test.accepts {
+				is.NoErr(c.Accept(r))
+			}
+			for _, r := range test.progress {
+				is.NoErr(c.Progress(r))
+			}
+			state, known := c.State("a")
+			is.Equal(known, test.known)
+			is.Equal(state, test.state)
+		})
+	}
+}
+
+// TestOrderOfStreams reads the two streams in any interleaving: the outcome
+// must be the same, as no instance reads them together.
+func TestOrderOfStreams(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		accepts := []provider.KeyedRecord{accept(t, "a"), accept(t, "b"), catalog.CancelRecord("b"), accept(t, "a")}
+		done := []provider.KeyedRecord{ended(t, "a", progress.Running), ended(t, "a", progress.Completed)}
+		c := catalog.New()
+		for len(accepts)+len(done) > 0 {
+			if len(done) == 0 || len(accepts) > 0 && rapid.Bool().Draw(t, "accept") {
+				if err := c.Accept(accepts[0]); err != nil {
+					t.Fatal(err)
+				}
+				accepts = accepts[1:]
+				continue
+			}
+			if err := c.Progress(done[0]); err != nil {
+				t.Fatal(err)
+			}
+			done = done[1:]
+		}
+		a, _ := c.State("a")
+		b, _ := c.State("b")
+		if a != progress.Completed || b != progress.Cancelled || c.Pending("q") != 0 {
+			t.Fatal(a, b, c.Pending("q"))
+		}
+	})
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -148,7 +148,7 @@
 
 // refused takes a start that the worker provably didn't carry out.
 func (c *Cell) refused(r *run, why provider.Refusal) {
-	c.note("start refused", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", int(why))
+	c.note("start refused", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", why.String())
 	w := r.worker
 	t := r.task
 	if r.state != runStarting {
@@ -402,7 +402,7 @@
 		return
 	}
 	w := r.worker
-	c.note("end", "task", r.name, "attempt", r.attempt, "worker", w.host.ID, "how", int(how), "ran", c.now-r.began)
+	c.note("end", "task", r.name, "attempt", r.attempt, "worker", w.host.ID, "how", how.String(), "ran", c.now-r.began)
 	s := t.step
 	if s.job.final() {
 		return
--- /dev/null
+++ b/election/election_test.go
@@ -0,0 +1,68 @@
+package election_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/election"
+)
+
+func half() float64 { return 0.5 }
+
+func TestStand(t *testing.T) {
+	owner := catalog.Owner{Term: 3, Instance: "e2", Nonce: 8, Beat: 4}
+	tests := []struct {
+		name       string
+		owner      catalog.Owner
+		processors float64
+		silence    time.Duration
+		age        time.Duration
+		stands     bool
+	}{
+		{"the owner writes", owner, 1, 400 * time.Millisecond, 0, false},
+		{"the owner is silent", owner, 1, 1700 * time.Millisecond, 0, true},
+		{"this instance can't tell", owner, 1, 5 * time.Second, 2 * time.Second, false},
+		{"there is no owner", catalog.Owner{}, 1, 100 * time.Millisecond, 0, true},
+		{"the owner leaves", catalog.Owner{Term: 3, Instance: "e2", Leaving: true}, 1, 50 * time.Millisecond, 0, true},
+		{"this instance was the owner before it restarted", catalog.Owner{Term: 3, Instance: "e1", Nonce: 6}, 1, 50 * time.Millisecond, 0, true},
+		{"this process is the owner", catalog.Owner{Term: 3, Instance: "e1", Nonce: 7}, 1, 50 * time.Millisecond, 0, false},
+		{"others with more processors go first", owner, 0.2, 1900 * time.Millisecond, 0, false},
+		{"and then this one", owner, 0.2, 2100 * time.Millisecond, 0, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := election.New("e1", 7, test.processors, election.DefaultTiming(), half)
+			e.Observe(time.Second, test.owner)
+			is.Equal(e.Stand(time.Second+test.silence, test.age), test.stands)
+		})
+	}
+}
+
+// Symptom: an instance takes a cell from a sound owner. Sequence: it can't
+// read the store for a while, and reads it again. Cause: the time in which it
+// read nothing counted as the owner's silence.
+func TestOwnSilenceIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	e := election.New("e1", 7, 1, election.DefaultTiming(), half)
+	e.Observe(0, catalog.Owner{Term: 1, Instance: "e2"})
+	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+		is.True(!e.Stand(at, at)) // nothing was read since the start
+	}
+	is.True(!e.Stand(5100*time.Millisecond, 0)) // the first read says nothing of before
+	is.True(e.Stand(6500*time.Millisecond, 0))
+}
+
+func TestFailedClaimWaits(t *testing.T) {
+	is := is.New(t)
+	e := election.New("e1", 7, 1, election.DefaultTiming(), half)
+	e.Observe(0, catalog.Owner{})
+	is.True(e.Stand(time.Second, 0))
+	e.Failed(time.Second)
+	is.True(!e.Stand(1100*time.Millisecond, 0))
+	is.True(e.Stand(1400*time.Millisecond, 0))
+	is.Equal(e.Term(), uint64(1))
+}
--- /dev/null
+++ b/progress/progress_test.go
@@ -0,0 +1,48 @@
+package progress_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/progress"
+)
+
+func TestChangesAreIdempotent(t *testing.T) {
+	is := is.New(t)
+	j := &job.Job{ID: "a", Steps: []job.Step{{Count: 9}, {Count: 3}}}
+	task := job.Task{Job: "a", Step: 1, Index: 2}
+	p := progress.New(j)
+	is.True(p.Fail(task, 7))
+	is.True(!p.Fail(task, 7)) // the same end, listed again
+	is.True(p.Fail(task, 8))
+	is.Equal(p.Failures(task), 2)
+	is.True(p.Save(task, "x"))
+	is.True(!p.Save(task, "x"))
+	is.True(p.Done(task))
+	is.True(!p.Done(task))
+	is.True(!p.IsDone(job.Task{Job: "a", Step: 1, Index: 1}))
+}
+
+func TestEncode(t *testing.T) {
+	is := is.New(t)
+	j := &job.Job{ID: "a", Steps: []job.Step{{Count: 9}, {Count: 3}}, Times: 2}
+	done := job.Task{Job: "a", Step: 0, Index: 8}
+	p := progress.New(j)
+	p.Done(done)
+	p.Fail(job.Task{Job: "a", Occurrence: 1, Step: 1}, 4)
+	p.Close(5)
+	p.State = progress.Running
+	data, err := p.Encode()
+	is.NoErr(err)
+	q, err := progress.Decode(data)
+	is.NoErr(err)
+	q.Bind(j)
+	is.True(q.IsDone(done))
+	is.True(q.IsClosed(5))
+	is.Equal(q.Failures(job.Task{Job: "a", Occurrence: 1, Step: 1}), 1)
+	is.Equal(q.State, progress.Running)
+	_, err = progress.Decode([]byte{0xff})
+	is.True(err != nil)
+}
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -1,5 +1,7 @@
 package provider
 
+//go:generate go tool stringer -type=End,Refusal -linecomment -output=strings.go
+
 import (
 	"context"
 	"time"
@@ -35,15 +37,17 @@
 // End tells how a run of a task ended.
 type End uint8
 
-// Ends of runs.
+// Ends of runs: it completed; failed by its own fault or the worker's; was
+// stopped on order; its lease ran out; another member of its gang ended; the rest
+// of its gang didn't come in time; its worker is gone.
 const (
-	EndDone    End = iota // it completed
-	EndFailed             // by its own fault or the worker's
-	EndStopped            // on order
-	EndLapsed             // its lease ran out
-	EndBroken             // another member of its gang ended
-	EndAlone              // the rest of its gang didn't come in time
-	EndLost               // its worker is gone
+	EndDone    End = iota // done
+	EndFailed             // failed
+	EndStopped            // stopped
+	EndLapsed             // lapsed
+	EndBroken             // broken
+	EndAlone              // alone
+	EndLost               // lost
 )
 
 // Run is a task that a worker runs.
@@ -108,16 +112,19 @@
 // Refusal tells why a worker didn't start a task.
 type Refusal uint8
 
-// Refusals of a start.
+// Refusals of a start: a higher token was seen; the attempt isn't higher than
+// one that ended there; the deadline had passed; there is no capacity; the ticket
+// isn't valid; the worker is unhealthy and did nothing; the order was malformed
+// or named unknown work.
 const (
-	Accepted      Refusal = iota
-	RefusedToken          // a higher token was seen
-	RefusedOld            // the attempt isn't higher than one that ended there
-	RefusedLate           // the deadline had passed
-	RefusedRoom           // no capacity
-	RefusedTicket         // the ticket isn't valid
-	RefusedHealth         // the worker is unhealthy and did nothing
-	RefusedOther          // the order was malformed or named unknown work
+	Accepted      Refusal = iota // none
+	RefusedToken                 // token
+	RefusedOld                   // old
+	RefusedLate                  // late
+	RefusedRoom                  // room
+	RefusedTicket                // ticket
+	RefusedHealth                // health
+	RefusedOther                 // other
 )
 
 // Executor gives orders to workers. An error of kind fault.NotFound says that
