--- a/cell/job.go
+++ b/cell/job.go
@@ -41,7 +41,6 @@
 	queued   bool    // in Cell.waiting
 	open     bool    // the steps it depends on are done
 	left     int     // tasks that aren't done
-	attempt  uint64  // highest one given to a gang
 	need     resource.Vector
 	advice   *advice         // where the queue asks for it
 	onHost   map[*worker]int // runs by worker, kept for PerWorker
@@ -72,7 +71,7 @@
 	j := c.jobs[e.Job.ID]
 	if j == nil {
 		e.Progress = progress.New(e.Job)
-		j = c.addJob(e)
+		c.addJob(e)
 		c.note("job", "job", e.Job.ID, "queue", e.Job.Queue, "tasks", e.Job.Width(), "times", e.Job.Times, "cancelled", e.Cancelled)
 		return
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -73,7 +73,6 @@
 	tail     time.Duration // of a serving run
 	use      int64         // thousandths of a core in use, of one that doesn't serve
 	pacedAt  time.Duration // when pace was set
-	vain     bool          // stopped or lost by our doing; its end counts for nothing
 }
 
 func (c *Cell) addWorker(h provider.Host) *worker {
