Jobs that ended ten minutes ago are forgotten

The store keeps the newest record of each key for good and takes 400 MB: at 18 KB of jobs a second it would be full after six hours. The job's record goes before its progress; the other way round a reader in between would run the job again (seen in the test with the order turned).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -100,6 +100,17 @@
 	return provider.KeyedRecord{Key: progressKey + id, Value: data}, err
 }
 
+// DropProgress returns the record that drops a job's progress. The job's own
+// record must be gone before.
+func DropProgress(id string) provider.KeyedRecord {
+	return provider.KeyedRecord{Key: progressKey + id}
+}
+
+// DropRecords returns the records that drop a job and its cancellation.
+func DropRecords(id string) []provider.KeyedRecord {
+	return []provider.KeyedRecord{{Key: acceptKey + id}, {Key: cancelKey + id}}
+}
+
 // HostRecord returns the record of a worker that the owner may give work to.
 // Without a host, it drops the worker.
 func HostRecord(id string, h *provider.Host) (provider.KeyedRecord, error) {
@@ -256,6 +267,9 @@
 
 func (c *Catalog) setProgress(id string, value []byte) error {
 	if len(value) == 0 {
+		if e := c.entries[id]; e != nil && e.Job == nil {
+			delete(c.entries, id)
+		}
 		return nil
 	}
 	p, err := progress.Decode(value)
--- a/cell/action.go
+++ b/cell/action.go
@@ -54,6 +54,11 @@
 	Completed bool
 }
 
+// Forget drops the records of jobs that ended long ago.
+type Forget struct {
+	IDs []string
+}
+
 // ListMachines asks the platform what became of its machines.
 type ListMachines struct{}
 
@@ -78,5 +83,6 @@
 func (Advise) action()       {}
 func (Upkeep) action()       {}
 func (ReportWave) action()   {}
+func (Forget) action()       {}
 func (ListMachines) action() {}
 func (Note) action()         {}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -76,6 +76,8 @@
 	asking      bool          // a ListMachines is under way
 	askedAt     time.Duration
 	dispatched  time.Duration // when starts were last looked for
+	forgetting  bool          // a Forget is under way
+	forgotAt    time.Duration
 	deposed     bool
 	learnedAt   time.Duration // when what was learned was last put on record
 	beats       uint64
@@ -152,6 +154,8 @@
 		c.advised(in)
 	case UpkeepReply:
 		c.upkept(in)
+	case Forgotten:
+		c.forgotten(in)
 	case MachineList:
 		c.machines(in)
 	case Saved:
@@ -184,6 +188,7 @@
 		c.checkWorkers()
 		c.askMachines()
 		c.workWaves()
+		c.forgetOld()
 		c.changed = true
 	}
 	c.holdIdle()
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -478,3 +478,27 @@
 		is.Equal(percent, 100)
 	}
 }
+
+// Symptom: the store fills up, or jobs that ended long ago run again. Sequence:
+// jobs end, are kept for a while and dropped, while the cell changes hands at
+// any moment of that. Cause: progress that is dropped before its job makes the
+// job look as if it hadn't begun.
+func TestOldJobsAreForgotten(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, 400+seed, 3, 2)
+			fill(s, 6)
+			s.owners[0].take()
+			s.run(10*time.Minute + 20*time.Second)
+			s.relay(200, time.Duration(37+seed)*time.Millisecond)
+			s.run(12 * time.Minute)
+			is.Equal(s.broken, nil)
+			for i := range 6 {
+				is.Equal(s.state(jobID(i)), "unknown")
+			}
+			is.Equal(s.store.fold(t).Len(), 0)
+			is.Equal(len(s.ran), 30) // nothing ran again
+		})
+	}
+}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -341,6 +341,11 @@
 		})
 	case cell.Pace:
 		s.paces[a.Order.Task] = a.Order.Percent
+	case cell.Forget:
+		for _, id := range a.IDs {
+			s.store.accepts = append(s.store.accepts, catalog.DropRecords(id)...)
+		}
+		s.after(2*hop, func() { o.step(cell.Forgotten{IDs: a.IDs}) })
 	case cell.ListMachines:
 		s.after(2*hop, func() { o.step(s.machines()) })
 	case cell.Deposed:
--- a/cell/input.go
+++ b/cell/input.go
@@ -89,6 +89,12 @@
 	Err     error
 }
 
+// Forgotten is the outcome of a Forget.
+type Forgotten struct {
+	IDs []string
+	Err error
+}
+
 // MachineList is the outcome of a ListMachines.
 type MachineList struct {
 	Machines []provider.Machine
@@ -111,5 +117,6 @@
 func (Waves) input()       {}
 func (Advised) input()     {}
 func (UpkeepReply) input() {}
+func (Forgotten) input()   {}
 func (MachineList) input() {}
 func (Tick) input()        {}
--- a/cell/save.go
+++ b/cell/save.go
@@ -16,6 +16,7 @@
 // a lost answer changes nothing.
 type saver struct {
 	jobs    map[*jobState]struct{}
+	dropped []string // jobs whose progress goes
 	hosts   map[string]*provider.Host
 	waves   map[int]catalog.Wave
 	waiting map[*worker]struct{} // with ends to acknowledge after the next write
@@ -68,6 +69,11 @@
 	s.jobs[j] = struct{}{}
 }
 
+// drop has a job's progress dropped.
+func (s *saver) drop(id string) {
+	s.dropped = append(s.dropped, id)
+}
+
 func (s *saver) host(id string, h *provider.Host) {
 	s.hosts[id] = h
 }
@@ -83,7 +89,7 @@
 }
 
 func (s *saver) busy() bool {
-	return s.batch != nil || len(s.jobs) > 0 || len(s.hosts) > 0 || len(s.waves) > 0
+	return s.batch != nil || len(s.jobs) > 0 || len(s.hosts) > 0 || len(s.waves) > 0 || len(s.dropped) > 0
 }
 
 // save writes what has changed, and a heartbeat where nothing has.
@@ -152,6 +158,10 @@
 		b.save.Records = append(b.save.Records, r)
 		b.hosts = append(b.hosts, id)
 	}
+	for _, id := range s.dropped {
+		b.save.Records = append(b.save.Records, catalog.DropProgress(id))
+	}
+	s.dropped = nil
 	for n, w := range inOrder(s.waves) {
 		r, err := catalog.WaveRecord(n, w)
 		if err != nil {
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -50,6 +50,8 @@
 	Stall time.Duration
 	// Quarantine is how long a worker that fails or hangs gets no tasks.
 	Quarantine time.Duration
+	// Keep is how long a job is known after its end.
+	Keep time.Duration
 	// Margin is added to every wait for a lease's end, for the time that an
 	// answer took.
 	Margin time.Duration
@@ -76,6 +78,7 @@
 		Unlisted:    3 * time.Second,
 		Stall:       2500 * time.Millisecond,
 		Quarantine:  5 * time.Second,
+		Keep:        10 * time.Minute,
 		Margin:      150 * time.Millisecond,
 		Drift:       0.025,
 	}
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -32,6 +32,8 @@
 		d.order(0, func(ctx context.Context) cell.Input { return d.upkeep(ctx, a) })
 	case cell.ReportWave:
 		d.tomb.Go(func() error { d.reportWave(a); return nil })
+	case cell.Forget:
+		d.order(0, func(ctx context.Context) cell.Input { return d.forget(ctx, a) })
 	case cell.ListMachines:
 		d.order(machinesTimeout, d.listMachines)
 	case cell.Save:
@@ -153,6 +155,16 @@
 	}
 }
 
+// forget drops jobs' own records.
+func (d *Dispatcher) forget(ctx context.Context, a cell.Forget) cell.Input {
+	var records []provider.KeyedRecord
+	for _, id := range a.IDs {
+		records = append(records, catalog.DropRecords(id)...)
+	}
+	err := d.platform.Store.Put(ctx, catalog.Accepts, nil, records)
+	return cell.Forgotten{IDs: a.IDs, Err: err}
+}
+
 // note writes a decision of the cell to the log.
 func (d *Dispatcher) note(n cell.Note) {
 	fields := make([]zap.Field, 0, len(n.Fields)/2+1)
