Progress whose job was dropped is dropped by the next owner

Found by TestOldJobsAreForgotten once its store gave only the newest records, as a reader that starts gets them: an owner that dies between the two leaves progress behind for good.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -17,6 +17,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -394,6 +395,22 @@
 	return p, nil
 }
 
+// Orphans returns the jobs whose progress is on record though they aren't: an
+// owner died between dropping the one and the other. To a reader of both
+// streams it can't mean anything else, as progress comes after its job.
+func (c *Catalog) Orphans() []string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var ids []string
+	for id, e := range c.entries {
+		if e.Job == nil && e.Progress != nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Take returns the jobs that were accepted or cancelled since the last Take
 // or Entries.
 func (c *Catalog) Take() []Entry {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -117,6 +117,9 @@
 	for _, e := range inOrder(entries) {
 		c.addJob(e)
 	}
+	for _, id := range known.Orphans() {
+		c.saves.drop(id)
+	}
 	for _, h := range inOrder(known.Hosts()) {
 		w := c.addWorker(h)
 		w.registered = true
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -490,8 +490,8 @@
 			s := newSite(t, 400+seed, 3, 2)
 			fill(s, 6)
 			s.owners[0].take()
-			s.run(10*time.Minute + 20*time.Second)
-			s.relay(200, time.Duration(37+seed)*time.Millisecond)
+			s.run(9*time.Minute + 55*time.Second)
+			s.relay(600, time.Duration(37+3*seed)*time.Millisecond)
 			s.run(12 * time.Minute)
 			is.Equal(s.broken, nil)
 			for i := range 6 {
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -205,12 +205,12 @@
 
 func (l *logStore) fold(t *testing.T) *catalog.Catalog {
 	c := catalog.New()
-	for _, r := range l.accepts {
+	for _, r := range newest(l.accepts) {
 		if err := c.Accept(r); err != nil {
 			t.Fatal(err)
 		}
 	}
-	for _, r := range l.progress {
+	for _, r := range newest(l.progress) {
 		if err := c.Progress(r); err != nil {
 			t.Fatal(err)
 		}
@@ -218,6 +218,22 @@
 	return c
 }
 
+// newest returns the newest record of each key, as a reader that starts gets
+// them.
+func newest(records []provider.KeyedRecord) []provider.KeyedRecord {
+	last := make(map[string]int)
+	for i, r := range records {
+		last[r.Key] = i
+	}
+	var kept []provider.KeyedRecord
+	for i, r := range records {
+		if last[r.Key] == i && len(r.Value) > 0 {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
 // owner is an instance that may own the cell.
 type owner struct {
 	site     *site
@@ -342,10 +358,7 @@
 	case cell.Pace:
 		s.paces[a.Order.Task] = a.Order.Percent
 	case cell.Forget:
-		for _, id := range a.IDs {
-			s.store.accepts = append(s.store.accepts, catalog.DropRecords(id)...)
-		}
-		s.after(2*hop, func() { o.step(cell.Forgotten{IDs: a.IDs}) })
+		o.forget(a)
 	case cell.ListMachines:
 		s.after(2*hop, func() { o.step(s.machines()) })
 	case cell.Deposed:
@@ -353,6 +366,21 @@
 	}
 }
 
+// forget drops jobs' records, a while after it was asked to, if the owner lives.
+func (o *owner) forget(a cell.Forget) {
+	s := o.site
+	life := o.life
+	s.after(25*hop, func() {
+		if o.life != life {
+			return
+		}
+		for _, id := range a.IDs {
+			s.store.accepts = append(s.store.accepts, catalog.DropRecords(id)...)
+		}
+		o.step(cell.Forgotten{IDs: a.IDs})
+	})
+}
+
 func (s *site) machines() cell.MachineList {
 	var list cell.MachineList
 	for _, w := range s.workers {
