Cell: one place for what a failed order says; a dead method and stale comments

Starts, stops and holds each told a beaten token and another life of the worker apart by themselves. Cell.Idle was never called.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -244,13 +244,7 @@
 	return c.now-c.saves.contact < c.timing.Isolation
 }
 
-// Idle reports whether the cell has nothing that an orderly handover would
-// have to wait for.
-func (c *Cell) Idle() bool {
-	return !c.saves.busy()
-}
-
-// hostOf returns the worker's data for orders.
+// order returns an order for a run on the worker.
 func (w *worker) order(token uint64, r *run) provider.RunOrder {
 	return provider.RunOrder{Host: w.host, Token: token, Task: r.name, Attempt: r.attempt}
 }
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -189,7 +189,7 @@
 
 // score says how well a worker suits a step's tasks. Batch work is spread, so
 // that a lost worker takes little with it. Serving tasks are kept together,
-// because tasks that fill are kept off their workers.
+// by image; see servingScore.
 func (s *stepState) score(w *worker) float64 {
 	whole := float64(max(1, w.host.Capacity.Processors))
 	load := float64(w.used.Processors) / whole
--- a/cell/run.go
+++ b/cell/run.go
@@ -27,6 +27,25 @@
 	return orderUnknown
 }
 
+// failedOrder takes what a failed order says of the owner or of the worker. It
+// reports whether it says anything.
+func (c *Cell) failedOrder(w *worker, err error) bool {
+	switch kindOf(err) {
+	case orderFenced:
+		c.beaten(w.host.ID)
+		return true
+	case orderElsewhere:
+		c.lose(w, "another life answers")
+		return true
+	}
+	return false
+}
+
+// beaten ends the ownership: a worker follows a later owner.
+func (c *Cell) beaten(host string) {
+	c.depose("worker " + host + " has seen a higher term")
+}
+
 // startRun orders a worker to start a task.
 func (c *Cell) startRun(t *task, w *worker, attempt uint64) {
 	r := c.addRun(t, t.name, w, attempt)
@@ -124,12 +143,7 @@
 	}
 	if in.Err != nil {
 		c.note("start unanswered", "task", in.Task, "attempt", in.Attempt, "worker", in.Host, "err", in.Err)
-		switch kindOf(in.Err) {
-		case orderFenced:
-			c.depose("worker " + in.Host + " has seen a higher term")
-		case orderElsewhere:
-			c.lose(w, "another life answers")
-		}
+		c.failedOrder(w, in.Err)
 		return
 	}
 	switch in.Refusal {
@@ -139,7 +153,7 @@
 			r.advanced = c.now
 		}
 	case provider.RefusedToken:
-		c.depose("worker " + in.Host + " has seen a higher term")
+		c.beaten(in.Host)
 	default:
 		c.refused(r, in.Refusal)
 	}
@@ -206,13 +220,12 @@
 	if in.Err == nil {
 		return
 	}
-	switch kindOf(in.Err) {
-	case orderFenced:
-		c.depose("worker " + in.Host + " has seen a higher term")
-	case orderElsewhere:
-		if w := c.workers[in.Host]; w != nil {
-			c.lose(w, "another life answers")
-		}
+	if w := c.workers[in.Host]; w != nil {
+		c.failedOrder(w, in.Err)
+		return
+	}
+	if kindOf(in.Err) == orderFenced {
+		c.beaten(in.Host)
 	}
 }
 
--- a/cell/serving.go
+++ b/cell/serving.go
@@ -240,7 +240,7 @@
 		return
 	}
 	if kindOf(in.Err) == orderFenced {
-		c.depose("worker " + in.Host + " has seen a higher term")
+		c.beaten(in.Host)
 		return
 	}
 	w := c.workers[in.Host]
--- a/cell/wave.go
+++ b/cell/wave.go
@@ -32,7 +32,7 @@
 	pending bool // an order is under way
 }
 
-// waves takes the waves that the operators asked for.
+// setWaves takes the waves that the operators asked for.
 func (c *Cell) setWaves(waves []provider.Wave) {
 	for _, spec := range waves {
 		w := c.waves[spec.Number]
@@ -41,13 +41,13 @@
 			w.progress = c.known[spec.Number]
 			c.waves[spec.Number] = w
 			c.note("wave", "wave", spec.Number, "machines", len(spec.Machines), "most", spec.Most, "completed", w.progress.Completed)
-			c.reportWave(w, spec.Number)
+			c.reportWave(spec.Number, w)
 		}
 		w.spec = spec
 	}
 }
 
-func (c *Cell) reportWave(w *wave, number int) {
+func (c *Cell) reportWave(number int, w *wave) {
 	c.do(ReportWave{Number: number, Completed: w.progress.Completed})
 }
 
@@ -85,7 +85,7 @@
 		w.progress.Completed = true
 		c.saves.waves[w.spec.Number] = w.progress
 		c.note("wave completed", "wave", w.spec.Number)
-		c.reportWave(w, w.spec.Number)
+		c.reportWave(w.spec.Number, w)
 	}
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -242,12 +242,7 @@
 
 // missed takes a hold that had no good answer.
 func (c *Cell) missed(w *worker, in HoldReply) {
-	switch kindOf(in.Err) {
-	case orderFenced:
-		c.depose("worker " + w.host.ID + " has seen a higher term")
-		return
-	case orderElsewhere:
-		c.lose(w, "another life answers")
+	if c.failedOrder(w, in.Err) {
 		return
 	}
 	w.misses++
