Looks for starts cost a bounded share; a claim read back needs all jobs

Cause (1): each report of a worker had every waiting step checked against every worker. On the grown weighbridge site (490 workers) a takeover under load left 700 steps waiting; the owner spent its processor on looks, wrote no heartbeat within 1.5 s, and the cell changed hands every 2 s with a longer backlog each time (16,000 tasks waiting). Now a step that fits nowhere is checked only against workers that have changed since, a look checks 10,000 pairs at most and pauses by what it checked, and steps are inserted where their urgency belongs instead of all being sorted anew.

TestClaimReadBackNeedsAllJobs failed before.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -72,9 +72,9 @@
 // or weren't asked about.
 func (c *Cell) toAsk(s *stepState) []string {
 	var hosts []string
-	for _, w := range c.ready[s.job.terms.Service] {
+	for _, w := range c.usableIn(s.job.terms.Service) {
 		may, asked := s.advice.asked[w.host.ID]
-		if asked && !may || c.ticket(s, w) != "" || !c.suits(s.ready[0], w) {
+		if asked && !may || c.ticket(s, w) != "" || !c.suits(s, w) || !s.ready[0].mayRunOn(w, c.now) {
 			continue
 		}
 		hosts = append(hosts, w.host.ID)
@@ -98,6 +98,7 @@
 	if s == nil || s.advice == nil {
 		return
 	}
+	s.tried = 0
 	for _, h := range in.Hosts {
 		s.advice.asked[h] = false
 	}
@@ -115,3 +116,12 @@
 	}
 	return j.rounds[number].steps[step]
 }
+
+// usableIn returns the workers of a service that may get tasks, as of the last
+// look.
+func (c *Cell) usableIn(service string) []*worker {
+	if p := c.looks.pools[service]; p != nil {
+		return p.usable
+	}
+	return nil
+}
--- /dev/null
+++ b/cell/backlog_test.go
@@ -0,0 +1,40 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/job"
+)
+
+// Symptom: a site of 490 workers never gets over a takeover; the cell changes
+// hands every two seconds, and 16,000 tasks wait. Sequence: an owner dies under
+// load, and its successor finds hundreds of steps that wait. Cause: each report
+// of a worker had every step checked against every worker, for which a whole
+// processor isn't enough; so the successor wrote no heartbeat in time, and the
+// next one found a longer backlog.
+func TestBacklogCostsLittle(t *testing.T) {
+	const (
+		workers = 100
+		steps   = 400
+		span    = 10 * time.Second
+	)
+	is := is.New(t)
+	s := newSite(t, 1, workers, 2)
+	s.length = func(string) time.Duration { return 1700 * time.Millisecond }
+	for i := range steps {
+		s.submit(&job.Job{ID: jobID(i), Spec: "x", Steps: []job.Step{step(20, 4)}})
+	}
+	s.owners[0].take()
+	s.run(time.Second)
+	s.owners[0].kill()
+	s.owners[1].take()
+	s.run(time.Second + span)
+	is.Equal(s.broken, nil)
+	is.True(len(s.ran) > 1000) // two tasks a worker, every 1.7 s
+	perSecond := s.owners[1].cell.Checks() / uint64(span/time.Second)
+	t.Logf("%d checks a second, %d tasks ran", perSecond, len(s.ran))
+	is.True(perSecond < 500_000) // 0.05 of a processor at most
+}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -58,12 +58,12 @@
 	workers     map[string]*worker
 	all         []*worker            // in a fixed order, nil if it has to be made anew
 	pools       map[string][]*worker // by service, in a fixed order
-	ready       map[string][]*worker // of those, the ones that may get tasks now
-	waiting     []*stepState         // steps with tasks to start
-	sorted      bool                 // whether waiting is in order
-	ordered     time.Duration        // when waiting was last put in order
-	changed     bool                 // whether a start may have become possible
-	timed       []*jobState          // jobs with occurrences to come
+	looks       looks
+	waiting     []*stepState  // steps with tasks to start, the most urgent first
+	sorted      bool          // whether waiting is in order
+	ordered     time.Duration // when waiting was last put in order
+	changed     bool          // whether a start may have become possible
+	timed       []*jobState   // jobs with occurrences to come
 	saves       saver
 	survey      survey
 	pressure    *pressure.Estimator
@@ -75,8 +75,7 @@
 	began       time.Duration // when this owner took the cell
 	asking      bool          // a ListMachines is under way
 	askedAt     time.Duration
-	dispatched  time.Duration // when starts were last looked for
-	forgetting  bool          // a Forget is under way
+	forgetting  bool // a Forget is under way
 	forgotAt    time.Duration
 	deposed     bool
 	learnedAt   time.Duration // when what was learned was last put on record
@@ -101,7 +100,7 @@
 		began:    now,
 		workers:  make(map[string]*worker),
 		pools:    make(map[string][]*worker),
-		ready:    make(map[string][]*worker),
+		looks:    looks{pools: make(map[string]*pool)},
 		pressure: pressure.New(),
 		saves:    newSaver(now, self.Sequence+1),
 	}
@@ -175,9 +174,8 @@
 
 // settle does what follows from any input.
 func (c *Cell) settle() {
-	if c.changed && c.now-c.dispatched >= dispatchGap {
+	if c.changed && c.now-c.looks.last >= c.looks.pause {
 		c.changed = false
-		c.dispatched = c.now
 		c.dispatch()
 	}
 	c.save()
@@ -198,11 +196,6 @@
 	c.reportLoad()
 }
 
-// dispatchGap is the least time between two looks for starts. Under load each
-// of thousands of reports a second makes a start possible, and a look goes over
-// all steps and workers.
-const dispatchGap = 5 * time.Millisecond
-
 // checkEvery is the time between two looks over all workers for leases that
 // ran out, stops that are overdue and tasks that hang.
 const checkEvery = 100 * time.Millisecond
@@ -225,6 +218,9 @@
 	for _, j := range c.jobs {
 		j.terms = c.termsOf(j.job)
 	}
+	for _, s := range c.waiting {
+		s.tried = 0
+	}
 	c.sorted = false
 	c.changed = true
 }
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -1,351 +1,259 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-// dispatch starts what can be started, the most urgent steps first. A step
-// whose next task fits nowhere doesn't hold up the ones after it.
+// A look goes over the steps that wait, the most urgent first, and starts what
+// can be started. What a look costs is bounded: an owner that is busy looking
+// writes no heartbeat, so that another instance takes the cell, finds the same
+// backlog and falls behind in its turn.
+const (
+	// dispatchGap is the least time between two looks. Under load each of
+	// thousands of reports a second makes a start possible.
+	dispatchGap = 5 * time.Millisecond
+	// lookBudget is how many pairs of a step and a worker one look checks.
+	// Steps that it doesn't reach wait for the next one.
+	lookBudget = 10_000
+	// checkPause is the pause after a look for each pair that it checked. A
+	// check takes 0.03 to 0.1 us, so looks take a tenth of the time at most.
+	checkPause = time.Microsecond
+	// recheckEvery is how often a step that fits nowhere is checked against all
+	// workers again, as some of what keeps tasks off a worker ends with time
+	// alone.
+	recheckEvery = time.Second
+)
+
+// looks is the state of the looks for starts.
+type looks struct {
+	number uint64        // of the current look, from 1
+	last   time.Duration // when it was
+	pause  time.Duration // least time until the next one
+	checks int           // pairs checked in it
+	total  uint64        // pairs checked in all looks
+	pools  map[string]*pool
+	found  []candidate // reused
+}
+
+// pool is the workers of a service that may get tasks, as a look sees them.
+type pool struct {
+	usable []*worker
+	fresh  []*worker // those that have changed since the look before
+}
+
+// dispatch looks for starts. A step whose next task fits nowhere doesn't hold
+// up the ones after it.
 func (c *Cell) dispatch() {
+	l := &c.looks
+	l.last = c.now
+	l.number++
+	l.checks = 0
 	if !c.mayOrder() {
 		return
 	}
 	c.orderSteps()
 	c.findUsable()
-	kept := c.waiting[:0]
 	for _, s := range c.waiting {
-		c.dispatchStep(s)
-		if len(s.ready) > 0 {
-			kept = append(kept, s)
-		} else {
-			s.queued = false
+		if l.checks >= lookBudget {
+			c.changed = true
+			break
 		}
+		c.dispatchStep(s)
 	}
-	clear(c.waiting[len(kept):])
-	c.waiting = kept
+	c.dropServed()
+	l.total += uint64(l.checks)
+	l.pause = max(dispatchGap, time.Duration(l.checks)*checkPause)
 }
 
-// orderSteps sorts the steps that wait: by their queue's priority, then by how
-// their job stands to its objective, then by when it should be done. Under
-// overload first come, first served makes every job late; so those that can
-// still be in time go before those that can't.
-func (c *Cell) orderSteps() {
-	if c.sorted && c.now-c.ordered < orderEvery {
-		return
-	}
-	c.sorted = true
-	c.ordered = c.now
-	for _, s := range c.waiting {
-		s.standing, s.due = c.standing(s)
-	}
-	slices.SortStableFunc(c.waiting, func(a, b *stepState) int {
-		return cmp.Or(
-			cmp.Compare(a.job.terms.Priority, b.job.terms.Priority),
-			cmp.Compare(a.standing, b.standing),
-			cmp.Compare(a.due, b.due),
-		)
+// dropServed drops the steps of which no task waits any more.
+func (c *Cell) dropServed() {
+	c.waiting = slices.DeleteFunc(c.waiting, func(s *stepState) bool {
+		s.queued = len(s.ready) > 0
+		return !s.queued
 	})
 }
 
-// orderEvery is the time between two looks at how jobs stand. Objectives are
-// seconds long.
-const orderEvery = 200 * time.Millisecond
-
-// standing tells how a job stands to its objective.
-type standing uint8
-
-const (
-	inTime  standing = iota // it can still be met
-	late                    // it can't, but the job is worth something
-	tooLate                 // the job has taken a multiple of its objective
-)
-
-// lateFactor is the multiple of its objective from which a job that is late is
-// worth nothing to its caller any more.
-const lateFactor = 3
-
-// standing returns how a step's job stands, and when the step has to begin for
-// the job to be in time, by rough estimates.
-func (c *Cell) standing(s *stepState) (standing, time.Duration) {
-	j := s.job
-	if s.spec.Lasting {
-		return inTime, j.arrived
-	}
-	begun := j.begin(s.round)
-	objective := time.Duration(max(j.terms.Stretch, 1)*float64(j.chain())) + j.terms.Objective
-	due := begun + objective - j.chainFrom(s.number)
-	switch {
-	case c.now <= due:
-		return inTime, due
-	case c.now <= begun+lateFactor*objective:
-		return late, due
-	}
-	return tooLate, due
-}
-
 // findUsable collects the workers that may get tasks, for this look.
 func (c *Cell) findUsable() {
-	for service, pool := range c.pools {
-		ready := c.ready[service][:0]
-		for _, w := range pool {
-			if c.usable(w) {
-				ready = append(ready, w)
+	for service, workers := range c.pools {
+		p := c.looks.pools[service]
+		if p == nil {
+			p = &pool{}
+			c.looks.pools[service] = p
+		}
+		p.usable = p.usable[:0]
+		p.fresh = p.fresh[:0]
+		for _, w := range workers {
+			usable := c.usable(w)
+			if w.touched || usable && !w.wasUsable {
+				w.changed = c.looks.number
+			}
+			w.touched = false
+			w.wasUsable = usable
+			if !usable {
+				continue
+			}
+			p.usable = append(p.usable, w)
+			if w.changed == c.looks.number {
+				p.fresh = append(p.fresh, w)
 			}
 		}
-		c.ready[service] = ready
 	}
 }
 
+// touch takes note that a worker may have room that it didn't have before.
+func (c *Cell) touch(w *worker) {
+	w.touched = true
+	c.changed = true
+}
+
+// dispatchStep starts a step's tasks while workers are found for them.
 func (c *Cell) dispatchStep(s *stepState) {
 	j := s.job
-	if len(s.ready) == 0 || j.final() || !c.mayStart(j) {
+	if len(s.ready) == 0 || j.final() || !c.mayStart(j) || c.claiming(j) {
+		return
+	}
+	if s.spec.Gang && len(s.ready) < s.left {
+		return
+	}
+	found := c.candidates(s)
+	if len(found) == 0 {
+		c.fitsNowhere(s)
 		return
 	}
 	if s.spec.Gang {
 		c.dispatchGang(s)
 		return
 	}
-	for len(s.ready) > 0 {
-		t := s.ready[0]
-		w := c.choose(t)
-		if w == nil {
-			c.ask(s)
-			return
-		}
-		if !c.claim(j) {
-			return
-		}
-		s.ready = s.ready[1:]
-		c.startRun(t, w, c.nextAttempt(t))
+	if !c.claim(j) {
+		return
 	}
-}
-
-// claim puts on record that a job's tasks may have been started, before the
-// first of them is. It reports whether that is done. A successor may start the
-// tasks of all other jobs at once, without having asked every worker.
-func (c *Cell) claim(j *jobState) bool {
-	if !j.progress.Claimed {
-		j.progress.Claimed = true
-		c.saves.dirty(j)
+	if c.startReady(s, found) == 0 {
+		c.fitsNowhere(s)
 	}
-	return j.claimed
 }
 
-// choose returns the worker for a task, nil if it fits nowhere.
-func (c *Cell) choose(t *task) *worker {
-	var best *worker
-	var bestScore float64
-	for _, w := range c.ready[t.step.job.terms.Service] {
-		if !c.fits(t, w) {
-			continue
+// startReady starts tasks on the candidates until either are used up. It
+// returns how many candidates are left.
+func (c *Cell) startReady(s *stepState, found []candidate) int {
+	kept := s.ready[:0]
+	for i, t := range s.ready {
+		if len(found) == 0 {
+			kept = append(kept, s.ready[i:]...)
+			break
 		}
-		score := t.step.score(w)
-		if t.step.spec.Fills {
-			score += c.pressure.Cost(w.room, t.step.spec.Image, w.share(t.step.spec.Need.Processors))
+		k := best(found, t, c.now)
+		if k < 0 {
+			kept = append(kept, t) // it was on each of them
+			continue
 		}
-		if best == nil || score < bestScore {
-			best, bestScore = w, score
+		w := found[k].worker
+		c.startRun(t, w, c.nextAttempt(t))
+		c.looks.checks++
+		if c.suits(s, w) && c.hasTicket(s, w) {
+			found[k].score = c.scoreOf(s, w)
+		} else {
+			found = slices.Delete(found, k, k+1)
 		}
 	}
-	return best
-}
-
-// fits reports whether a task may be started on a worker now.
-func (c *Cell) fits(t *task, w *worker) bool {
-	return c.suits(t, w) && c.hasTicket(t.step, w)
+	clear(s.ready[len(kept):])
+	s.ready = kept
+	return len(found)
 }
 
-// suits is fits but for advice.
-func (c *Cell) suits(t *task, w *worker) bool {
-	s := t.step
-	if !w.used.Add(s.need).Fits(w.host.Capacity) {
-		return false
-	}
-	if s.spec.Label != "" && !w.host.HasLabel(s.spec.Label) {
-		return false
-	}
-	if s.spec.PerWorker > 0 && s.onHost[w] >= s.spec.PerWorker {
-		return false
-	}
-	if w.runs[t.name] != nil || c.now < t.shunned[w] {
-		return false
-	}
-	if s.spec.Fills && !c.bears(w, s) {
-		return false
-	}
-	return true
+// fitsNowhere takes note that no worker of this look, nor of the ones before
+// it, takes a further task of the step.
+func (c *Cell) fitsNowhere(s *stepState) {
+	if s.tried == 0 || c.now-s.triedAt >= recheckEvery {
+		s.triedAt = c.now
+	}
+	s.tried = c.looks.number
+	c.ask(s)
 }
 
-// Weights of a worker's score; the lowest score wins. Load is a fraction of
-// the worker, so that a whole point outweighs any load.
-const (
-	remoteWeight  = 4.0 // a task away from its data takes a multiple of its time
-	fillingWeight = 0.5 // work beside filling tasks slows them
-	servingWeight = 2.0 // serving tasks of one image together are slowed by fewer filling images
-	mixedWeight   = 1.0 // of each further image of serving tasks
-)
-
-// score says how well a worker suits a step's tasks. Batch work is spread, so
-// that a lost worker takes little with it. Serving tasks are kept together,
-// by image; see servingScore.
-func (s *stepState) score(w *worker) float64 {
-	whole := float64(max(1, w.host.Capacity.Processors))
-	load := float64(w.used.Processors) / whole
-	filling := float64(w.filling) / whole
-	score := 0.0
-	if s.spec.Rack != "" && !w.host.HasLabel(s.spec.Rack) {
-		score += remoteWeight
-	}
-	switch {
-	case s.spec.Serves():
-		score += s.servingScore(w) - load
-	case s.spec.Fills:
-		score += load + filling
-	default:
-		score += load + fillingWeight*filling
-	}
-	return score
+// candidate is a worker that a step's tasks fit on.
+type candidate struct {
+	worker *worker
+	score  float64
 }
 
-// servingScore prefers workers whose serving tasks are of the same image.
-// Which filling tasks slow a serving task down depends on its image, so a
-// worker with one image bears most of the filling ones, and one with five
-// hardly any.
-func (s *stepState) servingScore(w *worker) float64 {
-	score := 0.0
-	if w.images[s.spec.Image] > 0 {
-		score -= servingWeight
-	}
-	for image := range w.images {
-		if image != s.spec.Image {
-			score += mixedWeight
+// candidates returns the workers that a step's tasks fit on. Workers that
+// didn't fit at an earlier look and haven't changed since are passed over.
+func (c *Cell) candidates(s *stepState) []candidate {
+	l := &c.looks
+	p := l.pools[s.job.terms.Service]
+	if p == nil {
+		return nil
+	}
+	whole := s.tried == 0 || c.now-s.triedAt >= recheckEvery
+	if s.spec.Gang && len(p.fresh) > 0 {
+		whole = true // any worker may be the one that was missing
+	}
+	workers := p.usable
+	if !whole && s.tried == l.number-1 {
+		workers = p.fresh
+	}
+	found := l.found[:0]
+	for _, w := range workers {
+		if !whole && w.changed <= s.tried {
+			continue
 		}
-	}
-	return score
-}
-
-// dispatchGang starts all members of a gang at once, or none.
-func (c *Cell) dispatchGang(s *stepState) {
-	if len(s.ready) < s.left {
-		return
-	}
-	places := c.placeGang(s)
-	if places == nil {
-		c.ask(s)
-		return
-	}
-	if !c.claim(s.job) {
-		return
-	}
-	attempt := c.nextAttempt(s.ready[0])
-	for _, t := range s.ready {
-		attempt = max(attempt, t.attempt+1)
-	}
-	saved := s.gangCheckpoint()
-	members := s.ready
-	s.ready = nil
-	for i, t := range members {
-		t.saved = saved
-		c.startRun(t, places[i], attempt)
-	}
-}
-
-// gangCheckpoint returns the checkpoint that all members start from: any
-// member's stands for the gang, and all must carry the same one.
-func (s *stepState) gangCheckpoint() string {
-	for _, t := range s.tasks {
-		if t.saved != "" {
-			return t.saved
+		l.checks++
+		if c.suits(s, w) && c.hasTicket(s, w) {
+			found = append(found, candidate{worker: w, score: c.scoreOf(s, w)})
 		}
 	}
-	return ""
+	l.found = found
+	return found
 }
 
-// placeGang returns a worker for each member, nil if there isn't room for
-// all. A gang that is slow across racks is placed in one where that is
-// possible.
-func (c *Cell) placeGang(s *stepState) []*worker {
-	if s.spec.SameRack {
-		for _, rack := range c.racks(s.job.terms.Service) {
-			if places := c.placeIn(s, rack); places != nil {
-				return places
-			}
+// best returns the candidate with the lowest score that a task may be started
+// on, -1 if there is none.
+func best(found []candidate, t *task, now time.Duration) int {
+	at := -1
+	for i := range found {
+		if at >= 0 && found[i].score >= found[at].score {
+			continue
 		}
-	}
-	return c.placeIn(s, "")
-}
-
-func (c *Cell) placeIn(s *stepState, rack string) []*worker {
-	pool := c.ready[s.job.terms.Service]
-	taken := make(map[*worker]int64)
-	places := make([]*worker, 0, len(s.ready))
-	for _, t := range s.ready {
-		w := c.placeMember(t, pool, taken, rack)
-		if w == nil {
-			return nil
+		if t.mayRunOn(found[i].worker, now) {
+			at = i
 		}
-		taken[w]++
-		places = append(places, w)
 	}
-	return places
+	return at
 }
 
-func (c *Cell) placeMember(t *task, pool []*worker, taken map[*worker]int64, rack string) *worker {
-	s := t.step
-	var best *worker
-	for _, w := range pool {
-		n := taken[w]
-		if rack != "" && !w.host.HasLabel(rack) || !c.fits(t, w) {
-			continue
-		}
-		if !w.used.Add(s.need.Scale(n + 1)).Fits(w.host.Capacity) {
-			continue
-		}
-		if s.spec.PerWorker > 0 && int(n) >= s.spec.PerWorker {
-			continue
-		}
-		if best == nil || s.score(w)+float64(n) < s.score(best)+float64(taken[best]) {
-			best = w
-		}
-	}
-	return best
+// mayRunOn reports whether nothing of the task's own keeps it off a worker.
+func (t *task) mayRunOn(w *worker, now time.Duration) bool {
+	return w.runs[t.name] == nil && now >= t.shunned[w]
 }
 
-// racks returns the labels of a pool's workers that tell where they stand.
-// Which label that is isn't said; one that all share is no rack.
-func (c *Cell) racks(service string) []string {
-	count := make(map[string]int)
-	pool := c.pools[service]
-	for _, w := range pool {
-		for _, l := range w.host.Labels {
-			count[l]++
-		}
+// suits reports whether a step's tasks fit on a worker now, but for advice.
+func (c *Cell) suits(s *stepState, w *worker) bool {
+	if !w.used.Add(s.need).Fits(w.host.Capacity) {
+		return false
 	}
-	var racks []string
-	for l, n := range count {
-		if n < len(pool) {
-			racks = append(racks, l)
-		}
+	if s.spec.Label != "" && !w.host.HasLabel(s.spec.Label) {
+		return false
+	}
+	if s.spec.PerWorker > 0 && s.onHost[w] >= s.spec.PerWorker {
+		return false
 	}
-	slices.Sort(racks)
-	return racks
+	return !s.spec.Fills || c.bears(w, s)
 }
 
-// evacuate moves what runs on a worker that is about to leave. Lasting tasks
-// go at once, though not so many of a step that its users would notice unless
-// the worker leaves by itself; others that save their progress are moved, the
-// rest may end in the time that is left.
-func (c *Cell) evacuate(w *worker) {
-	for _, r := range inOrder(w.runs) {
-		if r.task == nil || r.state == runStopping {
-			continue
-		}
-		spec := r.task.step.spec
-		lasting := spec.Lasting && (w.host.Draining || r.task.step.mayMiss(r))
-		if lasting || spec.Checkpoints && !spec.Gang {
-			c.stopRun(r, "worker leaves")
-		}
+// claiming reports whether the job's claim is on its way to the record.
+func (c *Cell) claiming(j *jobState) bool {
+	return j.progress.Claimed && !j.claimed
+}
+
+// claim puts on record that a job's tasks may have been started, before the
+// first of them is. It reports whether that is done. A successor may start the
+// tasks of all other jobs at once, without having asked every worker.
+func (c *Cell) claim(j *jobState) bool {
+	if !j.progress.Claimed {
+		j.progress.Claimed = true
+		c.saves.dirty(j)
 	}
+	return j.claimed
 }
--- a/cell/job.go
+++ b/cell/job.go
@@ -37,10 +37,12 @@
 	number   int
 	spec     *job.Step
 	tasks    []*task
-	ready    []*task // waiting to be started
-	queued   bool    // in Cell.waiting
-	open     bool    // the steps it depends on are done
-	left     int     // tasks that aren't done
+	ready    []*task       // waiting to be started
+	queued   bool          // in Cell.waiting
+	tried    uint64        // number of the last look that found no worker for it, zero if none has
+	triedAt  time.Duration // when it was last checked against all workers
+	open     bool          // the steps it depends on are done
+	left     int           // tasks that aren't done
 	need     resource.Vector
 	advice   *advice         // where the queue asks for it
 	onHost   map[*worker]int // runs by worker, kept for PerWorker
@@ -248,9 +250,7 @@
 	s.ready = append(s.ready, t)
 	c.changed = true
 	if !s.queued {
-		s.queued = true
-		c.waiting = append(c.waiting, s)
-		c.sorted = false
+		c.await(s)
 	}
 }
 
@@ -302,7 +302,6 @@
 			}
 		}
 	}
-	c.sorted = false
 	c.stopAll(j)
 }
 
--- a/cell/load.go
+++ b/cell/load.go
@@ -35,7 +35,7 @@
 			fills += len(s.ready)
 		}
 	}
-	c.note("load", "waiting", waiting, "filling_waiting", fills, "runs", runs, "workers", len(c.workers), "usable", usable, "serving", serving, "images", images,
+	c.note("load", "waiting", waiting, "filling_waiting", fills, "checks", c.looks.total, "runs", runs, "workers", len(c.workers), "usable", usable, "serving", serving, "images", images,
 		"processors", percent(processors, wholeProcessors), "memory", percent(memory, wholeMemory), "filling", percent(filling, wholeProcessors))
 }
 
--- a/cell/run.go
+++ b/cell/run.go
@@ -107,7 +107,7 @@
 	w := r.worker
 	delete(w.runs, r.name)
 	w.used = w.used.Sub(r.need)
-	c.changed = true
+	c.touch(w)
 	t := r.task
 	if t == nil {
 		return
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -35,6 +35,10 @@
 	clockAt  time.Duration // when that report arrived
 	deadline int64         // latest lease end that was sent, on the worker's clock
 
+	touched   bool   // it may have room since the last look for starts
+	wasUsable bool   // at that look
+	changed   uint64 // number of the last look before which it was touched
+
 	holding  bool          // a hold is under way
 	holdAt   time.Duration // when the next one is due
 	vouched  bool          // the platform says that its machine is up, though it is silent
@@ -73,6 +77,7 @@
 	tail     time.Duration // of a serving run
 	use      int64         // thousandths of a core in use, of one that doesn't serve
 	pacedAt  time.Duration // when pace was set
+	adopted  bool          // started by an earlier owner, and not seen to be paused
 }
 
 func (c *Cell) addWorker(h provider.Host) *worker {
@@ -234,7 +239,7 @@
 			w.seen = w.ended
 		}
 	}
-	c.changed = true
+	c.touch(w)
 	if c.now >= w.holdAt {
 		c.hold(w)
 	}
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -67,10 +67,11 @@
 		}
 		return
 	}
-	select {
-	case <-d.leave:
+	if d.isLeaving() {
 		return
-	default:
+	}
+	if d.known() {
+		d.settleClaim()
 	}
 	if !d.claiming && d.known() && d.election.Stand(d.clock(), d.progress.Age()) {
 		d.claim()
@@ -107,13 +108,26 @@
 	if !d.known() {
 		return
 	}
+	d.election.Observe(d.clock(), d.catalog.Owner())
+	d.settleClaim()
+}
+
+// settleClaim goes on with a claim that turns out to be on record, though its
+// answer was lost or what was written before it couldn't be read.
+func (d *Dispatcher) settleClaim() {
 	owner := d.catalog.Owner()
-	d.election.Observe(d.clock(), owner)
-	if owner.Nonce == d.nonce && owner.Term > d.term && !owner.Leaving && !d.claiming {
-		d.own(owner) // a claim whose answer was lost
+	if d.claiming || owner.Nonce != d.nonce || owner.Term <= d.term || owner.Leaving || d.clock() < d.settleAfter {
+		return
 	}
+	d.settleAfter = d.clock() + settleEvery
+	d.claiming = true
+	d.conclude(owner, d.readToEnd)
 }
 
+// settleEvery is the time between two tries to read what was written before a
+// claim.
+const settleEvery = 100 * time.Millisecond
+
 // claim tries to become the cell's owner.
 func (d *Dispatcher) claim() {
 	d.claiming = true
@@ -124,10 +138,15 @@
 		Sequence: rand.Uint64N(sequences),
 	}
 	next := d.progress.Next()
+	d.conclude(owner, func(ctx context.Context) error { return d.tryClaim(ctx, owner, next) })
+}
+
+// conclude does what is left of a claim, and has its outcome taken.
+func (d *Dispatcher) conclude(owner catalog.Owner, rest func(context.Context) error) {
 	d.tomb.Go(func() error {
 		ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), claimTimeout)
 		defer cancel()
-		d.claims <- claim{owner: owner, err: d.tryClaim(ctx, owner, next)}
+		d.claims <- claim{owner: owner, err: rest(ctx)}
 		return nil
 	})
 }
@@ -139,8 +158,7 @@
 const sequences = 1 << 48
 
 // tryClaim writes the owner's record under a new term, if nothing was written
-// since this instance last read. Both streams are read to the end afterwards,
-// so that what the last owner wrote before it was fenced is known.
+// since this instance last read.
 func (d *Dispatcher) tryClaim(ctx context.Context, owner catalog.Owner, next uint64) error {
 	record, err := catalog.OwnerRecord(owner)
 	if err != nil {
@@ -150,10 +168,20 @@
 	if err := d.platform.Store.Claim(ctx, catalog.Progress, writer, next, record); err != nil {
 		return err
 	}
+	return d.readToEnd(ctx)
+}
+
+// readToEnd reads both streams to their ends. An owner that has set its term
+// knows then what the last one wrote before it was fenced, and every job that
+// has any progress: it would take that of others for left over, and drop it.
+func (d *Dispatcher) readToEnd(ctx context.Context) error {
 	if err := d.progress.Refresh(ctx); err != nil {
 		return fault.Wrap(fault.MayHaveRun, err, "read what was written before the claim")
 	}
-	return d.accepts.Refresh(ctx)
+	if err := d.accepts.Refresh(ctx); err != nil {
+		return fault.Wrap(fault.MayHaveRun, err, "read what was accepted before the claim")
+	}
+	return nil
 }
 
 // writerName is the fenced writer of the progress stream.
@@ -187,9 +215,21 @@
 	d.step(cell.Configured{Table: d.table.Load()})
 	d.step(cell.Hosts{Hosts: d.hosts})
 	d.step(cell.Waves{Waves: d.waves})
+	if d.isLeaving() {
+		d.cell.Leave() // the claim was under way when the stop began
+	}
 	d.step(cell.Tick{Wall: time.Now()})
 }
 
+func (d *Dispatcher) isLeaving() bool {
+	select {
+	case <-d.leave:
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *Dispatcher) setOwning(owning bool, spacing time.Duration) {
 	d.owning.Store(owning)
 	d.accepts.SetSpacing(spacing)
@@ -216,9 +256,7 @@
 
 // endLeave tells Leave that the cell is given up.
 func (d *Dispatcher) endLeave() {
-	select {
-	case <-d.leave:
-	default:
+	if !d.isLeaving() {
 		return
 	}
 	select {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -79,16 +79,17 @@
 	counters *Counters
 
 	// Owned by the control goroutine.
-	election *election.Election
-	cell     *cell.Cell
-	term     uint64
-	claiming bool
-	claims   chan claim
-	hosts    []provider.Host
-	seen     *queue.Table
-	wanting  chan []provider.Host
-	waves    []provider.Wave
-	wavesIn  chan []provider.Wave
+	election    *election.Election
+	cell        *cell.Cell
+	term        uint64
+	claiming    bool
+	settleAfter time.Duration // no try to settle a claim before then
+	claims      chan claim
+	hosts       []provider.Host
+	seen        *queue.Table
+	wanting     chan []provider.Host
+	waves       []provider.Wave
+	wavesIn     chan []provider.Wave
 }
 
 // Option sets up a Dispatcher.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/dispatcher"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
@@ -25,6 +26,7 @@
 	streams map[string]*stream
 	each    time.Duration
 	refuse  bool
+	unread  string // stream whose reads fail
 	writes  int
 }
 
@@ -61,6 +63,10 @@
 	until := time.Now().Add(wait)
 	for {
 		s.mu.Lock()
+		if s.unread == name {
+			s.mu.Unlock()
+			return provider.KeyedPage{}, fault.New(fault.Unavailable, "reset")
+		}
 		p := s.stream(name)
 		if uint64(len(p.records)) > from || !time.Now().Before(until) {
 			defer s.mu.Unlock()
@@ -125,6 +131,25 @@
 	return nil
 }
 
+func (s *slowStore) setUnread(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unread = name
+}
+
+// newest returns the newest value of a key.
+func (s *slowStore) newest(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var value []byte
+	for _, r := range s.stream(name).records {
+		if r.Key == key {
+			value = r.Value
+		}
+	}
+	return value
+}
+
 // noWorkers is for sites without any.
 type noWorkers struct{ provider.Executor }
 
@@ -222,6 +247,41 @@
 	})
 }
 
+// Symptom: tasks that are done run again. Sequence: an instance claims the
+// cell, the claim is written, and reading what was accepted before it fails;
+// meanwhile the instance reads its own claim back. Cause: a claim that was read
+// back made it owner without that read, so that it took the progress of jobs
+// that it hadn't heard of for left over, and dropped it.
+func TestClaimReadBackNeedsAllJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newSlowStore(2 * time.Millisecond)
+		fallen, err := catalog.OwnerRecord(catalog.Owner{Term: 1, Instance: "fallen", Nonce: 7})
+		is.NoErr(err)
+		is.NoErr(store.Put(ctx, catalog.Progress, &provider.Writer{Name: "owner", Term: 1, Sequence: 1}, []provider.KeyedRecord{fallen}))
+		d := start(ctx, store, 1)[0]
+		time.Sleep(100 * time.Millisecond)
+		store.setUnread(catalog.Accepts)
+		accepted, err := catalog.AcceptRecord(newJob(1))
+		is.NoErr(err)
+		is.NoErr(store.Put(ctx, catalog.Accepts, nil, []provider.KeyedRecord{accepted}))
+		begun, err := catalog.ProgressRecord(newJob(1).ID, &progress.Progress{State: progress.Running, Claimed: true})
+		is.NoErr(err)
+		is.NoErr(store.Put(ctx, catalog.Progress, &provider.Writer{Name: "owner", Term: 1, Sequence: 2}, []provider.KeyedRecord{begun}))
+		time.Sleep(4 * time.Second)
+		d.Configure(queue.New(2, queue.Limits{}, nil, nil)) // has it look at what it knows
+		time.Sleep(time.Second)
+		is.True(!d.Owning()) // it can't know what its jobs are
+		store.setUnread("")
+		time.Sleep(2 * time.Second)
+		is.True(d.Owning())
+		is.Equal(store.newest(catalog.Progress, begun.Key), begun.Value)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Symptom: a cell has two owners, or none. Sequence: all instances start at
 // once and claim the same term. Cause: the store took a second claim with the
 // sequence of the first for its repeat.
