Paused filling tasks that wait are moved; no list of machines isn't an empty one

Cause (1): with the tail of the serving task at 0.6 to 0.95 of its target, a paused filling task was neither let go on nor moved.

--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -45,6 +45,7 @@
 
 	failing func(task string, attempt uint64) bool
 	length  func(task string) time.Duration
+	tail    func(task string, w *fakeWorker) time.Duration // of serving tasks; nil reports none
 }
 
 type event struct {
@@ -357,6 +358,9 @@
 		})
 	case cell.Pace:
 		s.paces[a.Order.Task] = a.Order.Percent
+		if w := s.worker(a.Order.Host); w != nil {
+			w.pace(a.Order)
+		}
 	case cell.Forget:
 		o.forget(a)
 	case cell.ListMachines:
@@ -513,6 +517,9 @@
 	began   time.Duration
 	ends    time.Duration
 	need    resource.Vector
+	paused  bool
+	left    time.Duration // of one that is paused
+	pauses  int           // tells the end that was planned before a pause from the one after it
 }
 
 const (
@@ -592,7 +599,12 @@
 	for _, name := range sortedNames(w.runs) {
 		r := w.runs[name]
 		percent := int(100 * (w.site.now - r.began) / (r.ends - r.began + 1))
-		held.Running = append(held.Running, provider.Run{Task: name, Attempt: r.attempt, Percent: percent})
+		run := provider.Run{Task: name, Attempt: r.attempt, Percent: percent}
+		if w.site.tail != nil && w.site.lasts(name) {
+			run.Percent = 100
+			run.Tail = w.site.tail(name, w)
+		}
+		held.Running = append(held.Running, run)
 	}
 	return held
 }
@@ -638,16 +650,39 @@
 	length := s.length(o.Task)
 	r := &fakeRun{attempt: o.Attempt, began: s.now, ends: s.now + length, need: s.needOf(o.Task)}
 	w.runs[o.Task] = r
-	s.after(length, func() {
-		if w.up && w.runs[o.Task] == r {
-			how := provider.EndDone
-			if s.failing(o.Task, o.Attempt) {
-				how = provider.EndFailed
-			}
-			w.end(o.Task, how)
+	w.plan(o.Task, r)
+	return provider.Accepted
+}
+
+// plan ends a run when its time has come, unless it is paused before.
+func (w *fakeWorker) plan(name string, r *fakeRun) {
+	s := w.site
+	pauses := r.pauses
+	s.after(r.ends-s.now, func() {
+		if !w.up || w.runs[name] != r || r.pauses != pauses {
+			return
 		}
+		how := provider.EndDone
+		if s.failing(name, r.attempt) {
+			how = provider.EndFailed
+		}
+		w.end(name, how)
 	})
-	return provider.Accepted
+}
+
+func (w *fakeWorker) pace(o provider.RunOrder) {
+	r := w.runs[o.Task]
+	if r == nil || r.attempt != o.Attempt || r.paused == (o.Percent == 0) {
+		return
+	}
+	r.paused = o.Percent == 0
+	if r.paused {
+		r.left = r.ends - w.site.now
+		r.pauses++
+		return
+	}
+	r.ends = w.site.now + r.left
+	w.plan(o.Task, r)
 }
 
 func (w *fakeWorker) stop(o provider.RunOrder) any {
--- a/cell/serving.go
+++ b/cell/serving.go
@@ -105,9 +105,7 @@
 		c.pauseCulprits(w, victim, restored-1/strain)
 		return
 	}
-	if strain < relieved {
-		c.resumePaused(w)
-	}
+	c.settlePaused(w, strain < relieved)
 }
 
 // pauseCulprits pauses the filling tasks that take most of a serving task's
@@ -190,16 +188,19 @@
 	return c.pressure.Weight(image, spec.Image) * r.worker.share(spec.Need.Processors)
 }
 
-// resumePaused lets paused filling tasks go on if the serving ones bear them,
-// and moves the others.
-func (c *Cell) resumePaused(w *worker) {
+// settlePaused lets paused filling tasks go on where the serving ones have
+// relief and bear them, and moves those that have stood still for a while. One
+// that neither goes on nor is moved holds up all that comes after its step: on a
+// calm day of 490 workers a quarter of all filling tasks stood still, and moving
+// them took what that day's jobs were worth from 0.525 to 0.66 (two seeds).
+func (c *Cell) settlePaused(w *worker, relief bool) {
 	for _, r := range inOrder(w.runs) {
 		if !r.fills() || r.state != runRunning || r.pace > 0 {
 			continue
 		}
 		spec := r.task.step.spec
 		switch {
-		case c.pressure.Bears(w.room, spec.Image, w.share(spec.Need.Processors)):
+		case relief && c.pressure.Bears(w.room, spec.Image, w.share(spec.Need.Processors)):
 			c.setPace(r, wholePercent)
 			c.pressed(w, r.task.step)
 		case c.now-r.pacedAt > patience:
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -247,6 +247,59 @@
 	})
 }
 
+// muteWorkers takes holds and starts until the one that was started on falls
+// silent.
+type muteWorkers struct {
+	provider.Executor
+	mu     sync.Mutex
+	starts []provider.StartOrder
+}
+
+func (m *muteWorkers) silent(host string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.starts) > 0 && m.starts[0].Host.ID == host
+}
+
+func (m *muteWorkers) Hold(ctx context.Context, o provider.HoldOrder) (provider.Held, error) {
+	time.Sleep(5 * time.Millisecond)
+	if m.silent(o.Host.ID) {
+		return provider.Held{}, fault.New(fault.MayHaveRun, "no answer")
+	}
+	return provider.Held{Clock: 1}, nil
+}
+
+func (m *muteWorkers) Start(_ context.Context, o provider.StartOrder) (provider.Refusal, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.starts = append(m.starts, o)
+	return provider.Accepted, nil
+}
+
+func (m *muteWorkers) Stop(context.Context, provider.RunOrder) error { return nil }
+
+// Symptom: a task runs twice. Sequence: the worker that runs it is silent for
+// half a second, on a platform that has no list of machines. Cause: the list
+// that can't be had counted as one without that worker's machine.
+func TestSilentWorkerWithoutMachines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		workers := &muteWorkers{}
+		d := dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers})
+		q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
+		d.Configure(queue.New(1, queue.Limits{}, []queue.Queue{q}, []queue.Service{{Name: "pool"}}))
+		d.SetHosts([]provider.Host{{ID: "w1", Service: "pool", Machine: "m1"}, {ID: "w2", Service: "pool", Machine: "m2"}})
+		go func() { _ = d.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		is.NoErr(d.Submit(ctx, newJob(1)))
+		time.Sleep(4 * time.Second)
+		is.Equal(len(workers.starts), 1) // its lease hasn't ended
+		cancel()
+		time.Sleep(time.Second) // for the holds that are under way
+	})
+}
+
 // Symptom: tasks that are done run again. Sequence: an instance claims the
 // cell, the claim is written, and reading what was accepted before it fails;
 // meanwhile the instance reads its own claim back. Cause: a claim that was read
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -108,10 +108,11 @@
 	}
 }
 
-// listMachines asks the platform for its machines.
+// listMachines asks the platform for its machines. A list that can't be had is
+// no list without machines: what runs on a silent worker would count as ended.
 func (d *Dispatcher) listMachines(ctx context.Context) cell.Input {
 	if d.platform.Machines == nil {
-		return cell.MachineList{}
+		return cell.MachineList{Err: fault.New(fault.Unavailable, "the site has no list of machines")}
 	}
 	machines, err := d.platform.Machines.List(ctx)
 	return cell.MachineList{Machines: machines, Err: err}
