--- a/cell/serving.go
+++ b/cell/serving.go
@@ -12,7 +12,7 @@
 const (
 	strained  = 0.95                   // part of the target from which filling tasks beside are slowed
 	restored  = 1.25                   // slack that is to be given back to a serving task near its target
-	relieved  = 0.6                    // part of it below which they may go on
+	relieved  = 0.8                    // part of it below which they may go on, if the estimate bears them
 	patience  = 800 * time.Millisecond // a filling task that stands still for longer is moved
 	pauseFill = 1500 * time.Millisecond
 )
