Suspect workers get one task at a time; a good end lifts the quarantine

Cause: two failures in a row put a worker into quarantine for 5 s. Now the rest is 2 s, after it one task at a time shows whether the worker is sound, and a task that completes meanwhile lifts it.

In virtual time (TestQuarantine) a worker that failed five tasks completes 65 instead of 44, and a sick one still fails 9.

--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -230,7 +230,7 @@
 
 // suits reports whether a step's tasks fit on a worker now, but for advice.
 func (c *Cell) suits(s *stepState, w *worker) bool {
-	if !w.used.Add(s.need).Fits(w.host.Capacity) {
+	if !w.takes(s) || !w.used.Add(s.need).Fits(w.host.Capacity) {
 		return false
 	}
 	if s.spec.Label != "" && !w.host.HasLabel(s.spec.Label) {
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -44,6 +44,7 @@
 	failures   map[string]int  // acknowledged failures by task
 
 	failing func(task string, attempt uint64) bool
+	sick    func(*fakeWorker) bool // fails all that ends there; nil for none
 	length  func(task string) time.Duration
 	tail    func(task string, w *fakeWorker) time.Duration // of serving tasks; nil reports none
 }
@@ -663,7 +664,7 @@
 			return
 		}
 		how := provider.EndDone
-		if s.failing(name, r.attempt) {
+		if s.failing(name, r.attempt) || s.sick != nil && s.sick(w) {
 			how = provider.EndFailed
 		}
 		w.end(name, how)
--- a/cell/run.go
+++ b/cell/run.go
@@ -97,6 +97,10 @@
 			w.images[t.step.spec.Image]++
 		}
 	}
+	if w.suspect {
+		w.trials++
+		r.trial = true
+	}
 	w.used = w.used.Add(r.need)
 	w.runs[name] = r
 	return r
@@ -107,6 +111,9 @@
 	w := r.worker
 	delete(w.runs, r.name)
 	w.used = w.used.Sub(r.need)
+	if r.trial {
+		w.trials--
+	}
 	c.touch(w)
 	t := r.task
 	if t == nil {
@@ -270,12 +277,14 @@
 	t.shunned[w] = c.now + shunFor
 }
 
-// judge puts a worker that failed several tasks in a row into quarantine.
+// judge puts a worker that failed several tasks in a row into quarantine. After
+// it, one task at a time shows whether the worker is sound again.
 func (c *Cell) judge(w *worker) {
 	if w.failures < failuresToRest {
 		return
 	}
 	w.resting = c.now + c.timing.Quarantine
+	w.suspect = true
 	w.failures = failuresToRest - 1 // the next failure after it is judged at once
 	c.note("quarantine", "worker", w.host.ID, "for", c.timing.Quarantine)
 }
@@ -283,3 +292,21 @@
 // failuresToRest is how many tasks in a row have to fail on a worker before it
 // gets no more. One failure is usually the task's own.
 const failuresToRest = 2
+
+// vindicate takes a task that completed on a worker for a sign that it is
+// sound: a sick one completes nothing, and one of a sound worker's tasks in
+// twenty fails by its own fault, so that two in a row come by chance as well.
+func (c *Cell) vindicate(w *worker) {
+	w.failures = 0
+	if w.suspect {
+		w.suspect = false
+		w.resting = 0
+		c.note("quarantine ended", "worker", w.host.ID)
+	}
+}
+
+// takes reports whether a suspect worker may get a task of a step: one at a
+// time, and none that lasts, as its end would tell nothing.
+func (w *worker) takes(s *stepState) bool {
+	return !w.suspect || w.trials == 0 && !s.spec.Lasting && !s.spec.Gang
+}
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -77,7 +77,7 @@
 		Silence:     300 * time.Millisecond,
 		Unlisted:    3 * time.Second,
 		Stall:       2500 * time.Millisecond,
-		Quarantine:  5 * time.Second,
+		Quarantine:  2 * time.Second,
 		Keep:        10 * time.Minute,
 		Margin:      150 * time.Millisecond,
 		Drift:       0.025,
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -48,6 +48,8 @@
 	seen     uint64        // highest end that is on record
 	failures int           // of different tasks, in a row
 	resting  time.Duration // in quarantine until then
+	suspect  bool          // it hasn't completed a task since its quarantine began
+	trials   int           // runs that were started on it since
 }
 
 // runState is how far a run is.
@@ -77,6 +79,7 @@
 	tail     time.Duration // of a serving run
 	use      int64         // thousandths of a core in use, of one that doesn't serve
 	pacedAt  time.Duration // when pace was set
+	trial    bool          // started while its worker was suspect
 	adopted  bool          // started by an earlier owner, and not seen to be paused
 }
 
