Urgent jobs go before lasting tasks that wait for room

A lasting task earns a quarter as much a core-second. Now it lets urgent jobs that came up to 10 s later go first.

--- a/cell/urgency.go
+++ b/cell/urgency.go
@@ -58,6 +58,14 @@
 	tooLate                 // the job has taken a multiple of its objective
 )
 
+// lastingPatience is how long a lasting task that waits for room lets urgent
+// jobs that came after it go first. It serves for a minute or more, so that a
+// few seconds cost it little, while the job would be late. On a day of 490
+// workers that are 96% reserved it took what the urgent jobs were worth from
+// 0.42 and 0.50 to 0.51 and 0.56, and the lasting ones from 0.836 and 0.854 to
+// 0.827 and 0.851 (two seeds).
+const lastingPatience = 10 * time.Second
+
 // lateFactor is the multiple of its objective from which a job that is late is
 // worth nothing to its caller any more.
 const lateFactor = 3
@@ -67,7 +75,7 @@
 func (c *Cell) standing(s *stepState) (standing, time.Duration) {
 	j := s.job
 	if s.spec.Lasting {
-		return inTime, j.arrived
+		return inTime, j.arrived + lastingPatience
 	}
 	begun := j.begin(s.round)
 	objective := time.Duration(max(j.terms.Stretch, 1)*float64(j.chain())) + j.terms.Objective
