--- /dev/null
+++ b/cell/advice_test.go
@@ -0,0 +1,36 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/queue"
+)
+
+// TestAdvice plays a queue whose tasks may run on two of four workers only,
+// which the adviser alone knows. Tickets end after a while and are asked for
+// again.
+func TestAdvice(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1, 4, 2)
+	s.advised = func(host string) bool { return host[:2] == "w1" || host[:2] == "w3" }
+	advised := terms
+	advised.Advice = &job.Advice{Decision: 10 * time.Millisecond, Each: time.Millisecond, Valid: ticketTime}
+	s.table = queue.New(1, queue.Limits{}, []queue.Queue{{Name: "q", Terms: advised}}, []queue.Service{{Name: service}})
+	for i := range 6 {
+		s.after(time.Duration(i)*time.Second, func() {
+			s.submit(&job.Job{ID: jobID(i), Spec: "x", Steps: []job.Step{step(6, 2), step(2, 2, 0)}})
+		})
+	}
+	s.owners[0].take()
+	s.after(3300*time.Millisecond, func() {
+		s.owners[0].kill()
+		s.owners[1].take()
+	})
+	s.run(quiet)
+	s.mustComplete(6)
+	is.True(len(s.tickets) >= 4) // both workers were asked about again
+}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -33,7 +33,12 @@
 	owners  []*owner
 	table   *queue.Table
 	broken  []string
-	paces   map[string]int // last pace ordered, by task
+	paces   map[string]int           // last pace ordered, by task
+	waves   map[int]bool             // as last reported: whether they are completed
+	upkeeps map[string]int           // by machine
+	tickets map[string]time.Duration // until when they are valid
+	advised func(host string) bool   // whether a worker may run what needs advice
+	wanted  []provider.Wave          // waves that the operators ask for
 
 	lateOrders float64       // share of orders that are carried out 2 to 12 s late, without an answer
 	storeDelay time.Duration // of each write, one way
@@ -81,6 +86,9 @@
 	s := &site{
 		t:        t,
 		paces:    make(map[string]int),
+		waves:    make(map[int]bool),
+		upkeeps:  make(map[string]int),
+		tickets:  make(map[string]time.Duration),
 		rng:      rand.New(rand.NewPCG(seed, 1)),
 		store:    &logStore{answers: make(map[uint64]error)},
 		table:    queue.New(1, queue.Limits{}, []queue.Queue{{Name: "q", Terms: terms}}, []queue.Service{{Name: service}}),
@@ -247,6 +255,7 @@
 	noStore  bool
 	noWorker map[int]bool
 	life     int
+	asking   int // questions for the adviser that are under way
 }
 
 // take makes the owner claim the cell, as an instance does that reaches the
@@ -264,6 +273,7 @@
 	o.queued = nil
 	o.step(cell.Configured{Table: s.table})
 	o.step(cell.Hosts{Hosts: s.hosts()})
+	o.step(cell.Waves{Waves: s.wanted})
 	o.tick(o.life)
 }
 
@@ -364,6 +374,12 @@
 		}
 	case cell.Forget:
 		o.forget(a)
+	case cell.Advise:
+		o.advise(a)
+	case cell.Upkeep:
+		o.upkeep(a)
+	case cell.ReportWave:
+		s.waves[a.Number] = a.Completed
 	case cell.ListMachines:
 		s.after(2*hop, func() { o.step(s.machines()) })
 	case cell.Deposed:
@@ -386,6 +402,59 @@
 	})
 }
 
+// adviceTime is how long the adviser takes, and ticketTime how long its tickets
+// are valid.
+const (
+	adviceTime = 60 * time.Millisecond
+	ticketTime = 1500 * time.Millisecond
+)
+
+// advise answers a question about workers. The adviser takes one at a time.
+func (o *owner) advise(a cell.Advise) {
+	s := o.site
+	life := o.life
+	sent := s.now
+	if o.asking++; o.asking > 1 {
+		s.violate("two questions for the adviser at once")
+	}
+	s.after(adviceTime, func() {
+		o.asking--
+		reply := cell.Advised{Job: a.Job, Round: a.Round, Step: a.Step, Hosts: a.Hosts, Valid: ticketTime, Sent: sent}
+		for _, h := range a.Hosts {
+			if s.advised(h) {
+				ticket := fmt.Sprintf("%s/%v", h, s.now)
+				s.tickets[ticket] = s.now + ticketTime
+				reply.Tickets = append(reply.Tickets, provider.Ticket{Host: h, Ticket: ticket})
+			}
+		}
+		if o.life == life {
+			o.step(reply)
+		}
+	})
+}
+
+// upkeepTime is how long a machine is down for its upkeep.
+const upkeepTime = 2 * time.Second
+
+// upkeep takes a machine down, and brings another life of its worker up later.
+func (o *owner) upkeep(a cell.Upkeep) {
+	s := o.site
+	life := o.life
+	s.after(hop, func() {
+		for _, w := range s.workers {
+			if w.up && w.host.Machine == a.Order.Machine {
+				s.upkeeps[a.Order.Machine]++
+				w.crash(upkeepTime, s.upkeeps[a.Order.Machine])
+			}
+		}
+		s.after(hop, func() {
+			if o.life == life {
+				o.step(cell.UpkeepReply{Machine: a.Order.Machine, Wave: a.Order.Wave})
+			}
+		})
+	})
+}
+
 func (s *site) machines() cell.MachineList {
 	var list cell.MachineList
 	for _, w := range s.workers {
@@ -647,6 +716,9 @@
 		return provider.RefusedOld
 	}
 	w.extend(o.Deadline)
+	if s.advised != nil && (s.tickets[o.Ticket] < s.now || !strings.HasPrefix(o.Ticket, w.host.ID+"/")) {
+		return provider.RefusedTicket
+	}
 	s.checkStart(w, o)
 	length := s.length(o.Task)
 	r := &fakeRun{attempt: o.Attempt, began: s.now, ends: s.now + length, need: s.needOf(o.Task)}
