--- /dev/null
+++ b/cell/checks_test.go
@@ -0,0 +1,103 @@
+package cell_test
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+)
+
+// checkStart holds a start against what must never happen.
+func (s *site) checkStart(w *fakeWorker, o provider.StartOrder) {
+	used := s.needOf(o.Task)
+	for _, r := range w.runs {
+		used = used.Add(r.need)
+	}
+	if !used.Fits(w.host.Capacity) {
+		s.violate("capacity: %s on %s: %v", o.Task, w.host.ID, used)
+	}
+	for _, other := range s.workers {
+		if r := other.runs[o.Task]; other.up && r != nil {
+			s.violate("twice: %s attempt %d on %s, attempt %d on %s", o.Task, o.Attempt, w.host.ID, r.attempt, other.host.ID)
+		}
+	}
+	id, err := job.ParseTask(o.Task)
+	if err != nil {
+		s.violate("%v", err)
+		return
+	}
+	s.checkOrder(id)
+	for _, c := range s.store.cancelled {
+		if c.id == id.Job && s.now-c.at > 3*time.Second {
+			s.violate("cancelled: %s %v after its cancellation", o.Task, s.now-c.at)
+		}
+	}
+	if s.done[o.Task] {
+		s.violate("again: %s was done and acknowledged", o.Task)
+	}
+	if s.failures[o.Task] >= terms.Attempts {
+		s.violate("budget: %s after %d failures", o.Task, s.failures[o.Task])
+	}
+}
+
+// endGang ends the other members of a gang with the first that is done.
+func (s *site) endGang(name string, attempt uint64) {
+	id, err := job.ParseTask(name)
+	if err != nil || !s.jobOf(id.Job).Steps[id.Step].Gang {
+		return
+	}
+	for i := range s.jobOf(id.Job).Steps[id.Step].Count {
+		id.Index = i
+		s.ran[id.String()] = true
+		for _, w := range s.workers {
+			if r := w.runs[id.String()]; r != nil && r.attempt == attempt {
+				w.end(id.String(), provider.EndDone)
+			}
+		}
+	}
+}
+
+func (s *site) lasts(task string) bool {
+	id, err := job.ParseTask(task)
+	return err == nil && s.jobOf(id.Job).Steps[id.Step].Lasting
+}
+
+// checkOrder holds a start against the steps that have to be done before it.
+func (s *site) checkOrder(id job.Task) {
+	j := s.jobOf(id.Job)
+	if j == nil {
+		s.violate("unasked: %s", id)
+		return
+	}
+	for _, before := range j.Steps[id.Step].After {
+		for i := range j.Steps[before].Count {
+			t := job.Task{Job: id.Job, Occurrence: id.Occurrence, Step: before, Index: i}
+			if !s.ran[t.String()] {
+				s.violate("order: %s before %s", id, t)
+			}
+		}
+	}
+}
+
+// acknowledged takes note of an end that a worker may forget.
+func (s *site) acknowledged(e provider.Ended) {
+	switch e.How {
+	case provider.EndDone:
+		s.done[e.Task] = !s.lasts(e.Task)
+	case provider.EndFailed:
+		s.failures[e.Task]++
+	}
+}
+
+func (s *site) jobOf(id string) *job.Job {
+	return s.jobs[id]
+}
+
+func (s *site) needOf(task string) resource.Vector {
+	id, err := job.ParseTask(task)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return s.jobOf(id.Job).Steps[id.Step].Reserved()
+}
--- /dev/null
+++ b/cell/worker_test.go
@@ -0,0 +1,238 @@
+package cell_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+)
+
+// fakeWorker starts whatever it is told and keeps what the protocol says.
+type fakeWorker struct {
+	site     *site
+	number   int
+	host     provider.Host
+	up       bool
+	token    uint64
+	deadline int64
+	runs     map[string]*fakeRun
+	barred   map[string]uint64 // highest attempt that ended or was stopped, by task
+	ended    []provider.Ended
+	count    uint64
+	waiters  []func()
+	offset   time.Duration
+	rate     float64
+}
+
+type fakeRun struct {
+	attempt uint64
+	began   time.Duration
+	ends    time.Duration
+	need    resource.Vector
+	paused  bool
+	left    time.Duration // of one that is paused
+	pauses  int           // tells the end that was planned before a pause from the one after it
+}
+
+const (
+	workerCores  = 8000
+	workerMemory = 16000
+)
+
+func newFakeWorker(s *site, number, life int) *fakeWorker {
+	return &fakeWorker{
+		site:   s,
+		number: number,
+		up:     true,
+		host: provider.Host{
+			ID:       fmt.Sprintf("w%d-%d", number, life),
+			Address:  fmt.Sprintf("10.0.0.%d:1", number),
+			Service:  service,
+			Machine:  fmt.Sprintf("m%d", number),
+			Labels:   []string{fmt.Sprintf("r%d", number/2)},
+			Capacity: resource.Vector{Processors: workerCores, Memory: workerMemory},
+		},
+		runs:   make(map[string]*fakeRun),
+		barred: make(map[string]uint64),
+		offset: time.Duration(s.rng.Int64N(int64(time.Hour))),
+		rate:   1 - 0.02*s.rng.Float64(),
+	}
+}
+
+func (w *fakeWorker) clock() int64 {
+	return (w.offset + time.Duration(float64(w.site.now)*w.rate)).Milliseconds()
+}
+
+// crash ends the worker's life; another one comes up after down.
+func (w *fakeWorker) crash(down time.Duration, life int) {
+	w.up = false
+	clear(w.runs)
+	w.site.after(down, func() {
+		fresh := newFakeWorker(w.site, w.number, life)
+		for i, old := range w.site.workers {
+			if old == w {
+				w.site.workers[i] = fresh
+			}
+		}
+	})
+}
+
+func (w *fakeWorker) extend(deadline int64) {
+	w.deadline = max(w.deadline, min(deadline, w.clock()+10_000))
+	w.site.after(time.Duration(float64(max(0, w.deadline-w.clock())+1)/w.rate)*time.Millisecond, w.lapse)
+}
+
+func (w *fakeWorker) lapse() {
+	if !w.up || w.clock() < w.deadline {
+		return
+	}
+	for name := range w.runs {
+		w.end(name, provider.EndLapsed)
+	}
+}
+
+func (w *fakeWorker) hold(o provider.HoldOrder) any {
+	if o.Token < w.token {
+		return fault.New(fault.StaleEpoch, "fenced")
+	}
+	w.token = o.Token
+	if o.Deadline > 0 {
+		w.extend(o.Deadline)
+	}
+	for len(w.ended) > 0 && w.ended[0].Number <= o.Seen {
+		w.site.acknowledged(w.ended[0])
+		w.ended = w.ended[1:]
+	}
+	return w.held()
+}
+
+func (w *fakeWorker) held() provider.Held {
+	held := provider.Held{Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	for _, name := range sortedNames(w.runs) {
+		r := w.runs[name]
+		percent := int(100 * (w.site.now - r.began) / (r.ends - r.began + 1))
+		run := provider.Run{Task: name, Attempt: r.attempt, Percent: percent}
+		if w.site.tail != nil && w.site.lasts(name) {
+			run.Percent = 100
+			run.Tail = w.site.tail(name, w)
+		}
+		held.Running = append(held.Running, run)
+	}
+	return held
+}
+
+func sortedNames(runs map[string]*fakeRun) []string {
+	names := make([]string, 0, len(runs))
+	for n := range runs {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (w *fakeWorker) wait(d time.Duration, life string, answer func()) {
+	done := false
+	once := func() {
+		if !done && w.up && w.host.ID == life {
+			done = true
+			answer()
+		}
+	}
+	w.waiters = append(w.waiters, once)
+	w.site.after(d, once)
+}
+
+func (w *fakeWorker) start(o provider.StartOrder) any {
+	s := w.site
+	switch {
+	case o.Token < w.token:
+		return provider.RefusedToken
+	case w.clock() > o.Deadline:
+		return provider.RefusedLate
+	}
+	w.token = o.Token
+	if r := w.runs[o.Task]; r != nil && r.attempt == o.Attempt {
+		return provider.Accepted
+	}
+	if o.Attempt <= w.barred[o.Task] {
+		return provider.RefusedOld
+	}
+	w.extend(o.Deadline)
+	if s.advised != nil && (s.tickets[o.Ticket] < s.now || !strings.HasPrefix(o.Ticket, w.host.ID+"/")) {
+		return provider.RefusedTicket
+	}
+	s.checkStart(w, o)
+	length := s.length(o.Task)
+	r := &fakeRun{attempt: o.Attempt, began: s.now, ends: s.now + length, need: s.needOf(o.Task)}
+	w.runs[o.Task] = r
+	w.plan(o.Task, r)
+	return provider.Accepted
+}
+
+// plan ends a run when its time has come, unless it is paused before.
+func (w *fakeWorker) plan(name string, r *fakeRun) {
+	s := w.site
+	pauses := r.pauses
+	s.after(r.ends-s.now, func() {
+		if !w.up || w.runs[name] != r || r.pauses != pauses {
+			return
+		}
+		how := provider.EndDone
+		if s.failing(name, r.attempt) || s.sick != nil && s.sick(w) {
+			how = provider.EndFailed
+		}
+		w.end(name, how)
+	})
+}
+
+func (w *fakeWorker) pace(o provider.RunOrder) {
+	r := w.runs[o.Task]
+	if r == nil || r.attempt != o.Attempt || r.paused == (o.Percent == 0) {
+		return
+	}
+	r.paused = o.Percent == 0
+	if r.paused {
+		r.left = r.ends - w.site.now
+		r.pauses++
+		return
+	}
+	r.ends = w.site.now + r.left
+	w.plan(o.Task, r)
+}
+
+func (w *fakeWorker) stop(o provider.RunOrder) any {
+	if o.Token < w.token {
+		return fault.New(fault.StaleEpoch, "fenced")
+	}
+	w.token = o.Token
+	w.barred[o.Task] = max(w.barred[o.Task], o.Attempt)
+	if r := w.runs[o.Task]; r != nil && r.attempt <= o.Attempt {
+		w.site.after(200*time.Millisecond, func() {
+			if w.up && w.runs[o.Task] == r {
+				w.end(o.Task, provider.EndStopped)
+			}
+		})
+	}
+	return nil
+}
+
+func (w *fakeWorker) end(name string, how provider.End) {
+	r := w.runs[name]
+	delete(w.runs, name)
+	if how == provider.EndDone {
+		w.site.ran[name] = true
+		w.site.endGang(name, r.attempt)
+	}
+	w.barred[name] = max(w.barred[name], r.attempt)
+	w.count++
+	w.ended = append(w.ended, provider.Ended{Number: w.count, Task: name, Attempt: r.attempt, How: how})
+	waiters := w.waiters
+	w.waiters = nil
+	for _, answer := range waiters {
+		answer()
+	}
+}
--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -110,26 +110,25 @@
 	return d.counters.vars
 }
 
-// reporter logs the loss and the return of a dependency, a line each.
+// reporter logs that a dependency gives no answer, a line in reportEvery.
 type reporter struct {
-	logger *zap.Logger
-	mu     sync.Mutex
-	failed func(error)
+	logger     *zap.Logger
+	dependency string
+	part       string
+
+	mu   sync.Mutex
+	last time.Time
 }
 
-func newReporter(l *zap.Logger, dependency, part string) *reporter {
-	r := &reporter{logger: l}
-	last := time.Time{}
-	r.failed = func(err error) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if time.Since(last) < reportEvery {
-			return
-		}
-		last = time.Now()
-		l.Warn("no answer", zap.String("from", dependency), zap.String("part", part), zap.Stringer("kind", fault.KindOf(err)), zap.Error(err))
+func (r *reporter) failed(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.last) < reportEvery {
+		return
 	}
-	return r
+	r.last = time.Now()
+	r.logger.Warn("no answer", zap.String("from", r.dependency), zap.String("part", r.part),
+		zap.Stringer("kind", fault.KindOf(err)), zap.Error(err))
 }
 
 // reportEvery bounds the lines about a dependency that stays away.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -167,7 +167,7 @@
 		}
 		d.wake()
 	}
-	report := newReporter(d.logger, "store", stream)
+	report := &reporter{logger: d.logger, dependency: "store", part: stream}
 	opts = append(opts, tail.WithErrors(report.failed))
 	return tail.New(d.platform.Store, stream, apply, opts...)
 }
