Tail: an older answer doesn't take the place of a newer end

Found while reading the change: an answer to the regular read that was made before, and arrives between an answer to Refresh and its look at the end, would end the Refresh early. A test in virtual time can't place it there, as nothing waits between the two; the end only grows now.

--- a/tail/tail.go
+++ b/tail/tail.go
@@ -343,7 +343,7 @@
 		t.apply(records, false)
 	}
 	t.next = max(t.next, from+uint64(len(page.Records)))
-	t.end.Store(page.Next)
+	t.end.Store(max(t.end.Load(), page.Next)) // an older answer may come after a newer one
 	t.read.Store(int64(time.Since(t.begun)))
 }
 
