Read once more: twins into one place

The tick asks once whether both streams are read. Why the tail's locks are channels is said. No decision changes.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -61,8 +61,8 @@
 	looks       looks
 	waiting     []*stepState  // steps with tasks to start, the most urgent first
 	sorted      bool          // whether waiting is in order
-	unanswered  int           // starts that were ordered and not answered
 	ordered     time.Duration // when waiting was last put in order
+	unanswered  int           // starts that were ordered and not answered
 	changed     bool          // whether a start may have become possible
 	timed       []*jobState   // jobs with occurrences to come
 	saves       saver
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -159,7 +159,7 @@
 		w := found[k].worker
 		c.startRun(t, w, c.nextAttempt(t))
 		c.looks.checks++
-		if c.suits(s, w) && c.hasTicket(s, w) {
+		if c.fits(s, w) {
 			found[k].score = c.scoreOf(s, w)
 		} else {
 			found = slices.Delete(found, k, k+1)
@@ -208,7 +208,7 @@
 			continue
 		}
 		l.checks++
-		if c.suits(s, w) && c.hasTicket(s, w) {
+		if c.fits(s, w) {
 			found = append(found, candidate{worker: w, score: c.scoreOf(s, w)})
 		}
 	}
@@ -236,7 +236,12 @@
 	return w.runs[t.name] == nil && now >= t.shunned[w]
 }
 
-// suits reports whether a step's tasks fit on a worker now, but for advice.
+// fits reports whether a step's tasks may be started on a worker now.
+func (c *Cell) fits(s *stepState, w *worker) bool {
+	return c.suits(s, w) && c.hasTicket(s, w)
+}
+
+// suits is fits but for advice.
 func (c *Cell) suits(s *stepState, w *worker) bool {
 	if !w.admits(s) || !w.used.Add(s.need).Fits(w.host.Capacity) {
 		return false
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -70,10 +70,11 @@
 	if d.isLeaving() {
 		return
 	}
-	if d.known() {
-		d.settleClaim()
+	if !d.known() {
+		return
 	}
-	if !d.claiming && d.known() && d.election.Stand(d.clock(), d.progress.Age()) {
+	d.settleClaim()
+	if !d.claiming && d.election.Stand(d.clock(), d.progress.Age()) {
 		d.claim()
 	}
 }
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -58,14 +58,14 @@
 	resume  chan struct{}
 
 	loadOnce sync.Once     // closes loaded
-	loading  chan struct{} // held by the one that loads
+	loading  chan struct{} // held by the one that loads; no mutex, as virtual time stands still for those who wait for one
 	partial  *partial      // of the one that holds loading
 	mu       sync.Mutex    // guards next and the order of apply
 	next     uint64
 	have     bool
 	end      atomic.Uint64 // of the stream, as of the last answer
 
-	reading    chan struct{} // held by the one that reads to the end
+	reading    chan struct{} // held by the one that reads to the end; the same
 	refreshing sync.Mutex    // guards upcoming
 	upcoming   *refresh
 }
