--- a/cell/end.go
+++ b/cell/end.go
@@ -62,6 +62,7 @@
 	if s.job.final() {
 		return
 	}
+	c.account(r, how)
 	c.keepCheckpoint(t, checkpoint)
 	if how == provider.EndDone && !s.spec.Lasting {
 		c.succeeded(w)
--- a/cell/job.go
+++ b/cell/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/delay"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/progress"
 	"github.com/dogwoodladder/dogwoodladder/resource"
@@ -18,6 +19,7 @@
 	rounds   map[int]*round
 	chains   []time.Duration // longest chain of estimates from each step on
 	opened   int             // occurrences that were opened so far
+	delays   delay.Account   // of the tasks that ended last, step by step
 	claimed  bool            // it is on record that tasks may have been started
 	old      bool            // an earlier owner may have started tasks
 }
@@ -57,7 +59,9 @@
 	step    *stepState
 	run     *run // the run that counts, nil while there is none
 	done    bool
-	queued  bool // in step.ready
+	queued  bool          // in step.ready
+	waits   time.Duration // since when it waits for its start
+	delays  delay.Account
 	starts  uint64
 	attempt uint64                    // highest one seen or given
 	saved   string                    // newest checkpoint
@@ -248,6 +252,7 @@
 		return
 	}
 	t.queued = true
+	t.waits = c.now
 	s.ready = append(s.ready, t)
 	c.changed = true
 	if !s.queued {
@@ -269,6 +274,7 @@
 	if s.left > 0 {
 		return
 	}
+	s.job.delays.Join(&t.delays)
 	s.round.left--
 	for _, next := range s.round.steps {
 		c.openStep(next)
@@ -294,7 +300,7 @@
 	j.progress.State = state
 	j.progress.Ended = c.wall.UnixMilli()
 	c.saves.dirty(j)
-	c.note("job ended", "job", j.job.ID, "state", state.String(), "after", c.now-j.arrived)
+	c.noteEnd(j)
 	for _, r := range inOrder(j.rounds) {
 		for _, s := range r.steps {
 			s.ready = nil
--- a/cell/load.go
+++ b/cell/load.go
@@ -12,7 +12,7 @@
 	}
 	c.reported = c.now
 	var processors, memory, wholeProcessors, wholeMemory, filling int64
-	usable, serving, images, runs := 0, 0, 0, 0
+	usable, serving, images, runs, over := 0, 0, 0, 0, 0
 	for _, w := range c.everyWorker() {
 		processors += w.used.Processors
 		memory += w.used.Memory
@@ -20,6 +20,7 @@
 		wholeProcessors += w.host.Capacity.Processors
 		wholeMemory += w.host.Capacity.Memory
 		runs += len(w.runs)
+		over += w.overTarget()
 		if c.usable(w) {
 			usable++
 		}
@@ -35,7 +36,7 @@
 			fills += len(s.ready)
 		}
 	}
-	c.note("load", "waiting", waiting, "filling_waiting", fills, "checks", c.looks.total, "runs", runs, "workers", len(c.workers), "usable", usable, "serving", serving, "images", images,
+	c.note("load", "waiting", waiting, "filling_waiting", fills, "checks", c.looks.total, "runs", runs, "workers", len(c.workers), "usable", usable, "serving", serving, "images", images, "over", over,
 		"processors", percent(processors, wholeProcessors), "memory", percent(memory, wholeMemory), "filling", percent(filling, wholeProcessors))
 }
 
@@ -45,3 +46,18 @@
 	}
 	return part * 100 / whole
 }
+
+// overTarget returns how many of a worker's serving tasks were last reported
+// over their target.
+func (w *worker) overTarget() int {
+	if w.serving == 0 {
+		return 0
+	}
+	n := 0
+	for _, r := range w.runs {
+		if r.serves() && r.percent >= wholePercent && r.tail > r.task.step.spec.Target {
+			n++
+		}
+	}
+	return n
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dogwoodladder/dogwoodladder/delay"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/progress"
 	"github.com/dogwoodladder/dogwoodladder/provider"
@@ -51,6 +52,7 @@
 	r := c.addRun(t, t.name, w, attempt)
 	r.deadline = c.clockNow(w) + c.timing.StartWindow.Milliseconds()
 	t.attempt = max(t.attempt, attempt)
+	t.delays.Add(delay.Room, c.now-t.waits)
 	c.begun(t.step.job)
 	w.deadline = max(w.deadline, r.deadline)
 	c.unanswered++
--- a/cell/serving.go
+++ b/cell/serving.go
@@ -183,7 +183,9 @@
 }
 
 func (c *Cell) setPace(r *run, percent int) {
+	r.slowed += r.belowSpeed(c.now)
 	r.pace = percent
+	r.paced = c.now
 	r.exposure.change(c.now, c.now+paceDelay, r.worker.share(r.use))
 	order := r.worker.order(c.self.Term, r)
 	order.Percent = percent
@@ -191,6 +193,14 @@
 	c.note("pace", "task", r.name, "worker", r.worker.host.ID, "percent", percent)
 }
 
+// belowSpeed returns what a run has lost since its speed was set.
+func (r *run) belowSpeed(now time.Duration) time.Duration {
+	if r.pace == unknownPace {
+		return 0
+	}
+	return (now - r.paced) * time.Duration(wholePercent-r.pace) / wholePercent
+}
+
 // paced takes the outcome of a pace. One without an answer is given again at
 // the worker's next report.
 func (c *Cell) paced(in PaceReply) {
--- a/cell/urgency.go
+++ b/cell/urgency.go
@@ -78,7 +78,7 @@
 		return inTime, j.arrived + lastingPatience
 	}
 	begun := j.begin(s.round)
-	objective := time.Duration(max(j.terms.Stretch, 1)*float64(j.chain())) + j.terms.Objective
+	objective := j.objective()
 	due := begun + objective - j.chainFrom(s.number)
 	switch {
 	case c.now <= due:
@@ -88,3 +88,8 @@
 	}
 	return tooLate, due
 }
+
+// objective returns how long a job may take, by rough estimates.
+func (j *jobState) objective() time.Duration {
+	return time.Duration(max(j.terms.Stretch, 1)*float64(j.chain())) + j.terms.Objective
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -81,6 +81,8 @@
 	tail      time.Duration // of a serving run
 	use       int64         // thousandths of a core in use, of one that doesn't serve
 	exposure  exposure      // of a filling run
+	paced     time.Duration // when pace was set
+	slowed    time.Duration // lost by working below full speed before then
 	slowSince time.Duration // since when it hardly works by our order, zero if it does
 	probe     bool          // started while its worker was suspect
 }
--- a/cmd/dogwoodladder/explain.go
+++ b/cmd/dogwoodladder/explain.go
@@ -2,23 +2,28 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
+	"github.com/dogwoodladder/dogwoodladder/loss"
 	"github.com/dogwoodladder/dogwoodladder/timeline"
 )
 
 type explainCmd struct {
-	ID   string   `required:"" help:"ID of the job."`
-	Logs []string `arg:"" type:"existingfile" help:"Logs of the instances."`
+	ID     string   `xor:"what" required:"" help:"ID of the job."`
+	Losses bool     `xor:"what" required:"" help:"Show which jobs were late, when and why, instead of one job."`
+	Logs   []string `arg:"" type:"existingfile" help:"Logs of the instances."`
 }
 
-// Run prints what the logs say of a job, in order of time.
+// Run prints what the logs say of a job, in order of time, or of what was
+// late.
 func (c *explainCmd) Run() error {
+	if c.Losses {
+		return c.losses()
+	}
 	t := timeline.New(c.ID)
-	for _, name := range c.Logs {
-		if err := readLog(t, name); err != nil {
-			return err
-		}
+	if err := c.read(t.Read); err != nil {
+		return err
 	}
 	for _, e := range t.Events() {
 		fmt.Println(e)
@@ -29,11 +34,30 @@
 	return nil
 }
 
-func readLog(t *timeline.Timeline, name string) error {
+func (c *explainCmd) losses() error {
+	table := loss.New()
+	if err := c.read(table.Read); err != nil {
+		return err
+	}
+	fmt.Print(table.Report())
+	return nil
+}
+
+// read hands each log to a reader.
+func (c *explainCmd) read(to func(name string, r io.Reader) error) error {
+	for _, name := range c.Logs {
+		if err := readLog(name, to); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(name string, to func(name string, r io.Reader) error) error {
 	f, err := os.Open(name)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	return t.Read(name, f)
+	return to(name, f)
 }
--- a/cmd/dogwoodladder/main.go
+++ b/cmd/dogwoodladder/main.go
@@ -23,7 +23,7 @@
 	Cancel  cancelCmd  `cmd:"" help:"Cancel batch tasks or jobs."`
 	Demo    demoCmd    `cmd:"" help:"Run two zones with load and faults in one process, and check what is guaranteed."`
 	Bench   benchCmd   `cmd:"" help:"Measure policies with fixed seeds; prints Markdown tables."`
-	Explain explainCmd `cmd:"" help:"Show what the logs of all instances say of one job."`
+	Explain explainCmd `cmd:"" help:"Show what the logs of all instances say of one job, or which jobs were late and why."`
 	Entry   nodeCmd    `cmd:"" help:"Run one entry instance of the users' platform."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in of a part of the platform."`
 }
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -68,15 +68,44 @@
 	return &Timeline{id: strings.ToLower(id)}
 }
 
+// Field returns the value of a field, nothing if there is none.
+func (e Event) Field(name string) string {
+	for _, f := range e.Fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return ""
+}
+
 // Read adds the lines of a log that concern the job.
 func (t *Timeline) Read(name string, r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, longest)
-	for scanner.Scan() {
-		line := scanner.Text()
+	return lines(name, r, func(line string) {
 		if strings.Contains(strings.ToLower(line), t.id) {
 			t.add(line)
 		}
+	})
+}
+
+// Each hands the events of a log to a function. Lines that aren't whole are
+// passed over.
+func Each(name string, r io.Reader, f func(Event)) error {
+	return lines(name, r, func(line string) {
+		start := strings.Index(line, "ts=")
+		if start < 0 {
+			return
+		}
+		if e, err := parse(line[start:]); err == nil {
+			f(e)
+		}
+	})
+}
+
+func lines(name string, r io.Reader, f func(string)) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, longest)
+	for scanner.Scan() {
+		f(scanner.Text())
 	}
 	if err := scanner.Err(); err != nil {
 		return fault.Wrap(fault.Invalid, err, "%s", name)
