No site is named outside the adapter, trials and tests

Two examples in package comments used an instance's name of one site and have another now. Nothing else was found.

--- a/dogwoodladder.go
+++ b/dogwoodladder.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	settings, err := setting.Parse("kurasini-1.yaml", data)
+//	settings, err := setting.Parse("edge-1.yaml", data)
 //	if err != nil {
 //		return err
 //	}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	s, err := setting.Parse("kurasini-1.yaml", data)
+//	s, err := setting.Parse("edge-1.yaml", data)
 //	if err != nil {
 //		return err // one line for each problem: file:line:column: reason
 //	}
