How old the list of workers is shows in logs and metrics

Whether an owner starts tasks by an old list of workers couldn't be seen: the logs say neither when it read the list nor how old what it believed was.

A tail's batch says as of when what was applied is whole, on the instance's clock, which goes on while the machine is suspended; the list carries it to the cell. The list is handed on after each read. No decision leans on it yet.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -68,6 +68,7 @@
 	timed       []*jobState   // jobs with occurrences to come
 	saves       saver
 	survey      survey
+	listAsOf    time.Duration // of the list of workers
 	pressure    *pressure.Estimator
 	plan        *colocation.Plan
 	plannedAt   time.Duration
@@ -146,7 +147,7 @@
 	case Arrived:
 		c.arrived(in.Entry)
 	case Hosts:
-		c.listed(in.Hosts)
+		c.listed(in.List)
 	case Configured:
 		c.configured(in.Table)
 	case HoldReply:
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -198,7 +198,7 @@
 	o.life++
 	o.queued = nil
 	o.step(cell.Configured{Table: s.table})
-	o.step(cell.Hosts{Hosts: s.hosts()})
+	o.step(cell.Hosts{List: provider.HostList{Hosts: s.hosts(), AsOf: s.now}})
 	o.step(cell.Waves{Waves: s.wanted})
 	o.tick(o.life)
 }
@@ -242,7 +242,7 @@
 			}
 		}
 	}
-	o.step(cell.Hosts{Hosts: s.hosts()})
+	o.step(cell.Hosts{List: provider.HostList{Hosts: s.hosts(), AsOf: s.now}})
 }
 
 func (o *owner) step(in cell.Input) {
--- a/cell/input.go
+++ b/cell/input.go
@@ -16,9 +16,9 @@
 	Entry catalog.Entry
 }
 
-// Hosts is the list of workers, whole.
+// Hosts is the list of workers. Its AsOf is on the clock of Step.
 type Hosts struct {
-	Hosts []provider.Host
+	List provider.HostList
 }
 
 // Configured is a new configuration.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -112,9 +112,10 @@
 // listed takes the platform's list of workers. One that isn't on it any more
 // gets no new tasks, but its runs stay: the list also forgets workers that
 // merely can't reach the store.
-func (c *Cell) listed(hosts []provider.Host) {
-	on := make(map[string]bool, len(hosts))
-	for _, h := range hosts {
+func (c *Cell) listed(list provider.HostList) {
+	c.listAsOf = list.AsOf
+	on := make(map[string]bool, len(list.Hosts))
+	for _, h := range list.Hosts {
 		on[h.ID] = true
 		w := c.workers[h.ID]
 		if w == nil {
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -49,9 +49,10 @@
 		case waves := <-d.wavesIn:
 			d.waves = waves
 			d.step(cell.Waves{Waves: waves})
-		case hosts := <-d.wanting:
-			d.hosts = hosts
-			d.step(cell.Hosts{Hosts: hosts})
+		case list := <-d.lists:
+			d.list = list
+			d.noteList()
+			d.step(cell.Hosts{List: list})
 		case <-leave:
 			leave = nil
 			d.beginLeave()
@@ -212,9 +213,12 @@
 	d.cell = owned
 	d.setOwning(true, ownerSpacing)
 	d.counters.owned.Add(1)
-	d.logger.Info("owner", zap.Uint64("term", term), zap.Int("jobs", d.catalog.Len()), zap.Int("workers", len(d.catalog.Hosts())))
+	d.owned = d.clock()
+	d.awaited = true
+	d.logger.Info("owner", zap.Uint64("term", term), zap.Int("jobs", d.catalog.Len()), zap.Int("workers", len(d.catalog.Hosts())),
+		zap.Int("listed", len(d.list.Hosts)), zap.Duration("list_age", d.owned-d.list.AsOf))
 	d.step(cell.Configured{Table: d.table.Load()})
-	d.step(cell.Hosts{Hosts: d.hosts})
+	d.step(cell.Hosts{List: d.list})
 	d.step(cell.Waves{Waves: d.waves})
 	if d.isLeaving() {
 		d.cell.Leave() // the claim was under way when the stop began
@@ -222,6 +226,23 @@
 	d.step(cell.Tick{Wall: time.Now()})
 }
 
+// noteList logs the first list of workers that was read by this instance as
+// owner. What it started before, it started by an older one.
+func (d *Dispatcher) noteList() {
+	if d.cell == nil || !d.awaited || d.list.AsOf < d.owned {
+		return
+	}
+	d.awaited = false
+	draining := 0
+	for _, h := range d.list.Hosts {
+		if h.Draining {
+			draining++
+		}
+	}
+	d.logger.Info("list of workers", zap.Uint64("term", d.term), zap.Int("listed", len(d.list.Hosts)), zap.Int("draining", draining),
+		zap.Duration("after", d.clock()-d.owned), zap.Duration("list_age", d.clock()-d.list.AsOf))
+}
+
 func (d *Dispatcher) isLeaving() bool {
 	select {
 	case <-d.leave:
--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -60,23 +61,31 @@
 	savesLost  expvar.Int
 	jobs       expvar.Int
 	rejected   expvar.Int
+	listed     atomic.Int64 // as of when the list of workers is known, on the dispatcher's clock
 	startTime  *Latency
 	saveTime   *Latency
 	acceptTime *Latency
 }
 
-func newCounters() *Counters {
+func newCounters(clock func() time.Duration) *Counters {
 	c := &Counters{vars: new(expvar.Map).Init(), startTime: newLatency(), saveTime: newLatency(), acceptTime: newLatency()}
 	for name, v := range map[string]expvar.Var{
 		"owned": &c.owned, "starts": &c.starts, "stops": &c.stops, "holds": &c.holds, "holds_unanswered": &c.holdsLost,
 		"saves": &c.saves, "saves_failed": &c.savesLost, "jobs_accepted": &c.jobs, "jobs_rejected": &c.rejected,
-		"start_us": quantiles(c.startTime), "save_us": quantiles(c.saveTime), "accept_us": quantiles(c.acceptTime),
+		"list_age_ms": expvar.Func(func() any { return c.listAge(clock()).Milliseconds() }),
+		"start_us":    quantiles(c.startTime), "save_us": quantiles(c.saveTime), "accept_us": quantiles(c.acceptTime),
 	} {
 		c.vars.Set(name, v)
 	}
 	return c
 }
 
+// listAge returns how old the list of workers is, of which an instance that
+// doesn't own the cell reads none.
+func (c *Counters) listAge(now time.Duration) time.Duration {
+	return now - time.Duration(c.listed.Load())
+}
+
 func quantiles(l *Latency) expvar.Func {
 	return func() any { return l.Quantiles() }
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -87,9 +87,11 @@
 	claiming    bool
 	settleAfter time.Duration // no try to settle a claim before then
 	claims      chan claim
-	hosts       []provider.Host
+	list        provider.HostList // of workers, as last read
+	owned       time.Duration     // when this instance became owner
+	awaited     bool              // no list was read since
 	seen        *queue.Table
-	wanting     chan []provider.Host
+	lists       chan provider.HostList
 	waves       []provider.Wave
 	wavesIn     chan []provider.Wave
 }
@@ -145,14 +147,14 @@
 		leave:    make(chan struct{}),
 		left:     make(chan struct{}),
 		claims:   make(chan claim, 1),
-		wanting:  make(chan []provider.Host, 1),
+		lists:    make(chan provider.HostList, 1),
 		wavesIn:  make(chan []provider.Wave, 1),
-		counters: newCounters(),
 		onOwning: func(bool) {},
 	}
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.counters = newCounters(d.clock)
 	d.election = election.New(d.instance, d.nonce, d.processors, election.DefaultTiming(), rand.Float64)
 	d.accepts = d.newTail(catalog.Accepts, d.catalog.Accept, tail.WithSpacing(acceptsSpacing))
 	d.progress = d.newTail(catalog.Progress, d.catalog.Progress, tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
@@ -161,8 +163,11 @@
 }
 
 func (d *Dispatcher) newTail(stream string, fold func(provider.KeyedRecord) error, opts ...tail.Option) *tail.Tail {
-	apply := func(records []provider.KeyedRecord, _ bool) {
-		for _, r := range records {
+	apply := func(b tail.Batch) {
+		if len(b.Records) == 0 && !b.Whole {
+			return
+		}
+		for _, r := range b.Records {
 			if err := fold(r); err != nil {
 				d.logger.Warn("record not understood", zap.String("stream", stream), zap.String("key", r.Key), zap.Error(err))
 			}
@@ -170,7 +175,7 @@
 		d.wake()
 	}
 	report := &reporter{logger: d.logger, dependency: "store", part: stream}
-	opts = append(opts, tail.WithErrors(report.failed))
+	opts = append(opts, tail.WithErrors(report.failed), tail.WithClock(d.clock))
 	return tail.New(d.platform.Store, stream, apply, opts...)
 }
 
@@ -233,9 +238,11 @@
 	return d.table.Load()
 }
 
-// SetHosts hands over the platform's list of workers, whole.
-func (d *Dispatcher) SetHosts(hosts []provider.Host) {
-	replace(d.wanting, hosts)
+// SetHosts hands over the platform's list of workers, whole, after each good
+// read of it. Its AsOf is on the clock of WithClock.
+func (d *Dispatcher) SetHosts(list provider.HostList) {
+	d.counters.listed.Store(int64(list.AsOf))
+	replace(d.lists, list)
 }
 
 // SetWaves hands over the waves of upkeep that the operators asked for, whole.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -330,7 +330,7 @@
 		d := dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers})
 		q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
 		d.Configure(queue.New(1, queue.Limits{}, []queue.Queue{q}, []queue.Service{{Name: "pool"}}))
-		d.SetHosts([]provider.Host{{ID: "w1", Service: "pool", Machine: "m1"}, {ID: "w2", Service: "pool", Machine: "m2"}})
+		d.SetHosts(provider.HostList{Hosts: []provider.Host{{ID: "w1", Service: "pool", Machine: "m1"}, {ID: "w2", Service: "pool", Machine: "m2"}}})
 		go func() { _ = d.Run(ctx) }()
 		time.Sleep(2 * time.Second)
 		is.NoErr(d.Submit(ctx, newJob(1)))
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -24,6 +24,15 @@
 	Cold             time.Duration   `cbor:"10,keyasint,omitempty"` // slow for so long after its start
 }
 
+// HostList is the platform's list of workers, whole, with all that was written
+// to it before AsOf, a time on the reader's clock. Workers come, say that they
+// leave and go within seconds, so an order that leans on a list has to know how
+// old it is.
+type HostList struct {
+	Hosts []Host
+	AsOf  time.Duration
+}
+
 // HasLabel reports whether the worker carries a label.
 func (h *Host) HasLabel(label string) bool {
 	for _, l := range h.Labels {
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -9,7 +9,9 @@
 //
 // Records reach apply in the stream's order, but for the first ones, of which
 // only the newest of each key is given. A reader that fell behind what the
-// stream keeps starts anew with the newest records.
+// stream keeps starts anew with the newest records. Each batch says as of when
+// what was applied is whole, so that a decision can tell how old what it leans
+// on may be.
 package tail
 
 import (
@@ -38,9 +40,19 @@
 	partialAge = 10 * time.Second
 )
 
-// Apply takes records. Whole says that they are the newest record of every
-// key, so that a key which isn't among them is gone.
-type Apply func(records []provider.KeyedRecord, whole bool)
+// Batch is what a good read brought; nothing, if nothing was written.
+type Batch struct {
+	Records []provider.KeyedRecord
+	// Whole says that Records are the newest record of every key, so that a
+	// key which isn't among them is gone.
+	Whole bool
+	// AsOf is a time on the reader's clock. With this batch, all that was
+	// written before it has been applied.
+	AsOf time.Duration
+}
+
+// Apply takes the batches of a stream, one at a time and in order.
+type Apply func(Batch)
 
 // Tail follows one stream. It may be used by several goroutines.
 type Tail struct {
@@ -50,8 +62,8 @@
 	wait   time.Duration
 
 	spacing atomic.Int64 // least time between two reads
-	read    atomic.Int64 // when the last good answer came, nanoseconds since begun
-	begun   time.Time
+	read    atomic.Int64 // when the last good answer came, on clock
+	clock   func() time.Duration
 	loaded  chan struct{}
 	onError func(error)
 	paused  atomic.Bool
@@ -60,9 +72,10 @@
 	loadOnce sync.Once     // closes loaded
 	loading  chan struct{} // held by the one that loads; no mutex, as virtual time stands still for those who wait for one
 	partial  *partial      // of the one that holds loading
-	mu       sync.Mutex    // guards next and the order of apply
+	mu       sync.Mutex    // guards next, have, asOf and the order of apply
 	next     uint64
 	have     bool
+	asOf     time.Duration // all that was written before it was applied
 	end      atomic.Uint64 // of the stream, as of the last answer
 
 	reading    chan struct{} // held by the one that reads to the end; the same
@@ -89,6 +102,12 @@
 	return func(t *Tail) { t.paused.Store(true) }
 }
 
+// WithClock sets the clock of Batch.AsOf and Age. The default stands still while
+// the machine is suspended, so that what was read before counts as new after it.
+func WithClock(clock func() time.Duration) Option {
+	return func(t *Tail) { t.clock = clock }
+}
+
 // WithErrors sets what is told of reads that fail.
 func WithErrors(f func(error)) Option {
 	return func(t *Tail) { t.onError = f }
@@ -96,12 +115,13 @@
 
 // New returns a Tail that hands records to apply.
 func New(store provider.Keyed, stream string, apply Apply, opts ...Option) *Tail {
+	begun := time.Now()
 	t := &Tail{
 		store:   store,
 		stream:  stream,
 		apply:   apply,
 		wait:    defaultWait,
-		begun:   time.Now(),
+		clock:   func() time.Duration { return time.Since(begun) },
 		loaded:  make(chan struct{}),
 		onError: func(error) {},
 		resume:  make(chan struct{}, 1),
@@ -154,7 +174,7 @@
 	if read == 0 {
 		return time.Hour
 	}
-	return time.Since(t.begun) - time.Duration(read)
+	return t.clock() - time.Duration(read)
 }
 
 // Next returns the offset after the last record applied.
@@ -249,6 +269,7 @@
 	}
 	timed, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
+	sent := t.clock()
 	page, err := t.store.Read(timed, t.stream, from, wait)
 	if fault.Is(err, fault.Expired) {
 		t.restart()
@@ -257,7 +278,7 @@
 	if err != nil {
 		return err
 	}
-	t.accept(from, page)
+	t.accept(from, page, sent)
 	return nil
 }
 
@@ -283,8 +304,8 @@
 		return nil // loaded while this one waited
 	}
 	l := t.partial
-	if l == nil || time.Since(l.begun) > partialAge {
-		l = &partial{begun: time.Now()}
+	if l == nil || t.clock()-l.begun > partialAge {
+		l = &partial{begun: t.clock()}
 		t.partial = l
 	}
 	for first := len(l.records) == 0; ; first = false {
@@ -308,7 +329,7 @@
 
 // partial is a load that has read some pages.
 type partial struct {
-	begun   time.Time
+	begun   time.Duration // on the reader's clock
 	records []provider.KeyedRecord
 	after   string // key of the last one
 	next    uint64 // offset from which to read on
@@ -323,28 +344,32 @@
 func (t *Tail) loadedAll(l *partial) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.apply(l.records, true)
+	t.asOf = l.begun // its first page may lack all that was written since
+	t.apply(Batch{Records: l.records, Whole: true, AsOf: t.asOf})
 	t.next = max(t.next, l.next)
 	t.end.Store(l.next)
-	t.read.Store(int64(time.Since(t.begun)))
+	t.read.Store(int64(t.clock()))
 	t.have = true
 	t.loadOnce.Do(func() { close(t.loaded) })
 }
 
-// accept applies the records that no other read has brought.
-func (t *Tail) accept(from uint64, page provider.KeyedPage) {
+// accept applies the records that no other read has brought. A read that was
+// answered up to the stream's end has brought all that was written before it
+// was sent; one that was cut off by its size has not.
+func (t *Tail) accept(from uint64, page provider.KeyedPage, sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	records := page.Records
 	if from < t.next {
 		records = records[min(uint64(len(records)), t.next-from):]
 	}
-	if len(records) > 0 {
-		t.apply(records, false)
-	}
 	t.next = max(t.next, from+uint64(len(page.Records)))
+	if t.next >= page.Next {
+		t.asOf = max(t.asOf, sent)
+	}
+	t.apply(Batch{Records: records, AsOf: t.asOf})
 	t.end.Store(max(t.end.Load(), page.Next)) // an older answer may come after a newer one
-	t.read.Store(int64(time.Since(t.begun)))
+	t.read.Store(int64(t.clock()))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	records []provider.KeyedRecord
 	kept    uint64 // first offset that can be read
+	most    int    // records in an answer to a read, zero for no bound
 	pages   int
 	reads   int
 }
@@ -96,17 +97,65 @@
 	if from < s.kept {
 		return provider.KeyedPage{}, fault.New(fault.Expired, "offset %d", from)
 	}
-	return provider.KeyedPage{Records: s.records[from:], Next: uint64(len(s.records))}, nil
+	records := s.records[from:]
+	if s.most > 0 {
+		records = records[:min(s.most, len(records))]
+	}
+	return provider.KeyedPage{Records: records, Next: uint64(len(s.records))}, nil
+}
+
+// write adds records.
+func (s *narrowStore) write(keys ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range keys {
+		s.records = append(s.records, provider.KeyedRecord{Key: k, Value: []byte{1}, Offset: uint64(len(s.records))})
+	}
+}
+
+// A batch says as of when what was applied is whole, never later than that:
+// a load since its first page was asked for, a read since it was sent, and only
+// if it brought all there is.
+func TestBatchTellsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newNarrowStore(3*pageRecords, 500*time.Millisecond)
+		batches := make(chan tail.Batch, 10)
+		reader := tail.New(s, "jobs", func(b tail.Batch) { batches <- b }, tail.WithSpacing(time.Second))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = reader.Run(ctx) }()
+
+		loaded := <-batches // after three pages
+		is.True(loaded.Whole)
+		is.Equal(len(loaded.Records), 3*pageRecords)
+		is.Equal(loaded.AsOf, time.Duration(0))
+
+		read := <-batches // at once, as the load took longer than the spacing
+		is.Equal(len(read.Records), 0)
+		is.Equal(read.AsOf, 1500*time.Millisecond)
+
+		s.most = 1
+		s.write("a", "b")
+		cut := <-batches
+		is.Equal(len(cut.Records), 1)
+		is.Equal(cut.AsOf, read.AsOf) // there is more
+
+		rest := <-batches
+		is.Equal(len(rest.Records), 1)
+		is.Equal(rest.AsOf, 3500*time.Millisecond)
+		cancel()
+		synctest.Wait()
+	})
 }
 
 // follow runs a Tail over the store until the test ends.
 func follow(t *testing.T, s *narrowStore) (*tail.Tail, func() int) {
 	var mu sync.Mutex
 	keys := make(map[string]bool)
-	apply := func(records []provider.KeyedRecord, _ bool) {
+	apply := func(b tail.Batch) {
 		mu.Lock()
 		defer mu.Unlock()
-		for _, r := range records {
+		for _, r := range b.Records {
 			keys[r.Key] = true
 		}
 	}
