Tests, failing: orders that lean on an old list of workers, or of machines

- TestTakeoverAwaitsTheList: an instance that owned the cell before starts a task by its old list on a worker that leaves.
- TestNoStartByAnOldList: the same through the cell, and four more ways to it: the owner's own record in the first 3 s of a process, reads that fail or take long while writes go on, an owner that stood still.
- TestMachineListIsOlderThanTheWorker: the same cause elsewhere.
A list of machines that was asked for before a worker came up says that its machine carries another life; its tasks count as lost and run twice.

The harness of the cell keeps when workers said that they leave, and lets reads of the list fail or take time; that list's age is part of it. Each start in any test of the cell is held against it.

--- a/cell/checks_test.go
+++ b/cell/checks_test.go
@@ -8,8 +8,15 @@
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
+// leaveNotice is how long a worker that has said that it leaves may still get
+// tasks.
+const leaveNotice = 2 * time.Second
+
 // checkStart holds a start against what must never happen.
 func (s *site) checkStart(w *fakeWorker, o provider.StartOrder) {
+	if w.leaves && s.now-w.leavesAt > leaveNotice {
+		s.violate("leaving: %s on %s, %v after it said that it leaves", o.Task, w.host.ID, s.now-w.leavesAt)
+	}
 	used := s.needOf(o.Task)
 	for _, r := range w.runs {
 		used = used.Add(r.need)
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -132,14 +132,18 @@
 	s.broken = append(s.broken, fmt.Sprintf("%v: ", s.now)+fmt.Sprintf(format, args...))
 }
 
-func (s *site) hosts() []provider.Host {
-	var hosts []provider.Host
+// listAt returns the list of workers as it stood at a time.
+func (s *site) listAt(at time.Duration) provider.HostList {
+	list := provider.HostList{AsOf: at}
 	for _, w := range s.workers {
-		if w.up {
-			hosts = append(hosts, w.host)
+		if !w.up && at >= w.downAt {
+			continue
 		}
+		h := w.host
+		h.Draining = w.leaves && at >= w.leavesAt
+		list.Hosts = append(list.Hosts, h)
 	}
-	return hosts
+	return list
 }
 
 // submit puts a job on record.
@@ -177,6 +181,9 @@
 	frozen   bool
 	queued   []cell.Input
 	noStore  bool
+	noList   bool              // its reads of the list of workers fail
+	listTime time.Duration     // that a read of it takes
+	list     provider.HostList // as it last read it, in whichever term
 	noWorker map[int]bool
 	life     int
 	asking   int // questions for the adviser that are under way
@@ -198,7 +205,7 @@
 	o.life++
 	o.queued = nil
 	o.step(cell.Configured{Table: s.table})
-	o.step(cell.Hosts{List: provider.HostList{Hosts: s.hosts(), AsOf: s.now}})
+	o.step(cell.Hosts{List: o.list})
 	o.step(cell.Waves{Waves: s.wanted})
 	o.tick(o.life)
 }
@@ -242,7 +249,30 @@
 			}
 		}
 	}
-	o.step(cell.Hosts{List: provider.HostList{Hosts: s.hosts(), AsOf: s.now}})
+	o.readList()
+}
+
+// readList hands the list of workers to the cell once it is read.
+func (o *owner) readList() {
+	s := o.site
+	if o.noList {
+		return
+	}
+	if o.listTime == 0 {
+		o.takeList(s.listAt(s.now))
+		return
+	}
+	list, life := s.listAt(s.now), o.life
+	s.after(o.listTime, func() {
+		if o.life == life {
+			o.takeList(list)
+		}
+	})
+}
+
+func (o *owner) takeList(list provider.HostList) {
+	o.list = list
+	o.step(cell.Hosts{List: list})
 }
 
 func (o *owner) step(in cell.Input) {
@@ -310,7 +340,10 @@
 	case cell.ReportWave:
 		s.waves[a.Number] = a.Completed
 	case cell.ListMachines:
-		s.after(2*hop, func() { o.step(s.machines()) })
+		s.after(hop, func() {
+			list := s.machines()
+			s.after(hop, func() { o.step(list) })
+		})
 	case cell.Deposed:
 		o.kill()
 	}
@@ -332,7 +365,7 @@
 }
 
 func (s *site) machines() cell.MachineList {
-	var list cell.MachineList
+	list := cell.MachineList{Sent: s.now - hop}
 	for _, w := range s.workers {
 		m := provider.Machine{ID: w.host.Machine, Host: w.host.ID, State: provider.MachineUp}
 		if !w.up {
--- /dev/null
+++ b/cell/hostlist_test.go
@@ -0,0 +1,110 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/cell"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/job"
+)
+
+// Symptom: tasks are started on workers that said seconds ago that they leave;
+// they are cut off when the worker goes, and run again elsewhere. Sequence: an
+// instance owns the cell for the second time. In between, while it didn't read
+// the list of workers, some said that they leave. It starts the tasks that wait
+// at once, and reads the list 0.4 s later. Cause: a list was taken for how things
+// are, however old it was. What proved it: the starts lie between the log lines
+// of the takeover, with a list 12 s old, and of the first list that was read;
+// owners that had read no list before started nothing in between.
+//
+// The other cases have the same cause in other places: the owner's own record of
+// workers, reads that fail or take long while writes go on, and an owner that
+// stood still.
+func TestNoStartByAnOldList(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(s *site)
+	}{
+		{"an instance owns the cell again", func(s *site) {
+			s.owners[0].take()
+			s.after(time.Second, func() {
+				s.owners[0].kill()
+				s.owners[1].take()
+			})
+			s.after(3*time.Second, func() { s.workers[0].leave(10 * time.Second) })
+			s.after(6*time.Second, func() {
+				s.owners[1].kill()
+				s.owners[0].listTime = 400 * time.Millisecond
+				s.owners[0].take()
+			})
+		}},
+		{"an instance that knows the record alone", func(s *site) {
+			s.owners[0].take()
+			s.after(400*time.Millisecond, func() { s.workers[0].leave(10 * time.Second) })
+			s.after(2500*time.Millisecond, func() {
+				s.owners[0].kill()
+				s.owners[1].listTime = 400 * time.Millisecond
+				s.owners[1].take()
+			})
+		}},
+		{"reads of the list fail", func(s *site) {
+			s.owners[0].take()
+			s.after(1900*time.Millisecond, func() { s.owners[0].noList = true })
+			s.after(2*time.Second, func() { s.workers[0].leave(10 * time.Second) })
+			s.after(8*time.Second, func() { s.owners[0].noList = false })
+		}},
+		{"reads of the list take long", func(s *site) {
+			s.owners[0].take()
+			s.after(1900*time.Millisecond, func() { s.owners[0].listTime = 5 * time.Second })
+			s.after(2*time.Second, func() { s.workers[0].leave(10 * time.Second) })
+			s.after(8*time.Second, func() { s.owners[0].listTime = 0 })
+		}},
+		{"the owner stood still", func(s *site) {
+			s.owners[0].listTime = 50 * time.Millisecond
+			s.owners[0].take()
+			s.after(1900*time.Millisecond, func() { s.owners[0].freeze(4 * time.Second) })
+			s.after(2*time.Second, func() { s.workers[0].leave(10 * time.Second) })
+		}},
+	}
+	for _, tt := range tests {
+		s := newSite(t, 500, 3, 2)
+		s.length = func(string) time.Duration { return 700 * time.Millisecond }
+		s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(80, 2)}}) // more than there is room for
+		for n := 1; n < 40; n++ {
+			s.submit(&job.Job{ID: jobID(n), Spec: "x", Steps: []job.Step{step(3, 2), step(2, 3, 0)}})
+		}
+		tt.play(s)
+		s.run(3 * quiet)
+		t.Log(tt.name)
+		s.mustComplete(40)
+	}
+}
+
+// Symptom: a task runs twice at the same time. Sequence: a machine's worker is
+// silent, and the owner asks what became of the machines. While the answer is on
+// its way another machine comes up anew; its worker gets a task and is silent for
+// a moment. The answer names the life before it. Cause: a list of machines that
+// was made before a worker was last heard was taken for news of that worker.
+func TestMachineListIsOlderThanTheWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 501, 4, 1)
+	s.length = func(string) time.Duration { return 6 * time.Second }
+	s.owners[0].take()
+	s.after(2*time.Second, func() { s.workers[0].crash(300*time.Millisecond, 1) })
+	s.after(2400*time.Millisecond, func() { fill(s, 4) })
+	// The list as it was before the worker came back; the answer takes 1.2 s.
+	var old cell.MachineList
+	s.after(2250*time.Millisecond, func() { old = s.machines() })
+	s.after(2700*time.Millisecond, func() {
+		is.True(len(s.workers[0].runs) > 0) // the new life has tasks
+		s.owners[0].noWorker[0] = true
+		s.owners[0].step(cell.HoldReply{Host: s.workers[0].host.ID, Err: fault.New(fault.Unavailable, "reset")})
+	})
+	s.after(3450*time.Millisecond, func() { s.owners[0].step(old) })
+	s.after(3500*time.Millisecond, func() { s.owners[0].noWorker[0] = false })
+	s.run(quiet)
+	s.mustComplete(4)
+}
--- a/cell/input.go
+++ b/cell/input.go
@@ -98,6 +98,7 @@
 // MachineList is the outcome of a ListMachines.
 type MachineList struct {
 	Machines []provider.Machine
+	Sent     time.Duration // when it was asked for
 	Err      error
 }
 
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -17,6 +17,9 @@
 	number   int
 	host     provider.Host
 	up       bool
+	downAt   time.Duration // when it went, if it isn't up
+	leaves   bool          // it has said that it leaves
+	leavesAt time.Duration // when it did
 	token    uint64
 	deadline int64
 	runs     map[string]*fakeRun
@@ -72,9 +75,21 @@
 	return (w.offset + time.Duration(float64(w.site.now)*w.rate)).Milliseconds()
 }
 
+// leave has the worker say that it leaves, and go a while later.
+func (w *fakeWorker) leave(lingers time.Duration) {
+	w.leaves = true
+	w.leavesAt = w.site.now
+	w.site.after(lingers, func() {
+		w.up = false
+		w.downAt = w.site.now
+		clear(w.runs)
+	})
+}
+
 // crash ends the worker's life; another one comes up after down.
 func (w *fakeWorker) crash(down time.Duration, life int) {
 	w.up = false
+	w.downAt = w.site.now
 	clear(w.runs)
 	w.site.after(down, func() {
 		fresh := newFakeWorker(w.site, w.number, life)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -341,6 +341,39 @@
 	})
 }
 
+// Symptom: tasks are started on workers that said seconds ago that they leave.
+// Sequence: an instance that owned the cell before, and read the list of workers
+// then, takes it again. Jobs wait, and the list is read 0.4 s later. Cause: the
+// list from the earlier term was kept, and handed to the cell as if it were new.
+func TestTakeoverAwaitsTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		begun := time.Now()
+		clock := func() time.Duration { return 30*time.Second + time.Since(begun) }
+		owning := make(chan bool, 1)
+		workers := &muteWorkers{}
+		d := dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers},
+			dispatcher.WithClock(clock), dispatcher.WithOwning(func(now bool) { owning <- now }))
+		q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
+		d.Configure(queue.New(1, queue.Limits{}, []queue.Queue{q}, []queue.Service{{Name: "pool"}}))
+		leaves, stays := provider.Host{ID: "w1", Service: "pool"}, provider.Host{ID: "w2", Service: "pool"}
+		d.SetHosts(provider.HostList{Hosts: []provider.Host{leaves}, AsOf: 10 * time.Second})
+		go func() { _ = d.Run(ctx) }()
+		is.NoErr(d.Submit(ctx, newJob(1)))
+		is.True(<-owning)
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(workers.started(), 0) // it doesn't know yet who leaves
+		leaves.Draining = true
+		d.SetHosts(provider.HostList{Hosts: []provider.Host{leaves, stays}, AsOf: clock()})
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(workers.started(), 1)
+		is.Equal(workers.starts[0].Host.ID, stays.ID)
+		cancel()
+		time.Sleep(3 * time.Second) // for the holds that are under way
+	})
+}
+
 // Symptom: tasks that are done run again. Sequence: an instance claims the
 // cell, the claim is written, and reading what was accepted before it fails;
 // meanwhile the instance reads its own claim back. Cause: a claim that was read
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -114,8 +114,9 @@
 	if d.platform.Machines == nil {
 		return cell.MachineList{Err: fault.New(fault.Unavailable, "the site has no list of machines")}
 	}
+	sent := d.clock()
 	machines, err := d.platform.Machines.List(ctx)
-	return cell.MachineList{Machines: machines, Err: err}
+	return cell.MachineList{Machines: machines, Sent: sent, Err: err}
 }
 
 // advise asks the adviser.
