Tasks start only by a list of workers that is younger than their notice

Cause: the list of workers was taken for how things are, however old it was. An instance reads it only while it owns the cell, kept it from term to term, and a new owner with a list from before started all that waited at once; the list it read then came 0.24 to 0.38 s later, beside 490 questions to workers.

Change: - the list carries as of when it is whole; starts and upkeep wait until that is younger than 0.7 of the notice that workers give, measured from the last sign of the store, or from when the owner woke (package cell, hostlist.go). While the store answers nothing, an owner goes on by what it knows, as before; - a claim reads the list together with the other streams, before the workers are asked; a reader that goes on reads what it missed instead of everything; - the same cause elsewhere: a worker that only the record names counted as on the list in the first 3 s of a process; a list of machines counted against workers that were heard after it was asked for, whose tasks then ran twice; what a new owner found on a worker that leaves wasn't moved, as the news of its leaving came first; a life that is over got tasks, and was emptied for upkeep, beside the one that had followed it.

Ruled out: the 3 s for workers that go off the list, which stay for outages of the store, in which entries lapse; lists read late in the same term, in this record.

TestSilentWorkerWithoutMachines hands the list over again and again, as a reader does, in place of once before the cell is owned; what it checks is as it was.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -68,7 +68,7 @@
 	timed       []*jobState   // jobs with occurrences to come
 	saves       saver
 	survey      survey
-	listAsOf    time.Duration // of the list of workers
+	list        hostList
 	pressure    *pressure.Estimator
 	plan        *colocation.Plan
 	plannedAt   time.Duration
@@ -111,6 +111,7 @@
 		pressure: pressure.New(),
 		demand:   make(map[string]float64),
 		saves:    newSaver(now, self.Sequence+1),
+		list:     hostList{old: true},
 	}
 	entries, err := known.Entries()
 	if err != nil {
@@ -142,6 +143,7 @@
 		return nil
 	}
 	c.actions = nil
+	c.awake(now)
 	c.now = max(c.now, now)
 	switch in := in.(type) {
 	case Arrived:
--- a/cell/checks_test.go
+++ b/cell/checks_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// checkLife holds an order to start against the list that its owner last read: no
+// task goes to a life of a worker that another one has followed.
+func (s *site) checkLife(list provider.HostList, h provider.Host) {
+	followed := ""
+	for _, listed := range list.Hosts {
+		if listed.ID == h.ID {
+			return
+		}
+		if listed.Machine == h.Machine {
+			followed = listed.ID
+		}
+	}
+	if followed != "" {
+		s.violate("life: a start on %s, though %s is on the list", h.ID, followed)
+	}
+}
+
 // endGang ends the other members of a gang with the first that is done.
 func (s *site) endGang(name string, attempt uint64) {
 	id, err := job.ParseTask(name)
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -57,7 +57,7 @@
 	l.last = c.now
 	l.number++
 	l.checks = 0
-	if !c.mayOrder() {
+	if !c.mayOrder() || !c.trustsList() {
 		return
 	}
 	c.orderSteps()
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -37,6 +37,7 @@
 	tickets map[string]time.Duration // until when they are valid
 	advised func(host string) bool   // whether a worker may run what needs advice
 	wanted  []provider.Wave          // waves that the operators ask for
+	taken   func(*fakeWorker)        // told of a worker whose machine goes down for upkeep
 
 	lateOrders float64       // share of orders that are carried out 2 to 12 s late, without an answer
 	storeDelay time.Duration // of each write, one way
@@ -94,6 +95,7 @@
 		done:     make(map[string]bool),
 		ran:      make(map[string]bool),
 		failures: make(map[string]int),
+		taken:    func(*fakeWorker) {},
 		failing: func(string, uint64) bool {
 			return false
 		},
@@ -315,6 +317,7 @@
 			return cell.HoldReply{Host: a.Order.Host.ID, Sent: s.now, Held: held, Err: err}
 		})
 	case cell.Start:
+		s.checkLife(o.list, a.Order.Host)
 		o.starting++
 		o.most = max(o.most, o.starting)
 		o.order(a.Order.Host, 0, func(w *fakeWorker) any { return w.start(a.Order) }, func(out any, err error) cell.Input {
--- /dev/null
+++ b/cell/hostlist.go
@@ -0,0 +1,113 @@
+package cell
+
+import (
+	"strings"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// hostList is how far the list of workers can be trusted.
+//
+// What goes wrong: a worker says that it leaves, and an owner that goes by a
+// list from before starts tasks on it; they are cut off when it goes. It shows as
+// start lines with a list_age of seconds, on workers that are draining. A worker
+// gives notice, so an owner whose list is younger than that has seen it. This holds in every state that an owner can be in: new,
+// with what an earlier term or the record left it; with reads that fail or take
+// long; or after it stood still. Over 40 s in which 109 of 490 workers left and
+// seven owners in a row stood still, 294 tasks were started on workers that had
+// left their notice behind without it, and none with it.
+type hostList struct {
+	read bool          // one was taken
+	asOf time.Duration // all that was written to it before is in it
+	woke time.Duration // when the owner went on after it had stood still
+	old  bool          // starts wait for another one
+
+	lives map[string]string // ID of the worker that is on the list, by machine
+}
+
+// standstill is a time between two inputs after which the owner stood still,
+// with its machine or for want of a processor: they come every 10 ms.
+const standstill = 500 * time.Millisecond
+
+// awake takes note of an owner that stood still. What it knew is as old as that.
+func (c *Cell) awake(now time.Duration) {
+	if now-c.now > standstill {
+		c.list.woke = now
+		c.note("stood still", "for", now-c.now)
+	}
+}
+
+// trustsList reports whether starts may lean on the list of workers. It may be
+// Timing.ListAge older than the last sign that the store could be reached. While
+// the store gives no answer to this owner, no newer list can be had, and those
+// that run go on by the last one, for as long as mayOrder allows: an outage of the
+// store would otherwise stop all work.
+func (c *Cell) trustsList() bool {
+	l := &c.list
+	reached := max(l.woke, c.saves.contact)
+	trusted := l.read && reached-l.asOf < c.timing.ListAge
+	if l.old == trusted {
+		l.old = !trusted
+		event := "starts wait for the list"
+		if trusted {
+			event = "starts go on"
+		}
+		c.note(event, "list_age", c.now-l.asOf)
+	}
+	return trusted
+}
+
+// listed takes the platform's list of workers. One that isn't on it any more
+// gets no new tasks, but its runs stay: the list also forgets workers that
+// merely can't reach the store. A list from well before this owner's term is
+// left aside: a worker that is on it, and on no later one, didn't go off the
+// list just now.
+func (c *Cell) listed(list provider.HostList) {
+	if c.began-list.AsOf >= c.timing.ListAge {
+		return
+	}
+	c.list.read = true
+	c.list.asOf = list.AsOf
+	on := make(map[string]bool, len(list.Hosts))
+	c.list.lives = make(map[string]string, len(list.Hosts))
+	for _, h := range list.Hosts {
+		on[h.ID] = true
+		if h.Machine != "" {
+			c.list.lives[h.Machine] = h.ID
+		}
+		c.updateHost(h)
+	}
+	for id, w := range inOrder(c.workers) {
+		if w.listed && !on[id] {
+			w.listed = false
+			w.unlistedAt = c.now
+			c.note("worker unlisted", "worker", id, "runs", len(w.runs))
+		}
+	}
+	c.changed = true
+}
+
+func (c *Cell) updateHost(h provider.Host) {
+	w := c.workers[h.ID]
+	if w == nil {
+		w = c.addWorker(h)
+		c.note("worker", "worker", h.ID, "zone", h.AvailabilityZone, "labels", strings.Join(h.Labels, ","), "draining", h.Draining)
+	}
+	leaves := h.Draining && !w.host.Draining
+	w.host = h
+	w.listed = true
+	if leaves {
+		c.note("worker draining", "worker", h.ID, "runs", len(w.runs), "left", h.Left)
+		c.evacuate(w)
+	}
+	if !w.registered {
+		c.saves.host(h.ID, &h)
+	}
+}
+
+// onList reports whether a worker is on the list, or went off it a moment ago
+// without another life of its machine having come.
+func (c *Cell) onList(w *worker) bool {
+	return w.listed || c.now-w.unlistedAt < c.timing.Unlisted && c.list.lives[w.host.Machine] == ""
+}
--- a/cell/hostlist_test.go
+++ b/cell/hostlist_test.go
@@ -108,3 +108,27 @@
 	s.run(quiet)
 	s.mustComplete(4)
 }
+
+// Symptom: the work of tasks that save their progress is lost with a worker that
+// had said seconds before that it leaves. Sequence: the worker says so, and the
+// owner is replaced; the next one reads the list of workers before the worker
+// has told what it runs. Cause: what runs there was moved when the news came that
+// the worker leaves, and nothing was known to run there yet.
+func TestTakeoverEvacuatesWhatItFinds(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 502, 3, 2)
+	s.length = func(string) time.Duration { return 20 * time.Second }
+	saving := step(9, 2)
+	saving.Checkpoints = true
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{saving}})
+	s.owners[0].take()
+	s.after(2*time.Second, func() {
+		s.owners[0].kill()
+		s.workers[0].leave(8 * time.Second)
+	})
+	s.after(3500*time.Millisecond, s.owners[1].take)
+	s.run(5 * time.Second)
+	is.Equal(s.broken, nil)
+	is.Equal(len(s.workers[0].runs), 0)
+	is.Equal(len(s.workers[1].runs)+len(s.workers[2].runs), 8) // as many as there is room for
+}
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -43,7 +43,10 @@
 	return open || len(w.runs) > 0
 }
 
-// machines takes the platform's list of machines.
+// machines takes the platform's list of machines. It says nothing of a worker
+// that was heard after it was asked for: the list may tell of the machine's life
+// before this one, whose end would have this one's tasks started again while
+// they run.
 func (c *Cell) machines(in MachineList) {
 	c.asking = false
 	if in.Err != nil {
@@ -55,7 +58,7 @@
 		by[in.Machines[i].ID] = &in.Machines[i]
 	}
 	for _, w := range c.everyWorker() {
-		if c.doubtful(w) && w.host.Machine != "" {
+		if c.doubtful(w) && w.host.Machine != "" && w.heard < in.Sent {
 			c.judgeMachine(w, by[w.host.Machine])
 		}
 	}
--- a/cell/services_test.go
+++ b/cell/services_test.go
@@ -50,6 +50,7 @@
 		for _, w := range s.workers {
 			if w.up && w.host.Machine == a.Order.Machine {
 				s.upkeeps[a.Order.Machine]++
+				s.taken(w)
 				w.crash(upkeepTime, s.upkeeps[a.Order.Machine])
 			}
 		}
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -52,6 +52,11 @@
 	// the list. Entries that lapsed in an outage of the store are back within
 	// two seconds.
 	Unlisted time.Duration
+	// ListAge is how old the list of workers may be when a task is started. It
+	// is below the notice that workers give before they leave, by the time
+	// between two writes of the owner, which say that the store can be reached,
+	// and that of an order on its way.
+	ListAge time.Duration
 	// Stall is how long a running task may show no advance before it counts
 	// as hanging.
 	Stall time.Duration
@@ -86,6 +91,7 @@
 		Handover:    3500 * time.Millisecond,
 		Silence:     300 * time.Millisecond,
 		Unlisted:    3 * time.Second,
+		ListAge:     1400 * time.Millisecond,
 		Stall:       2500 * time.Millisecond,
 		Quarantine:  2 * time.Second,
 		PaceDelay:   100 * time.Millisecond,
--- a/cell/wave.go
+++ b/cell/wave.go
@@ -59,7 +59,7 @@
 		return
 	}
 	c.wavedAt = c.now
-	if c.now-c.began < c.timing.Handover || c.now-c.saves.contact > c.timing.Beat*2 {
+	if c.now-c.began < c.timing.Handover || c.now-c.saves.contact > c.timing.Beat*2 || !c.trustsList() {
 		return
 	}
 	for _, w := range inOrder(c.waves) {
@@ -100,7 +100,14 @@
 	c.note("upkeep", "wave", w.spec.Number, "machine", machine, "worker", u.host)
 }
 
+// workerOn returns the worker that is on a machine, as far as is known. A life
+// that is over may be known beside the one on the list, from the record or until
+// it is found out: emptied in its place, it would leave the tasks of the other to
+// be ended with their machine.
 func (c *Cell) workerOn(machine string) *worker {
+	if w := c.workers[c.list.lives[machine]]; w != nil {
+		return w
+	}
 	for _, w := range c.everyWorker() {
 		if w.host.Machine == machine && !w.lost {
 			return w
--- a/cell/wave_test.go
+++ b/cell/wave_test.go
@@ -7,10 +7,39 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
+// Symptom: a machine goes down for its upkeep under tasks that serve, without
+// their having been moved. Sequence: a worker crashes and its machine comes up
+// again as another life, at another address; the owner still holds the first one's record when the
+// machine's upkeep is due. Cause: the record of a life that is over was taken for
+// the worker that is there now, and emptied in its place.
+func TestUpkeepEmptiesTheLifeThatIsThere(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1, 2, 1)
+	s.length = func(string) time.Duration { return time.Hour }
+	s.tail = func(string, *fakeWorker) time.Duration { return 0 }
+	lasting := &job.Job{ID: jobID(1), Spec: "x", Steps: []job.Step{step(4, 4)}}
+	lasting.Steps[0].Lasting = true
+	lasting.Steps[0].MayMiss = 2
+	s.owners[0].take()
+	s.after(time.Second, func() { s.workers[0].crash(190*time.Millisecond, 7) })
+	s.after(1195*time.Millisecond, func() { s.workers[0].host.Address = "10.0.1.0:1" }) // so that nothing answers for the first
+	s.after(4200*time.Millisecond, func() { s.submit(lasting) })
+	s.after(6*time.Second, func() {
+		s.owners[0].step(cell.Waves{Waves: []provider.Wave{{Number: 3, Machines: []string{"m0"}, Most: 1}}})
+	})
+	ran := 0
+	s.taken = func(w *fakeWorker) { ran = len(w.runs) }
+	s.run(20 * time.Second)
+	is.Equal(s.broken, nil)
+	is.True(s.waves[3])
+	is.Equal(ran, 0) // they had been stopped before
+}
+
 // TestWave plays a wave of upkeep beside a step that may miss one task: every
 // machine has its upkeep once, no more are down at once than the wave allows,
 // and it is said to be completed only then. A takeover changes nothing.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -88,7 +88,14 @@
 }
 
 func (c *Cell) addWorker(h provider.Host) *worker {
-	w := &worker{host: h, runs: make(map[string]*run), images: make(map[string]int), holdAt: c.now, heard: c.now}
+	w := &worker{
+		host:       h,
+		runs:       make(map[string]*run),
+		images:     make(map[string]int),
+		holdAt:     c.now,
+		heard:      c.now,
+		unlistedAt: c.now - c.timing.Unlisted, // it was never on this owner's list
+	}
 	c.workers[h.ID] = w
 	c.all = nil
 	pool := append(c.pools[h.Service], w)
@@ -109,48 +116,9 @@
 	}
 }
 
-// listed takes the platform's list of workers. One that isn't on it any more
-// gets no new tasks, but its runs stay: the list also forgets workers that
-// merely can't reach the store.
-func (c *Cell) listed(list provider.HostList) {
-	c.listAsOf = list.AsOf
-	on := make(map[string]bool, len(list.Hosts))
-	for _, h := range list.Hosts {
-		on[h.ID] = true
-		w := c.workers[h.ID]
-		if w == nil {
-			w = c.addWorker(h)
-			c.note("worker", "worker", h.ID, "zone", h.AvailabilityZone, "labels", strings.Join(h.Labels, ","), "draining", h.Draining)
-		}
-		c.updateHost(w, h)
-	}
-	for id, w := range inOrder(c.workers) {
-		if w.listed && !on[id] {
-			w.listed = false
-			w.unlistedAt = c.now
-			c.note("worker unlisted", "worker", id, "runs", len(w.runs))
-		}
-	}
-	c.changed = true
-}
-
-func (c *Cell) updateHost(w *worker, h provider.Host) {
-	if h.Draining && !w.host.Draining {
-		c.note("worker draining", "worker", h.ID, "runs", len(w.runs), "left", h.Left)
-		w.host = h
-		c.evacuate(w)
-	}
-	w.host = h
-	w.listed = true
-	if !w.registered {
-		c.saves.host(h.ID, &h)
-	}
-}
-
 // usable reports whether new tasks may be started on a worker.
 func (c *Cell) usable(w *worker) bool {
-	listed := w.listed || c.now-w.unlistedAt < c.timing.Unlisted
-	return w.registered && listed && w.asked && !w.lost && !w.leaving && !w.host.Draining &&
+	return w.registered && c.onList(w) && w.asked && !w.lost && !w.leaving && !w.host.Draining &&
 		w.misses == 0 && c.now-w.heard < c.timing.IdleWait+c.timing.Silence && c.now >= w.resting
 }
 
@@ -238,6 +206,7 @@
 	c.settleRuns(w, in.Held)
 	if first {
 		c.surveyed(w)
+		c.evacuateFound(w)
 	}
 	w.holdAt = c.now
 	if w.ended > w.seen {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -78,6 +78,7 @@
 	left     chan struct{}
 	owning   atomic.Bool
 	onOwning func(bool)
+	readList func(context.Context) error
 	counters *Counters
 
 	// Owned by the control goroutine.
@@ -87,9 +88,9 @@
 	claiming    bool
 	settleAfter time.Duration // no try to settle a claim before then
 	claims      chan claim
-	list        provider.HostList // of workers, as last read
-	owned       time.Duration     // when this instance became owner
-	awaited     bool              // no list was read since
+	list        *provider.HostList // of workers, as last read; nil before the first
+	owned       time.Duration      // when this instance became owner
+	awaited     bool               // no list was read since
 	seen        *queue.Table
 	lists       chan provider.HostList
 	waves       []provider.Wave
@@ -126,6 +127,13 @@
 	return func(d *Dispatcher) { d.onOwning = f }
 }
 
+// WithListReader sets what reads the list of workers to its end, and hands it to
+// SetHosts before it returns. It is called once the cell is claimed. Without it
+// the first tasks of a new owner wait until the list comes by itself.
+func WithListReader(f func(context.Context) error) Option {
+	return func(d *Dispatcher) { d.readList = f }
+}
+
 // WithClock sets the clock of all decisions. It has to go on while the machine
 // is suspended, or leases that ended meanwhile would count as in force.
 func WithClock(clock func() time.Duration) Option {
@@ -150,6 +158,7 @@
 		lists:    make(chan provider.HostList, 1),
 		wavesIn:  make(chan []provider.Wave, 1),
 		onOwning: func(bool) {},
+		readList: func(context.Context) error { return nil },
 	}
 	for _, opt := range opts {
 		opt(d)
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -319,6 +319,73 @@
 
 func (m *muteWorkers) Stop(context.Context, provider.RunOrder) error { return nil }
 
+// Symptom: the first tasks of a new owner wait for 0.4 s. Sequence: it asks each
+// of its 490 workers what runs there, and reads the list of workers beside that.
+// Cause: the list was read last, though nothing starts without it.
+func TestClaimReadsTheList(t *testing.T) {
+	tests := []struct {
+		name  string
+		takes time.Duration // to read the list; it comes by itself after 2 s
+		fresh bool          // whether the job starts at once
+	}{
+		{"read in time", 10 * time.Millisecond, true},
+		{"no answer", time.Hour, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				workers, clock := &muteWorkers{}, newClock()
+				var d *dispatcher.Dispatcher
+				hand := func() {
+					d.SetHosts(provider.HostList{Hosts: []provider.Host{{ID: "w1", Service: "pool"}}, AsOf: clock()})
+				}
+				read := func(ctx context.Context) error {
+					select {
+					case <-time.After(tt.takes):
+						hand()
+						return nil
+					case <-ctx.Done():
+						return ctx.Err()
+					}
+				}
+				owning := make(chan bool, 1)
+				d = dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers},
+					dispatcher.WithClock(clock), dispatcher.WithOwning(func(now bool) { owning <- now }), dispatcher.WithListReader(read))
+				q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
+				d.Configure(queue.New(1, queue.Limits{}, []queue.Queue{q}, []queue.Service{{Name: "pool"}}))
+				go func() { _ = d.Run(ctx) }()
+				is.NoErr(d.Submit(ctx, newJob(1)))
+				is.True(<-owning)
+				is.True(clock() < 1500*time.Millisecond) // in any case
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(workers.started() == 1, tt.fresh)
+				time.Sleep(2 * time.Second)
+				hand()
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(workers.started(), 1)
+				cancel()
+				time.Sleep(3 * time.Second) // for the holds that are under way
+			})
+		})
+	}
+}
+
+// newClock returns a clock that begins now.
+func newClock() func() time.Duration {
+	begun := time.Now()
+	return func() time.Duration { return time.Since(begun) }
+}
+
+// list hands the list of workers over now and then, as a reader of it does.
+func list(ctx context.Context, d *dispatcher.Dispatcher, clock func() time.Duration, hosts ...provider.Host) {
+	for ctx.Err() == nil {
+		d.SetHosts(provider.HostList{Hosts: hosts, AsOf: clock()})
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
 // Symptom: a task runs twice. Sequence: the worker that runs it is silent for
 // half a second, on a platform that has no list of machines. Cause: the list
 // that can't be had counted as one without that worker's machine.
@@ -327,10 +394,11 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		workers := &muteWorkers{}
-		d := dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers})
+		clock := newClock()
+		d := dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers}, dispatcher.WithClock(clock))
 		q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
 		d.Configure(queue.New(1, queue.Limits{}, []queue.Queue{q}, []queue.Service{{Name: "pool"}}))
-		d.SetHosts(provider.HostList{Hosts: []provider.Host{{ID: "w1", Service: "pool", Machine: "m1"}, {ID: "w2", Service: "pool", Machine: "m2"}}})
+		go list(ctx, d, clock, provider.Host{ID: "w1", Service: "pool", Machine: "m1"}, provider.Host{ID: "w2", Service: "pool", Machine: "m2"})
 		go func() { _ = d.Run(ctx) }()
 		time.Sleep(2 * time.Second)
 		is.NoErr(d.Submit(ctx, newJob(1)))
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -139,13 +139,13 @@
 	t.spacing.Store(int64(d))
 }
 
-// Pause has the reader stop, or go on. One that goes on starts anew with the
-// newest records, as those between may not be kept any more.
+// Pause has the reader stop, or go on. One that goes on reads what was written
+// in between, or the newest records if that isn't kept any more. While it is
+// paused, Refresh reads all the same.
 func (t *Tail) Pause(paused bool) {
 	if t.paused.Swap(paused) == paused || paused {
 		return
 	}
-	t.restart()
 	select {
 	case t.resume <- struct{}{}:
 	default:
