Entries and records by another writer name nothing to use, and spoil nothing

Cause: an entry of a worker was believed as far as it could be decoded, and what couldn't be left the worker as it was. A wave without a number, machines or bound was carried out with zeros. One odd state failed the whole list of machines, one odd row the adviser's answer. A job's record in our own stream that decodes but isn't sound ended each instance that became owner.

Records of our streams are held against what this version writes. Machines of which nothing is understood are no evidence that a worker is gone.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -196,19 +196,36 @@
 	return fault.New(fault.Invalid, "unknown key %q", r.Key)
 }
 
+// checkJob holds a job's record against what this version writes. A record of
+// another version or hand that decodes all the same, with fewer than no tasks or
+// a step that depends on one that isn't there, would end every instance that
+// becomes owner, one after the other.
+func checkJob(id string, j *job.Job) error {
+	if j.ID != id {
+		return fault.New(fault.Invalid, "record of job %s tells of job %q", id, j.ID)
+	}
+	if err := j.Check(); err != nil {
+		return fault.Wrap(fault.Invalid, err, "record of job %s", id)
+	}
+	return nil
+}
+
 func (c *Catalog) accept(id string, value []byte) error {
 	if len(value) == 0 {
 		delete(c.entries, id)
 		return nil
 	}
-	e := c.entry(id)
-	if e.Job != nil {
+	if e := c.entries[id]; e != nil && e.Job != nil {
 		return nil
 	}
 	j := &job.Job{}
 	if err := cbor.Unmarshal(value, j); err != nil {
 		return fault.Wrap(fault.Invalid, err, "record of job %s", id)
 	}
+	if err := checkJob(id, j); err != nil {
+		return err
+	}
+	e := c.entry(id)
 	e.Job = j
 	if e.Progress != nil {
 		e.Progress.Bind(j)
@@ -297,6 +314,9 @@
 	if err := cbor.Unmarshal(value, &h); err != nil {
 		return fault.Wrap(fault.Invalid, err, "record of worker %s", id)
 	}
+	if h.ID != id || h.Address == "" {
+		return fault.New(fault.Invalid, "record of worker %s tells of %q at %q", id, h.ID, h.Address)
+	}
 	c.hosts[id] = h
 	return nil
 }
--- a/cell/checks_test.go
+++ b/cell/checks_test.go
@@ -12,11 +12,18 @@
 // tasks.
 const leaveNotice = 2 * time.Second
 
+// listNotice is the time until an owner has read a change of the list, and an
+// order that it gave before has arrived.
+const listNotice = tickTime + 2*hop
+
 // checkStart holds a start against what must never happen.
 func (s *site) checkStart(w *fakeWorker, o provider.StartOrder) {
 	if w.leaves && s.now-w.leavesAt > leaveNotice {
 		s.violate("leaving: %s on %s, %v after it said that it leaves", o.Task, w.host.ID, s.now-w.leavesAt)
 	}
+	if w.unsound && s.now-w.spoiled > listNotice {
+		s.violate("unsound: %s on %s, %v after its entry was spoiled", o.Task, w.host.ID, s.now-w.spoiled)
+	}
 	used := s.needOf(o.Task)
 	for _, r := range w.runs {
 		used = used.Add(r.need)
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -141,6 +141,10 @@
 		if !w.up && at >= w.downAt {
 			continue
 		}
+		if w.unsound {
+			list.Unsound = append(list.Unsound, w.host.ID)
+			continue
+		}
 		h := w.host
 		h.Draining = w.leaves && at >= w.leavesAt
 		list.Hosts = append(list.Hosts, h)
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -85,6 +85,11 @@
 			c.note("worker unlisted", "worker", id, "runs", len(w.runs))
 		}
 	}
+	for _, id := range list.Unsound {
+		if w := c.workers[id]; w != nil {
+			w.unlistedAt = c.now - c.timing.Unlisted // it gets no task from now on
+		}
+	}
 	c.changed = true
 }
 
--- a/cell/hostlist_test.go
+++ b/cell/hostlist_test.go
@@ -132,3 +132,32 @@
 	is.Equal(len(s.workers[0].runs), 0)
 	is.Equal(len(s.workers[1].runs)+len(s.workers[2].runs), 8) // as many as there is room for
 }
+
+// Symptom: a worker whose entry was written over gets tasks, or what runs on it
+// is run again or never heard of any more. Sequence: the entry is spoiled while
+// tasks run there, is sound again later, and the cell changes hands in between.
+// Cause: a worker off the list gets tasks for a while; what it runs goes on.
+func TestUnsoundEntryInTheList(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		is := is.New(t)
+		s := newSite(t, 503, 3, 2)
+		s.length = func(string) time.Duration { return 700 * time.Millisecond }
+		fill(s, 60)
+		s.owners[0].take()
+		s.after(2*time.Second, func() { s.workers[0].spoil(6 * time.Second) })
+		if takeover {
+			s.after(4*time.Second, func() {
+				s.owners[0].kill()
+				s.owners[1].take()
+			})
+		}
+		later := 0
+		s.after(12*time.Second, func() { later = len(s.workers[0].barred) })
+		s.run(2500 * time.Millisecond)
+		before := len(s.workers[0].barred)
+		s.run(quiet * 2)
+		s.mustComplete(60)
+		is.True(before > 0)
+		is.True(later > before) // used again
+	}
+}
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/provider"
@@ -54,12 +55,20 @@
 		return
 	}
 	by := make(map[string]*provider.Machine, len(in.Machines))
+	odd := 0
 	for i := range in.Machines {
-		by[in.Machines[i].ID] = &in.Machines[i]
+		m := &in.Machines[i]
+		by[m.ID] = m
+		if m.State == provider.MachineUnknown {
+			odd++
+		}
+	}
+	if odd > 0 {
+		c.note("machines not understood", "machines", odd)
 	}
 	for _, w := range c.everyWorker() {
 		if c.doubtful(w) && w.host.Machine != "" && w.heard < in.Sent {
-			c.judgeMachine(w, by[w.host.Machine])
+			c.judgeMachine(w, cmp.Or(by[w.host.Machine], by[""]))
 		}
 	}
 }
@@ -68,6 +77,8 @@
 	switch {
 	case m == nil:
 		c.lose(w, "machine is gone")
+	case m.State == provider.MachineUnknown:
+		// nothing is known of it
 	case m.Host != "" && m.Host != w.host.ID:
 		c.lose(w, "machine carries another life")
 	case m.State != provider.MachineUp:
--- a/cell/records_test.go
+++ b/cell/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
@@ -119,3 +120,31 @@
 	}
 	return "panic"
 }
+
+func FuzzRecords(f *testing.F) {
+	for _, tt := range odd {
+		f.Add(tt.stream == catalog.Accepts, tt.key, tt.value)
+	}
+	f.Fuzz(func(t *testing.T, accepts bool, key string, value []byte) {
+		stream := catalog.Progress
+		if accepts {
+			stream = catalog.Accepts
+		}
+		known := catalog.New()
+		j := &job.Job{ID: jobID(1), Spec: "x", Queue: "q", Steps: []job.Step{step(3, 1), step(2, 1, 0)}}
+		accepted, err := catalog.AcceptRecord(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = known.Accept(accepted)
+		fold := map[string]func(provider.KeyedRecord) error{catalog.Accepts: known.Accept, catalog.Progress: known.Progress}[stream]
+		_ = fold(provider.KeyedRecord{Key: key, Value: value}) // what is wrong with it is logged by its reader
+		c, err := cell.New(cell.Self{Instance: "e", Term: 1, Sequence: 1}, cell.DefaultTiming(), known, 0, wall(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for n := range 5 {
+			c.Step(time.Duration(n)*time.Second, cell.Tick{Wall: wall(time.Duration(n) * time.Second)})
+		}
+	})
+}
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -18,6 +18,8 @@
 	host     provider.Host
 	up       bool
 	downAt   time.Duration // when it went, if it isn't up
+	unsound  bool          // its entry names no worker
+	spoiled  time.Duration // since when
 	leaves   bool          // it has said that it leaves
 	leavesAt time.Duration // when it did
 	token    uint64
@@ -86,6 +88,13 @@
 	})
 }
 
+// spoil has another writer write over the worker's entry for a while.
+func (w *fakeWorker) spoil(d time.Duration) {
+	w.unsound = true
+	w.spoiled = w.site.now
+	w.site.after(d, func() { w.unsound = false })
+}
+
 // crash ends the worker's life; another one comes up after down.
 func (w *fakeWorker) crash(down time.Duration, life int) {
 	w.up = false
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -75,6 +75,17 @@
 	for i := range j.Steps {
 		p.offset[i+1] = p.offset[i] + j.Steps[i].Count
 	}
+	for n, r := range p.Rounds {
+		if size := p.doneBytes(); len(r.Done) > 0 && len(r.Done) < size {
+			r.Done = append(r.Done, make([]byte, size-len(r.Done))...) // written for fewer tasks
+			p.Rounds[n] = r
+		}
+	}
+}
+
+// doneBytes is the size of a round's Done.
+func (p *Progress) doneBytes() int {
+	return (p.offset[len(p.offset)-1] + 7) / 8
 }
 
 // Decode returns the Progress of a record. Bind it before use.
@@ -83,6 +94,9 @@
 	if err := cbor.Unmarshal(data, p); err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "progress record")
 	}
+	if p.State > Cancelled {
+		return nil, fault.New(fault.Invalid, "progress record of state %d", p.State)
+	}
 	return p, nil
 }
 
@@ -122,7 +136,7 @@
 	r := p.round(t.Occurrence)
 	n := p.number(t)
 	if len(r.Done) == 0 {
-		r.Done = make([]byte, (p.offset[len(p.offset)-1]+7)/8)
+		r.Done = make([]byte, p.doneBytes())
 	}
 	r.Done[n/8] |= 1 << (n % 8)
 	delete(r.Saved, n)
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -27,10 +27,11 @@
 // HostList is the platform's list of workers, whole, with all that was written
 // to it before AsOf, a time on the reader's clock. Workers come, say that they
 // leave and go within seconds, so an order that leans on a list has to know how
-// old it is.
+// old it is. What an entry said before it became unsound doesn't count any more.
 type HostList struct {
-	Hosts []Host
-	AsOf  time.Duration
+	Hosts   []Host
+	Unsound []string // IDs of workers whose entry names none that can be used
+	AsOf    time.Duration
 }
 
 // HasLabel reports whether the worker carries a label.
@@ -167,9 +168,11 @@
 	MachineMoving
 	MachineUpkeep
 	MachineDown
+	MachineUnknown // what the platform says of it isn't understood
 )
 
-// Machine is a machine that carries one life of a worker at a time.
+// Machine is a machine that carries one life of a worker at a time. One without
+// an ID is of state MachineUnknown: any machine that isn't on its list may be it.
 type Machine struct {
 	ID    string
 	Pool  string
