--- a/daemon/control.go
+++ b/daemon/control.go
@@ -246,7 +246,9 @@
 		ctx, cancel := context.WithTimeout(d.tomb.Context(context.Background()), callTimeout)
 		instances, err := d.list.Instances(ctx)
 		cancel()
-		if err == nil {
+		if err != nil {
+			d.logger.Debug("instances not listed", zap.Error(err)) // the last list stays
+		} else {
 			d.put(controller.Listed{Instances: instances})
 		}
 		d.sleep(listInterval)
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -50,9 +50,7 @@
 			d.waves = waves
 			d.step(cell.Waves{Waves: waves})
 		case list := <-d.lists:
-			d.list = &list
-			d.noteList()
-			d.step(cell.Hosts{List: list})
+			d.takeList(list)
 		case <-leave:
 			leave = nil
 			d.beginLeave()
@@ -189,29 +187,6 @@
 	return nil
 }
 
-// listHeadStart is how long a claim waits for the list of workers. A calm store
-// gives it within 10 ms.
-const listHeadStart = 250 * time.Millisecond
-
-// beginList reads the list of workers while nothing else is to be done. A new
-// owner asks each of its workers what runs there, and a list that it reads beside
-// 490 such calls came 0.24 to 0.38 s later on an instance of 0.8 of a core; no
-// task starts before it. A claim doesn't fail for want of it: what runs has to be
-// kept running. The channel is closed when the list was read or the time is over.
-func (d *Dispatcher) beginList(ctx context.Context) <-chan struct{} {
-	done := make(chan struct{})
-	ctx, cancel := context.WithTimeout(ctx, listHeadStart)
-	d.tomb.Go(func() error {
-		defer close(done)
-		defer cancel()
-		if err := d.readList(ctx); err != nil {
-			d.logger.Warn("list of workers not read", zap.Error(err))
-		}
-		return nil
-	})
-	return done
-}
-
 // writerName is the fenced writer of the progress stream.
 const writerName = "owner"
 
@@ -239,14 +214,9 @@
 	d.cell = owned
 	d.setOwning(true, ownerSpacing)
 	d.counters.owned.Add(1)
-	d.owned = d.clock()
-	d.awaited = true
 	d.logger.Info("owner", zap.Uint64("term", term), zap.Int("jobs", d.catalog.Len()), zap.Int("workers", len(d.catalog.Hosts())))
 	d.step(cell.Configured{Table: d.table.Load()})
-	d.noteList()
-	if d.list != nil {
-		d.step(cell.Hosts{List: *d.list})
-	}
+	d.giveList()
 	d.step(cell.Waves{Waves: d.waves})
 	if d.isLeaving() {
 		d.cell.Leave() // the claim was under way when the stop began
@@ -254,22 +224,6 @@
 	d.step(cell.Tick{Wall: time.Now()})
 }
 
-// noteList logs the first list of workers that a new owner may start tasks by.
-func (d *Dispatcher) noteList() {
-	if d.cell == nil || !d.awaited || d.list == nil || d.owned-d.list.AsOf >= d.timing.ListAge {
-		return
-	}
-	d.awaited = false
-	draining := 0
-	for _, h := range d.list.Hosts {
-		if h.Draining {
-			draining++
-		}
-	}
-	d.logger.Info("list of workers", zap.Uint64("term", d.term), zap.Int("listed", len(d.list.Hosts)), zap.Int("draining", draining),
-		zap.Duration("after", d.clock()-d.owned), zap.Duration("list_age", d.clock()-d.list.AsOf))
-}
-
 func (d *Dispatcher) isLeaving() bool {
 	select {
 	case <-d.leave:
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -88,9 +88,7 @@
 	claiming    bool
 	settleAfter time.Duration // no try to settle a claim before then
 	claims      chan claim
-	list        *provider.HostList // of workers, as last read; nil before the first
-	owned       time.Duration      // when this instance became owner
-	awaited     bool               // no list was read since
+	list        hostList
 	seen        *queue.Table
 	lists       chan provider.HostList
 	waves       []provider.Wave
@@ -127,13 +125,6 @@
 	return func(d *Dispatcher) { d.onOwning = f }
 }
 
-// WithListReader sets what reads the list of workers to its end, and hands it to
-// SetHosts before it returns. It is called once the cell is claimed. Without it
-// the first tasks of a new owner wait until the list comes by itself.
-func WithListReader(f func(context.Context) error) Option {
-	return func(d *Dispatcher) { d.readList = f }
-}
-
 // WithClock sets the clock of all decisions. It has to go on while the machine
 // is suspended, or leases that ended meanwhile would count as in force.
 func WithClock(clock func() time.Duration) Option {
@@ -247,13 +238,6 @@
 	return d.table.Load()
 }
 
-// SetHosts hands over the platform's list of workers, whole, after each good
-// read of it. Its AsOf is on the clock of WithClock.
-func (d *Dispatcher) SetHosts(list provider.HostList) {
-	d.counters.listed.Store(int64(list.AsOf))
-	replace(d.lists, list)
-}
-
 // SetWaves hands over the waves of upkeep that the operators asked for, whole.
 func (d *Dispatcher) SetWaves(waves []provider.Wave) {
 	replace(d.wavesIn, waves)
