A list of workers that was read anew unchanged costs nothing, and takes up no lost worker

Since the list is handed on after each read, a worker that was found to be lost while its entry stood was taken up again three times a second, as it had been only with each change. Unchanged lists now only renew the age.

BenchmarkList, on a busy machine: 0.77 to 0.05 ms for 490 workers, 1.6 to 0.17 ms for 1,100.

--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -1,10 +1,14 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // BenchmarkOwner plays 10 s of a site of 490 workers with a thousand starts a
@@ -29,3 +33,33 @@
 		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(len(s.ran)+1), "ns/start")
 	}
 }
+
+// BenchmarkList tells what an owner spends on a list of workers in which nothing
+// has changed, of which it takes three a second. Of 490 workers 0.05 ms, before
+// such lists were told from others 0.77; of 1,100 workers 0.17 and 1.6.
+func BenchmarkList(b *testing.B) {
+	for _, workers := range []int{66, 490, 1100} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			s := newSite(&testing.T{}, 1, workers, 1)
+			c, err := cell.New(cell.Self{Instance: "e", Term: 1, Sequence: 1}, cell.DefaultTiming(), catalog.New(), 0, wall(0))
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := provider.HostList{Hosts: s.listAt(0).Hosts}
+			now := time.Duration(0)
+			take := func() {
+				now += 300 * time.Millisecond
+				list.AsOf = now
+				for _, a := range c.Step(now, cell.Hosts{List: list}) {
+					if save, ok := a.(cell.Save); ok {
+						c.Step(now, cell.Saved{Sequence: save.Sequence})
+					}
+				}
+			}
+			take() // puts the workers on record
+			for b.Loop() {
+				take()
+			}
+		})
+	}
+}
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -23,7 +24,8 @@
 	woke time.Duration // when the owner went on after it had stood still
 	old  bool          // starts wait for another one
 
-	lives map[string]string // ID of the worker that is on the list, by machine
+	newest provider.HostList
+	lives  map[string]string // ID of the worker that is on the list, by machine
 }
 
 // standstill is a time between two inputs after which the owner stood still,
@@ -67,8 +69,13 @@
 	if c.began-list.AsOf >= c.timing.ListAge {
 		return
 	}
-	c.list.read = true
+	c.changed = true
 	c.list.asOf = list.AsOf
+	if c.list.read && c.list.holds(list) {
+		return
+	}
+	c.list.read = true
+	c.list.newest = list
 	on := make(map[string]bool, len(list.Hosts))
 	c.list.lives = make(map[string]string, len(list.Hosts))
 	for _, h := range list.Hosts {
@@ -78,11 +85,11 @@
 		}
 		c.updateHost(h)
 	}
-	for id, w := range inOrder(c.workers) {
-		if w.listed && !on[id] {
+	for _, w := range c.everyWorker() {
+		if w.listed && !on[w.host.ID] {
 			w.listed = false
 			w.unlistedAt = c.now
-			c.note("worker unlisted", "worker", id, "runs", len(w.runs))
+			c.note("worker unlisted", "worker", w.host.ID, "runs", len(w.runs))
 		}
 	}
 	for _, id := range list.Unsound {
@@ -90,7 +97,19 @@
 			w.unlistedAt = c.now - c.timing.Unlisted // it gets no task from now on
 		}
 	}
-	c.changed = true
+}
+
+// holds reports whether a list is the newest one again, read anew. A worker that
+// was found to be lost, and whose entry hasn't lapsed yet, isn't taken up again
+// for it. An owner spends 0.05 ms on such a list of 490 workers in place of 0.77,
+// and 0.17 ms on one of 1,100 in place of 1.6, three times a second (BenchmarkList,
+// on a busy machine).
+func (l *hostList) holds(list provider.HostList) bool {
+	a, b := l.newest.Hosts, list.Hosts
+	if len(a) != len(b) || !slices.Equal(l.newest.Unsound, list.Unsound) {
+		return false
+	}
+	return len(a) == 0 || &a[0] == &b[0]
 }
 
 func (c *Cell) updateHost(h provider.Host) {
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -27,7 +27,8 @@
 // HostList is the platform's list of workers, whole, with all that was written
 // to it before AsOf, a time on the reader's clock. Workers come, say that they
 // leave and go within seconds, so an order that leans on a list has to know how
-// old it is. What an entry said before it became unsound doesn't count any more.
+// old it is. What an entry said before it became unsound doesn't count any more. A reader
+// that finds nothing changed hands over the same Hosts, which nobody changes.
 type HostList struct {
 	Hosts   []Host
 	Unsound []string // IDs of workers whose entry names none that can be used
