--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -13,14 +13,14 @@
 // What goes wrong: a worker says that it leaves, and an owner that goes by a
 // list from before starts tasks on it; they are cut off when it goes. It shows as
 // start lines with a list_age of seconds, on workers that are draining. A worker
-// gives notice, so an owner whose list is younger than that has seen it. This holds in every state that an owner can be in: new,
-// with what an earlier term or the record left it; with reads that fail or take
-// long; or after it stood still. Over 40 s in which 109 of 490 workers left and
-// seven owners in a row stood still, 294 tasks were started on workers that had
-// left their notice behind without it, and none with it.
+// gives notice, so an owner whose list is younger than that has seen it. This holds
+// in every state that an owner can be in: new, with what an earlier term or the
+// record left it; with reads that fail or take long; or after it stood still. Over
+// 40 s in which 109 of 490 workers left and seven owners in a row stood still, 294
+// tasks were started on workers whose notice was over without it, and none with it.
 type hostList struct {
-	read bool          // one was taken
-	asOf time.Duration // all that was written to it before is in it
+	read bool          // this owner has taken one
+	asOf time.Duration // all that was written before is in it
 	woke time.Duration // when the owner went on after it had stood still
 	old  bool          // starts wait for another one
 
