Workers go on record once they have answered; a stray entry is waited for by nobody

Cause: an entry that looks sound, but names a worker that isn't there, was put on record as soon as it was listed. The next owner asked it what it runs, and without a machine that could be looked up waited for its lease to end: no task of a job that had begun started for 18 s. Without labels, such an entry also made a rack of the label that all others share, so that gangs were spread over racks.

Change: a worker is put on record with its first answer, before its first task; one that is dropped while its record is on its way is dropped from the record too. Racks are counted over workers that have answered.

Both tests fail without the change: jobs still running after 12 s; four members of a gang on two racks.

--- a/cell/gang.go
+++ b/cell/gang.go
@@ -87,18 +87,24 @@
 }
 
 // racks returns the labels of a pool's workers that tell where they stand.
-// Which label that is isn't said; one that all share is no rack.
+// Which label that is isn't said; one that all share is no rack. Workers that
+// never answered don't count: an entry that no worker stands behind would make a
+// rack of the label of the others' kind.
 func (c *Cell) racks(service string) []string {
 	count := make(map[string]int)
-	pool := c.pools[service]
-	for _, w := range pool {
+	answered := 0
+	for _, w := range c.pools[service] {
+		if !w.asked {
+			continue
+		}
+		answered++
 		for _, l := range w.host.Labels {
 			count[l]++
 		}
 	}
 	var racks []string
 	for l, n := range count {
-		if n < len(pool) {
+		if n < answered {
 			racks = append(racks, l)
 		}
 	}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -37,6 +38,7 @@
 	tickets map[string]time.Duration // until when they are valid
 	advised func(host string) bool   // whether a worker may run what needs advice
 	wanted  []provider.Wave          // waves that the operators ask for
+	strays  []provider.Host          // entries on the list that no worker stands behind
 	taken   func(*fakeWorker)        // told of a worker whose machine goes down for upkeep
 
 	lateOrders float64       // share of orders that are carried out 2 to 12 s late, without an answer
@@ -136,7 +138,7 @@
 
 // listAt returns the list of workers as it stood at a time.
 func (s *site) listAt(at time.Duration) provider.HostList {
-	list := provider.HostList{AsOf: at}
+	list := provider.HostList{AsOf: at, Hosts: slices.Clone(s.strays)}
 	for _, w := range s.workers {
 		if !w.up && at >= w.downAt {
 			continue
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -125,9 +125,6 @@
 		c.note("worker draining", "worker", h.ID, "runs", len(w.runs), "left", h.Left)
 		c.evacuate(w)
 	}
-	if !w.registered {
-		c.saves.host(h.ID, &h)
-	}
 }
 
 // onList reports whether a worker is on the list, or went off it a moment ago
--- a/cell/hostlist_test.go
+++ b/cell/hostlist_test.go
@@ -9,6 +9,7 @@
 	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Symptom: tasks are started on workers that said seconds ago that they leave;
@@ -161,3 +162,47 @@
 		is.True(later > before) // used again
 	}
 }
+
+// Symptom: after a takeover no task of a job that had begun starts for 18 s.
+// Sequence: another writer's entry names a worker that looks sound, at an address
+// where nobody answers, on no machine; then the cell changes hands. Cause: the
+// worker was put on record before it had ever answered, so that the next owner
+// waited for its answer, and for the end of a lease that it never had.
+func TestEntryThatLeadsNowhere(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 504, 3, 2)
+	s.strays = []provider.Host{{ID: "stray", Address: "10.9.9.9:1", Service: service, Capacity: s.workers[0].host.Capacity}}
+	fill(s, 8)
+	s.owners[0].take()
+	s.after(2*time.Second, func() {
+		s.owners[0].kill()
+		s.owners[1].take()
+	})
+	s.run(12 * time.Second)
+	s.mustComplete(8)
+	is.Equal(len(s.store.fold(t).Hosts()), 3) // those that answered
+}
+
+// Symptom: a gang that is slow across racks is spread over them. Sequence: an
+// entry without labels, of a worker that isn't there, is on the list. Cause: the
+// label of their kind, which all other workers share, looked like a rack's.
+func TestStrayEntryMakesNoRack(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 505, 4, 1)
+	s.strays = []provider.Host{{ID: "stray", Address: "10.9.9.9:1", Service: service, Capacity: s.workers[0].host.Capacity}}
+	for _, w := range s.workers {
+		w.host.Labels = append(w.host.Labels, "kind")
+	}
+	gang := step(4, 2)
+	gang.Gang, gang.SameRack = true, true
+	s.length = func(string) time.Duration { return 10 * time.Second }
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{gang}})
+	s.owners[0].take()
+	s.run(2 * time.Second)
+	racks := make(map[string]int)
+	for _, w := range s.workers {
+		racks[w.host.Labels[0]] += len(w.runs)
+	}
+	is.Equal(racks["r0"]*racks["r1"], 0)
+	is.Equal(racks["r0"]+racks["r1"], 4)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -111,8 +111,8 @@
 	if i := slices.Index(pool, w); i >= 0 {
 		c.pools[w.host.Service] = slices.Delete(pool, i, i+1)
 	}
-	if w.registered {
-		c.saves.host(w.host.ID, nil)
+	if w.asked || w.registered {
+		c.saves.host(w.host.ID, nil) // also if its record is only on its way
 	}
 }
 
@@ -205,6 +205,7 @@
 	c.takeRuns(w, in.Held.Running)
 	c.settleRuns(w, in.Held)
 	if first {
+		c.register(w)
 		c.surveyed(w)
 		c.evacuateFound(w)
 	}
@@ -222,6 +223,17 @@
 	}
 }
 
+// register puts a worker on record, so that a successor asks it what it runs. One
+// that never answered was never given a task: an entry may name a worker that
+// isn't there, and a successor would wait for its answer, and then for the end of
+// the longest lease, before it starts any task of a job that had begun, 18 s in
+// all.
+func (c *Cell) register(w *worker) {
+	if !w.registered {
+		c.saves.host(w.host.ID, &w.host)
+	}
+}
+
 // missed takes a hold that had no good answer.
 func (c *Cell) missed(w *worker, in HoldReply) {
 	if c.failedOrder(w, in.Err) {
