List of workers: one state in place of two; a line's time is looked for in one place

No behaviour changes. The age of the list is that of the newest one, which was kept beside it; until when a worker off the list counts as on it is one time, in place of a time in the past that stood for never. A new owner takes the list by the way that any list is taken. What makes an event of a log line stands in its parser, for both that read logs. A check in relocate that its only caller had just made is gone.

--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -19,13 +19,11 @@
 // 40 s in which 109 of 490 workers left and seven owners in a row stood still, 294
 // tasks were started on workers whose notice was over without it, and none with it.
 type hostList struct {
-	read bool          // this owner has taken one
-	asOf time.Duration // all that was written before is in it
-	woke time.Duration // when the owner went on after it had stood still
-	old  bool          // starts wait for another one
-
+	read   bool // this owner has taken one
 	newest provider.HostList
 	lives  map[string]string // ID of the worker that is on the list, by machine
+	woke   time.Duration     // when the owner went on after it had stood still
+	old    bool              // starts wait for another one
 }
 
 // standstill is a time between two inputs after which the owner stood still,
@@ -40,7 +38,8 @@
 	}
 }
 
-// trustsList reports whether starts may lean on the list of workers. It may be
+// trustsList reports whether starts may lean on the list of workers, and notes
+// when that changes. The list may be
 // Timing.ListAge older than the last sign that the store could be reached. While
 // the store gives no answer to this owner, no newer list can be had, and those
 // that run go on by the last one, for as long as mayOrder allows: an outage of the
@@ -48,14 +47,14 @@
 func (c *Cell) trustsList() bool {
 	l := &c.list
 	reached := max(l.woke, c.saves.contact)
-	trusted := l.read && reached-l.asOf < c.timing.ListAge
+	trusted := l.read && reached-l.newest.AsOf < c.timing.ListAge
 	if l.old == trusted {
 		l.old = !trusted
 		event := "starts wait for the list"
 		if trusted {
 			event = "starts go on"
 		}
-		c.note(event, "list_age", c.now-l.asOf)
+		c.note(event, "list_age", c.now-l.newest.AsOf)
 	}
 	return trusted
 }
@@ -70,12 +69,12 @@
 		return
 	}
 	c.changed = true
-	c.list.asOf = list.AsOf
-	if c.list.read && c.list.holds(list) {
-		return
-	}
+	again := c.list.read && c.list.holds(list)
 	c.list.read = true
 	c.list.newest = list
+	if again {
+		return
+	}
 	on := make(map[string]bool, len(list.Hosts))
 	c.list.lives = make(map[string]string, len(list.Hosts))
 	for _, h := range list.Hosts {
@@ -88,13 +87,13 @@
 	for _, w := range c.everyWorker() {
 		if w.listed && !on[w.host.ID] {
 			w.listed = false
-			w.unlistedAt = c.now
+			w.listedUntil = c.now + c.timing.Unlisted
 			c.note("worker unlisted", "worker", w.host.ID, "runs", len(w.runs))
 		}
 	}
 	for _, id := range list.Unsound {
 		if w := c.workers[id]; w != nil {
-			w.unlistedAt = c.now - c.timing.Unlisted // it gets no task from now on
+			w.listedUntil = c.now // it gets no task from now on
 		}
 	}
 }
@@ -130,5 +129,5 @@
 // onList reports whether a worker is on the list, or went off it a moment ago
 // without another life of its machine having come.
 func (c *Cell) onList(w *worker) bool {
-	return w.listed || c.now-w.unlistedAt < c.timing.Unlisted && c.list.lives[w.host.Machine] == ""
+	return w.listed || c.now < w.listedUntil && c.list.lives[w.host.Machine] == ""
 }
--- a/cell/relocate.go
+++ b/cell/relocate.go
@@ -36,9 +36,6 @@
 // relocate moves serving tasks away from workers on which they keep off
 // filling tasks that are wanted.
 func (c *Cell) relocate() {
-	if !c.mayOrder() {
-		return
-	}
 	for _, w := range c.everyWorker() {
 		if len(w.images) < 2 || w.misses > 0 || w.host.Draining {
 			continue
--- a/cell/run.go
+++ b/cell/run.go
@@ -67,7 +67,7 @@
 		Ticket:     c.ticket(t.step, w),
 	}})
 	c.note("start", "task", t.name, "attempt", attempt, "worker", w.host.ID, "token", c.self.Term,
-		"waited", c.now-t.step.job.arrived, "resumes", t.saved != "", "list_age", c.now-c.list.asOf)
+		"waited", c.now-t.step.job.arrived, "resumes", t.saved != "", "list_age", c.now-c.list.newest.AsOf)
 }
 
 // begun has a job's first start recorded with whatever is written next.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -13,13 +13,13 @@
 
 // worker is a worker as the owner sees it.
 type worker struct {
-	host       provider.Host
-	listed     bool // on the platform's list
-	unlistedAt time.Duration
-	registered bool // on record, so that a successor asks it
-	leaving    bool // its machine is about to go down; it gets no new tasks
-	asked      bool // it has answered this owner; its runs are known
-	lost       bool // that life of it is over
+	host        provider.Host
+	listed      bool          // on the platform's list
+	listedUntil time.Duration // off the list, it counts as on it until then
+	registered  bool          // on record, so that a successor asks it
+	leaving     bool          // its machine is about to go down; it gets no new tasks
+	asked       bool          // it has answered this owner; its runs are known
+	lost        bool          // that life of it is over
 
 	runs    map[string]*run // by task name
 	used    resource.Vector
@@ -89,12 +89,11 @@
 
 func (c *Cell) addWorker(h provider.Host) *worker {
 	w := &worker{
-		host:       h,
-		runs:       make(map[string]*run),
-		images:     make(map[string]int),
-		holdAt:     c.now,
-		heard:      c.now,
-		unlistedAt: c.now - c.timing.Unlisted, // it was never on this owner's list
+		host:   h,
+		runs:   make(map[string]*run),
+		images: make(map[string]int),
+		holdAt: c.now,
+		heard:  c.now,
 	}
 	c.workers[h.ID] = w
 	c.all = nil
--- a/dispatcher/list.go
+++ b/dispatcher/list.go
@@ -35,7 +35,10 @@
 // takeList takes a list as it was read.
 func (d *Dispatcher) takeList(list provider.HostList) {
 	d.list.newest = &list
-	d.noteList()
+	if d.cell == nil {
+		return
+	}
+	d.noteList(&list)
 	d.step(cell.Hosts{List: list})
 }
 
@@ -43,27 +46,25 @@
 func (d *Dispatcher) giveList() {
 	d.list.owned = d.clock()
 	d.list.awaited = true
-	if d.list.newest == nil {
-		return
+	if d.list.newest != nil {
+		d.takeList(*d.list.newest)
 	}
-	d.noteList()
-	d.step(cell.Hosts{List: *d.list.newest})
 }
 
 // noteList logs the first list of workers that a new owner may start tasks by.
-func (d *Dispatcher) noteList() {
-	if d.cell == nil || !d.list.awaited || d.list.newest == nil || d.list.owned-d.list.newest.AsOf >= d.timing.ListAge {
+func (d *Dispatcher) noteList(list *provider.HostList) {
+	if !d.list.awaited || d.list.owned-list.AsOf >= d.timing.ListAge {
 		return
 	}
 	d.list.awaited = false
 	draining := 0
-	for _, h := range d.list.newest.Hosts {
+	for _, h := range list.Hosts {
 		if h.Draining {
 			draining++
 		}
 	}
-	d.logger.Info("list of workers", zap.Uint64("term", d.term), zap.Int("listed", len(d.list.newest.Hosts)), zap.Int("draining", draining),
-		zap.Duration("after", d.clock()-d.list.owned), zap.Duration("list_age", d.clock()-d.list.newest.AsOf))
+	d.logger.Info("list of workers", zap.Uint64("term", d.term), zap.Int("listed", len(list.Hosts)), zap.Int("draining", draining),
+		zap.Duration("after", d.clock()-d.list.owned), zap.Duration("list_age", d.clock()-list.AsOf))
 }
 
 // listHeadStart is how long a claim waits for the list of workers. A calm store
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -91,11 +91,7 @@
 // passed over.
 func Each(name string, r io.Reader, f func(Event)) error {
 	return lines(name, r, func(line string) {
-		start := strings.Index(line, "ts=")
-		if start < 0 {
-			return
-		}
-		if e, err := parse(line[start:]); err == nil {
+		if e, err := parse(line); err == nil {
 			f(e)
 		}
 	})
@@ -115,12 +111,7 @@
 
 // add parses a line. One that isn't whole is counted, not guessed at.
 func (t *Timeline) add(line string) {
-	start := strings.Index(line, "ts=")
-	if start < 0 {
-		t.skipped++
-		return
-	}
-	e, err := parse(line[start:])
+	e, err := parse(line)
 	if err != nil {
 		t.skipped++
 		return
@@ -130,9 +121,14 @@
 
 var errNoTime = errors.New("a line without a time")
 
+// parse returns the event of a line, whatever stands before its time.
 func parse(line string) (Event, error) {
 	var e Event
-	decoder := logfmt.NewDecoder(strings.NewReader(line))
+	start := strings.Index(line, "ts=")
+	if start < 0 {
+		return e, errNoTime
+	}
+	decoder := logfmt.NewDecoder(strings.NewReader(line[start:]))
 	if !decoder.ScanRecord() {
 		return e, errors.Join(errNoTime, decoder.Err())
 	}
