--- a/cell/advice_test.go
+++ b/cell/advice_test.go
@@ -26,10 +26,7 @@
 		})
 	}
 	s.owners[0].take()
-	s.after(3300*time.Millisecond, func() {
-		s.owners[0].kill()
-		s.owners[1].take()
-	})
+	s.after(3300*time.Millisecond, func() { s.takeover(0, 1) })
 	s.run(quiet)
 	s.mustComplete(6)
 	is.True(len(s.tickets) >= 4) // both workers were asked about again
--- a/cell/backlog_test.go
+++ b/cell/backlog_test.go
@@ -29,8 +29,7 @@
 	}
 	s.owners[0].take()
 	s.run(time.Second)
-	s.owners[0].kill()
-	s.owners[1].take()
+	s.takeover(0, 1)
 	s.run(time.Second + span)
 	is.Equal(s.broken, nil)
 	is.True(len(s.ran) > 1000) // two tasks a worker, every 1.7 s
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -192,8 +192,7 @@
 func (s *site) relay(times int, every time.Duration) {
 	for i := range times {
 		s.after(time.Duration(i+1)*every, func() {
-			s.owners[i%2].kill()
-			s.owners[(i+1)%2].take()
+			s.takeover(i%2, (i+1)%2)
 		})
 	}
 }
@@ -261,8 +260,7 @@
 	s.owners[0].take()
 	for i, at := range []time.Duration{2500, 4100, 6000} {
 		s.after(at*time.Millisecond, func() {
-			s.owners[i].kill()
-			s.owners[(i+1)%3].take()
+			s.takeover(i, (i+1)%3)
 		})
 	}
 	s.after(9*time.Second, func() { s.lostSaves = 0 })
@@ -296,10 +294,7 @@
 			s.cancel(jobID(i))
 		}
 	})
-	s.after(410*time.Millisecond, func() {
-		s.owners[0].kill()
-		s.owners[1].take()
-	})
+	s.after(410*time.Millisecond, func() { s.takeover(0, 1) })
 	s.run(quiet)
 	is := is.New(t)
 	is.Equal(s.broken, nil)
@@ -337,10 +332,7 @@
 	s.submit(&job.Job{ID: jobID(0), Steps: []job.Step{lasting}})
 	s.owners[0].take()
 	s.after(6*time.Second, func() { s.workers[0].crash(2*time.Second, 1) })
-	s.after(9*time.Second, func() {
-		s.owners[0].kill()
-		s.owners[1].take()
-	})
+	s.after(9*time.Second, func() { s.takeover(0, 1) })
 	running := 0
 	s.after(19*time.Second, func() {
 		for _, w := range s.workers {
@@ -470,8 +462,7 @@
 	s.owners[0].take()
 	s.run(2 * time.Second)
 	is.Equal(len(s.paces), 0)
-	s.owners[0].kill()
-	s.owners[1].take()
+	s.takeover(0, 1)
 	s.run(3 * time.Second)
 	is.Equal(len(s.paces), 4)
 	for _, percent := range s.paces {
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -202,11 +202,18 @@
 // take makes the owner claim the cell, as an instance does that reaches the
 // store and took the last owner for gone.
 func (o *owner) take() {
+	if err := o.own(o.site.store.fold(o.site.t)); err != nil {
+		o.site.t.Fatal(err)
+	}
+}
+
+// own is take, of an owner that knows what is given of jobs.
+func (o *owner) own(known *catalog.Catalog) error {
 	s := o.site
 	term := s.store.claim(o.name)
-	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1}, cell.DefaultTiming(), s.store.fold(s.t), s.now, wall(s.now))
+	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1}, cell.DefaultTiming(), known, s.now, wall(s.now))
 	if err != nil {
-		s.t.Fatal(err)
+		return err
 	}
 	o.cell = c
 	o.read = len(s.store.accepts)
@@ -216,6 +223,18 @@
 	o.step(cell.Hosts{List: o.list})
 	o.step(cell.Waves{Waves: s.wanted})
 	o.tick(o.life)
+	return nil
+}
+
+// takeover has one owner killed, and another one take the cell.
+func (s *site) takeover(from, to int) {
+	s.owners[from].kill()
+	s.owners[to].take()
+}
+
+// addStray puts an entry on the list of workers that no worker stands behind.
+func (s *site) addStray() {
+	s.strays = append(s.strays, provider.Host{ID: "stray", Address: "10.9.9.9:1", Service: service, Capacity: s.workers[0].host.Capacity})
 }
 
 // kill ends the owner's process.
--- a/cell/hostlist_test.go
+++ b/cell/hostlist_test.go
@@ -9,7 +9,6 @@
 	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
-	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Symptom: tasks are started on workers that said seconds ago that they leave;
@@ -31,10 +30,7 @@
 	}{
 		{"an instance owns the cell again", func(s *site) {
 			s.owners[0].take()
-			s.after(time.Second, func() {
-				s.owners[0].kill()
-				s.owners[1].take()
-			})
+			s.after(time.Second, func() { s.takeover(0, 1) })
 			s.after(3*time.Second, func() { s.workers[0].leave(10 * time.Second) })
 			s.after(6*time.Second, func() {
 				s.owners[1].kill()
@@ -147,10 +143,7 @@
 		s.owners[0].take()
 		s.after(2*time.Second, func() { s.workers[0].spoil(6 * time.Second) })
 		if takeover {
-			s.after(4*time.Second, func() {
-				s.owners[0].kill()
-				s.owners[1].take()
-			})
+			s.after(4*time.Second, func() { s.takeover(0, 1) })
 		}
 		later := 0
 		s.after(12*time.Second, func() { later = len(s.workers[0].barred) })
@@ -171,13 +164,10 @@
 func TestEntryThatLeadsNowhere(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 504, 3, 2)
-	s.strays = []provider.Host{{ID: "stray", Address: "10.9.9.9:1", Service: service, Capacity: s.workers[0].host.Capacity}}
+	s.addStray()
 	fill(s, 8)
 	s.owners[0].take()
-	s.after(2*time.Second, func() {
-		s.owners[0].kill()
-		s.owners[1].take()
-	})
+	s.after(2*time.Second, func() { s.takeover(0, 1) })
 	s.run(12 * time.Second)
 	s.mustComplete(8)
 	is.Equal(len(s.store.fold(t).Hosts()), 3) // those that answered
@@ -189,7 +179,7 @@
 func TestStrayEntryMakesNoRack(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 505, 4, 1)
-	s.strays = []provider.Host{{ID: "stray", Address: "10.9.9.9:1", Service: service, Capacity: s.workers[0].host.Capacity}}
+	s.addStray()
 	for _, w := range s.workers {
 		w.host.Labels = append(w.host.Labels, "kind")
 	}
--- a/cell/records_test.go
+++ b/cell/records_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -69,7 +70,7 @@
 	is := is.New(t)
 	defer func() {
 		if p := recover(); p != nil {
-			wrong = "the owner ended: " + panicText(p)
+			wrong = fmt.Sprintf("the owner ended: %v", p)
 		}
 	}()
 	s := newSite(t, 600, 3, 1)
@@ -80,22 +81,10 @@
 	for _, a := range s.store.accepts {
 		is.NoErr(known.Accept(a))
 	}
-	switch stream {
-	case catalog.Accepts:
-		_ = known.Accept(r) // what is wrong with it is logged by its reader
-	case catalog.Progress:
-		_ = known.Progress(r)
-	}
-	o := s.owners[0]
-	term := s.store.claim(o.name)
-	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1}, cell.DefaultTiming(), known, s.now, wall(s.now))
-	if err != nil {
+	_ = foldOf(known, stream)(r) // what is wrong with it is logged by its reader
+	if err := s.owners[0].own(known); err != nil {
 		return "the cell isn't taken: " + err.Error()
 	}
-	o.cell = c
-	o.read = len(s.store.accepts)
-	o.step(cell.Configured{Table: s.table})
-	o.tick(o.life)
 	s.run(quiet)
 	for _, b := range s.broken {
 		return b
@@ -111,25 +100,19 @@
 	return ""
 }
 
-func panicText(p any) string {
-	if err, ok := p.(error); ok {
-		return err.Error()
+// foldOf returns what takes the records of a stream.
+func foldOf(known *catalog.Catalog, stream string) func(provider.KeyedRecord) error {
+	if stream == catalog.Accepts {
+		return known.Accept
 	}
-	if text, ok := p.(string); ok {
-		return text
-	}
-	return "panic"
+	return known.Progress
 }
 
 func FuzzRecords(f *testing.F) {
 	for _, tt := range odd {
-		f.Add(tt.stream == catalog.Accepts, tt.key, tt.value)
+		f.Add(tt.stream, tt.key, tt.value)
 	}
-	f.Fuzz(func(t *testing.T, accepts bool, key string, value []byte) {
-		stream := catalog.Progress
-		if accepts {
-			stream = catalog.Accepts
-		}
+	f.Fuzz(func(t *testing.T, stream, key string, value []byte) {
 		known := catalog.New()
 		j := &job.Job{ID: jobID(1), Spec: "x", Queue: "q", Steps: []job.Step{step(3, 1), step(2, 1, 0)}}
 		accepted, err := catalog.AcceptRecord(j)
@@ -137,8 +120,7 @@
 			t.Fatal(err)
 		}
 		_ = known.Accept(accepted)
-		fold := map[string]func(provider.KeyedRecord) error{catalog.Accepts: known.Accept, catalog.Progress: known.Progress}[stream]
-		_ = fold(provider.KeyedRecord{Key: key, Value: value}) // what is wrong with it is logged by its reader
+		_ = foldOf(known, stream)(provider.KeyedRecord{Key: key, Value: value}) // what is wrong with it is logged by its reader
 		c, err := cell.New(cell.Self{Instance: "e", Term: 1, Sequence: 1}, cell.DefaultTiming(), known, 0, wall(0))
 		if err != nil {
 			t.Fatal(err)
--- a/cell/wave_test.go
+++ b/cell/wave_test.go
@@ -66,10 +66,7 @@
 			s.submit(lasting)
 			s.owners[0].take()
 			if tt.takeover > 0 {
-				s.after(tt.takeover, func() {
-					s.owners[0].kill()
-					s.owners[1].take()
-				})
+				s.after(tt.takeover, func() { s.takeover(0, 1) })
 			}
 			var watch func()
 			watch = func() {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -353,8 +353,7 @@
 				owning := make(chan bool, 1)
 				d = dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers},
 					dispatcher.WithClock(clock), dispatcher.WithOwning(func(now bool) { owning <- now }), dispatcher.WithListReader(read))
-				q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
-				d.Configure(queue.New(1, queue.Limits{}, []queue.Queue{q}, []queue.Service{{Name: "pool"}}))
+				d.Configure(onePool())
 				go func() { _ = d.Run(ctx) }()
 				is.NoErr(d.Submit(ctx, newJob(1)))
 				is.True(<-owning)
@@ -372,6 +371,12 @@
 	}
 }
 
+// onePool returns a configuration of one queue that one pool of workers serves.
+func onePool() *queue.Table {
+	q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
+	return queue.New(1, queue.Limits{}, []queue.Queue{q}, []queue.Service{{Name: "pool"}})
+}
+
 // newClock returns a clock that begins now.
 func newClock() func() time.Duration {
 	begun := time.Now()
@@ -396,8 +401,7 @@
 		workers := &muteWorkers{}
 		clock := newClock()
 		d := dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers}, dispatcher.WithClock(clock))
-		q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
-		d.Configure(queue.New(1, queue.Limits{}, []queue.Queue{q}, []queue.Service{{Name: "pool"}}))
+		d.Configure(onePool())
 		go list(ctx, d, clock, provider.Host{ID: "w1", Service: "pool", Machine: "m1"}, provider.Host{ID: "w2", Service: "pool", Machine: "m2"})
 		go func() { _ = d.Run(ctx) }()
 		time.Sleep(2 * time.Second)
@@ -423,8 +427,7 @@
 		workers := &muteWorkers{}
 		d := dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers},
 			dispatcher.WithClock(clock), dispatcher.WithOwning(func(now bool) { owning <- now }))
-		q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
-		d.Configure(queue.New(1, queue.Limits{}, []queue.Queue{q}, []queue.Service{{Name: "pool"}}))
+		d.Configure(onePool())
 		leaves, stays := provider.Host{ID: "w1", Service: "pool"}, provider.Host{ID: "w2", Service: "pool"}
 		d.SetHosts(provider.HostList{Hosts: []provider.Host{leaves}, AsOf: 10 * time.Second})
 		go func() { _ = d.Run(ctx) }()
