Starts are bounded by the time that their answers take

A start is 0.7 to 0.9 kB, so the orders took over a second on the link, more than an answer is waited for; each was given up and given anew, and the workers' reports waited behind them. Sound workers became silent, their leases ended, and what they had done and listed meanwhile ran again. So the end that was "acknowledged and not on record" was neither: the worker had listed it to an owner that couldn't hear it.

Change: package cell bounds the starts without an answer by a limit that learns (limit.Aim: the queueing delay as the aim, as LEDBAT does). Time is counted from the decision, so that processor time binds like the link.

Ruled out: answers out of order (one hold a worker is under way), records lost between end and acknowledgement (TestEndsDuringAWrite), repeats of orders by the HTTP client (a POST isn't repeated).

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -63,9 +63,9 @@
 	waiting     []*stepState  // steps with tasks to start, the most urgent first
 	sorted      bool          // whether waiting is in order
 	ordered     time.Duration // when waiting was last put in order
-	unanswered  int           // starts that were ordered and not answered
-	changed     bool          // whether a start may have become possible
-	timed       []*jobState   // jobs with occurrences to come
+	flow        flow
+	changed     bool        // whether a start may have become possible
+	timed       []*jobState // jobs with occurrences to come
 	saves       saver
 	survey      survey
 	list        hostList
@@ -112,6 +112,7 @@
 		demand:   make(map[string]float64),
 		saves:    newSaver(now, self.Sequence+1),
 		list:     hostList{old: true},
+		flow:     newFlow(),
 	}
 	entries, err := known.Entries()
 	if err != nil {
--- a/cell/checks_test.go
+++ b/cell/checks_test.go
@@ -47,6 +47,9 @@
 			s.violate("cancelled: %s %v after its cancellation", o.Task, s.now-c.at)
 		}
 	}
+	if s.ran[o.Task] && !s.lasts(o.Task) {
+		s.again++
+	}
 	if s.done[o.Task] {
 		s.violate("again: %s was done and acknowledged", o.Task)
 	}
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -21,12 +21,6 @@
 	// checkPause is the pause after a look for each pair that it checked. A
 	// check takes 0.03 to 0.1 us, so looks take a tenth of the time at most.
 	checkPause = time.Microsecond
-	// mostStarts is how many starts may be without an answer. A worker answers
-	// within milliseconds, so it holds back only an owner that can't keep up:
-	// what it ordered beyond would pass its deadline before it is sent. With it
-	// an instance of 0.192 of a core carries 490 workers for a day of 3,000
-	// starts at once; without, it loses the cell every three seconds.
-	mostStarts = 256
 	// recheckEvery is how often a step that fits nowhere is checked against all
 	// workers again, as some of what keeps tasks off a worker ends with time
 	// alone.
@@ -64,7 +58,7 @@
 	c.findUsable()
 	c.planColocation()
 	for _, s := range c.waiting {
-		if l.checks >= lookBudget || c.unanswered >= mostStarts {
+		if l.checks >= lookBudget || c.flow.full() {
 			c.changed = true
 			break
 		}
@@ -152,7 +146,7 @@
 func (c *Cell) startReady(s *stepState, found []candidate) int {
 	kept := s.ready[:0]
 	for i, t := range s.ready {
-		if len(found) == 0 || c.unanswered >= mostStarts {
+		if len(found) == 0 || c.flow.full() {
 			kept = append(kept, s.ready[i:]...)
 			break
 		}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -41,6 +41,8 @@
 	strays  []provider.Host          // entries on the list that no worker stands behind
 	taken   func(*fakeWorker)        // told of a worker whose machine goes down for upkeep
 
+	link       *link         // of the owners, nil for one that carries all at once
+	again      int           // starts of tasks that had ended well
 	lateOrders float64       // share of orders that are carried out 2 to 12 s late, without an answer
 	storeDelay time.Duration // of each write, one way
 	lostSaves  float64       // share of writes whose answer is lost
@@ -194,9 +196,10 @@
 	list     provider.HostList // as it last read it, in whichever term
 	noWorker map[int]bool
 	life     int
-	asking   int // questions for the adviser that are under way
-	starting int // starts without an answer
-	most     int // of them at any time
+	asking   int                // questions for the adviser that are under way
+	noted    func(event string) // told of what the owner logs
+	starting int                // starts without an answer
+	most     int                // of them at any time
 }
 
 // take makes the owner claim the cell, as an instance does that reaches the
@@ -337,7 +340,7 @@
 	case cell.Save:
 		o.save(a)
 	case cell.Hold:
-		o.order(a.Order.Host, a.Order.Wait, func(w *fakeWorker) any { return w.hold(a.Order) }, func(out any, err error) cell.Input {
+		o.order(a.Order.Host, orderBytes, a.Order.Wait, func(w *fakeWorker) any { return w.hold(a.Order) }, func(out any, err error) cell.Input {
 			held, _ := out.(provider.Held)
 			return cell.HoldReply{Host: a.Order.Host.ID, Sent: s.now, Held: held, Err: err}
 		})
@@ -345,13 +348,14 @@
 		s.checkLife(o.list, a.Order.Host)
 		o.starting++
 		o.most = max(o.most, o.starting)
-		o.order(a.Order.Host, 0, func(w *fakeWorker) any { return w.start(a.Order) }, func(out any, err error) cell.Input {
+		sent := s.now
+		o.order(a.Order.Host, orderBytes+len(a.Order.Spec), 0, func(w *fakeWorker) any { return w.start(a.Order) }, func(out any, err error) cell.Input {
 			o.starting--
 			refusal, _ := out.(provider.Refusal)
-			return cell.StartReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Refusal: refusal, Err: err}
+			return cell.StartReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Sent: sent, Refusal: refusal, Err: err}
 		})
 	case cell.Stop:
-		o.order(a.Order.Host, 0, func(w *fakeWorker) any { return w.stop(a.Order) }, func(_ any, err error) cell.Input {
+		o.order(a.Order.Host, orderBytes, 0, func(w *fakeWorker) any { return w.stop(a.Order) }, func(_ any, err error) cell.Input {
 			return cell.StopReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Err: err}
 		})
 	case cell.Pace:
@@ -372,6 +376,10 @@
 			list := s.machines()
 			s.after(hop, func() { o.step(list) })
 		})
+	case cell.Note:
+		if o.noted != nil {
+			o.noted(a.Event)
+		}
 	case cell.Deposed:
 		o.kill()
 	}
@@ -428,7 +436,7 @@
 }
 
 // order carries an order to a worker and its outcome back.
-func (o *owner) order(h provider.Host, wait time.Duration, do func(*fakeWorker) any, reply func(any, error) cell.Input) {
+func (o *owner) order(h provider.Host, bytes int, wait time.Duration, do func(*fakeWorker) any, reply func(any, error) cell.Input) {
 	s := o.site
 	life := o.life
 	back := func(out any, err error) {
@@ -452,7 +460,10 @@
 		silent()
 		return
 	}
-	s.after(hop, func() { o.deliver(w, h, wait, do, back, silent) })
+	if s.link != nil {
+		back = s.firstOutcome(wait, back)
+	}
+	s.after(hop+s.link.up(s.now, bytes), func() { o.deliver(w, h, wait, do, back, silent) })
 }
 
 func (o *owner) deliver(w *fakeWorker, h provider.Host, wait time.Duration, do func(*fakeWorker) any, back func(any, error), silent func()) {
@@ -474,7 +485,7 @@
 			silent()
 			return
 		}
-		s.after(hop, func() { back(out, nil) })
+		s.after(hop+s.link.down(s.now, out), func() { back(out, nil) })
 	}
 	out := do(w)
 	if held, ok := out.(provider.Held); ok && len(held.Ended) == 0 && wait > 0 {
--- a/cell/input.go
+++ b/cell/input.go
@@ -39,6 +39,7 @@
 	Host    string
 	Task    string
 	Attempt uint64
+	Sent    time.Duration // when it was ordered
 	Refusal provider.Refusal
 	Err     error
 }
--- a/cell/load.go
+++ b/cell/load.go
@@ -37,7 +37,8 @@
 		}
 	}
 	c.note("load", "waiting", waiting, "filling_waiting", fills, "checks", c.looks.total, "runs", runs, "workers", len(c.workers), "usable", usable, "serving", serving, "images", images, "over", over,
-		"processors", percent(processors, wholeProcessors), "memory", percent(memory, wholeMemory), "filling", percent(filling, wholeProcessors))
+		"processors", percent(processors, wholeProcessors), "memory", percent(memory, wholeMemory), "filling", percent(filling, wholeProcessors),
+		"starts_unanswered", c.flow.inFlight, "starts_bound", c.flow.bound.Value())
 }
 
 func percent(part, whole int64) int64 {
--- a/cell/run.go
+++ b/cell/run.go
@@ -55,7 +55,7 @@
 	t.delays.Add(delay.Room, c.now-t.waits)
 	c.begun(t.step.job)
 	w.deadline = max(w.deadline, r.deadline)
-	c.unanswered++
+	c.flow.sent()
 	c.do(Start{Order: provider.StartOrder{
 		Host:       w.host,
 		Token:      c.self.Term,
@@ -146,7 +146,7 @@
 // started takes the outcome of a start. Without an answer the run counts as
 // there until a list shows it, or its deadline has passed without.
 func (c *Cell) started(in StartReply) {
-	c.unanswered--
+	c.flow.answered(c.now, in)
 	c.changed = true
 	w := c.workers[in.Host]
 	if w == nil {
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -20,7 +20,8 @@
 		d.order(a.Order.Wait, func(ctx context.Context) cell.Input { return d.hold(ctx, a) })
 	case cell.Start:
 		d.counters.starts.Add(1)
-		d.order(0, func(ctx context.Context) cell.Input { return d.start(ctx, a) })
+		ordered := d.clock()
+		d.order(0, func(ctx context.Context) cell.Input { return d.start(ctx, a, ordered) })
 	case cell.Stop:
 		d.counters.stops.Add(1)
 		d.order(0, func(ctx context.Context) cell.Input { return d.stop(ctx, a) })
@@ -62,11 +63,11 @@
 	return cell.HoldReply{Host: a.Order.Host.ID, Sent: sent, Held: held, Err: err}
 }
 
-func (d *Dispatcher) start(ctx context.Context, a cell.Start) cell.Input {
+func (d *Dispatcher) start(ctx context.Context, a cell.Start, ordered time.Duration) cell.Input {
 	sent := time.Now()
 	refusal, err := d.platform.Executor.Start(ctx, a.Order)
 	d.counters.startTime.Record(time.Since(sent))
-	return cell.StartReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Refusal: refusal, Err: err}
+	return cell.StartReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Sent: ordered, Refusal: refusal, Err: err}
 }
 
 func (d *Dispatcher) stop(ctx context.Context, a cell.Stop) cell.Input {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -9,7 +9,8 @@
 //	}
 //	l.Observe(now, inFlight, latency, ok)
 //
-// Latency is the time of service, without any wait in a queue. A window of
+// Latency is the time of service, without any wait in a queue, but for Aim, which
+// bounds just that wait. A window of
 // requests is judged by its median, so that one slow server among several
 // doesn't shrink the bound of all. A Limit holds at most one window of
 // samples. It isn't safe for concurrent use.
@@ -23,9 +24,9 @@
 
 // Constants of a window.
 const (
-	windowTime    = 100 * time.Millisecond
-	windowSamples = 100 // fewer say too little about a median
-	windowBound   = 512 // samples kept of one window
+	windowTime     = 100 * time.Millisecond
+	windowBound    = 512 // samples kept of one window
+	DefaultSamples = 100 // of a window; fewer say too little about a median
 )
 
 // smallestPart is the part of the largest bound that is always left.
@@ -42,11 +43,15 @@
 	algorithm Algorithm
 	max       float64
 	tolerance float64
+	aim       float64 // of Aim, in seconds
+	samples   int     // that a window needs
+	min       float64 // zero for smallestPart of the largest bound
 
 	value    float64
 	window   window
 	climb    climb
-	baseline float64 // of Gradient and AIMD: usual median latency in seconds
+	baseline float64   // of Gradient and AIMD: usual median latency in seconds
+	cutAt    time.Time // of Aim: requests that were sent before tell of a larger bound
 }
 
 // window is what was observed since the last judgement.
@@ -76,14 +81,41 @@
 	return func(l *Limit) { l.tolerance = factor }
 }
 
-// New returns a Limit that starts at its largest bound.
+// WithAim has the bound follow the latency that is aimed at; it sets the
+// algorithm Aim.
+func WithAim(latency time.Duration) Option {
+	return func(l *Limit) {
+		l.algorithm = Aim
+		l.aim = latency.Seconds()
+	}
+}
+
+// WithStart sets the bound at the start, the largest one by default.
+func WithStart(n int) Option {
+	return func(l *Limit) { l.value = float64(n) }
+}
+
+// WithMin sets the smallest bound, an eighth of the largest one by default.
+func WithMin(n int) Option {
+	return func(l *Limit) { l.min = float64(n) }
+}
+
+// WithSamples sets how many requests a window needs, DefaultSamples by default.
+func WithSamples(n int) Option {
+	return func(l *Limit) { l.samples = n }
+}
+
+// New returns a Limit.
 func New(opts ...Option) *Limit {
-	l := &Limit{max: DefaultMax, tolerance: DefaultTolerance}
+	l := &Limit{max: DefaultMax, tolerance: DefaultTolerance, samples: DefaultSamples}
 	for _, opt := range opts {
 		opt(l)
 	}
 	l.max = math.Max(l.max, 1)
-	l.value = l.max
+	if l.value == 0 {
+		l.value = l.max
+	}
+	l.value = l.clamp(l.value)
 	return l
 }
 
@@ -108,7 +140,7 @@
 // ok is false when no answer came in time: its latency counts where it is
 // longer than usual.
 func (l *Limit) Observe(now time.Time, inFlight int, latency time.Duration, ok bool) {
-	if l.algorithm == Off {
+	if l.algorithm == Off || now.Add(-latency).Before(l.cutAt) {
 		return
 	}
 	w := &l.window
@@ -120,10 +152,10 @@
 	if ok || latency.Seconds() > l.climb.median {
 		w.add(latency)
 	}
-	if len(w.samples) < windowSamples || now.Sub(w.start) < windowTime {
+	if len(w.samples) < l.samples || now.Sub(w.start) < windowTime {
 		return
 	}
-	l.judge(w.peak, medianOf(w.samples))
+	l.judge(now, w.peak, medianOf(w.samples))
 	*w = window{samples: w.samples[:0]}
 }
 
@@ -133,18 +165,24 @@
 	}
 }
 
-func (l *Limit) judge(peak int, median float64) {
+func (l *Limit) judge(now time.Time, peak int, median float64) {
 	saturated := peak >= l.Value()
 	switch l.algorithm {
 	case Climb:
 		l.climbWindow(saturated, median)
 	case Gradient, AIMD:
 		l.compareWindow(saturated, median)
+	case Aim:
+		l.aimWindow(now, saturated, median)
 	}
 }
 
 func (l *Limit) clamp(v float64) float64 {
-	return math.Min(math.Max(v, math.Max(1, smallestPart*l.max)), l.max)
+	least := l.min
+	if least == 0 {
+		least = smallestPart * l.max
+	}
+	return math.Min(math.Max(v, math.Max(1, least)), l.max)
 }
 
 func medianOf(samples []float64) float64 {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -89,3 +89,46 @@
 	l.SetMax(declared)
 	is.Equal(l.Value(), declared)
 }
+
+// Symptom: nearly every request on a narrow link times out, and is sent again.
+// Sequence: full load on a link that passes 200 requests a second; then it
+// passes ten times as many.
+// Cause: so many are sent at once that they wait longer on the link than their
+// senders do.
+func TestAimKeepsTheQueueShort(t *testing.T) {
+	const aim = 80 * time.Millisecond
+	is := is.New(t)
+	l := limit.New(limit.WithAim(aim), limit.WithMax(256), limit.WithMin(8), limit.WithStart(256), limit.WithSamples(8))
+	queued := func(perSecond int) func(int) time.Duration {
+		return func(n int) time.Duration {
+			return max(4*time.Millisecond, time.Duration(n)*time.Second/time.Duration(perSecond))
+		}
+	}
+	now := serve(l, time.Unix(0, 0), 5, queued(200))
+	is.True(queued(200)(l.Value()) < 2*aim)
+	is.True(l.Value() >= 8) // 40 ms of the link: it doesn't run empty
+	now = serve(l, now, 5, queued(2000))
+	is.True(queued(2000)(l.Value()) < 2*aim)
+	is.True(l.Value() > 60)
+	serve(l, now, 5, queued(20_000))
+	is.Equal(l.Value(), 256)
+}
+
+// Symptom: an owner of hundreds of workers starts next to nothing while a
+// fifth of them is cut off.
+// Sequence: of five requests one has no answer for 0.9 s.
+// Cause: the workers' silence is taken for that of the link.
+func TestAimIsNotMovedByAFewSilentServers(t *testing.T) {
+	is := is.New(t)
+	l := limit.New(limit.WithAim(80*time.Millisecond), limit.WithMax(256), limit.WithMin(8), limit.WithStart(64), limit.WithSamples(8))
+	now := time.Unix(0, 0)
+	for i := range 5000 {
+		now = now.Add(time.Millisecond)
+		latency := 5 * time.Millisecond
+		if i%5 == 0 {
+			latency = 900 * time.Millisecond
+		}
+		l.Observe(now, l.Value(), latency, i%5 != 0)
+	}
+	is.True(l.Value() >= 64)
+}
--- a/limit/strings.go
+++ b/limit/strings.go
@@ -11,12 +11,13 @@
 	_ = x[Climb-0]
 	_ = x[Gradient-1]
 	_ = x[AIMD-2]
-	_ = x[Off-3]
+	_ = x[Aim-3]
+	_ = x[Off-4]
 }
 
-const _Algorithm_name = "ClimbGradientAIMDOff"
+const _Algorithm_name = "ClimbGradientAIMDAimOff"
 
-var _Algorithm_index = [...]uint8{0, 5, 13, 17, 20}
+var _Algorithm_index = [...]uint8{0, 5, 13, 17, 20, 23}
 
 func (i Algorithm) String() string {
 	idx := int(i) - 0
