Log: whole lines, rare ones kept, repeated ones counted by kind

Cause: lines ran into each other ("msg=worker ints=2026-..."), and the load line was missing for six seconds at a stretch. The buffer went out in writes of up to 256 kB, of which the pipe took a part; what a pipe takes whole or not at all is 4,096 bytes.

Change: writes are whole lines of at most 4 kB; zap's sampler bounds lines of one message to 1,000 a second; what is left out is counted by message. Lines that tell what an instance is at have room of their own in the buffer.

Ruled out: zap's BufferedWriteSyncer for the buffer, as it writes in the caller when it is full.

--- a/cmd/dogwoodladder/entry.go
+++ b/cmd/dogwoodladder/entry.go
@@ -21,7 +21,7 @@
 // done.
 func (c *nodeCmd) Run(ctx context.Context) error {
 	debug.SetGCPercent(collectAt)
-	logger, stop := logs.New(os.Stdout, zapcore.InfoLevel)
+	logger, stop := logs.New(os.Stdout, zapcore.InfoLevel, logs.WithKept(platform.KeptLines()...))
 	defer stop()
 	return platform.Run(ctx, logger)
 }
--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -119,26 +119,43 @@
 	return d.counters.vars
 }
 
-// reporter logs that a dependency gives no answer, a line in reportEvery.
+// reporter logs that a dependency gives no answer, a line in reportEvery, and
+// that it answers again.
 type reporter struct {
 	logger     *zap.Logger
 	dependency string
 	part       string
 
-	mu   sync.Mutex
-	last time.Time
+	mu    sync.Mutex
+	since time.Time // of the first failure after an answer, zero if there is none
+	last  time.Time // line
 }
 
 func (r *reporter) failed(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Since(r.last) < reportEvery {
+	now := time.Now()
+	if r.since.IsZero() {
+		r.since = now
+	}
+	if now.Sub(r.last) < reportEvery {
 		return
 	}
-	r.last = time.Now()
+	r.last = now
 	r.logger.Warn("no answer", zap.String("from", r.dependency), zap.String("part", r.part),
 		zap.Stringer("kind", fault.KindOf(err)), zap.Error(err))
 }
 
+func (r *reporter) answered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() {
+		return
+	}
+	r.logger.Info("answers again", zap.String("from", r.dependency), zap.String("part", r.part),
+		zap.Duration("after", time.Since(r.since)))
+	r.since = time.Time{}
+}
+
 // reportEvery bounds the lines about a dependency that stays away.
 const reportEvery = time.Second
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -163,7 +163,9 @@
 }
 
 func (d *Dispatcher) newTail(stream string, fold func(provider.KeyedRecord) error, opts ...tail.Option) *tail.Tail {
+	report := &reporter{logger: d.logger, dependency: "store", part: stream}
 	apply := func(b tail.Batch) {
+		report.answered()
 		if len(b.Records) == 0 && !b.Whole {
 			return
 		}
@@ -174,7 +176,6 @@
 		}
 		d.wake()
 	}
-	report := &reporter{logger: d.logger, dependency: "store", part: stream}
 	opts = append(opts, tail.WithErrors(report.failed), tail.WithClock(d.clock))
 	return tail.New(d.platform.Store, stream, apply, opts...)
 }
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -3,18 +3,18 @@
 //
 // Usage:
 //
-//	logger, stop := logs.New(os.Stdout, zapcore.InfoLevel)
+//	logger, stop := logs.New(os.Stdout, zapcore.InfoLevel, logs.WithKept("owner", "load"))
 //	defer stop()
 //	logger.Info("accept", zap.String("job", id))
 //
-// A line is key=value pairs. Where lines were left out, the next line that
-// fits is preceded by one that says how many.
+// A line is key=value pairs. Of lines with the same message only so many a
+// second are written; those of the messages that are kept always are, and have
+// room in the buffer that the others don't take. Once a second a line for each
+// message tells how many of its lines were left out.
 package logs
 
 import (
-	"fmt"
 	"io"
-	"sync"
 	"time"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
@@ -22,94 +22,65 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// Bounds of the buffer. At 150 bytes a line it holds 1,700 lines, several
+// Bounds of the buffer. At 200 bytes a line it holds 2,600 lines, several
 // seconds of an owner's decisions.
 const (
-	bufferBytes = 256 << 10
+	bufferBytes = 512 << 10
+	keptBytes   = 64 << 10 // in addition, for lines that are kept
 	flushEvery  = 200 * time.Millisecond
+	tellEvery   = time.Second // of what was left out
+	// writeBytes is the longest write. A pipe takes one of up to 4,096 bytes
+	// whole or not at all (PIPE_BUF); of a longer one it may take a part, after
+	// which lines of two writes run into each other.
+	writeBytes = 4096
 )
 
-// New returns a logger of lines from a level on, and what writes out the last
-// of them.
-func New(out io.Writer, level zapcore.Level) (*zap.Logger, func()) {
-	w := newWriter(out)
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncodeDuration = zapcore.MillisDurationEncoder
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(config), w, level)
-	return zap.New(core), w.stop
-}
-
-// writer passes lines on from a goroutine of its own.
-type writer struct {
-	out io.Writer
-
-	mu      sync.Mutex
-	buffer  []byte
-	spare   []byte
-	dropped int
+// DefaultRepeats is how many lines with the same message are written in a
+// second. A cell of 490 workers logs 700 to 1,500 starts a second.
+const DefaultRepeats = 1000
 
-	stopping chan struct{}
-	stopped  chan struct{}
-	once     sync.Once
-}
+// Option changes a logger.
+type Option func(*options)
 
-func newWriter(out io.Writer) *writer {
-	w := &writer{out: out, stopping: make(chan struct{}), stopped: make(chan struct{})}
-	go w.run()
-	return w
+type options struct {
+	kept    []string
+	repeats int
 }
 
-// Write takes a line, or counts it as left out.
-func (w *writer) Write(line []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(w.buffer)+len(line) > bufferBytes {
-		w.dropped++
-		return len(line), nil
-	}
-	if w.dropped > 0 {
-		w.buffer = fmt.Appendf(w.buffer, "level=warn msg=\"lines left out\" count=%d\n", w.dropped)
-		w.dropped = 0
-	}
-	w.buffer = append(w.buffer, line...)
-	return len(line), nil
+// WithKept sets the messages whose lines are never left out for others. They
+// have to be rare, and tell what the process is at when it logs most.
+func WithKept(messages ...string) Option {
+	return func(o *options) { o.kept = messages }
 }
 
-// Sync does nothing: lines are written out on their own.
-func (w *writer) Sync() error {
-	return nil
+// WithRepeats sets how many lines with the same message are written in a
+// second, DefaultRepeats by default.
+func WithRepeats(n int) Option {
+	return func(o *options) { o.repeats = n }
 }
 
-func (w *writer) run() {
-	defer close(w.stopped)
-	ticker := time.NewTicker(flushEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			w.flush()
-		case <-w.stopping:
-			w.flush()
-			return
-		}
+// New returns a logger of lines from a level on, and what writes out the last
+// of them.
+func New(out io.Writer, level zapcore.Level, opts ...Option) (*zap.Logger, func()) {
+	o := options{repeats: DefaultRepeats}
+	for _, opt := range opts {
+		opt(&o)
 	}
-}
-
-func (w *writer) flush() {
-	w.mu.Lock()
-	full := w.buffer
-	w.buffer = w.spare[:0]
-	w.mu.Unlock()
-	if len(full) > 0 {
-		_, _ = w.out.Write(full) // there is nowhere to report a log that can't be written
+	w := newWriter(out)
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.MillisDurationEncoder
+	encoder := zaplogfmt.NewEncoder(config)
+	ordinary := &lane{LevelEnabler: level, encoder: encoder, writer: w, bound: bufferBytes}
+	kept := &lane{LevelEnabler: level, encoder: encoder, writer: w, bound: bufferBytes + keptBytes}
+	core := &split{
+		LevelEnabler: level,
+		names:        make(map[string]bool),
+		kept:         kept,
+		others:       zapcore.NewSamplerWithOptions(ordinary, time.Second, o.repeats, 0, zapcore.SamplerHook(w.sampled)),
 	}
-	w.mu.Lock()
-	w.spare = full
-	w.mu.Unlock()
-}
-
-func (w *writer) stop() {
-	w.once.Do(func() { close(w.stopping) })
-	<-w.stopped
+	for _, name := range o.kept {
+		core.names[name] = true
+	}
+	return zap.New(core), w.stop
 }
--- a/loss/loss.go
+++ b/loss/loss.go
@@ -10,7 +10,7 @@
 // objective by estimates and what held it up, and one line a second on the
 // load, with the serving tasks over their target. A job that ended under a
 // later owner than it began under is counted by itself, as the time before
-// isn't known.
+// isn't known. What a log says was left out of it is told beside the account.
 package loss
 
 import (
@@ -51,11 +51,12 @@
 	late  map[row]tally
 	when  map[row]map[int64]int // late jobs by kind and Span since the epoch; no reason
 	over  float64               // seconds of serving tasks over their target
+	gaps  map[string]int        // lines that were left out of the logs, by message
 }
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{ended: make(map[string]int), late: make(map[row]tally), when: make(map[row]map[int64]int)}
+	return &Table{ended: make(map[string]int), late: make(map[row]tally), when: make(map[row]map[int64]int), gaps: make(map[string]int)}
 }
 
 // Read adds a log.
@@ -72,6 +73,11 @@
 		if err == nil { // lines of older versions don't say
 			t.over += over
 		}
+	case timeline.LeftOut:
+		n, err := strconv.Atoi(e.Field("count"))
+		if err == nil {
+			t.gaps[e.Field("kind")] += n
+		}
 	}
 }
 
@@ -133,6 +139,7 @@
 	_ = w.Flush() // into memory
 	fmt.Fprintf(&b, "\nserving tasks over their target: %.0f s\n", t.over)
 	t.reportMoments(&b)
+	t.reportGaps(&b)
 	return b.String()
 }
 
@@ -146,3 +153,20 @@
 		}
 	}
 }
+
+// reportGaps adds which part of the account is missing: each job that ended has
+// a line, and each second of an owner one on its load.
+func (t *Table) reportGaps(b *strings.Builder) {
+	if len(t.gaps) == 0 {
+		return
+	}
+	ended := 0
+	for _, n := range t.ended {
+		ended += n
+	}
+	fmt.Fprintf(b, "\nleft out of the logs: the ends of %d jobs beside %d that are in the account, %d of its seconds\n",
+		t.gaps["job ended"], ended, t.gaps["load"])
+	for _, kind := range slices.Sorted(maps.Keys(t.gaps)) {
+		fmt.Fprintf(b, "  %-20s  %d lines\n", kind, t.gaps[kind])
+	}
+}
--- a/loss/loss_test.go
+++ b/loss/loss_test.go
@@ -18,6 +18,11 @@
 half a line ts=2026-04
 `
 
+const gaps = `ts=2026-04-21T11:03:53.0Z level=warn msg="lines left out" kind="start" count=120
+ts=2026-04-21T11:03:54.0Z level=warn msg="lines left out" kind="start" count=30
+ts=2026-04-21T11:03:54.0Z level=warn msg="lines left out" kind="job ended" count=2
+`
+
 func TestReport(t *testing.T) {
 	is := is.New(t)
 	table := loss.New()
@@ -36,3 +41,18 @@
   11:03:40  2
 `)
 }
+
+// What logs leave out is told, so that an account of a part isn't read as one
+// of the whole.
+func TestReportTellsWhatIsMissing(t *testing.T) {
+	is := is.New(t)
+	table := loss.New()
+	is.NoErr(table.Read("e1.log", strings.NewReader(log)))
+	is.NoErr(table.Read("e2.log", strings.NewReader(gaps)))
+	_, missing, found := strings.Cut(table.Report(), "\nleft out of the logs: ")
+	is.True(found)
+	is.Equal(missing, `the ends of 2 jobs beside 4 that are in the account, 0 of its seconds
+  job ended             2 lines
+  start                 150 lines
+`)
+}
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -33,6 +33,10 @@
 // collectors that we know.
 const longest = 1 << 20
 
+// LeftOut is the message of the lines that tell what was left out of a log: their
+// field kind holds the message of those lines, count how many there were.
+const LeftOut = "lines left out"
+
 // Event is one line that concerns the job.
 type Event struct {
 	Time     time.Time
