Workers are ordered through the instances near them

Change: each instance takes orders for the workers of its availability zone (package relay/agent) and says so in stream "instances". The owner spreads the workers over them by rendezvous hashing and sends its orders over one WebSocket connection to each, in CBOR, what waits together as one message (package relay): a worker and a specification whole once, a list of runs as its difference from the one before. An instance decides nothing: token, deadline and outcome are those of a direct order, and an end is acknowledged as before, after the owner's record. One that is silent is passed over within 0.9 s, a hold that waited there is sent directly, a start is told as one that may have run. Orders that lay somewhere for over 0.5 s aren't sent on.

Weighed: package peer's mesh (links of equals with heartbeats, 64 messages in a queue, a ping after each) against a connection that only the owner makes; the latter does with less for each order. Several cells, and fewer bytes in direct calls: not built; headers alone are 75 kB/s of the 250.

The in-memory network of peer's tests is a stand-in of its own, as both use it.

TestBurst keeps 40 orders under way: with hundreds the race detector's runtime ends ("CHECK failed: tsan_rtl.cpp") in virtual time; a program of 15 lines of the standard library does the same.

--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/peer"
+	"github.com/dogwoodladder/dogwoodladder/standin/network"
 )
 
 var (
@@ -20,9 +21,9 @@
 )
 
 // linked starts two nodes that know each other.
-func linked(t *testing.T, a, b member.Self, opts ...peer.Option) (*network, *node, *node) {
-	n := &network{}
-	x, y := n.start(t, a, "a:1", opts...), n.start(t, b, "b:1", opts...)
+func linked(t *testing.T, a, b member.Self, opts ...peer.Option) (*network.Network, *node, *node) {
+	n := newNetwork(t)
+	x, y := startNode(t, n, a, "a:1", opts...), startNode(t, n, b, "b:1", opts...)
 	x.Set([]peer.Peer{x.peer(), y.peer()})
 	y.Set([]peer.Peer{x.peer(), y.peer()})
 	beat(time.Second, time.Second, x, y)
@@ -92,7 +93,7 @@
 				beat(3*c.every, c.every, a, b)
 				a.collect()
 				b.collect()
-				n.silence()
+				n.Silence()
 				beat(c.bound, c.every, a, b)
 				for _, x := range []*node{a, b} {
 					got := x.collect()
@@ -116,7 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n, a, b := linked(t, selfA, farB)
-		n.silence()
+		n.Silence()
 		b.collect()
 		news := a.heartbeat(nil)
 		news.Revision = 8
@@ -135,8 +136,8 @@
 func TestHigherDialsAnUnawareLower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := &network{}
-		a, b := n.start(t, selfA, "a:1"), n.start(t, selfB, "b:1")
+		n := newNetwork(t)
+		a, b := startNode(t, n, selfA, "a:1"), startNode(t, n, selfB, "b:1")
 		b.Set([]peer.Peer{a.peer()})
 		beat(4*time.Second, time.Second, a, b)
 		is.True(b.Links()[0].Up && b.Links()[0].Dialed)
@@ -154,9 +155,9 @@
 func TestBothDialAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := &network{latency: 20 * time.Millisecond}
+		n := newNetwork(t, network.WithLatency(20*time.Millisecond))
 		impatient := []peer.Option{peer.WithPatience(0), peer.WithBackoff(10*time.Millisecond, 10*time.Millisecond)}
-		a, b := n.start(t, selfA, "a:1", impatient...), n.start(t, selfB, "b:1", impatient...)
+		a, b := startNode(t, n, selfA, "a:1", impatient...), startNode(t, n, selfB, "b:1", impatient...)
 		a.Set([]peer.Peer{b.peer()})
 		b.Set([]peer.Peer{a.peer()})
 		for range 10 {
@@ -167,7 +168,7 @@
 			is.True(a.Links()[0].Up && b.Links()[0].Up)
 			is.True(a.Links()[0].Dialed != b.Links()[0].Dialed)
 			is.Equal(count[peer.Unlinked](a.collect())+count[peer.Unlinked](b.collect()), 0)
-			n.silence()
+			n.Silence()
 		}
 	})
 }
@@ -191,7 +192,7 @@
 				n, a, b := linked(t, selfA, selfB)
 				b.stop()
 				if c.successor != "" {
-					next := n.start(t, member.Self{ID: c.successor, AvailabilityZone: "z", Incarnation: 2}, "b:1")
+					next := startNode(t, n, member.Self{ID: c.successor, AvailabilityZone: "z", Incarnation: 2}, "b:1")
 					defer func() { is.Equal(len(next.collect()), 0) }()
 				}
 				a.collect()
@@ -216,9 +217,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n, a, b := linked(t, selfA, selfB, peer.WithSilence(time.Hour, time.Hour))
-		n.silence()
+		n.Silence()
 		b.stop()
-		again := n.start(t, member.Self{ID: "b", AvailabilityZone: "z", Incarnation: 2}, "b:1")
+		again := startNode(t, n, member.Self{ID: "b", AvailabilityZone: "z", Incarnation: 2}, "b:1")
 		again.Set([]peer.Peer{a.peer()})
 		a.collect()
 		beat(5*time.Second, time.Second, a, again)
@@ -238,13 +239,13 @@
 func TestOneEndNoticesFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := &network{}
-		a := n.start(t, selfA, "a:1", peer.WithSilence(time.Minute, time.Minute))
-		b := n.start(t, selfB, "b:1")
+		n := newNetwork(t)
+		a := startNode(t, n, selfA, "a:1", peer.WithSilence(time.Minute, time.Minute))
+		b := startNode(t, n, selfB, "b:1")
 		b.Set([]peer.Peer{a.peer()})
 		beat(5*time.Second, time.Second, a, b)
 		is.True(b.Links()[0].Up)
-		n.silence()
+		n.Silence()
 		beat(10*time.Second, time.Second, a, b)
 		is.True(!b.Links()[0].Up) // a may still be right to keep it
 		beat(30*time.Second, time.Second, a, b)
@@ -265,7 +266,7 @@
 		}
 		is.True(a.Links()[0].Queue > 0)
 		b.stop()
-		again := n.start(t, member.Self{ID: "b", AvailabilityZone: "z", Incarnation: 2}, "b:1")
+		again := startNode(t, n, member.Self{ID: "b", AvailabilityZone: "z", Incarnation: 2}, "b:1")
 		a.collect()
 		beat(10*time.Second, time.Second, a, again)
 		got := again.collect()
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,324 @@
+// Package relay orders workers through the instances near them.
+//
+// Usage:
+//
+//	e := relay.New(direct, relay.WithInstance("edge-1"))
+//	go e.Run(ctx)
+//	e.SetInstances(instances) // that take orders, by package agent
+//	e.Enable(true)            // while this instance owns the cell
+//	held, err := e.Hold(ctx, order)
+//
+// An Executor is a provider.Executor that sends each order to an instance in the
+// worker's availability zone, over one connection to each of them, and takes
+// another way where that instance can't be reached. It decides nothing: the
+// order, its token, its deadline and its outcome are those of a direct one.
+//
+// What goes wrong without it: one instance carries every byte and connection of
+// all workers. With 2 Mbit/s it has room for 200 starts a second on 140 workers,
+// and what it can't start in time is lost. See docs/PLATFORM.md for what was
+// measured.
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"gopkg.in/tomb.v2"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/relay/wire"
+)
+
+// Bounds.
+const (
+	// avoidFor is how long a worker that an instance couldn't reach is ordered
+	// directly. The worker may be out of that instance's reach only.
+	avoidFor = 2 * time.Second
+	// watchEvery is the time between two looks for instances that are silent.
+	watchEvery = 50 * time.Millisecond
+)
+
+// Dialer makes a connection to an address.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Executor is safe for concurrent use.
+type Executor struct {
+	direct   provider.Executor
+	instance string
+	logger   *zap.Logger
+	clock    func() time.Duration
+	client   *http.Client
+	counters *counters
+
+	mu      sync.Mutex
+	enabled bool
+	links   map[string]*link
+	routes  routes
+}
+
+// Option changes an Executor.
+type Option func(*Executor)
+
+// WithInstance names this instance, which orders its share by itself.
+func WithInstance(name string) Option {
+	return func(e *Executor) { e.instance = name }
+}
+
+// WithLogger sets where connections are logged; the default drops them.
+func WithLogger(l *zap.Logger) Option {
+	return func(e *Executor) { e.logger = l }
+}
+
+// WithClock sets the clock that messages are stamped with. It has to go on while
+// the machine is suspended.
+func WithClock(clock func() time.Duration) Option {
+	return func(e *Executor) { e.clock = clock }
+}
+
+// WithDialer sets how connections are made.
+func WithDialer(d Dialer) Option {
+	return func(e *Executor) { e.client = newClient(d) }
+}
+
+func newClient(d Dialer) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: d, DisableKeepAlives: true}}
+}
+
+// New returns an Executor that orders through direct until it is enabled and
+// knows instances.
+func New(direct provider.Executor, opts ...Option) *Executor {
+	begun := time.Now()
+	e := &Executor{
+		direct:   direct,
+		logger:   zap.NewNop(),
+		clock:    func() time.Duration { return time.Since(begun) },
+		client:   newClient((&net.Dialer{}).DialContext),
+		counters: newCounters(),
+		links:    make(map[string]*link),
+		routes:   newRoutes(),
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// Run holds the connections until ctx is done. It is called once.
+func (e *Executor) Run(ctx context.Context) error {
+	t, _ := tomb.WithContext(ctx)
+	t.Go(func() error { return e.watch(t) })
+	err := t.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// watch looks for instances that are silent, and keeps the connections that are
+// wanted.
+func (e *Executor) watch(t *tomb.Tomb) error {
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.Dying():
+			e.closeAll("shutting down")
+			return nil
+		case <-ticker.C:
+			now := time.Now()
+			for _, l := range e.wanted() {
+				l.look(now, t)
+			}
+		}
+	}
+}
+
+// wanted returns the links that should be up.
+func (e *Executor) wanted() []*link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.enabled {
+		return nil
+	}
+	all := make([]*link, 0, len(e.links))
+	for _, l := range e.links {
+		all = append(all, l)
+	}
+	return all
+}
+
+// Enable has orders sent through other instances, or no more.
+func (e *Executor) Enable(enabled bool) {
+	e.mu.Lock()
+	was := e.enabled
+	e.enabled = enabled
+	e.mu.Unlock()
+	if was && !enabled {
+		e.closeAll("not wanted")
+	}
+}
+
+func (e *Executor) closeAll(reason string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.links {
+		l.close(fault.New(fault.Unavailable, "%s", reason))
+	}
+}
+
+// wants reports whether a link may have a connection.
+func (e *Executor) wants(l *link) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.enabled && e.links[l.peer.ID] == l
+}
+
+// SetInstances sets which instances take orders, whole.
+func (e *Executor) SetInstances(instances []Instance) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := make(map[string]bool, len(instances))
+	for _, i := range instances {
+		listed[i.ID] = true
+		l := e.links[i.ID]
+		if i.ID == e.instance || l != nil && l.peer == i {
+			continue
+		}
+		if l != nil {
+			l.close(fault.New(fault.Unavailable, "it has moved"))
+		}
+		e.links[i.ID] = newLink(e, i)
+	}
+	for id, l := range e.links {
+		if !listed[id] {
+			l.close(fault.New(fault.Unavailable, "not listed"))
+			delete(e.links, id)
+		}
+	}
+	e.routes.setInstances(e.instance, instances)
+}
+
+// linkOf returns the link that leads to a worker, nil for the direct way.
+func (e *Executor) linkOf(h provider.Host) *link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.enabled {
+		return nil
+	}
+	id := e.routes.pick(h, time.Now(), func(id string) bool { return id == e.instance || e.links[id] != nil && e.links[id].isUp() })
+	return e.links[id]
+}
+
+// avoid has a worker ordered directly for a while.
+func (e *Executor) avoid(h provider.Host) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.routes.avoid(h.ID, time.Now().Add(avoidFor))
+}
+
+// changed takes note that a link came or went.
+func (e *Executor) changed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.routes.forget()
+}
+
+// Hold is that of provider.Executor. One that finds no answer on its way is
+// sent directly while there is time: it may be repeated without harm.
+func (e *Executor) Hold(ctx context.Context, o provider.HoldOrder) (provider.Held, error) {
+	l := e.linkOf(o.Host)
+	if l == nil {
+		e.counters.direct.Add(1)
+		return e.direct.Hold(ctx, o)
+	}
+	e.counters.relayed.Add(1)
+	r, held := l.do(ctx, o.Host, wire.Order{
+		Kind:     wire.Hold,
+		Token:    o.Token,
+		Deadline: o.Deadline,
+		Seen:     o.Seen,
+		Wait:     o.Wait.Milliseconds(),
+	}, "")
+	switch r.Outcome {
+	case wire.Answered:
+		return held, nil
+	case wire.Fenced, wire.Elsewhere, wire.Refused:
+		return provider.Held{}, r.Err()
+	}
+	e.avoid(o.Host)
+	if ctx.Err() != nil {
+		return provider.Held{}, r.Err()
+	}
+	e.counters.again.Add(1)
+	o.Wait = 0
+	return e.direct.Hold(ctx, o)
+}
+
+// Start is that of provider.Executor.
+func (e *Executor) Start(ctx context.Context, o provider.StartOrder) (provider.Refusal, error) {
+	l := e.linkOf(o.Host)
+	if l == nil {
+		e.counters.direct.Add(1)
+		return e.direct.Start(ctx, o)
+	}
+	e.counters.relayed.Add(1)
+	r, _ := l.do(ctx, o.Host, wire.Order{
+		Kind:       wire.Start,
+		Token:      o.Token,
+		Task:       o.Task,
+		Attempt:    o.Attempt,
+		Deadline:   o.Deadline,
+		Checkpoint: o.Checkpoint,
+		Ticket:     o.Ticket,
+	}, o.Spec)
+	if e.wentNowhere(ctx, o.Host, r) {
+		return e.direct.Start(ctx, o)
+	}
+	if err := r.Err(); err != nil {
+		return provider.RefusedOther, err
+	}
+	return r.Refusal, nil
+}
+
+// Stop is that of provider.Executor.
+func (e *Executor) Stop(ctx context.Context, o provider.RunOrder) error {
+	return e.run(ctx, wire.Stop, o, e.direct.Stop)
+}
+
+// Pace is that of provider.Executor.
+func (e *Executor) Pace(ctx context.Context, o provider.RunOrder) error {
+	return e.run(ctx, wire.Pace, o, e.direct.Pace)
+}
+
+func (e *Executor) run(ctx context.Context, kind wire.Kind, o provider.RunOrder, direct func(context.Context, provider.RunOrder) error) error {
+	l := e.linkOf(o.Host)
+	if l == nil {
+		e.counters.direct.Add(1)
+		return direct(ctx, o)
+	}
+	e.counters.relayed.Add(1)
+	r, _ := l.do(ctx, o.Host, wire.Order{Kind: kind, Token: o.Token, Task: o.Task, Attempt: o.Attempt, Percent: o.Percent}, "")
+	if e.wentNowhere(ctx, o.Host, r) {
+		return direct(ctx, o)
+	}
+	return r.Err()
+}
+
+// wentNowhere reports whether an order provably wasn't sent to its worker and
+// there is time to send it directly.
+func (e *Executor) wentNowhere(ctx context.Context, h provider.Host, r wire.Result) bool {
+	if r.Outcome != wire.NotSent && r.Outcome != wire.Late {
+		return false
+	}
+	e.avoid(h)
+	if ctx.Err() != nil {
+		return false
+	}
+	e.counters.again.Add(1)
+	return true
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,407 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/relay"
+	"github.com/dogwoodladder/dogwoodladder/relay/agent"
+	"github.com/dogwoodladder/dogwoodladder/relay/wire"
+	"github.com/dogwoodladder/dogwoodladder/standin/network"
+)
+
+// workers answer orders, and keep who ordered what.
+type workers struct {
+	mu     sync.Mutex
+	orders []string // "way task"
+	token  uint64
+	runs   []provider.Run
+	specs  map[string]string        // by task
+	mute   map[string]bool          // ways on which nothing is answered
+	takes  map[string]time.Duration // time for an answer, by way
+}
+
+func newWorkers() *workers {
+	return &workers{specs: make(map[string]string), mute: make(map[string]bool), takes: make(map[string]time.Duration)}
+}
+
+// way is an Executor by which an instance reaches the workers.
+type way struct {
+	*workers
+	name string
+}
+
+func (w way) order(ctx context.Context, token uint64, what string) error {
+	w.mu.Lock()
+	w.orders = append(w.orders, w.name+" "+what)
+	mute, takes := w.mute[w.name], w.takes[w.name]
+	stale := token < w.token
+	w.token = max(w.token, token)
+	w.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return fault.New(fault.MayHaveRun, "no answer")
+	}
+	select {
+	case <-time.After(takes):
+	case <-ctx.Done():
+		return fault.New(fault.MayHaveRun, "no answer")
+	}
+	if stale {
+		return fault.New(fault.StaleEpoch, "a higher token was seen")
+	}
+	return nil
+}
+
+func (w way) Hold(ctx context.Context, o provider.HoldOrder) (provider.Held, error) {
+	if err := w.order(ctx, o.Token, "hold"); err != nil {
+		return provider.Held{}, err
+	}
+	time.Sleep(o.Wait)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return provider.Held{Clock: 7, Running: append([]provider.Run(nil), w.runs...)}, nil
+}
+
+func (w way) Start(ctx context.Context, o provider.StartOrder) (provider.Refusal, error) {
+	w.mu.Lock()
+	w.specs[o.Task] = o.Spec
+	w.mu.Unlock()
+	return provider.RefusedLate, w.order(ctx, o.Token, "start "+o.Task)
+}
+
+func (w way) Stop(ctx context.Context, o provider.RunOrder) error {
+	return w.order(ctx, o.Token, "stop "+o.Task)
+}
+
+func (w way) Pace(ctx context.Context, o provider.RunOrder) error {
+	return w.order(ctx, o.Token, fmt.Sprintf("pace %s %d", o.Task, o.Percent))
+}
+
+func (w *workers) taken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	taken := w.orders
+	w.orders = nil
+	return taken
+}
+
+func (w *workers) setMute(name string, mute bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mute[name] = mute
+}
+
+// site is an owner that orders workers by way of one instance.
+type site struct {
+	*network.Network
+	*workers
+	owner *relay.Executor
+	agent *agent.Agent
+	clock func() time.Duration // of the instance
+	stop  func()               // ends the instance
+}
+
+const address = "10.0.0.2:1"
+
+var host = provider.Host{ID: "w1", Address: "10.0.1.1:1", AvailabilityZone: "a"}
+
+func newSite(t *testing.T) *site {
+	s := &site{Network: network.New(network.WithLatency(time.Millisecond)), workers: newWorkers()}
+	t.Cleanup(func() {
+		s.Close()
+		time.Sleep(time.Minute) // for what waits for a time-out
+	})
+	begun := time.Now()
+	s.clock = func() time.Duration { return time.Since(begun) }
+	s.agent = agent.New("e2", way{s.workers, "relayed"}, agent.WithClock(func() time.Duration { return s.clock() }))
+	s.serve(t)
+	s.owner = relay.New(way{s.workers, "direct"}, relay.WithInstance("e1"), relay.WithDialer(s.Dial))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.owner.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	s.owner.SetInstances([]relay.Instance{{ID: "e2", Address: address, AvailabilityZone: "a"}})
+	s.owner.Enable(true)
+	time.Sleep(time.Second)
+	return s
+}
+
+func (s *site) serve(t *testing.T) {
+	server := &http.Server{Handler: s.agent}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := s.Listen(ctx, address)
+	go func() { _ = server.Serve(l) }()
+	s.stop = sync.OnceFunc(func() {
+		s.Unlisten(address)
+		cancel()
+		_ = server.Close()
+	})
+	t.Cleanup(s.stop)
+}
+
+func (s *site) hold(wait time.Duration) (provider.Held, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait+900*time.Millisecond)
+	defer cancel()
+	return s.owner.Hold(ctx, provider.HoldOrder{Host: host, Token: 3, Wait: wait})
+}
+
+func (s *site) start(task, spec string) (provider.Refusal, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
+	defer cancel()
+	return s.owner.Start(ctx, provider.StartOrder{Host: host, Token: 3, Task: task, Spec: spec})
+}
+
+func TestOrdersTakeTheWayThroughAnInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		ctx := t.Context()
+		s.runs = []provider.Run{{Task: "a", Attempt: 1, Checkpoint: "c", Percent: 4, Tail: 9 * time.Millisecond, Processors: 9}}
+		for range 2 { // the second list is sent as its difference from the first
+			held, err := s.hold(0)
+			is.NoErr(err)
+			is.Equal(held, provider.Held{Clock: 7, Running: s.runs})
+		}
+		refusal, err := s.start("t1", "spec")
+		is.NoErr(err)
+		is.Equal(refusal, provider.RefusedLate)
+		_, err = s.start("t2", "spec")
+		is.NoErr(err)
+		is.Equal(s.specs, map[string]string{"t1": "spec", "t2": "spec"})
+		is.NoErr(s.owner.Stop(ctx, provider.RunOrder{Host: host, Token: 3, Task: "t1"}))
+		is.NoErr(s.owner.Pace(ctx, provider.RunOrder{Host: host, Token: 3, Task: "t1", Percent: 40}))
+		is.Equal(s.taken(), []string{"relayed hold", "relayed hold", "relayed start t1", "relayed start t2", "relayed stop t1", "relayed pace t1 40"})
+
+		other := host
+		other.AvailabilityZone = "b"
+		other.ID = "w2"
+		is.NoErr(s.owner.Stop(ctx, provider.RunOrder{Host: other, Token: 3, Task: "t1"}))
+		is.Equal(s.taken(), []string{"direct stop t1"}) // no instance in its zone
+
+		s.owner.Enable(false)
+		time.Sleep(time.Second)
+		_, err = s.hold(0)
+		is.NoErr(err)
+		is.Equal(s.taken(), []string{"direct hold"})
+	})
+}
+
+// A beaten token goes back to the owner as it is.
+func TestBeatenTokenGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		s.token = 4
+		_, err := s.hold(0)
+		is.True(fault.Is(err, fault.StaleEpoch))
+		_, err = s.start("t1", "spec")
+		is.True(fault.Is(err, fault.StaleEpoch))
+		is.Equal(s.taken(), []string{"relayed hold", "relayed start t1"})
+	})
+}
+
+// Symptom: workers are silent for seconds, though they are sound and the owner
+// reaches them. Sequence: the instance that relays to them loses power, or freezes,
+// or something on the way loses track of the connection; holds wait there. Cause:
+// the connection stays open, and no read on it fails.
+func TestSilentInstanceIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		begun := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() {
+			s.Silence()
+			s.stop()
+		})
+		_, err := s.hold(time.Second)
+		is.NoErr(err)
+		is.True(time.Since(begun) < 1200*time.Millisecond)
+		is.Equal(s.taken(), []string{"relayed hold", "direct hold"})
+		_, err = s.start("t1", "spec")
+		is.NoErr(err)
+		is.Equal(s.taken(), []string{"direct start t1"})
+	})
+}
+
+// A start that waits there is told as one that may have run, before its own time
+// is over.
+func TestStartAtASilentInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		s.takes["relayed"] = 10 * time.Second
+		time.AfterFunc(10*time.Millisecond, s.Silence)
+		begun := time.Now()
+		_, err := s.start("t1", "spec")
+		is.True(fault.Is(err, fault.MayHaveRun))
+		is.True(time.Since(begun) < 700*time.Millisecond)
+		is.Equal(s.taken(), []string{"relayed start t1"})
+	})
+}
+
+// Symptom: as above, for as long as the instance lives. Sequence: one instance is cut
+// off from a worker, and the owner isn't. Cause: the owner goes on ordering through it.
+func TestWorkerOutOfTheInstancesReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		s.setMute("relayed", true)
+		_, err := s.hold(0)
+		is.True(fault.Is(err, fault.MayHaveRun))
+		_, err = s.hold(0)
+		is.NoErr(err)
+		is.Equal(s.taken(), []string{"relayed hold", "direct hold"})
+		s.setMute("relayed", false)
+		time.Sleep(3 * time.Second)
+		_, err = s.hold(0)
+		is.NoErr(err)
+		is.Equal(s.taken(), []string{"relayed hold"})
+	})
+}
+
+// An instance that leaves by plan ends what it was sent, and gets no more.
+func TestInstanceLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		s.takes["relayed"] = 300 * time.Millisecond
+		time.AfterFunc(100*time.Millisecond, s.agent.Leave)
+		_, err := s.start("t1", "spec")
+		is.NoErr(err)
+		_, err = s.start("t2", "spec")
+		is.NoErr(err)
+		is.Equal(s.taken(), []string{"relayed start t1", "direct start t2"})
+	})
+}
+
+// Symptom: a task works at a speed that was ordered seconds ago. Sequence: an
+// instance stands still, and then sends on what came meanwhile; the owner has
+// ordered otherwise. Cause: a pace has no deadline of its own.
+func TestLateOrdersAreNotSentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		_, err := s.hold(0)
+		is.NoErr(err)
+		s.taken()
+		clock := s.clock
+		s.clock = func() time.Duration { return clock() + 2*time.Second } // as of a message that lay there
+		is.NoErr(s.owner.Pace(t.Context(), provider.RunOrder{Host: host, Token: 3, Task: "t1", Percent: 40}))
+		is.Equal(s.taken(), []string{"direct pace t1 40"})
+		time.Sleep(5 * time.Second) // the connection is made anew, with the clocks as they are
+		_, err = s.hold(0)
+		is.NoErr(err)
+		is.Equal(s.taken(), []string{"relayed hold"})
+	})
+}
+
+// Symptom: an instance holds more connections with each owner that was lost.
+// Sequence: an owner loses power. Cause: no read of its connection fails.
+func TestLostOwnersConnectionEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		is.Equal(s.agent.Sessions(), 1)
+		s.Silence()
+		s.owner.Enable(false)
+		time.Sleep(20 * time.Second)
+		is.Equal(s.agent.Sessions(), 1) // it may be busy elsewhere
+		time.Sleep(20 * time.Second)
+		is.Equal(s.agent.Sessions(), 0)
+	})
+}
+
+// An address may have gone to another instance, which says so.
+func TestAnotherInstanceAtTheAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		s.owner.SetInstances([]relay.Instance{{ID: "e3", Address: address, AvailabilityZone: "a"}})
+		time.Sleep(time.Second)
+		_, err := s.hold(0)
+		is.NoErr(err)
+		is.Equal(s.taken(), []string{"direct hold"})
+	})
+}
+
+// Many orders at once go in few messages, and specifications once.
+func TestBurst(t *testing.T) {
+	const (
+		tasks  = 600
+		atOnce = 40 // with hundreds, the race detector's runtime ends in virtual time (go1.26.8)
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		errs := make(chan error, tasks)
+		for first := range atOnce {
+			go func() {
+				for i := first; i < tasks; i += atOnce {
+					_, err := s.start(fmt.Sprintf("t%d", i), fmt.Sprintf("%0500d", i/20))
+					errs <- err
+				}
+			}()
+		}
+		for range tasks {
+			is.NoErr(<-errs)
+		}
+		for i := range tasks {
+			is.Equal(s.specs[fmt.Sprintf("t%d", i)], fmt.Sprintf("%0500d", i/20))
+		}
+		var sent, frames int
+		_, err := fmt.Sscan(s.owner.Vars().Get("sent_bytes").String(), &sent)
+		is.NoErr(err)
+		_, err = fmt.Sscan(s.owner.Vars().Get("sent_messages").String(), &frames)
+		is.NoErr(err)
+		t.Logf("%d bytes in %d messages", sent, frames)
+		is.True(sent < tasks*25+tasks/20*520)
+	})
+}
+
+func TestRecords(t *testing.T) {
+	is := is.New(t)
+	i := relay.Instance{ID: "e2", Address: address, AvailabilityZone: "a"}
+	r, err := relay.Record(i)
+	is.NoErr(err)
+	got, err := relay.ParseRecord(r)
+	is.NoErr(err)
+	is.Equal(got, i)
+	for _, bad := range []relay.Instance{
+		{ID: "e2", Address: "nowhere", AvailabilityZone: "a"},
+		{ID: "e2", Address: "10.0.0.2:x", AvailabilityZone: "a"},
+		{ID: "e2", Address: address},
+		{Address: address, AvailabilityZone: "a"},
+	} {
+		r, err := relay.Record(bad)
+		is.NoErr(err)
+		_, err = relay.ParseRecord(r)
+		is.True(fault.Is(err, fault.Invalid))
+	}
+	_, err = relay.ParseRecord(provider.KeyedRecord{Key: "e2", Value: []byte("{")})
+	is.True(fault.Is(err, fault.Invalid))
+}
+
+func TestOutcomes(t *testing.T) {
+	is := is.New(t)
+	for _, k := range []fault.Kind{fault.StaleEpoch, fault.NotFound, fault.Conflict, fault.Unavailable, fault.MayHaveRun} {
+		r := wire.Result{Outcome: wire.OutcomeOf(fault.New(k, "x"))}
+		is.True(fault.Is(r.Err(), k))
+	}
+	is.Equal(wire.OutcomeOf(nil), wire.Answered)
+}
--- /dev/null
+++ b/relay/routes.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/rendezvous"
+)
+
+// routes says through which instance a worker is ordered: one of its own zone,
+// by rendezvous hashing, so that an instance that comes or goes moves few others'
+// workers. It isn't safe for concurrent use.
+type routes struct {
+	zones   map[string][]string // instances by availability zone
+	picked  map[string]string   // by worker's ID, until forget
+	avoided map[string]time.Time
+}
+
+func newRoutes() routes {
+	return routes{
+		zones:   make(map[string][]string),
+		picked:  make(map[string]string),
+		avoided: make(map[string]time.Time),
+	}
+}
+
+// setInstances sets the instances that may be picked; self is one of them.
+func (r *routes) setInstances(self string, instances []Instance) {
+	clear(r.zones)
+	for _, i := range instances {
+		r.zones[i.AvailabilityZone] = append(r.zones[i.AvailabilityZone], i.ID)
+	}
+	r.forget()
+}
+
+// forget has all workers picked for anew.
+func (r *routes) forget() {
+	clear(r.picked)
+}
+
+// avoid has a worker's instance not picked until then.
+func (r *routes) avoid(host string, until time.Time) {
+	r.avoided[host] = until
+}
+
+// pick returns the instance that a worker is ordered through, empty for the
+// direct way.
+func (r *routes) pick(h provider.Host, now time.Time, up func(string) bool) string {
+	if until, ok := r.avoided[h.ID]; ok {
+		if now.Before(until) {
+			return ""
+		}
+		delete(r.avoided, h.ID)
+	}
+	if id, ok := r.picked[h.ID]; ok {
+		return id
+	}
+	var reached []string
+	for _, id := range r.zones[h.AvailabilityZone] {
+		if up(id) {
+			reached = append(reached, id)
+		}
+	}
+	id, _ := rendezvous.Pick(h.ID, reached)
+	r.picked[h.ID] = id
+	return id
+}
