--- a/relay/agent/session.go
+++ b/relay/agent/session.go
@@ -233,20 +233,14 @@
 // write sends results as they come, all that wait in one message.
 func (s *session) write(ctx context.Context) error {
 	lists := wire.NewLists()
-	var last time.Time
+	var spacing wire.Spacing
 	for {
 		select {
 		case <-s.tomb.Dying():
 			return nil
 		case <-s.wake:
 		}
-		if d := wire.Gap - time.Since(last); d > 0 {
-			select {
-			case <-ctx.Done():
-			case <-time.After(d):
-			}
-		}
-		last = time.Now()
+		spacing.Wait(ctx)
 		results, leaving := s.waiting()
 		if len(results) == 0 && !leaving {
 			continue
--- a/relay/link.go
+++ b/relay/link.go
@@ -31,6 +31,10 @@
 	// answerWithin is how long it may take to say so. With it a frozen or cut off
 	// instance is passed over 0.5 to 0.9 s after it went silent.
 	answerWithin = 350 * time.Millisecond
+	// allAnswerWithin is the same where most of them are silent, of fewLinks at
+	// least. Over a link of 2 Mbit/s a read of 256 KB takes 1 s.
+	allAnswerWithin = 2 * time.Second
+	fewLinks        = 3
 )
 
 // maxQueued bounds the orders that wait to be sent to one instance. They are sent
@@ -60,8 +64,15 @@
 	return l.session != nil && l.session.takes()
 }
 
+// current returns the connection, nil if there is none.
+func (l *link) current() *session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session
+}
+
 // look makes a connection where there is none, and ends one that is silent.
-func (l *link) look(now time.Time, t *tomb.Tomb) {
+func (l *link) look(now time.Time, within time.Duration, t *tomb.Tomb) {
 	l.mu.Lock()
 	s := l.session
 	dial := s == nil && !l.dialing && now.After(l.again)
@@ -70,7 +81,7 @@
 	}
 	l.mu.Unlock()
 	if s != nil {
-		s.look(now)
+		s.look(now, within)
 	}
 	if dial {
 		t.Go(func() error {
@@ -144,10 +155,7 @@
 
 // close ends the connection.
 func (l *link) close(reason error) {
-	l.mu.Lock()
-	s := l.session
-	l.mu.Unlock()
-	if s != nil {
+	if s := l.current(); s != nil {
 		s.tomb.Kill(reason)
 	}
 }
@@ -156,9 +164,7 @@
 
 // do sends an order and returns its result.
 func (l *link) do(ctx context.Context, h provider.Host, o wire.Order, spec string) (wire.Result, provider.Held) {
-	l.mu.Lock()
-	s := l.session
-	l.mu.Unlock()
+	s := l.current()
 	if s == nil {
 		return wire.Result{Outcome: wire.NotSent, Text: errDown.Error()}, provider.Held{}
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -130,12 +130,36 @@
 			e.closeAll("shutting down")
 			return nil
 		case <-ticker.C:
-			now := time.Now()
-			for _, l := range e.wanted() {
-				l.look(now, t)
+			e.look(time.Now(), t)
+		}
+	}
+}
+
+// look has each link looked at.
+//
+// What goes wrong without telling the two apart: this instance's own link is full
+// for a second, by a large configuration for one, and all instances look silent. All
+// connections are made anew, and until then all workers are ordered directly, which
+// takes the link far more. Where most are silent at once it is this end, and
+// nothing is gained by another way.
+func (e *Executor) look(now time.Time, t *tomb.Tomb) {
+	links := e.wanted()
+	up, silent := 0, 0
+	for _, l := range links {
+		if s := l.current(); s != nil {
+			up++
+			if s.waits(now) >= answerWithin {
+				silent++
 			}
 		}
 	}
+	within := answerWithin
+	if up >= fewLinks && 2*silent > up {
+		within = allAnswerWithin
+	}
+	for _, l := range links {
+		l.look(now, within, t)
+	}
 }
 
 // wanted returns the links that should be up.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -239,6 +239,43 @@
 	})
 }
 
+// Symptom: all connections are made anew at once, again and again. Sequence: the
+// owner's own link is full for a second. Cause: each instance is taken for silent,
+// though nothing is heard from any.
+func TestAllSilentIsThisEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		instances := []relay.Instance{{ID: "e2", Address: address, AvailabilityZone: "a"}}
+		for i, zone := range []string{"b", "c", "d"} {
+			at := fmt.Sprintf("10.0.0.3:%d", i+1)
+			server := &http.Server{Handler: agent.New(zone, way{s.workers, zone})}
+			l := s.Listen(t.Context(), at)
+			go func() { _ = server.Serve(l) }()
+			t.Cleanup(func() { _ = server.Close() })
+			instances = append(instances, relay.Instance{ID: zone, Address: at, AvailabilityZone: zone})
+		}
+		s.owner.SetInstances(instances)
+		time.Sleep(time.Second)
+		is.Equal(s.owner.Vars().Get("links_up").String(), "4")
+		for _, i := range instances {
+			go func() {
+				h := host
+				h.ID, h.AvailabilityZone = "w"+i.ID, i.AvailabilityZone
+				_, _ = s.owner.Hold(t.Context(), provider.HoldOrder{Host: h, Token: 3, Wait: time.Hour})
+			}()
+		}
+		time.Sleep(10 * time.Millisecond)
+		s.Silence()
+		time.Sleep(2 * time.Second)
+		is.Equal(s.owner.Vars().Get("links_up").String(), "4")
+		time.Sleep(time.Second)
+		is.Equal(s.owner.Vars().Get("links_up").String(), "0")
+		s.Close()
+		time.Sleep(2 * time.Hour) // until the holds have ended
+	})
+}
+
 // A start that waits there is told as one that may have run, before its own time
 // is over.
 func TestStartAtASilentInstance(t *testing.T) {
--- a/relay/session.go
+++ b/relay/session.go
@@ -148,14 +148,14 @@
 
 // write sends what waits, as one message.
 func (s *session) write(ctx context.Context) error {
-	var last time.Time
+	var spacing wire.Spacing
 	for {
 		select {
 		case <-s.tomb.Dying():
 			return nil
 		case <-s.wake:
 		}
-		s.pause(ctx, &last)
+		spacing.Wait(ctx)
 		message := s.compose()
 		if len(message.Orders) == 0 {
 			continue
@@ -175,16 +175,6 @@
 	}
 }
 
-func (s *session) pause(ctx context.Context, last *time.Time) {
-	if d := wire.Gap - time.Since(*last); d > 0 {
-		select {
-		case <-ctx.Done():
-		case <-time.After(d):
-		}
-	}
-	*last = time.Now()
-}
-
 // compose takes what waits to be sent.
 func (s *session) compose() wire.Orders {
 	s.mu.Lock()
@@ -311,7 +301,7 @@
 // workers behind it look silent, get no tasks, and their leases would end at last. No
 // read fails for long, so an instance that says nothing is asked, and passed over
 // if it doesn't answer.
-func (s *session) look(now time.Time) {
+func (s *session) look(now time.Time, within time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving && len(s.pending) == 0 {
@@ -319,7 +309,7 @@
 		return
 	}
 	if !s.pinged.IsZero() {
-		if now.Sub(s.pinged) > answerWithin {
+		if now.Sub(s.pinged) > within {
 			s.tomb.Kill(fault.New(fault.TimedOut, "silent"))
 		}
 		return
@@ -330,6 +320,16 @@
 	}
 }
 
+// waits returns how long the answer to a ping is waited for.
+func (s *session) waits(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pinged.IsZero() {
+		return 0
+	}
+	return now.Sub(s.pinged)
+}
+
 // owes reports whether the instance should have been heard.
 func (s *session) owes(now time.Time) bool {
 	if len(s.pending) == 0 || now.Sub(s.heard) < promptFor {
--- a/relay/wire/wire.go
+++ b/relay/wire/wire.go
@@ -14,8 +14,6 @@
 package wire
 
 import (
-	"time"
-
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
@@ -35,10 +33,6 @@
 // MaxFrame bounds a message, in bytes.
 const MaxFrame = 4 << 20
 
-// Gap is the least time between two messages of a connection in one direction.
-// What comes meanwhile goes together with the next.
-const Gap = 10 * time.Millisecond
-
 // Kind is what an order asks for.
 type Kind uint8
 
