Relays: an instance is passed over at once only where others are heard

Cause: whether most looked silent at one look depended on when each was last heard; asked a moment apart, the first ones were given up as before. Now what counts is whether any other instance was heard since the silent one was asked.

--- a/relay/link.go
+++ b/relay/link.go
@@ -31,8 +31,8 @@
 	// answerWithin is how long it may take to say so. With it a frozen or cut off
 	// instance is passed over 0.5 to 0.9 s after it went silent.
 	answerWithin = 350 * time.Millisecond
-	// allAnswerWithin is the same where most of them are silent, of fewLinks at
-	// least. Over a link of 2 Mbit/s a read of 256 KB takes 1 s.
+	// allAnswerWithin is the same where nothing was heard of others either, of
+	// fewLinks at least. Over a link of 2 Mbit/s a read of 256 KB takes 1 s.
 	allAnswerWithin = 2 * time.Second
 	fewLinks        = 3
 )
@@ -72,7 +72,8 @@
 }
 
 // look makes a connection where there is none, and ends one that is silent.
-func (l *link) look(now time.Time, within time.Duration, t *tomb.Tomb) {
+// Elsewhere is when another instance was last heard.
+func (l *link) look(now, elsewhere time.Time, t *tomb.Tomb) {
 	l.mu.Lock()
 	s := l.session
 	dial := s == nil && !l.dialing && now.After(l.again)
@@ -81,7 +82,7 @@
 	}
 	l.mu.Unlock()
 	if s != nil {
-		s.look(now, within)
+		s.look(now, elsewhere)
 	}
 	if dial {
 		t.Go(func() error {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -140,25 +140,35 @@
 // What goes wrong without telling the two apart: this instance's own link is full
 // for a second, by a large configuration for one, and all instances look silent. All
 // connections are made anew, and until then all workers are ordered directly, which
-// takes the link far more. Where most are silent at once it is this end, and
-// nothing is gained by another way.
+// takes the link far more. Where no other instance was heard either since one was
+// asked, it is this end, and nothing is gained by another way.
 func (e *Executor) look(now time.Time, t *tomb.Tomb) {
 	links := e.wanted()
-	up, silent := 0, 0
+	var newest, second time.Time
+	var from *link
+	up := 0
 	for _, l := range links {
-		if s := l.current(); s != nil {
-			up++
-			if s.waits(now) >= answerWithin {
-				silent++
-			}
+		s := l.current()
+		if s == nil {
+			continue
+		}
+		up++
+		switch heard := s.lastHeard(); {
+		case heard.After(newest):
+			newest, second, from = heard, newest, l
+		case heard.After(second):
+			second = heard
 		}
-	}
-	within := answerWithin
-	if up >= fewLinks && 2*silent > up {
-		within = allAnswerWithin
 	}
 	for _, l := range links {
-		l.look(now, within, t)
+		elsewhere := newest
+		if l == from {
+			elsewhere = second
+		}
+		if up < fewLinks {
+			elsewhere = now
+		}
+		l.look(now, elsewhere, t)
 	}
 }
 
--- a/relay/session.go
+++ b/relay/session.go
@@ -301,7 +301,7 @@
 // workers behind it look silent, get no tasks, and their leases would end at last. No
 // read fails for long, so an instance that says nothing is asked, and passed over
 // if it doesn't answer.
-func (s *session) look(now time.Time, within time.Duration) {
+func (s *session) look(now, elsewhere time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving && len(s.pending) == 0 {
@@ -309,6 +309,10 @@
 		return
 	}
 	if !s.pinged.IsZero() {
+		within := allAnswerWithin
+		if elsewhere.After(s.pinged) {
+			within = answerWithin
+		}
 		if now.Sub(s.pinged) > within {
 			s.tomb.Kill(fault.New(fault.TimedOut, "silent"))
 		}
@@ -320,14 +324,10 @@
 	}
 }
 
-// waits returns how long the answer to a ping is waited for.
-func (s *session) waits(now time.Time) time.Duration {
+func (s *session) lastHeard() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.pinged.IsZero() {
-		return 0
-	}
-	return now.Sub(s.pinged)
+	return s.heard
 }
 
 // owes reports whether the instance should have been heard.
