--- a/relay/link.go
+++ b/relay/link.go
@@ -23,6 +23,8 @@
 	writeTimeout = time.Second
 	leastBackoff = 300 * time.Millisecond
 	mostBackoff  = 10 * time.Second
+	// mostDoublings of leastBackoff are above mostBackoff.
+	mostDoublings = 6
 	// promptFor is how long an order that waits for nothing may be without a
 	// result before its instance is asked whether it is there.
 	promptFor = 150 * time.Millisecond
@@ -104,8 +106,7 @@
 		err = fault.New(fault.Unavailable, "not wanted any more")
 	}
 	if err != nil {
-		l.failures++
-		l.again = time.Now().Add(min(mostBackoff, leastBackoff<<min(l.failures, 6)))
+		l.backOff(l.failures + 1)
 		l.mu.Unlock()
 		l.executor.logger.Debug("relay not reached", zap.String("through", l.peer.ID), zap.Error(err))
 		return
@@ -113,26 +114,32 @@
 	s := newSession(l.executor, socket)
 	l.session = s
 	l.mu.Unlock()
-	l.up(s)
+	l.up()
 	err = s.run(ctx)
 	l.down(s, err)
 }
 
-func (l *link) up(s *session) {
+func (l *link) up() {
 	l.executor.counters.up.Add(1)
 	l.executor.changed()
 	l.executor.logger.Info("relay", zap.String("through", l.peer.ID), zap.String("zone", l.peer.AvailabilityZone))
 }
 
+// backOff has no connection made for a while after so many failures in a row. The
+// caller holds l.mu.
+func (l *link) backOff(failures int) {
+	l.failures = failures
+	l.again = time.Now().Add(min(mostBackoff, leastBackoff<<min(failures, mostDoublings)))
+}
+
 func (l *link) down(s *session, err error) {
 	l.mu.Lock()
 	l.session = nil
-	l.failures = min(l.failures, 1)
+	failures := min(l.failures, 1) + 1
 	if s.served() {
-		l.failures = 0
+		failures = 1
 	}
-	l.failures++
-	l.again = time.Now().Add(leastBackoff << l.failures)
+	l.backOff(failures)
 	l.mu.Unlock()
 	l.executor.counters.up.Add(-1)
 	l.executor.changed()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,8 +21,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -179,11 +181,7 @@
 	if !e.enabled {
 		return nil
 	}
-	all := make([]*link, 0, len(e.links))
-	for _, l := range e.links {
-		all = append(all, l)
-	}
-	return all
+	return slices.Collect(maps.Values(e.links))
 }
 
 // Enable has orders sent through other instances, or no more.
@@ -234,7 +232,7 @@
 			delete(e.links, id)
 		}
 	}
-	e.routes.setInstances(e.instance, instances)
+	e.routes.setInstances(instances)
 }
 
 // SetWorkers sets how many workers each availability zone has.
@@ -291,11 +289,9 @@
 	case wire.Fenced, wire.Elsewhere, wire.Refused:
 		return provider.Held{}, r.Err()
 	}
-	e.avoid(o.Host)
-	if ctx.Err() != nil {
+	if !e.mayGoDirectly(ctx, o.Host) {
 		return provider.Held{}, r.Err()
 	}
-	e.counters.again.Add(1)
 	o.Wait = 0
 	return e.direct.Hold(ctx, o)
 }
@@ -353,9 +349,12 @@
 // wentNowhere reports whether an order provably wasn't sent to its worker and
 // there is time to send it directly.
 func (e *Executor) wentNowhere(ctx context.Context, h provider.Host, r wire.Result) bool {
-	if r.Outcome != wire.NotSent && r.Outcome != wire.Late {
-		return false
-	}
+	return (r.Outcome == wire.NotSent || r.Outcome == wire.Late) && e.mayGoDirectly(ctx, h)
+}
+
+// mayGoDirectly takes note that a worker wasn't reached through its instance, and
+// reports whether there is time to order it directly.
+func (e *Executor) mayGoDirectly(ctx context.Context, h provider.Host) bool {
 	e.avoid(h)
 	if ctx.Err() != nil {
 		return false
--- a/relay/routes.go
+++ b/relay/routes.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// setInstances sets the instances that may be picked; self is one of them.
-func (r *routes) setInstances(self string, instances []Instance) {
+// setInstances sets the instances that may be picked; this one is among them.
+func (r *routes) setInstances(instances []Instance) {
 	clear(r.zones)
 	for _, i := range instances {
 		r.zones[i.AvailabilityZone] = append(r.zones[i.AvailabilityZone], i.ID)
