A cell on an empty store gets an owner, whichever read ends first

With logs: one instance alone is ready and never claims; no line "claim", and no error.

Cause: the election hears of the owner only when a stream brings news. The news of the last of the two loads may be handled between the load's records and its being marked as done; `known` says no, and an empty store brings nothing further until a job comes.

Change: each tick hears of the owner too (hearOwner, used by both).

Ruled out: the store stand-in (it answered), the claim (none was tried), the metrics port that the processes of one machine share (a warning only).

TestElectionHearsOfAnEmptyStore fails on the code before, without goroutines that race.

--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -66,13 +66,9 @@
 		}
 		return
 	}
-	if d.isLeaving() {
+	if d.isLeaving() || !d.hearOwner() {
 		return
 	}
-	if !d.known() {
-		return
-	}
-	d.settleClaim()
 	if !d.claiming && d.election.Stand(d.clock(), d.progress.Age()) {
 		d.claim()
 	}
@@ -105,11 +101,23 @@
 		}
 		return
 	}
+	d.hearOwner()
+}
+
+// hearOwner takes note of who owns the cell, and reports whether that is known.
+//
+// What goes wrong if only news of the streams lead to it: the news of the last
+// read at start-up may be handled before that read is marked as done, and an
+// empty store brings no further ones. The cell stays without an owner until a job
+// comes: no line "claim" for 20 s and more, in 1 of 20 starts with 12 processes on
+// 8 processors. So each tick looks too.
+func (d *Dispatcher) hearOwner() bool {
 	if !d.known() {
-		return
+		return false
 	}
 	d.election.Observe(d.clock(), d.catalog.Owner())
 	d.settleClaim()
+	return true
 }
 
 // settleClaim goes on with a claim that turns out to be on record, though its
--- /dev/null
+++ b/dispatcher/control_test.go
@@ -0,0 +1,48 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/election"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// emptyStore holds nothing and takes claims.
+type emptyStore struct{ provider.Keyed }
+
+func (emptyStore) Newest(context.Context, string, string) (provider.KeyedPage, error) {
+	return provider.KeyedPage{}, nil
+}
+
+func (emptyStore) Read(context.Context, string, uint64, time.Duration) (provider.KeyedPage, error) {
+	return provider.KeyedPage{}, nil
+}
+
+func (emptyStore) Claim(context.Context, string, provider.Writer, uint64, provider.KeyedRecord) error {
+	return nil
+}
+
+// Symptom: a cell of a new deployment stays without an owner for 20 s and more,
+// once in twenty starts with all processors busy, until the first job comes.
+// Sequence: the last of the two streams is read, the control goroutine is woken
+// and looks before that read is marked as done; nothing is written to the store
+// meanwhile, so nothing wakes it again. Cause: the election heard of the owner,
+// or that there is none, only when it was woken.
+func TestElectionHearsOfAnEmptyStore(t *testing.T) {
+	is := is.New(t)
+	now := time.Second
+	d := New(Platform{Store: emptyStore{}}, WithInstance("e1"), WithProcessors(1), WithClock(func() time.Duration { return now }))
+	d.news() // before either stream is marked as read
+	is.NoErr(d.progress.Refresh(t.Context()))
+	is.NoErr(d.accepts.Refresh(t.Context()))
+	d.tick()
+	now += election.DefaultTiming().Handover
+	d.tick()
+	is.True(d.claiming)
+	d.tomb.Kill(nil)
+	is.NoErr(d.tomb.Wait())
+}
