Relays: messages as far apart as the owner's processors ask for

Cause: two messages of a connection were 10 ms apart always.

Change: the gap follows the rate of messages, held against 4,000 a second and core (package relay, gap.go), between 1 and 10 ms; the owner tells the instances in each message. TestGapFollowsTheLoad, TestNextGap: the decision without connections; TestMessagesByProcessors: both directions, in virtual time.

--- a/relay/agent/session.go
+++ b/relay/agent/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -31,6 +32,9 @@
 	// way does so every two seconds at least. One that lost power ends nothing: its
 	// connections would stay for good, a few kilobytes each.
 	idleAfter = 30 * time.Second
+	// longestGap bounds how far apart an owner may ask for results. More would keep
+	// them from it for as long as it takes to pass this instance over.
+	longestGap = 100 * time.Millisecond
 	// mostOrders bounds the orders under way on one connection. An owner has one
 	// hold a worker under way and at most 256 starts.
 	mostOrders = 4096
@@ -48,6 +52,8 @@
 	least time.Duration // difference of the two clocks by the quickest message
 	timed bool          // whether one has come
 
+	gap atomic.Int64 // least time between two messages to the owner, which asks for it; nanoseconds
+
 	mu      sync.Mutex
 	results []outcome // that wait to be sent
 	open    int       // orders under way
@@ -95,6 +101,7 @@
 		for _, h := range orders.Hosts {
 			s.hosts[h.Number] = provider.Host{ID: h.ID, Address: h.Address}
 		}
+		s.gap.Store(int64(min(time.Duration(orders.Gap)*time.Microsecond, longestGap)))
 		late := s.isLate(orders.Sent)
 		for i := range orders.Orders {
 			s.take(ctx, &orders.Orders[i], late)
@@ -240,7 +247,7 @@
 			return nil
 		case <-s.wake:
 		}
-		spacing.Wait(ctx)
+		spacing.Wait(ctx, time.Duration(s.gap.Load()))
 		results, leaving := s.waiting()
 		if len(results) == 0 && !leaving {
 			continue
--- /dev/null
+++ b/relay/gap_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestNextGap(t *testing.T) {
+	tests := []struct {
+		name string
+		last time.Duration
+		rate float64
+		want time.Duration
+	}{
+		{"as many as are wanted", 4 * time.Millisecond, 1000, 4 * time.Millisecond},
+		{"half as many again", 4 * time.Millisecond, 1500, 6 * time.Millisecond},
+		{"twice as many", 4 * time.Millisecond, 2000, 8 * time.Millisecond},
+		{"never above the longest", 8 * time.Millisecond, 9000, 10 * time.Millisecond},
+		{"fewer", 8 * time.Millisecond, 750, 6 * time.Millisecond},
+		{"none", 8 * time.Millisecond, 0, 4 * time.Millisecond},
+		{"never below the shortest", time.Millisecond, 0, time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is.New(t).Equal(nextGap(test.last, test.rate, 1000), test.want)
+		})
+	}
+}
+
+// Symptom: an owner with processors to spare has each end, and each start that
+// follows it, wait for 10 ms; one without has them all spent on messages. Sequence:
+// 490 or 198 workers, whose ends and starts come evenly, go through 8 connections
+// or 5. Cause: the time between two messages was the same for both.
+func TestGapFollowsTheLoad(t *testing.T) {
+	tests := []struct {
+		name       string
+		processors float64
+		links      int
+		events     float64 // ends and starts a second
+		least      time.Duration
+		most       time.Duration
+	}{
+		{"large owner, 490 workers", 0.8, 8, 1500, leastGap, 2 * time.Millisecond},
+		{"large owner, 3000 workers, burst", 0.8, 47, 12000, mostGap, mostGap},
+		{"small owner, 198 workers", 0.12, 5, 1200, mostGap, mostGap},
+		{"small owner, calm", 0.12, 5, 200, leastGap, 2 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGap(test.processors)
+			now := time.Unix(0, 0)
+			messages := 0.0
+			for range 50 {
+				now = now.Add(gapEvery)
+				messages += messagesWith(g.inForce(), 2*test.links, test.events) * gapEvery.Seconds()
+				g.look(now, int64(messages))
+			}
+			is.True(g.inForce() >= test.least)
+			is.True(g.inForce() <= test.most)
+		})
+	}
+}
+
+// messagesWith returns how many messages a second there are: what comes within a
+// gap goes together.
+func messagesWith(gap time.Duration, directions int, events float64) float64 {
+	each := events / float64(directions)
+	return float64(directions) * each / (1 + each*gap.Seconds())
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -56,6 +56,7 @@
 	clock    func() time.Duration
 	client   *http.Client
 	counters *counters
+	gap      *gap
 
 	mu      sync.Mutex
 	enabled bool
@@ -71,6 +72,12 @@
 	return func(e *Executor) { e.instance = name }
 }
 
+// WithProcessors sets how many processors the instance has, a fraction where it
+// has a share of one; the default is one. With fewer, messages are further apart.
+func WithProcessors(n float64) Option {
+	return func(e *Executor) { e.gap = newGap(n) }
+}
+
 // WithLogger sets where connections are logged; the default drops them.
 func WithLogger(l *zap.Logger) Option {
 	return func(e *Executor) { e.logger = l }
@@ -101,6 +108,7 @@
 		clock:    func() time.Duration { return time.Since(begun) },
 		client:   newClient((&net.Dialer{}).DialContext),
 		counters: newCounters(),
+		gap:      newGap(1),
 		links:    make(map[string]*link),
 		routes:   newRoutes(),
 	}
@@ -132,7 +140,9 @@
 			e.closeAll("shutting down")
 			return nil
 		case <-ticker.C:
-			e.look(time.Now(), t)
+			now := time.Now()
+			e.gap.look(now, e.counters.messages())
+			e.look(now, t)
 		}
 	}
 }
@@ -190,6 +200,9 @@
 	was := e.enabled
 	e.enabled = enabled
 	e.mu.Unlock()
+	if enabled && !was {
+		e.gap.reset()
+	}
 	if was && !enabled {
 		e.closeAll("not wanted")
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net/http"
 	"sync"
@@ -115,7 +116,7 @@
 
 var host = provider.Host{ID: "w1", Address: "10.0.1.1:1", AvailabilityZone: "a"}
 
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T, opts ...relay.Option) *site {
 	s := &site{Network: network.New(network.WithLatency(time.Millisecond)), workers: newWorkers()}
 	t.Cleanup(func() {
 		s.Close()
@@ -125,7 +126,8 @@
 	s.clock = func() time.Duration { return time.Since(begun) }
 	s.agent = agent.New("e2", way{s.workers, "relayed"}, agent.WithClock(func() time.Duration { return s.clock() }))
 	s.serve(t)
-	s.owner = relay.New(way{s.workers, "direct"}, relay.WithInstance("e1"), relay.WithDialer(s.Dial))
+	opts = append(opts, relay.WithInstance("e1"), relay.WithDialer(s.Dial))
+	s.owner = relay.New(way{s.workers, "direct"}, opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -202,6 +204,39 @@
 	})
 }
 
+// An owner with little of a processor puts more into one message, and has the
+// instance do so; one with enough waits for nothing.
+func TestMessagesByProcessors(t *testing.T) {
+	tests := []struct {
+		name        string
+		processors  float64
+		least, most int64 // messages each way
+	}{
+		{"little of one", 0.01, 180, 420},
+		{"a whole one", 1, 1500, 2000},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(t, relay.WithProcessors(test.processors))
+				const orders = 2000 // a millisecond apart
+				var wg sync.WaitGroup
+				for range orders {
+					time.Sleep(time.Millisecond)
+					wg.Go(func() { is.NoErr(s.owner.Stop(t.Context(), provider.RunOrder{Host: host, Token: 3, Task: "t"})) })
+				}
+				wg.Wait()
+				for _, name := range []string{"sent_messages", "got_messages"} {
+					n := s.owner.Vars().Get(name).(*expvar.Int).Value()
+					is.True(n >= test.least)
+					is.True(n <= test.most)
+				}
+			})
+		})
+	}
+}
+
 // A beaten token goes back to the owner as it is.
 func TestBeatenTokenGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relay/session.go
+++ b/relay/session.go
@@ -155,7 +155,7 @@
 			return nil
 		case <-s.wake:
 		}
-		spacing.Wait(ctx)
+		spacing.Wait(ctx, s.executor.gap.inForce())
 		message := s.compose()
 		if len(message.Orders) == 0 {
 			continue
@@ -179,7 +179,10 @@
 func (s *session) compose() wire.Orders {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	message := wire.Orders{Sent: s.executor.clock().Milliseconds()}
+	message := wire.Orders{
+		Sent: s.executor.clock().Milliseconds(),
+		Gap:  s.executor.gap.inForce().Microseconds(),
+	}
 	for _, queue := range [][]*call{s.urgent, s.starts} {
 		for _, c := range queue {
 			if s.pending[c.order.Number] != c {
@@ -244,6 +247,7 @@
 // note takes note of a message.
 func (s *session) note(bytes int, leaving bool) {
 	s.executor.counters.got.Add(int64(bytes))
+	s.executor.counters.received.Add(1)
 	s.mu.Lock()
 	s.heard = time.Now()
 	s.got++
--- a/relay/wire/wire.go
+++ b/relay/wire/wire.go
@@ -49,6 +49,7 @@
 	Sent   int64   `cbor:"1,keyasint"` // on the owner's clock, milliseconds
 	Hosts  []Host  `cbor:"2,keyasint,omitempty"`
 	Orders []Order `cbor:"3,keyasint,omitempty"`
+	Gap    int64   `cbor:"4,keyasint,omitempty"` // least time between two Results from now on, microseconds
 }
 
 // Host gives a worker its number on this connection.
