An instance that can't read what was accepted doesn't claim the cell

Change: an instance whose last read of that stream failed doesn't claim. It couldn't own the cell anyway, and nobody else can.

Weighed: heartbeats of a claimant that waits. They would keep the cell from an instance that can read where only the claimant can't.

TestNoClaimWithoutReads failed on the code before. TestClaimReadBackNeedsAllJobs made the stream unreadable before the claim, which isn't made any more then; it makes it unreadable with the claim now, checks that there was one, and holds the rest as before.

--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -69,11 +69,23 @@
 	if d.isLeaving() || !d.hearOwner() {
 		return
 	}
-	if !d.claiming && d.election.Stand(d.clock(), d.progress.Age()) {
+	if !d.claiming && d.mayClaim() && d.election.Stand(d.clock(), d.progress.Age()) {
 		d.claim()
 	}
 }
 
+// mayClaim reports whether a claim could be followed by what an owner has to read.
+//
+// What goes wrong without it: the stream of accepted jobs can't be read for five
+// seconds, the owner falls silent meanwhile, and the largest instance claims the cell.
+// It waits for its reads and is silent in its turn; when they are answered again, a
+// small one has claimed the next term, with thousands of tasks waiting. It shows as two
+// claims, the first without a line "owner". Nobody can own the cell meanwhile, so
+// nothing is lost by waiting.
+func (d *Dispatcher) mayClaim() bool {
+	return !d.accepts.Failing()
+}
+
 // known reports whether both streams were read.
 func (d *Dispatcher) known() bool {
 	select {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -28,6 +28,7 @@
 	refuse  bool
 	mute    bool   // writes are neither done nor answered
 	unread  string // stream whose reads fail
+	claimed func() // called before the first claim is written
 	writes  int
 }
 
@@ -87,6 +88,13 @@
 }
 
 func (s *slowStore) Claim(ctx context.Context, name string, w provider.Writer, next uint64, record provider.KeyedRecord) error {
+	s.mu.Lock()
+	claimed := s.claimed
+	s.claimed = nil
+	s.mu.Unlock()
+	if claimed != nil {
+		claimed()
+	}
 	return s.write(ctx, name, &w, &next, []provider.KeyedRecord{record})
 }
 
@@ -458,18 +466,21 @@
 		fallen, err := catalog.OwnerRecord(catalog.Owner{Term: 1, Instance: "fallen", Nonce: 7})
 		is.NoErr(err)
 		is.NoErr(store.Put(ctx, catalog.Progress, &provider.Writer{Name: "owner", Term: 1, Sequence: 1}, []provider.KeyedRecord{fallen}))
-		d := start(ctx, store, 1)[0]
-		time.Sleep(100 * time.Millisecond)
-		store.setUnread(catalog.Accepts)
 		accepted, err := catalog.AcceptRecord(newJob(1))
 		is.NoErr(err)
-		is.NoErr(store.Put(ctx, catalog.Accepts, nil, []provider.KeyedRecord{accepted}))
+		store.claimed = func() { // it has read neither the job, nor can it now
+			store.setUnread(catalog.Accepts)
+			is.NoErr(store.Put(ctx, catalog.Accepts, nil, []provider.KeyedRecord{accepted}))
+		}
+		d := start(ctx, store, 1)[0]
+		time.Sleep(100 * time.Millisecond)
 		begun, err := catalog.ProgressRecord(newJob(1).ID, &progress.Progress{State: progress.Running, Claimed: true})
 		is.NoErr(err)
 		is.NoErr(store.Put(ctx, catalog.Progress, &provider.Writer{Name: "owner", Term: 1, Sequence: 2}, []provider.KeyedRecord{begun}))
 		time.Sleep(4 * time.Second)
 		d.Configure(queue.New(2, queue.Limits{}, nil, nil)) // has it look at what it knows
 		time.Sleep(time.Second)
+		is.True(store.claimed == nil)
 		is.True(!d.Owning()) // it can't know what its jobs are
 		store.setUnread("")
 		time.Sleep(2 * time.Second)
@@ -480,6 +491,32 @@
 	})
 }
 
+// Symptom: a small instance has the cell, with thousands of tasks waiting, though a
+// large one is there. Sequence: the stream of accepted jobs can't be read, and the
+// owner falls silent; the large instance claims the cell and waits for its reads;
+// another claims the next term meanwhile. Cause: it claimed what it couldn't own, and
+// was silent.
+func TestNoClaimWithoutReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newSlowStore(2 * time.Millisecond)
+		fallen, err := catalog.OwnerRecord(catalog.Owner{Term: 1, Instance: "fallen", Nonce: 7})
+		is.NoErr(err)
+		is.NoErr(store.Put(ctx, catalog.Progress, &provider.Writer{Name: "owner", Term: 1, Sequence: 1}, []provider.KeyedRecord{fallen}))
+		d := start(ctx, store, 1)[0]
+		time.Sleep(100 * time.Millisecond)
+		store.setUnread(catalog.Accepts)
+		time.Sleep(5 * time.Second)
+		is.Equal(store.newest(catalog.Progress, "owner"), fallen.Value)
+		store.setUnread("")
+		time.Sleep(time.Second)
+		is.True(d.Owning())
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func (s *slowStore) setMute(mute bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -67,6 +67,7 @@
 	loaded  chan struct{}
 	onError func(error)
 	paused  atomic.Bool
+	failing atomic.Bool // the reader's last read failed
 	resume  chan struct{}
 
 	loadOnce sync.Once     // closes loaded
@@ -177,6 +178,11 @@
 	return t.clock() - time.Duration(read)
 }
 
+// Failing reports whether the last read of Run failed.
+func (t *Tail) Failing() bool {
+	return t.failing.Load()
+}
+
 // Next returns the offset after the last record applied.
 func (t *Tail) Next() uint64 {
 	t.mu.Lock()
@@ -190,7 +196,12 @@
 	for ctx.Err() == nil {
 		t.waitResumed(ctx)
 		sent := time.Now()
-		err := t.once(ctx, t.wait)
+		wait := t.wait
+		if failures > 0 {
+			wait = 0 // it is to be known at once that reads are answered again
+		}
+		err := t.once(ctx, wait)
+		t.failing.Store(err != nil)
 		if err != nil && ctx.Err() == nil {
 			t.onError(err)
 			failures++
