--- a/cell/run.go
+++ b/cell/run.go
@@ -261,11 +261,9 @@
 	return r.percent < 100 && r.pace >= 100 && w.heard-r.advanced >= c.stallOf(r)
 }
 
-// checkRun repeats a stop without effect, and stops a run that hangs.
+// checkRun deals with a run that is overdue: it repeats a stop without effect, and
+// stops a run that hangs.
 func (c *Cell) checkRun(r *run) {
-	if !c.overdue(r) {
-		return // by what was done for another run of its worker
-	}
 	if r.state == runStopping {
 		c.sendStop(r)
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -270,7 +270,8 @@
 func (e *Executor) avoid(h provider.Host) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.routes.avoid(h.ID, time.Now().Add(avoidFor))
+	now := time.Now()
+	e.routes.avoid(h.ID, now, now.Add(avoidFor))
 }
 
 // changed takes note that a link came or went.
--- a/relay/routes.go
+++ b/relay/routes.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/provider"
@@ -58,8 +59,10 @@
 	clear(r.picked)
 }
 
-// avoid has a worker's instance not picked until then.
-func (r *routes) avoid(host string, until time.Time) {
+// avoid has a worker's instance not picked until then. Entries that are over go, as
+// those of workers that have left would stay for good.
+func (r *routes) avoid(host string, now, until time.Time) {
+	maps.DeleteFunc(r.avoided, func(_ string, end time.Time) bool { return !now.Before(end) })
 	r.avoided[host] = until
 }
 
