--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -575,6 +575,9 @@
 				}
 				is.Equal(store.newest(catalog.Accepts, "a/"+newJob(1).ID) != nil, test.accepted)
 				is.NoErr(d.Submit(ctx, newJob(2)))
+				later := newJob(3)
+				later.Times = 1
+				is.NoErr(d.Submit(ctx, later))
 				cancel()
 				synctest.Wait()
 			})
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -256,8 +256,11 @@
 
 // admit rejects a job that the cell's owner won't order in time, since it doesn't
 // keep up with what it is asked for. A repeat of a job that is on record is no new
-// one: its caller may have lost the first answer.
+// one: its caller may have lost the first answer. One with a schedule isn't for now.
 func (d *Dispatcher) admit(ctx context.Context, j *job.Job) error {
+	if j.Scheduled() {
+		return nil
+	}
 	lag := d.backlog().Lag(j.Terms.Priority)
 	if !overload.Rejects(lag, j.Width(), rand.Float64()) {
 		return nil
