A new owner reaches the instances near its workers before it asks the workers

All 819 were asked directly, which took 0.48 to 0.52 s of 0.8 of a core, and the connections came up after it; what had begun goes on only then.

TestFirstOrdersWaitForTheInstances fails on the code before (60 holds go directly); an instance that refuses or is silent holds them up for 0 and 0.2 s. TestWanted: which instances have a connection.

--- a/relay/link.go
+++ b/relay/link.go
@@ -66,6 +66,28 @@
 	return l.session != nil && l.session.takes()
 }
 
+// begin forgets what an earlier ownership saw of the instance.
+func (l *link) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures = 0
+	l.again = time.Time{}
+}
+
+// works reports whether there is a connection, or nothing speaks against one.
+func (l *link) works() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session != nil || l.failures == 0
+}
+
+// tried reports whether there is a connection, or it couldn't be made.
+func (l *link) tried() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.session != nil || l.failures > 0
+}
+
 // current returns the connection, nil if there is none.
 func (l *link) current() *session {
 	l.mu.Lock()
@@ -73,12 +95,12 @@
 	return l.session
 }
 
-// look makes a connection where there is none, and ends one that is silent.
-// Elsewhere is when another instance was last heard.
-func (l *link) look(now, elsewhere time.Time, t *tomb.Tomb) {
+// look makes a connection where there is none and one is wanted, and ends one that
+// is silent. Elsewhere is when another instance was last heard.
+func (l *link) look(now, elsewhere time.Time, wanted bool, t *tomb.Tomb) {
 	l.mu.Lock()
 	s := l.session
-	dial := s == nil && !l.dialing && now.After(l.again)
+	dial := wanted && s == nil && !l.dialing && now.After(l.again)
 	if dial {
 		l.dialing = true
 	}
@@ -108,6 +130,7 @@
 	if err != nil {
 		l.backOff(l.failures + 1)
 		l.mu.Unlock()
+		l.executor.tried()
 		l.executor.logger.Debug("relay not reached", zap.String("through", l.peer.ID), zap.Error(err))
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,6 +43,9 @@
 	avoidFor = 2 * time.Second
 	// watchEvery is the time between two looks for instances that are silent.
 	watchEvery = 50 * time.Millisecond
+	// openWithin is how long orders wait for the first connections of a new owner,
+	// which take 5 ms to an instance that is there.
+	openWithin = 200 * time.Millisecond
 )
 
 // Dialer makes a connection to an address.
@@ -58,10 +61,14 @@
 	counters *counters
 	gap      *gap
 
+	kick chan struct{} // has the connections looked at now
+
 	mu      sync.Mutex
 	enabled bool
 	links   map[string]*link
 	routes  routes
+	opening chan struct{} // closed once the connections that are wanted were tried; nil after that
+	openBy  time.Time     // when it is closed at the latest
 }
 
 // Option changes an Executor.
@@ -111,6 +118,7 @@
 		gap:      newGap(1),
 		links:    make(map[string]*link),
 		routes:   newRoutes(),
+		kick:     make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -139,11 +147,13 @@
 		case <-t.Dying():
 			e.closeAll("shutting down")
 			return nil
+		case <-e.kick:
 		case <-ticker.C:
-			now := time.Now()
-			e.gap.look(now, e.counters.messages())
-			e.look(now, t)
 		}
+		now := time.Now()
+		e.gap.look(now, e.counters.messages())
+		e.look(now, t)
+		e.tried()
 	}
 }
 
@@ -155,7 +165,7 @@
 // takes the link far more. Where no other instance was heard either since one was
 // asked, it is this end, and nothing is gained by another way.
 func (e *Executor) look(now time.Time, t *tomb.Tomb) {
-	links := e.wanted()
+	links, wanted := e.kept()
 	var newest, second time.Time
 	var from *link
 	up := 0
@@ -180,18 +190,68 @@
 		if up < fewLinks {
 			elsewhere = now
 		}
-		l.look(now, elsewhere, t)
+		l.look(now, elsewhere, wanted[l], t)
 	}
 }
 
-// wanted returns the links that should be up.
-func (e *Executor) wanted() []*link {
+// kept returns all links, and those of them that should have a connection.
+func (e *Executor) kept() ([]*link, map[*link]bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.enabled {
-		return nil
+		return nil, nil
+	}
+	return slices.Collect(maps.Values(e.links)), e.wanted()
+}
+
+// wanted returns the links that should have a connection. The caller holds e.mu.
+func (e *Executor) wanted() map[*link]bool {
+	wanted := make(map[*link]bool)
+	for _, id := range e.routes.wanted(func(id string) bool { return e.links[id] == nil || e.links[id].works() }) {
+		if l := e.links[id]; l != nil {
+			wanted[l] = true
+		}
+	}
+	return wanted
+}
+
+// tried lets the orders go that wait for connections, once each that is wanted is up
+// or couldn't be made.
+func (e *Executor) tried() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opening == nil {
+		return
+	}
+	if time.Now().Before(e.openBy) {
+		for l := range e.wanted() {
+			if !l.tried() {
+				return
+			}
+		}
+	}
+	close(e.opening)
+	e.opening = nil
+}
+
+// opened waits until the connections of a new owner were tried.
+//
+// What goes wrong without it: a new owner asks each of its workers what runs there
+// before it has any connection to the instances near them, and makes one to each
+// worker instead. With 819 workers the survey took 0.52 s of an owner with 0.8 of a
+// core, and the connections to the instances came up after it; until then nothing
+// starts that had begun. It shows as lines "relay" after the line "workers surveyed".
+func (e *Executor) opened(ctx context.Context) {
+	e.mu.Lock()
+	opening := e.opening
+	e.mu.Unlock()
+	if opening == nil {
+		return
+	}
+	select {
+	case <-opening:
+	case <-ctx.Done():
 	}
-	return slices.Collect(maps.Values(e.links))
 }
 
 // Enable has orders sent through other instances, or no more.
@@ -199,15 +259,34 @@
 	e.mu.Lock()
 	was := e.enabled
 	e.enabled = enabled
+	if enabled && !was {
+		e.open()
+	}
 	e.mu.Unlock()
 	if enabled && !was {
 		e.gap.reset()
+		select {
+		case e.kick <- struct{}{}:
+		default:
+		}
 	}
 	if was && !enabled {
 		e.closeAll("not wanted")
 	}
 }
 
+// open has orders wait for the first connections. The caller holds e.mu.
+func (e *Executor) open() {
+	if len(e.links) == 0 {
+		return
+	}
+	for _, l := range e.links {
+		l.begin()
+	}
+	e.opening = make(chan struct{})
+	e.openBy = time.Now().Add(openWithin)
+}
+
 func (e *Executor) closeAll(reason string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -256,7 +335,8 @@
 }
 
 // linkOf returns the link that leads to a worker, nil for the direct way.
-func (e *Executor) linkOf(h provider.Host) *link {
+func (e *Executor) linkOf(ctx context.Context, h provider.Host) *link {
+	e.opened(ctx)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.enabled {
@@ -277,14 +357,15 @@
 // changed takes note that a link came or went.
 func (e *Executor) changed() {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.routes.forget()
+	e.mu.Unlock()
+	e.tried()
 }
 
 // Hold is that of provider.Executor. One that finds no answer on its way is
 // sent directly while there is time: it may be repeated without harm.
 func (e *Executor) Hold(ctx context.Context, o provider.HoldOrder) (provider.Held, error) {
-	l := e.linkOf(o.Host)
+	l := e.linkOf(ctx, o.Host)
 	if l == nil {
 		e.counters.direct.Add(1)
 		return e.direct.Hold(ctx, o)
@@ -312,7 +393,7 @@
 
 // Start is that of provider.Executor.
 func (e *Executor) Start(ctx context.Context, o provider.StartOrder) (provider.Refusal, error) {
-	l := e.linkOf(o.Host)
+	l := e.linkOf(ctx, o.Host)
 	if l == nil {
 		e.counters.direct.Add(1)
 		return e.direct.Start(ctx, o)
@@ -347,7 +428,7 @@
 }
 
 func (e *Executor) run(ctx context.Context, kind wire.Kind, o provider.RunOrder, direct func(context.Context, provider.RunOrder) error) error {
-	l := e.linkOf(o.Host)
+	l := e.linkOf(ctx, o.Host)
 	if l == nil {
 		e.counters.direct.Add(1)
 		return direct(ctx, o)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -274,6 +275,58 @@
 	})
 }
 
+// Symptom: tasks that had begun go on half a second after a takeover, which takes
+// 800 connections. Sequence: a new owner asks each worker what runs there, at once.
+// Cause: it had no connection yet to the instances near them. Where they can't be
+// reached, the workers are asked directly after a moment.
+func TestFirstOrdersWaitForTheInstances(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(*testing.T, *site)
+		way     string
+		most    time.Duration // until the last answer
+	}{
+		{"it is there", func(*testing.T, *site) {}, "relayed", 50 * time.Millisecond},
+		{"it refuses", func(_ *testing.T, s *site) { s.stop() }, "direct", 20 * time.Millisecond},
+		{"it takes connections and is silent", func(t *testing.T, s *site) {
+			s.stop()
+			l := s.Listen(context.Background(), address)
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				for {
+					if _, err := l.Accept(); err != nil {
+						return
+					}
+				}
+			}()
+		}, "direct", 250 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(t)
+				s.owner.Enable(false)
+				time.Sleep(time.Minute)
+				test.prepare(t, s)
+				begun := time.Now()
+				s.owner.Enable(true)
+				const orders = 60
+				var wg sync.WaitGroup
+				for range orders {
+					wg.Go(func() {
+						_, err := s.hold(0)
+						is.NoErr(err)
+					})
+				}
+				wg.Wait()
+				is.True(time.Since(begun) <= test.most)
+				is.Equal(s.taken(), slices.Repeat([]string{test.way + " hold"}, orders))
+			})
+		})
+	}
+}
+
 // Symptom: all connections are made anew at once, again and again. Sequence: the
 // owner's own link is full for a second. Cause: each instance is taken for silent,
 // though nothing is heard from any.
--- a/relay/routes.go
+++ b/relay/routes.go
@@ -66,6 +66,34 @@
 	r.avoided[host] = until
 }
 
+// spare is how many instances of a zone there are connections to beyond those that
+// are used, for the place of one that is lost.
+const spare = 1
+
+// wanted returns the instances to have connections to: those that are used, the
+// spare ones, and those before them that don't work, which are to be used again.
+func (r *routes) wanted(works func(string) bool) []string {
+	var wanted []string
+	for zone, ids := range r.zones {
+		missing := r.used(zone) + spare
+		for _, id := range ids {
+			if missing == 0 {
+				break
+			}
+			wanted = append(wanted, id)
+			if works(id) {
+				missing--
+			}
+		}
+	}
+	return wanted
+}
+
+// used returns through how many instances of a zone its workers are ordered.
+func (r *routes) used(zone string) int {
+	return max(1, (r.workers[zone]+share-1)/share)
+}
+
 // pick returns the instance that a worker is ordered through, empty for the
 // direct way.
 func (r *routes) pick(h provider.Host, now time.Time, up func(string) bool) string {
@@ -79,9 +107,9 @@
 		return id
 	}
 	var reached []string
-	most := (r.workers[h.AvailabilityZone] + share - 1) / share
+	most := r.used(h.AvailabilityZone)
 	for _, id := range r.zones[h.AvailabilityZone] {
-		if len(reached) >= max(1, most) {
+		if len(reached) >= most {
 			break
 		}
 		if up(id) {
