--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -455,6 +455,16 @@
 	})
 }
 
+// fallenOwner puts an owner on record that writes nothing further, and returns the
+// record.
+func fallenOwner(ctx context.Context, is *is.I, store *slowStore) provider.KeyedRecord {
+	is.Helper()
+	fallen, err := catalog.OwnerRecord(catalog.Owner{Term: 1, Instance: "fallen", Nonce: 7})
+	is.NoErr(err)
+	is.NoErr(store.Put(ctx, catalog.Progress, &provider.Writer{Name: "owner", Term: 1, Sequence: 1}, []provider.KeyedRecord{fallen}))
+	return fallen
+}
+
 // Symptom: tasks that are done run again. Sequence: an instance claims the
 // cell, the claim is written, and reading what was accepted before it fails;
 // meanwhile the instance reads its own claim back. Cause: a claim that was read
@@ -465,9 +475,7 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		store := newSlowStore(2 * time.Millisecond)
-		fallen, err := catalog.OwnerRecord(catalog.Owner{Term: 1, Instance: "fallen", Nonce: 7})
-		is.NoErr(err)
-		is.NoErr(store.Put(ctx, catalog.Progress, &provider.Writer{Name: "owner", Term: 1, Sequence: 1}, []provider.KeyedRecord{fallen}))
+		fallenOwner(ctx, is, store)
 		accepted, err := catalog.AcceptRecord(newJob(1))
 		is.NoErr(err)
 		store.claimed = func() { // it has read neither the job, nor can it now
@@ -503,9 +511,7 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
 		store := newSlowStore(2 * time.Millisecond)
-		fallen, err := catalog.OwnerRecord(catalog.Owner{Term: 1, Instance: "fallen", Nonce: 7})
-		is.NoErr(err)
-		is.NoErr(store.Put(ctx, catalog.Progress, &provider.Writer{Name: "owner", Term: 1, Sequence: 1}, []provider.KeyedRecord{fallen}))
+		fallen := fallenOwner(ctx, is, store)
 		d := start(ctx, store, 1)[0]
 		time.Sleep(100 * time.Millisecond)
 		store.setUnread(catalog.Accepts)
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -6,15 +6,15 @@
 //	var g overload.Gauge
 //	g.Looked(now, bound)  // after each look for starts: whether it left tasks for want of its own means
 //	g.Started()           // for each start
-//	if b := g.Backlog(now); b != nil {
-//		b.Add(priority, tasks)  // for each step that waits
-//		// tell the other instances
-//	}
+//	b := g.Backlog(now)             // nil while it keeps up
+//	b.Add(priority, tasks)          // for each step that waits
+//	b.Full = map[string]int{service: priority} // by Full, for each pool
+//	// tell the other instances
 //
 // and where jobs are handed in:
 //
 //	lag := b.Lag(priority)
-//	if overload.Rejects(lag, tasks, rand.Float64()) {
+//	if overload.Rejects(lag, tasks, rand.Float64()) || lasting && !b.HasRoom(service, priority) {
 //		return fault.New(fault.Overloaded, "...").After(overload.RetryAfter(lag, rand.Float64()))
 //	}
 //
