Relays: one way through an instance for starts, stops and paces; shares rounded once

Start and run had the same lines around an order: the way, its counters, the direct way where it went nowhere. They call relay now. Routes rounded workers to shares in three places. Comments on the record of the backlog name full pools, and the usage of package overload its nil.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -178,14 +178,15 @@
 	return provider.KeyedRecord{Key: learnedKey, Value: data}
 }
 
-// backlog is what an owner that doesn't keep up has to order, nil while it does.
+// backlog is what an owner that doesn't keep up has to order, and which of its pools
+// are full; its Orders are nil while neither is so.
 type backlog struct {
 	Term   uint64            `cbor:"1,keyasint"`
 	Orders *overload.Backlog `cbor:"2,keyasint,omitempty"`
 }
 
-// BacklogRecord returns the record of what the owner of a term has to order, nil
-// if it keeps up.
+// BacklogRecord returns the record of what the owner of a term has to order and of
+// its pools that are full, nil if it keeps up and has room.
 func BacklogRecord(term uint64, b *overload.Backlog) (provider.KeyedRecord, error) {
 	data, err := cbor.Marshal(backlog{Term: term, Orders: b})
 	if err != nil {
@@ -203,8 +204,8 @@
 	return nil
 }
 
-// Backlog returns what the owner of the cell has to order, nil if it keeps up or
-// has told nothing.
+// Backlog returns what the owner of the cell has to order and which pools are full,
+// nil if it keeps up and has room, or has told nothing.
 func (c *Catalog) Backlog() *overload.Backlog {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -6,9 +6,10 @@
 //	var g overload.Gauge
 //	g.Looked(now, bound)  // after each look for starts: whether it left tasks for want of its own means
 //	g.Started()           // for each start
-//	b := g.Backlog(now)             // nil while it keeps up
-//	b.Add(priority, tasks)          // for each step that waits
-//	b.Full = map[string]int{service: priority} // by Full, for each pool
+//	if b := g.Backlog(now); b != nil { // it doesn't keep up
+//		b.Add(priority, tasks)  // for each step that waits
+//	}
+//	priority, full := overload.Full(late, whole) // for each pool; into Backlog.Full
 //	// tell the other instances
 //
 // and where jobs are handed in:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -393,13 +393,7 @@
 
 // Start is that of provider.Executor.
 func (e *Executor) Start(ctx context.Context, o provider.StartOrder) (provider.Refusal, error) {
-	l := e.linkOf(ctx, o.Host)
-	if l == nil {
-		e.counters.direct.Add(1)
-		return e.direct.Start(ctx, o)
-	}
-	e.counters.relayed.Add(1)
-	r, _ := l.do(ctx, o.Host, wire.Order{
+	r, sent := e.relay(ctx, o.Host, wire.Order{
 		Kind:       wire.Start,
 		Token:      o.Token,
 		Task:       o.Task,
@@ -408,7 +402,7 @@
 		Checkpoint: o.Checkpoint,
 		Ticket:     o.Ticket,
 	}, o.Spec)
-	if e.wentNowhere(ctx, o.Host, r) {
+	if !sent {
 		return e.direct.Start(ctx, o)
 	}
 	if err := r.Err(); err != nil {
@@ -428,23 +422,26 @@
 }
 
 func (e *Executor) run(ctx context.Context, kind wire.Kind, o provider.RunOrder, direct func(context.Context, provider.RunOrder) error) error {
-	l := e.linkOf(ctx, o.Host)
-	if l == nil {
-		e.counters.direct.Add(1)
-		return direct(ctx, o)
-	}
-	e.counters.relayed.Add(1)
-	r, _ := l.do(ctx, o.Host, wire.Order{Kind: kind, Token: o.Token, Task: o.Task, Attempt: o.Attempt, Percent: o.Percent}, "")
-	if e.wentNowhere(ctx, o.Host, r) {
+	r, sent := e.relay(ctx, o.Host, wire.Order{Kind: kind, Token: o.Token, Task: o.Task, Attempt: o.Attempt, Percent: o.Percent}, "")
+	if !sent {
 		return direct(ctx, o)
 	}
 	return r.Err()
 }
 
-// wentNowhere reports whether an order provably wasn't sent to its worker and
-// there is time to send it directly.
-func (e *Executor) wentNowhere(ctx context.Context, h provider.Host, r wire.Result) bool {
-	return (r.Outcome == wire.NotSent || r.Outcome == wire.Late) && e.mayGoDirectly(ctx, h)
+// relay sends an order by way of the instance that leads to its worker. It reports
+// false if the order is to be sent directly: there is no such instance, or the order
+// provably wasn't sent to the worker and there is time.
+func (e *Executor) relay(ctx context.Context, h provider.Host, o wire.Order, spec string) (wire.Result, bool) {
+	l := e.linkOf(ctx, h)
+	if l == nil {
+		e.counters.direct.Add(1)
+		return wire.Result{}, false
+	}
+	e.counters.relayed.Add(1)
+	r, _ := l.do(ctx, h, o, spec)
+	wentNowhere := r.Outcome == wire.NotSent || r.Outcome == wire.Late
+	return r, !wentNowhere || !e.mayGoDirectly(ctx, h)
 }
 
 // mayGoDirectly takes note that a worker wasn't reached through its instance, and
--- a/relay/routes.go
+++ b/relay/routes.go
@@ -47,7 +47,7 @@
 // setWorkers sets how many workers each zone has.
 func (r *routes) setWorkers(byZone map[string]int) {
 	for zone, n := range byZone {
-		if (n+share-1)/share != (r.workers[zone]+share-1)/share {
+		if shares(n) != shares(r.workers[zone]) {
 			r.forget()
 		}
 	}
@@ -91,7 +91,12 @@
 
 // used returns through how many instances of a zone its workers are ordered.
 func (r *routes) used(zone string) int {
-	return max(1, (r.workers[zone]+share-1)/share)
+	return max(1, shares(r.workers[zone]))
+}
+
+// shares returns how many shares so many workers are.
+func shares(workers int) int {
+	return (workers + share - 1) / share
 }
 
 // pick returns the instance that a worker is ordered through, empty for the
