Logs: what tells why a worker was lost

A worker that is lost takes 8 to 16 runs with it, and the log said only which. The line now names the tasks that had just been started when the worker was last heard, by its own clock, for how long it was silent, and how many other workers may have fallen silent at the same moment. That tells a task that crashes its workers (the one that just started, again and again) from a rack without power (many at once) and from bad luck. No decision changes.

--- a/cell/report.go
+++ b/cell/report.go
@@ -21,6 +21,7 @@
 	if r.state == runStarting {
 		r.state = runRunning
 	}
+	r.seenBegun(w.clock)
 	if p.Percent != r.percent {
 		r.percent = p.Percent
 		r.advanced = c.now
--- a/cell/run.go
+++ b/cell/run.go
@@ -168,6 +168,7 @@
 			r.state = runRunning
 			r.advanced = c.now
 		}
+		r.seenBegun(c.clockNow(w))
 	case provider.RefusedToken:
 		c.beaten(in.Host)
 	default:
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -45,6 +45,7 @@
 	holdAt   time.Duration // when the next one is due
 	vouched  bool          // the platform says that its machine is up, though it is silent
 	misses   int           // holds without an answer, in a row
+	silent   time.Duration // when the first of these was missed
 	heard    time.Duration // last answer
 	ended    uint64        // highest end that was handled
 	seen     uint64        // highest end that is on record
@@ -66,25 +67,26 @@
 // run is one attempt at a task on a worker. It holds its share of the
 // worker's capacity from the order to start until its end is known.
 type run struct {
-	task      *task // nil for a run that belongs to no job known
-	name      string
-	worker    *worker
-	attempt   uint64
-	state     runState
-	need      resource.Vector
-	deadline  int64 // on the worker's clock: a start is refused after it
-	began     time.Duration
-	stopSent  time.Duration
-	percent   int
-	advanced  time.Duration // when percent last grew
-	pace      int           // percent of full speed, or unknownPace
-	tail      time.Duration // of a serving run
-	use       int64         // thousandths of a core in use, of one that doesn't serve
-	exposure  exposure      // of a filling run
-	paced     time.Duration // when pace was set
-	slowed    time.Duration // lost by working below full speed before then
-	slowSince time.Duration // since when it hardly works by our order, zero if it does
-	probe     bool          // started while its worker was suspect
+	task       *task // nil for a run that belongs to no job known
+	name       string
+	worker     *worker
+	attempt    uint64
+	state      runState
+	need       resource.Vector
+	deadline   int64 // on the worker's clock: a start is refused after it
+	began      time.Duration
+	begunClock int64 // by when it had begun, on the worker's clock; zero while that isn't known
+	stopSent   time.Duration
+	percent    int
+	advanced   time.Duration // when percent last grew
+	pace       int           // percent of full speed, or unknownPace
+	tail       time.Duration // of a serving run
+	use        int64         // thousandths of a core in use, of one that doesn't serve
+	exposure   exposure      // of a filling run
+	paced      time.Duration // when pace was set
+	slowed     time.Duration // lost by working below full speed before then
+	slowSince  time.Duration // since when it hardly works by our order, zero if it does
+	probe      bool          // started while its worker was suspect
 }
 
 func (c *Cell) addWorker(h provider.Host) *worker {
@@ -240,6 +242,7 @@
 	}
 	w.misses++
 	if w.misses == 1 {
+		w.silent = c.now
 		c.note("worker silent", "worker", w.host.ID, "runs", len(w.runs), "err", in.Err)
 	}
 	w.holdAt = c.now + min(maxHoldPause, firstHoldPause<<min(w.misses, 4))
@@ -258,7 +261,7 @@
 		return
 	}
 	w.lost = true
-	c.note("worker lost", "worker", w.host.ID, "reason", reason, "runs", len(w.runs))
+	c.noteLost(w, reason)
 	for _, r := range inOrder(w.runs) {
 		c.endRun(r, provider.EndLost, "")
 	}
