Failing test: a task that crashes its workers is started for ever

The harness of the cell learns such tasks, workers whose connections are reset by a crash and refused until they are back, and a check on each start: three workers may crash under a task, and it may be started twice more after that.

--- a/cell/checks_test.go
+++ b/cell/checks_test.go
@@ -53,11 +53,29 @@
 	if s.done[o.Task] {
 		s.violate("again: %s was done and acknowledged", o.Task)
 	}
+	s.checkCrashes(o.Task)
 	if s.failures[o.Task] >= terms.Attempts {
 		s.violate("budget: %s after %d failures", o.Task, s.failures[o.Task])
 	}
 }
 
+// Bounds on a task that crashes the workers that start it.
+const (
+	crashesFree = 3 // workers that may crash under it
+	startsAfter = 3 // starts after these that are one too many
+)
+
+// checkCrashes holds a start against the workers that the task has crashed.
+func (s *site) checkCrashes(task string) {
+	if s.crashes[task] < crashesFree {
+		return
+	}
+	s.beyond[task]++
+	if s.beyond[task] == startsAfter {
+		s.violate("crashes: %s started %d times more after %d workers had crashed under it", task, startsAfter, crashesFree)
+	}
+}
+
 // checkLife holds an order to start against the list that its owner last read: no
 // task goes to a life of a worker that another one has followed.
 func (s *site) checkLife(list provider.HostList, h provider.Host) {
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -51,6 +51,10 @@
 	ran        map[string]bool // tasks that ended well
 	failures   map[string]int  // acknowledged failures by task
 
+	crashing  func(task string) bool // tasks that crash the worker that starts them; nil for none
+	crashes   map[string]int         // workers that such a task has crashed
+	beyond    map[string]int         // its starts since the third
+	lives     int                    // of workers that came back
 	failing   func(task string, attempt uint64) bool
 	unhealthy func(*fakeWorker) bool // fails all that ends there; nil for none
 	length    func(task string) time.Duration
@@ -99,6 +103,8 @@
 		done:     make(map[string]bool),
 		ran:      make(map[string]bool),
 		failures: make(map[string]int),
+		crashes:  make(map[string]int),
+		beyond:   make(map[string]int),
 		taken:    func(*fakeWorker) {},
 		failing: func(string, uint64) bool {
 			return false
@@ -446,6 +452,10 @@
 	}
 	w := s.worker(h)
 	silent := func() { s.after(wait+timeout, func() { back(nil, fault.New(fault.MayHaveRun, "no answer")) }) }
+	if w != nil && w.refuses && !o.noWorker[w.number] {
+		s.after(2*hop, func() { back(nil, fault.New(fault.Unavailable, "connection refused")) })
+		return
+	}
 	if w == nil || !w.up || o.noWorker[w.number] {
 		silent()
 		return
@@ -494,11 +504,14 @@
 			answered = true
 			answer(w.held())
 		})
-		s.after(wait+timeout, func() {
+		fail := func(why string) {
 			if !answered {
-				back(nil, fault.New(fault.MayHaveRun, "no answer"))
+				answered = true
+				back(nil, fault.New(fault.MayHaveRun, "%s", why))
 			}
-		})
+		}
+		w.onReset = append(w.onReset, func() { s.after(hop, func() { fail("connection reset") }) })
+		s.after(wait+timeout, func() { fail("no answer") })
 		return
 	}
 	answer(out)
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -29,6 +29,8 @@
 	ended    []provider.Ended
 	count    uint64
 	waiters  []func()
+	onReset  []func() // of the holds that wait
+	refuses  bool     // connections, while its process is down on a machine that is up
 	offset   time.Duration
 	rate     float64
 }
@@ -110,6 +112,18 @@
 	})
 }
 
+// reset ends the worker's process: its connections are reset, and another life of
+// it comes up 3 s later.
+func (w *fakeWorker) reset() {
+	const restart = 3 * time.Second
+	w.refuses = true
+	for _, broken := range w.onReset {
+		broken()
+	}
+	w.site.lives++
+	w.crash(restart, w.site.lives)
+}
+
 func (w *fakeWorker) extend(deadline int64) {
 	w.deadline = max(w.deadline, min(deadline, w.clock()+10_000))
 	w.site.after(time.Duration(float64(max(0, w.deadline-w.clock())+1)/w.rate)*time.Millisecond, w.lapse)
@@ -197,10 +211,26 @@
 	s.checkStart(w, o)
 	r := &fakeRun{attempt: o.Attempt, length: s.length(o.Task), since: s.now, pace: 100, need: s.needOf(o.Task)}
 	w.runs[o.Task] = r
+	if s.crashing != nil && s.crashing(o.Task) {
+		s.after(crashAfter, func() { w.crashUnder(o.Task, r) })
+		return provider.Accepted
+	}
 	w.plan(o.Task, r)
 	return provider.Accepted
 }
 
+// crashAfter is how long a task that crashes its worker runs there.
+const crashAfter = 10 * time.Millisecond
+
+// crashUnder has the worker crash by what it runs, if it still does.
+func (w *fakeWorker) crashUnder(task string, r *fakeRun) {
+	if !w.up || w.runs[task] != r {
+		return
+	}
+	w.site.crashes[task]++
+	w.reset()
+}
+
 // plan ends a run when its time has come, unless its speed changes before.
 func (w *fakeWorker) plan(name string, r *fakeRun) {
 	s := w.site
