Starts stop where a worker may have shrunk unseen

Cause: an owner to which the store gives no answer went on by the last list of workers for up to 8 s and more after it was read. A worker that shrank meanwhile looked as wide as before.

Change: Timing.RoomAge, contactMs less the time of a start order, bounds the list's age in any case. What runs goes on, its leases are extended as before, and jobs can't be accepted without the store anyway. Log line 'worker resized'.

Ruled out: going on with starts that need no processors (memory shrinks too), and with as much as ends (the worker may be over its room by more).

--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -157,6 +157,7 @@
 		}
 		h := w.host
 		h.Draining = w.leaves && at >= w.leavesAt
+		h.Capacity = w.roomAt(at - hostBeat)
 		list.Hosts = append(list.Hosts, h)
 	}
 	return list
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -39,15 +39,15 @@
 }
 
 // trustsList reports whether starts may lean on the list of workers, and notes
-// when that changes. The list may be
-// Timing.ListAge older than the last sign that the store could be reached. While
-// the store gives no answer to this owner, no newer list can be had, and those
-// that run go on by the last one, for as long as mayOrder allows: an outage of the
-// store would otherwise stop all work.
+// when that changes. The list may be Timing.ListAge older than the last sign that
+// the store could be reached. While the store gives no answer to this owner, no newer
+// list can be had, and starts go on by the last one until it is as old as
+// Timing.RoomAge: by then a worker may have shrunk, which shows as tasks of more than
+// its capacity, and any start on it would add to them. What runs goes on.
 func (c *Cell) trustsList() bool {
 	l := &c.list
 	reached := max(l.woke, c.saves.contact)
-	trusted := l.read && reached-l.newest.AsOf < c.timing.ListAge
+	trusted := l.read && reached-l.newest.AsOf < c.timing.ListAge && c.now-l.newest.AsOf < c.timing.RoomAge
 	if l.old == trusted {
 		l.old = !trusted
 		event := "starts wait for the list"
@@ -118,6 +118,10 @@
 		c.note("worker", "worker", h.ID, "zone", h.AvailabilityZone, "labels", strings.Join(h.Labels, ","), "draining", h.Draining)
 	}
 	leaves := h.Draining && !w.host.Draining
+	if h.Capacity != w.host.Capacity {
+		c.note("worker resized", "worker", h.ID, "from", w.host.Capacity.String(), "to", h.Capacity.String(), "used", w.used.String())
+		c.touch(w)
+	}
 	w.host = h
 	w.listed = true
 	if leaves {
--- /dev/null
+++ b/cell/shrink_test.go
@@ -0,0 +1,69 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Symptom: a start brings a worker over its capacity, which it doesn't guard itself.
+// Sequence: the capacity of workers shrinks under what they run, and grows again.
+// Meanwhile the owner doesn't learn of it: the store gives it no answer, or it reads
+// nothing but its own writes' outcome, or it stands still, or another owner follows.
+// Cause: while the store is away an owner goes on by the last list it read, and a
+// shrunk worker looks as wide there as it was 8 s before.
+func TestStartsFitWorkersThatShrink(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(s *site)
+	}{
+		{"nothing else", func(*site) {}},
+		{"the store is away", func(s *site) {
+			s.after(4*time.Second, func() { s.owners[0].noStore = true })
+			s.after(11*time.Second, func() { s.owners[0].noStore = false })
+		}},
+		{"reads of the list fail", func(s *site) {
+			s.after(4*time.Second, func() { s.owners[0].noList = true })
+			s.after(11*time.Second, func() { s.owners[0].noList = false })
+		}},
+		{"the owner stands still", func(s *site) {
+			s.after(4*time.Second, func() { s.owners[0].freeze(5 * time.Second) })
+		}},
+		{"an owner follows", func(s *site) {
+			s.after(5*time.Second, func() { s.takeover(0, 1) })
+			s.after(9*time.Second, func() {
+				s.owners[0].listTime = 400 * time.Millisecond
+				s.takeover(1, 0)
+			})
+		}},
+	}
+	for _, tt := range tests {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprint(tt.name, " ", seed), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				const jobs, every = 120, 100 * time.Millisecond
+				s := newSite(t, 700+seed, 8, 2)
+				s.arrive(jobs, every)
+				s.owners[0].take()
+				for n := range 30 {
+					at := time.Duration(n) * 500 * time.Millisecond
+					s.after(at, func() { s.workers[s.rng.IntN(len(s.workers))].resize(40 + s.rng.Int64N(60)) })
+				}
+				tt.play(s)
+				s.after(16*time.Second, func() {
+					for _, w := range s.workers {
+						w.resize(100)
+					}
+				})
+				s.run(jobs*every + 3*quiet)
+				is.Equal(s.broken, nil)
+				for i := range jobs {
+					is.Equal(s.state(jobID(i)), "completed")
+				}
+			})
+		}
+	}
+}
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -57,6 +57,11 @@
 	// between two writes of the owner, which say that the store can be reached,
 	// and that of an order on its way.
 	ListAge time.Duration
+	// RoomAge is how old the list may be in any case. A worker may say in it that
+	// it has less room, and one that doesn't guard its capacity takes what is
+	// started all the same. It is below the time that is left for that to be known
+	// everywhere, by that of an order on its way.
+	RoomAge time.Duration
 	// Stall is how long a running task may show no advance before it counts
 	// as hanging.
 	Stall time.Duration
@@ -92,6 +97,7 @@
 		Silence:     300 * time.Millisecond,
 		Unlisted:    3 * time.Second,
 		ListAge:     1400 * time.Millisecond,
+		RoomAge:     2300 * time.Millisecond,
 		Stall:       2500 * time.Millisecond,
 		Quarantine:  2 * time.Second,
 		PaceDelay:   100 * time.Millisecond,
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -18,6 +18,7 @@
 	host     provider.Host
 	up       bool
 	downAt   time.Duration // when it went, if it isn't up
+	rooms    []room        // its capacity over time, empty if it never changed
 	unsound  bool          // its entry names no worker
 	spoiled  time.Duration // since when
 	leaves   bool          // it has said that it leaves
@@ -90,6 +91,49 @@
 	})
 }
 
+// room is a capacity of a worker from a time on.
+type room struct {
+	from     time.Duration
+	capacity resource.Vector
+}
+
+// resize gives the worker a share of its first capacity from now on.
+func (w *fakeWorker) resize(percent int64) {
+	if len(w.rooms) == 0 {
+		w.rooms = []room{{capacity: w.host.Capacity}}
+	}
+	whole := w.rooms[0].capacity
+	w.rooms = append(w.rooms, room{from: w.site.now, capacity: resource.Vector{
+		Processors: whole.Processors * percent / 100,
+		Memory:     whole.Memory * percent / 100,
+	}})
+}
+
+// roomAt returns the worker's capacity at a time.
+func (w *fakeWorker) roomAt(at time.Duration) resource.Vector {
+	capacity := w.host.Capacity
+	for _, r := range w.rooms {
+		if r.from <= at || r.from == 0 {
+			capacity = r.capacity
+		}
+	}
+	return capacity
+}
+
+// fits reports whether the worker had room for a need at any time of a span that ends
+// now.
+func (w *fakeWorker) fits(need resource.Vector, span time.Duration) bool {
+	if need.Fits(w.roomAt(w.site.now - span)) {
+		return true
+	}
+	for _, r := range w.rooms {
+		if r.from > w.site.now-span && need.Fits(r.capacity) {
+			return true
+		}
+	}
+	return false
+}
+
 // spoil has another writer write over the worker's entry for a while.
 func (w *fakeWorker) spoil(d time.Duration) {
 	w.unsound = true
