A worker that is back under its old ID is another life

What callers saw: nothing yet; found by looking for the incident's cause elsewhere.

Cause: the owner knows a life by its ID alone. The new one numbers its ends from one, so they looked like those on record and were acknowledged unread.

Change: an answer whose clock went back, or that has neither a run that was there nor its end, is another life's: what ran is lost, crashes count, ends are read anew. An end that is read twice changes nothing, so a wrong guess costs nothing either.

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -191,3 +191,24 @@
 	is.Equal(s.state(jobID(3)), "completed")
 	is.Equal(s.state(jobID(4)), "running")
 }
+
+// Symptom: a task that crashes its workers is started for ever, and ends of sound
+// tasks are never heard. Sequence: the worker is back under its old ID, with nothing
+// that ran there and ends that are numbered from one again. Cause: a run that is gone
+// from its worker without an end counted as a start that wasn't carried out, and ends
+// with numbers that had been seen as those of the life before.
+func TestWorkerIsBackUnderItsOldID(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			const jobs, every = 60, 200 * time.Millisecond
+			s := newSite(t, 600+seed, 24, 1)
+			s.keepNames = true
+			s.crashers(jobID(5)+".0.0.1", jobID(11)+".0.1.0", jobID(17)+".0.0.0", jobID(40)+".0.1.1")
+			s.arrive(jobs, every)
+			s.owners[0].take()
+			s.run(jobs*every + 2*quiet)
+			s.mustTell(jobs)
+		})
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -203,6 +203,9 @@
 		c.missed(w, in)
 		return
 	}
+	if w.renewed(&in.Held) {
+		c.renew(w, &in.Held)
+	}
 	if w.misses > 0 {
 		c.note("worker regained", "worker", w.host.ID, "after", c.now-w.heard, "runs", len(w.runs))
 	}
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -157,15 +157,22 @@
 }
 
 // reset ends the worker's process: its connections are reset, and another life of
-// it comes up 3 s later.
+// it comes up 3 s later, or sooner where it keeps its name.
 func (w *fakeWorker) reset() {
-	const restart = 3 * time.Second
+	restart := 3 * time.Second
+	if w.site.keepNames {
+		restart = 200 * time.Millisecond
+	}
 	w.refuses = true
 	for _, broken := range w.onReset {
 		broken()
 	}
 	w.site.lives++
 	w.crash(restart, w.site.lives)
+	if w.site.keepNames {
+		id := w.host.ID
+		w.site.after(restart, func() { w.site.worker(w.host).host.ID = id })
+	}
 }
 
 func (w *fakeWorker) extend(deadline int64) {
