Comments: what each is for, without the story of its tuning

Older comments told how a value was measured or came about. They now say what it guards against or gains. No code changes.

--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -8,9 +8,8 @@
 // A look goes over the steps that wait, the most urgent first, and starts what
 // can be started. What a look costs is bounded: an owner that is busy looking
 // writes no heartbeat, so that another instance takes the cell, finds the same
-// backlog and falls behind in its turn. With 400 steps waiting on 100 workers
-// that takes 87,000 checks a second (TestBacklogCostsLittle), where checking all
-// pairs at each of 200 looks would be eight million.
+// backlog and falls behind in its turn. To check all pairs of a step and a worker at
+// each of 200 looks a second would be millions of checks (TestBacklogCostsLittle).
 const (
 	// dispatchGap is the least time between two looks. Under load each of
 	// thousands of reports a second makes a start possible.
@@ -18,8 +17,8 @@
 	// lookBudget is how many pairs of a step and a worker one look checks.
 	// Steps that it doesn't reach wait for the next one.
 	lookBudget = 10_000
-	// checkPause is the pause after a look for each pair that it checked. A
-	// check takes 0.03 to 0.1 us, so looks take a tenth of the time at most.
+	// checkPause is the pause after a look for each pair that it checked. It is ten
+	// times what a check takes, so that looks take a tenth of the time at most.
 	checkPause = time.Microsecond
 	// recheckEvery is how often a step that fits nowhere is checked against all
 	// workers again, as some of what keeps tasks off a worker ends with time
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -15,9 +15,7 @@
 // start lines with a list_age of seconds, on workers that are draining. A worker
 // gives notice, so an owner whose list is younger than that has seen it. This holds
 // in every state that an owner can be in: new, with what an earlier term or the
-// record left it; with reads that fail or take long; or after it stood still. Over
-// 40 s in which 109 of 490 workers left and seven owners in a row stood still, 294
-// tasks were started on workers whose notice was over without it, and none with it.
+// record left it; with reads that fail or take long; or after it stood still.
 type hostList struct {
 	read   bool // this owner has taken one
 	newest provider.HostList
@@ -100,9 +98,7 @@
 
 // holds reports whether a list is the newest one again, read anew. A worker that
 // was found to be lost, and whose entry hasn't lapsed yet, isn't taken up again
-// for it. An owner spends 0.05 ms on such a list of 490 workers in place of 0.77,
-// and 0.17 ms on one of 1,100 in place of 1.6, three times a second (BenchmarkList,
-// on a busy machine).
+// for it. It spares an owner of many workers to look at each three times a second.
 func (l *hostList) holds(list provider.HostList) bool {
 	a, b := l.newest.Hosts, list.Hosts
 	if len(a) != len(b) || !slices.Equal(l.newest.Unsound, list.Unsound) {
--- a/cell/relocate.go
+++ b/cell/relocate.go
@@ -8,10 +8,9 @@
 )
 
 // A serving task that minds other filling images than those beside it keeps
-// them off the whole worker. As lasting tasks come and go, such mixtures grow:
-// on a day of 66 workers the images of a worker went from 1.1 to 1.7, and the
-// filling images that most serving ones mind were left with 9 of the 16 workers
-// that had borne them. So tasks are moved back to their like.
+// them off the whole worker. As lasting tasks come and go, such mixtures grow, and
+// fewer and fewer workers bear the filling images that most serving ones mind. So
+// tasks are moved back to their like.
 const (
 	// moveGain is the least gain of a move, in workers. A moved task is away
 	// for a second or two, a hundredth of its life; a worker given back counts
--- a/cell/run.go
+++ b/cell/run.go
@@ -325,7 +325,7 @@
 // succeeded takes a task that completed on a worker for a sign that it is
 // healthy: an unhealthy one completes nothing, and one of a healthy worker's
 // tasks in twenty fails by its own fault, so that two in a row come by chance as
-// well. On a calm day of 48 workers two to six were in quarantine at any time.
+// well.
 func (c *Cell) succeeded(w *worker) {
 	w.failures = 0
 	if w.suspect {
--- a/cell/score.go
+++ b/cell/score.go
@@ -7,16 +7,14 @@
 	fillingWeight = 0.5 // work beside filling tasks slows them
 	servingWeight = 2.0 // serving tasks of one image together are slowed by fewer filling images
 	// mixedWeight is that of each further image of serving tasks. It keeps
-	// images apart while nothing is known of what they mind; without it a day
-	// is worth 0.67 instead of 0.75 (30 days of 66 workers).
+	// images apart while nothing is known of what they mind.
 	mixedWeight = 1.0
 	// costWeight is that of what a filling task takes from others, in
-	// workers. With it filling jobs were worth 0.877 to their callers, without
-	// 0.866 (standard error of the difference 0.004, 30 days of 66 workers).
+	// workers.
 	costWeight = 5.0
 	// lossWeight is that of what filling tasks lose by a serving one, in
 	// workers. It outweighs any other, as a worker lost to them is lost for as
-	// long as the serving task lasts. 4 gained 0.007 a day, 12 gains 0.008.
+	// long as the serving task lasts.
 	lossWeight = 12.0
 )
 
--- a/cell/serving.go
+++ b/cell/serving.go
@@ -10,8 +10,7 @@
 // Bounds of the care for serving tasks.
 const (
 	// patience is how long a filling task may hardly work before it is moved.
-	// One that waits in its place holds up all that comes after its step: with
-	// 2.5 s a day is worth 0.783, with 0.8 s 0.793 (20 days of 66 workers).
+	// One that waits in its place holds up all that comes after its step.
 	patience  = 800 * time.Millisecond
 	slowest   = 20                      // percent of full speed below which a filling task hardly works
 	paceStep  = 10                      // percent between two speeds
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -30,9 +30,7 @@
 	// UnseenWait is the time until a worker with ends that aren't on record
 	// yet is looked at again. It answers at once until they are, so that a
 	// look can't wait there for the next end. While the store is slow or away
-	// that end would otherwise be seen a second late: urgent jobs are worth
-	// 0.756 to their callers with it and 0.750 without (30 days of 66 workers,
-	// standard error of the difference 0.003).
+	// that end would otherwise be seen a second late.
 	UnseenWait time.Duration
 	// Beat is the longest time between two writes of the owner.
 	Beat time.Duration
--- a/cell/urgency.go
+++ b/cell/urgency.go
@@ -60,10 +60,7 @@
 
 // lastingPatience is how long a lasting task that waits for room lets urgent
 // jobs that came after it go first. It serves for a minute or more, so that
-// some seconds cost it little, while the job would be late. On days of 66
-// workers that are 97% reserved urgent jobs are worth 0.764 to their callers
-// with 20 s and 0.756 with 10 s, lasting ones 0.894 and 0.893 (30 days, standard
-// error of the differences 0.003 and 0.001); 60 s gains no more.
+// some seconds cost it little, while the job would be late.
 const lastingPatience = 20 * time.Second
 
 // lateFactor is the multiple of its objective from which a job that is late is
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -188,8 +188,7 @@
 	return min(c.timing.HoldWait, max(c.timing.MixedWait, time.Duration(len(c.workers))*mixedShare))
 }
 
-// mixedShare is the time between two such holds of the whole site. At 490
-// workers it took the holds of a 51 s day from 81,418 to 63,492.
+// mixedShare is the time between two such holds of the whole site.
 const mixedShare = 2 * time.Millisecond
 
 // held takes a worker's answer to a hold.
@@ -304,8 +303,8 @@
 }
 
 // checkRuns deals with the runs of a worker that are overdue. There are few of them
-// among all, and only they are put in order: sorting all ten times a second was a
-// quarter of an owner's decisions at 600 starts a second on 198 workers.
+// among all, and only they are put in order: to sort all ten times a second takes a
+// small owner a quarter of its decisions.
 func (c *Cell) checkRuns(w *worker) {
 	var overdue map[string]*run
 	for name, r := range w.runs {
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -332,9 +332,7 @@
 
 // freshen reads what was written of jobs since the last read, and reports
 // whether it did. A caller that asks just after its job's last task has ended
-// would otherwise be told that the job runs, and ask again much later. Over 66
-// days of three sites, played with and without, urgent jobs were worth 0.005
-// more to their callers (standard error 0.003).
+// would otherwise be told that the job runs, and ask again much later.
 func (d *Dispatcher) freshen(ctx context.Context) bool {
 	age := d.progress.Age()
 	if age < stateAge || age > progressSpacing+progressWait {
--- a/dispatcher/list.go
+++ b/dispatcher/list.go
@@ -73,8 +73,7 @@
 
 // beginList reads the list of workers while nothing else is to be done. A new
 // owner asks each of its workers what runs there, and a list that it reads beside
-// 490 such calls came 0.24 to 0.38 s later on an instance of 0.8 of a core; no
-// task starts before it. A claim doesn't fail for want of it: what runs has to be
+// hundreds of such calls comes late; no task starts before it. A claim doesn't fail for want of it: what runs has to be
 // kept running. The channel is closed when the list was read or the time is over.
 func (d *Dispatcher) beginList(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -29,14 +29,12 @@
 //
 // The other thing that can be short is room. A lasting task holds its room for as long
 // as its job lasts, and one that waits fits each hole that another leaves, also where
-// an urgent one of a third of a worker doesn't. What goes wrong: a twelfth of 890
-// workers is lost, lasting tasks come to hold 94% of the rest, and urgent ones get 1 to
-// 2% of the 6% that they ask for, until the end. It shows as urgent tasks beyond their
+// an urgent one of a third of a worker doesn't. What goes wrong: some workers are
+// lost, lasting tasks come to hold nearly all of the rest, and urgent ones get a
+// fraction of what they ask for, until the end. It shows as urgent tasks beyond their
 // objective by the thousand beside workers without any room. So lasting jobs are
-// rejected while urgent ones of their pool wait for room (Full). With 24 of them
-// rejected on that day urgent jobs earn 0.76 of their worth in place of 0.45, filling
-// ones 0.84 in place of 0.68 and lasting ones 0.89 in place of 0.85 (one play each). A
-// reserve wouldn't do: a lasting task that was accepted mustn't wait beside free room.
+// rejected while urgent ones of their pool wait for room (Full). A reserve wouldn't
+// do: a lasting task that was accepted mustn't wait beside free room.
 package overload
 
 import (
--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -15,9 +15,7 @@
 // its users and with what works beside it: slack = base - sum(weight * share),
 // where share is the part of the worker's processors that a filling task
 // uses, and the weight belongs to the pair of images. A slack of 1 is a tail at
-// its target. Over 15,000 reports of a day with uncontrolled filling, tails of
-// 13 to 31 ms without filling tasks and of up to 1.1 s with them fit this form;
-// weights differ from none to above 30 between pairs of images.
+// its target. Weights differ from none to above 30 between pairs of images.
 //
 // Both are followed by one Kalman filter: the base of each job with its slope,
 // which its tasks share and which moves with the users' load, and the weight of
@@ -60,8 +58,7 @@
 	leastSlack = 1.1  // that must be left to a serving task
 	// startSlack must be left to it beside a filling task that is to be
 	// started. Above leastSlack, so that what works there isn't slowed by each
-	// newcomer: with 1.1 serving tasks were over their target for 626 s a day
-	// through others, with 1.4 for 523 s (30 days of 66 workers).
+	// newcomer.
 	startSlack = 1.4
 	usualSlack = 1.5  // of a task at the peak of its load
 	peakSlack  = 1.05 // that must be left to it then
--- a/pressure/trend.go
+++ b/pressure/trend.go
@@ -5,11 +5,9 @@
 	"time"
 )
 
-// Bounds of a trend. The load of a job's users swings within seconds. Swings
-// of 1.1 over 5 s have a steepest slope of 1.4 a second that turns by 1.8 a
-// second in a second, over 14 s 0.5 and 0.23. Bounds that fit the slow ones alone
-// make a fast one look like noise: a day with swings over 5 s was worth 0.54 with
-// them, and 0.78 with these.
+// Bounds of a trend. The load of a job's users swings within seconds: by 1.1 over
+// 5 s, which has a steepest slope of 1.4 a second that turns by 1.8 a second in a
+// second. Bounds that fit slow swings alone make a fast one look like noise.
 const (
 	priorBase     = 2.6
 	baseVariance  = 1.0
@@ -22,9 +20,8 @@
 	memory        = 4 * time.Second // without a reading for that long nothing is known any more
 )
 
-// trend is a value that moves steadily, with its covariance. Followed by its
-// level alone, the slack that a job has 0.7 s later is foretold wrong by 0.28 on
-// average where it swings over 14 s; with its slope, by 0.13 (TestSlackIsForetold).
+// trend is a value that moves steadily, with its covariance. Its slope is followed
+// with its level, as an order takes a while to show, and the level has moved by then.
 type trend struct {
 	value, slope float64 // slope in a second
 	vv, vs, ss   float64 // covariance of the two
--- a/relay/gap.go
+++ b/relay/gap.go
@@ -9,13 +9,10 @@
 // What comes in between goes together with the next message.
 //
 // What goes wrong without one: a message costs its sender and its receiver a call
-// and a wake-up, whatever it carries. An owner of 0.12 of a core with 198 workers
-// and 600 starts a second has 20,300 messages a day to send, and starts fewer
-// tasks than it could; with 10 ms between them it has 9,400. What goes wrong with a
-// gap that is always as long: each end, and the start that follows it, wait for
-// it, and an owner with 0.8 of a core that has 490 workers earns 0.025 less in the
-// mean of five days than with 2 ms. So the gap follows the rate of messages, held
-// against what this instance's processors carry.
+// and a wake-up, whatever it carries, and a small owner starts fewer tasks than it
+// could. What goes wrong with a gap that is always as long: each end, and the start
+// that follows it, wait for it, also where the owner has processors to spare. So the
+// gap follows the rate of messages, held against what this instance's processors carry.
 type gap struct {
 	most    float64      // messages a second, sent and received
 	nanos   atomic.Int64 // in force
@@ -25,9 +22,7 @@
 
 const (
 	// messagesPerCore is how many messages a second are left to a core, sent and
-	// received. It gives an owner of 0.12 of a core with 198 workers the 10 ms with
-	// which it started most, and one of 0.8 with 490 workers 1 to 2 ms
-	// (TestGapFollowsTheLoad).
+	// received. The rest is for what the messages say.
 	messagesPerCore = 4000
 	// leastGap is below the time that an order takes to a worker and back, 3 ms.
 	leastGap = time.Millisecond
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,8 +15,7 @@
 //
 // What goes wrong without it: one instance carries every byte and connection of
 // all workers. With 2 Mbit/s it has room for 200 starts a second on 140 workers,
-// and what it can't start in time is lost. See docs/PLATFORM.md for what was
-// measured.
+// and what it can't start in time is lost.
 package relay
 
 import (
@@ -238,9 +237,8 @@
 //
 // What goes wrong without it: a new owner asks each of its workers what runs there
 // before it has any connection to the instances near them, and makes one to each
-// worker instead. With 819 workers the survey took 0.52 s of an owner with 0.8 of a
-// core, and the connections to the instances came up after it; until then nothing
-// starts that had begun. It shows as lines "relay" after the line "workers surveyed".
+// worker instead, which takes longer; until it has asked all, nothing starts that had
+// begun. It shows as lines "relay" after the line "workers surveyed".
 func (e *Executor) opened(ctx context.Context) {
 	e.mu.Lock()
 	opening := e.opening
