Owner: workers that went down together are compared in one pass

With 87 of 890 workers lost at once each was held against each of the others by a search of the list. No decision changes.

--- a/cell/fall.go
+++ b/cell/fall.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/provider"
@@ -54,12 +53,12 @@
 
 // fellWith returns the other workers that may have gone down at the same moment as
 // this one, leaving out those with a trial of their own.
-func (c *Cell) fellWith(w *worker) []*worker {
+func (c *Cell) fellWith(w *worker) map[*worker]bool {
 	fell := c.fell(w)
-	var others []*worker
+	others := make(map[*worker]bool)
 	for other, at := range c.fallen {
 		if other != w && at.overlaps(fell) {
-			others = append(others, other)
+			others[other] = true
 		}
 	}
 	for _, other := range c.everyWorker() {
@@ -67,7 +66,7 @@
 			continue
 		}
 		if other.mayExplain() && other.misses > 0 && c.fell(other).overlaps(fell) {
-			others = append(others, other)
+			others[other] = true
 		}
 	}
 	return others
@@ -76,33 +75,39 @@
 // sharedCause reports whether what took a worker down took its like, too. Which label
 // is that of a rack isn't said, so any may be: half of all workers of a kind don't go
 // at one moment by chance either.
-func (c *Cell) sharedCause(w *worker, others []*worker) bool {
+func (c *Cell) sharedCause(w *worker, others map[*worker]bool) bool {
 	if len(others) < massFall {
 		return false
 	}
-	pool := c.pools[w.host.Service]
-	if len(others) >= poolFall && 2*len(others) >= len(pool) {
+	if len(others) >= poolFall && 2*len(others) >= len(c.pools[w.host.Service]) {
 		return true
 	}
 	for _, label := range w.host.Labels {
-		down, up := 0, 0
-		for _, other := range others {
+		down := 0
+		for other := range others {
 			if other.host.HasLabel(label) {
 				down++
 			}
 		}
-		for _, other := range pool {
-			if other != w && other.asked && !slices.Contains(others, other) && other.host.HasLabel(label) {
-				up++
-			}
-		}
-		if down >= massFall && down >= up {
+		if down >= massFall && down >= c.stillUp(w, label, others) {
 			return true
 		}
 	}
 	return false
 }
 
+// stillUp returns how many workers with a label go on, but for one and those that went
+// down with it.
+func (c *Cell) stillUp(w *worker, label string, others map[*worker]bool) int {
+	n := 0
+	for _, other := range c.pools[w.host.Service] {
+		if other != w && other.asked && !others[other] && other.host.HasLabel(label) {
+			n++
+		}
+	}
+	return n
+}
+
 // mayExplain reports whether the end of a worker tells of a cause beside the tasks
 // that are tried. One that never answered may be a life that was over before, whose
 // entry is still on the list.
