Crashed workers that a survey finds are on record for the owners that follow

What callers would have seen: a task that crashes its workers was started a sixth time.

Cause: an owner that takes over finds a worker crashed, and takes it off the record. What was started there last is in doubt; that was known to this owner alone. It is killed before it starts the task, or before its count is written, and the next one finds all workers well.

Change: the write that takes crashed workers off the record says which they were, with the term; owners go by those of the eight terms before them.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -140,6 +140,7 @@
 		w.registered = true
 		c.survey.add(w)
 	}
+	c.survey.remember(self.Term, known.Fallen())
 	c.survey.begin(now, &timing)
 	return c, nil
 }
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -215,11 +215,11 @@
 }
 
 // doubtOld has the first starts of tasks that an earlier owner may have started put
-// on record, if the survey found workers that had crashed: what was started there last
-// left no trace. Without it a task is started once more for each owner that is killed
-// while a worker crashes under it.
+// on record, if the survey found workers that had crashed, or that of an owner not long
+// before: what was started there last left no trace. Without it a task is started once
+// more for each owner that is killed while a worker crashes under it.
 func (c *Cell) doubtOld() {
-	if len(c.survey.crashed) == 0 {
+	if !c.survey.fell("") {
 		return
 	}
 	for _, j := range c.jobs {
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -309,3 +309,32 @@
 		})
 	}
 }
+
+// Symptom: a task that crashes its workers is started a sixth time. Sequence: an owner is
+// killed before it has noticed the crash; the next one finds the crashed worker, takes
+// it off the record, and is killed before it starts the task; the third finds nothing
+// of a crash, starts the task as any other, and is killed before it has noticed the
+// second. Cause: that a worker had crashed was known to one owner alone.
+func TestOwnersInHaste(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			const jobs, every = 40, 150 * time.Millisecond
+			s := newSite(t, 1100+seed, 24, 3)
+			var bad []string
+			for i := range jobs / 8 {
+				bad = append(bad, jobID(i*8)+".0.0.0")
+			}
+			s.crashers(bad...)
+			s.arrive(jobs, every)
+			s.owners[0].take()
+			at := time.Second
+			for n := range 16 {
+				s.after(at, func() { s.takeover(n%3, (n+1)%3) })
+				at += 150*time.Millisecond + time.Duration(s.rng.Int64N(int64(900*time.Millisecond)))
+			}
+			s.run(jobs*every + 4*quiet)
+			s.mustTell(jobs)
+		})
+	}
+}
--- a/cell/save.go
+++ b/cell/save.go
@@ -167,6 +167,9 @@
 		b.save.Records = append(b.save.Records, r)
 		b.hosts = append(b.hosts, id)
 	}
+	if err := c.addFallen(b); err != nil {
+		return nil, err
+	}
 	for _, id := range s.dropped {
 		b.save.Records = append(b.save.Records, catalog.DropProgress(id))
 	}
@@ -195,6 +198,21 @@
 	return b, nil
 }
 
+// addFallen tells the owners that follow which crashed workers the survey found. It
+// goes with the write that takes these off the record.
+func (c *Cell) addFallen(b *batch) error {
+	if !c.survey.untold {
+		return nil
+	}
+	c.survey.untold = false
+	r, err := catalog.FallenRecord(c.survey.fallen)
+	if err != nil {
+		return err
+	}
+	b.save.Records = append(b.save.Records, r)
+	return nil
+}
+
 // addLearned adds what was learned to a write now and then, so that a
 // successor needn't learn it at the expense of serving tasks.
 func (c *Cell) addLearned(b *batch) error {
