Names: correlated failures of workers, in place of falls

fall.go becomes correlate.go; the record of crashed workers and its parts are named after what they hold.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -47,7 +47,7 @@
 	ownerKey    = "owner"
 	learnedKey  = "learned"
 	backlogKey  = "backlog"
-	fallenKey   = "fallen"
+	crashedKey  = "crashed"
 )
 
 // Entry is what is known of one job. Its fields may be nil.
@@ -76,7 +76,7 @@
 	owner   Owner
 	learned []byte
 	backlog backlog
-	fallen  map[string]uint64 // workers that had crashed when an owner asked them, by ID
+	crashed map[string]uint64 // workers that had crashed when an owner asked them, by ID
 	waves   map[int]Wave
 	news    []string // jobs that were accepted or cancelled since the last Take
 }
@@ -180,30 +180,30 @@
 	return provider.KeyedRecord{Key: learnedKey, Value: data}
 }
 
-// FallenRecord returns the record of workers that owners found to have crashed before
+// CrashedRecord returns the record of workers that owners found to have crashed before
 // they knew what ran there, with the term of the owner that did.
-func FallenRecord(fallen map[string]uint64) (provider.KeyedRecord, error) {
-	data, err := cbor.Marshal(fallen)
+func CrashedRecord(crashed map[string]uint64) (provider.KeyedRecord, error) {
+	data, err := cbor.Marshal(crashed)
 	if err != nil {
 		return provider.KeyedRecord{}, fault.Wrap(fault.Internal, err, "record of crashed workers")
 	}
-	return provider.KeyedRecord{Key: fallenKey, Value: data}, nil
+	return provider.KeyedRecord{Key: crashedKey, Value: data}, nil
 }
 
-func (c *Catalog) setFallen(value []byte) error {
-	var fallen map[string]uint64
-	if err := cbor.Unmarshal(value, &fallen); err != nil {
+func (c *Catalog) setCrashed(value []byte) error {
+	var crashed map[string]uint64
+	if err := cbor.Unmarshal(value, &crashed); err != nil {
 		return fault.Wrap(fault.Invalid, err, "record of crashed workers")
 	}
-	c.fallen = fallen
+	c.crashed = crashed
 	return nil
 }
 
-// Fallen returns these workers by ID.
-func (c *Catalog) Fallen() map[string]uint64 {
+// Crashed returns these workers by ID.
+func (c *Catalog) Crashed() map[string]uint64 {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return maps.Clone(c.fallen)
+	return maps.Clone(c.crashed)
 }
 
 // backlog is what an owner that doesn't keep up has to order, and which of its pools
@@ -334,8 +334,8 @@
 		return nil
 	case r.Key == backlogKey:
 		return c.setBacklog(r.Value)
-	case r.Key == fallenKey:
-		return c.setFallen(r.Value)
+	case r.Key == crashedKey:
+		return c.setCrashed(r.Value)
 	case strings.HasPrefix(r.Key, progressKey):
 		return c.setProgress(r.Key[len(progressKey):], r.Value)
 	case strings.HasPrefix(r.Key, waveKey):
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -75,7 +75,7 @@
 	plan        *colocation.Plan
 	plannedAt   time.Duration
 	kept        []*task            // tasks that are being moved, with room kept for them
-	fallen      map[*worker]span   // workers that went down a moment ago, without a trial
+	down        map[*worker]span   // workers that went down a moment ago, without a trial
 	demand      map[string]float64 // processors that filling images want, in workers
 	adviceBusy  bool               // an Advise is under way
 	adviceAfter time.Duration
@@ -115,7 +115,7 @@
 		looks:    looks{pools: make(map[string]*pool)},
 		pressure: pressure.New(),
 		demand:   make(map[string]float64),
-		fallen:   make(map[*worker]span),
+		down:     make(map[*worker]span),
 		saves:    newSaver(now, self.Sequence+1),
 		list:     hostList{old: true},
 		flow:     newFlow(),
@@ -140,7 +140,7 @@
 		w.registered = true
 		c.survey.add(w)
 	}
-	c.survey.remember(self.Term, known.Fallen())
+	c.survey.remember(self.Term, known.Crashed())
 	c.survey.begin(now, &timing)
 	return c, nil
 }
--- a/cell/fall.go
+++ b/cell/correlate.go
@@ -9,16 +9,16 @@
 // Which workers went down at one moment tells whether what had just been started on one
 // of them is to blame.
 const (
-	// massFall is how many workers with a label in common have to go down beside
+	// rackFailures is how many workers with a label in common have to go down beside
 	// one of them, and half of all that have it, for the cause to be one that they
 	// share: a rack without power.
-	massFall = 3
-	// poolFall is the same for half of a pool. It is larger, as a small pool has
+	rackFailures = 3
+	// poolFailures is the same for half of a pool. It is larger, as a small pool has
 	// that many tasks of the kind that crash their workers at a time.
-	poolFall = 6
-	// fellFor is how long a worker that was lost is compared with others. The loss
+	poolFailures = 6
+	// downFor is how long a worker that was lost is compared with others. The loss
 	// of those that went at the same moment is noticed within a hold's time-out.
-	fellFor = 4 * time.Second
+	downFor = 4 * time.Second
 )
 
 // span is the time in which a worker that is silent may have crashed.
@@ -31,55 +31,55 @@
 	return s.from <= other.to && other.from <= s.to
 }
 
-// fell returns when a worker that is lost, or may be, has crashed.
-func (c *Cell) fell(w *worker) span {
+// downSpan returns when a worker that is lost, or may be, has crashed.
+func (c *Cell) downSpan(w *worker) span {
 	if w.misses == 0 {
 		return span{from: w.heard, to: c.now}
 	}
 	return span{from: w.heard, to: w.silent}
 }
 
-// fall is what is known of the moment at which a worker went down.
-type fall struct {
-	others int  // workers that may have gone down at the same moment, without a trial
-	shared bool // the cause is one that they share
+// failure is what is known of the moment at which a worker went down.
+type failure struct {
+	others     int  // workers that may have gone down at the same moment, without a trial
+	correlated bool // their cause is one that they share
 }
 
-// fallOf returns what is known of the moment at which a worker went down.
-func (c *Cell) fallOf(w *worker) fall {
-	others := c.fellWith(w)
-	return fall{others: len(others), shared: c.sharedCause(w, others)}
+// failureOf returns what is known of the moment at which a worker went down.
+func (c *Cell) failureOf(w *worker) failure {
+	others := c.failedWith(w)
+	return failure{others: len(others), correlated: c.correlated(w, others)}
 }
 
-// fellWith returns the other workers that may have gone down at the same moment as
+// failedWith returns the other workers that may have gone down at the same moment as
 // this one, leaving out those with a trial of their own.
-func (c *Cell) fellWith(w *worker) map[*worker]bool {
-	fell := c.fell(w)
+func (c *Cell) failedWith(w *worker) map[*worker]bool {
+	span := c.downSpan(w)
 	others := make(map[*worker]bool)
-	for other, at := range c.fallen {
-		if other != w && at.overlaps(fell) {
+	for other, at := range c.down {
+		if other != w && at.overlaps(span) {
 			others[other] = true
 		}
 	}
 	for _, other := range c.everyWorker() {
-		if _, noted := c.fallen[other]; noted || other == w {
+		if _, noted := c.down[other]; noted || other == w {
 			continue
 		}
-		if other.mayExplain() && other.misses > 0 && c.fell(other).overlaps(fell) {
+		if other.mayExplain() && other.misses > 0 && c.downSpan(other).overlaps(span) {
 			others[other] = true
 		}
 	}
 	return others
 }
 
-// sharedCause reports whether what took a worker down took its like, too. Which label
+// correlated reports whether what took a worker down took its like, too. Which label
 // is that of a rack isn't said, so any may be: half of all workers of a kind don't go
 // at one moment by chance either.
-func (c *Cell) sharedCause(w *worker, others map[*worker]bool) bool {
-	if len(others) < massFall {
+func (c *Cell) correlated(w *worker, others map[*worker]bool) bool {
+	if len(others) < rackFailures {
 		return false
 	}
-	if len(others) >= poolFall && 2*len(others) >= len(c.pools[w.host.Service]) {
+	if len(others) >= poolFailures && 2*len(others) >= len(c.pools[w.host.Service]) {
 		return true
 	}
 	for _, label := range w.host.Labels {
@@ -89,7 +89,7 @@
 				down++
 			}
 		}
-		if down >= massFall && down >= c.stillUp(w, label, others) {
+		if down >= rackFailures && down >= c.stillUp(w, label, others) {
 			return true
 		}
 	}
@@ -115,29 +115,29 @@
 	return w.asked && w.trial == nil
 }
 
-// noteFallen remembers a worker that went down without a trial.
-func (c *Cell) noteFallen(w *worker, at span) {
+// noteDown remembers a worker that went down without a trial.
+func (c *Cell) noteDown(w *worker, at span) {
 	if w.mayExplain() {
-		c.fallen[w] = at
+		c.down[w] = at
 	}
 }
 
-// dropFallen forgets those that went down long ago.
-func (c *Cell) dropFallen() {
-	for w, at := range c.fallen {
-		if c.now-at.to > fellFor {
-			delete(c.fallen, w)
+// forgetDown forgets those that went down long ago.
+func (c *Cell) forgetDown() {
+	for w, at := range c.down {
+		if c.now-at.to > downFor {
+			delete(c.down, w)
 		}
 	}
 }
 
-// noteDown remembers the workers that the list of machines says are down and that
+// noteMachinesDown remembers the workers that the list of machines says are down and that
 // haven't been missed yet: they may have gone with those that were.
-func (c *Cell) noteDown(in MachineList, by map[string]*provider.Machine) {
+func (c *Cell) noteMachinesDown(in MachineList, by map[string]*provider.Machine) {
 	for _, w := range c.everyWorker() {
 		m := by[w.host.Machine]
 		if w.misses == 0 && w.heard < in.Sent && m != nil && whyDown(w, m) != "" {
-			c.noteFallen(w, span{from: w.heard, to: in.Sent})
+			c.noteDown(w, span{from: w.heard, to: in.Sent})
 		}
 	}
 }
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -72,7 +72,7 @@
 		if t.done || t.run != nil || !h.Trying || t.tried > 0 {
 			continue
 		}
-		if c.survey.fell(h.Host) {
+		if c.survey.mayHaveCrashed(h.Host) {
 			c.note("start vanished", "task", t.name, "worker", h.Host, "crashes", h.Crashes+1)
 			h.Vanished()
 		} else {
@@ -219,7 +219,7 @@
 // before: what was started there last left no trace. Without it a task is started once
 // more for each owner that is killed while a worker crashes under it.
 func (c *Cell) doubtOld() {
-	if !c.survey.fell("") {
+	if !c.survey.mayHaveCrashed("") {
 		return
 	}
 	for _, j := range c.jobs {
@@ -240,7 +240,7 @@
 
 // crashed counts a crash of a run's worker against its task if it has just been
 // started there.
-func (c *Cell) crashed(r *run, f fall) {
+func (c *Cell) crashed(r *run, f failure) {
 	t := r.task
 	if t == nil || t.step.job.final() || !r.justStarted() {
 		return
@@ -250,7 +250,7 @@
 	t.tried = 0
 	t.unsure = false
 	c.note("crash", "task", t.name, "attempt", r.attempt, "worker", r.worker.host.ID,
-		"trial", r.trial, "others", f.others, "crashes", h.Crashes, "told", h.Alone)
+		"trial", r.trial, "others", f.others, "crashes", h.Crashes, "alone", h.Alone)
 	c.setCrashes(t, h)
 	c.judgeTask(t, &h)
 }
@@ -260,13 +260,13 @@
 	if !h.GiveUp() || t.step.job.final() {
 		return
 	}
-	c.note("given up", "task", t.name, "crashes", h.Crashes, "told", h.Alone)
+	c.note("given up", "task", t.name, "crashes", h.Crashes, "alone", h.Alone)
 	c.finish(t.step.job, progress.Failed)
 }
 
 // crashAll counts a crash against all that had just been started on a worker.
-func (c *Cell) crashAll(w *worker, f fall) {
-	if f.shared {
+func (c *Cell) crashAll(w *worker, f failure) {
+	if f.correlated {
 		return
 	}
 	for _, r := range inOrder(w.runs) {
@@ -276,7 +276,7 @@
 
 // noteLost logs the loss of a worker with what tells its cause: the tasks that had
 // just been started on it, and whether others went down with it.
-func (c *Cell) noteLost(w *worker, reason string, f fall) {
+func (c *Cell) noteLost(w *worker, reason string, f failure) {
 	var started []string
 	for name, r := range inOrder(w.runs) {
 		if r.justStarted() {
@@ -284,5 +284,5 @@
 		}
 	}
 	c.note("worker lost", "worker", w.host.ID, "reason", reason, "runs", len(w.runs),
-		"silent", c.now-w.heard, "just_started", strings.Join(started, ","), "others", f.others, "shared", f.shared)
+		"silent", c.now-w.heard, "just_started", strings.Join(started, ","), "others", f.others, "correlated", f.correlated)
 }
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -66,7 +66,7 @@
 	if odd > 0 {
 		c.note("machines not understood", "machines", odd)
 	}
-	c.noteDown(in, by)
+	c.noteMachinesDown(in, by)
 	for _, w := range c.everyWorker() {
 		if c.doubtful(w) && w.host.Machine != "" && w.heard < in.Sent {
 			c.judgeMachine(w, cmp.Or(by[w.host.Machine], by[""]))
--- a/cell/renew.go
+++ b/cell/renew.go
@@ -50,14 +50,14 @@
 // renew begins another life of a worker under the same ID: what ran in the one before
 // is gone with it. A start that wasn't answered may still be carried out.
 func (c *Cell) renew(w *worker, held *provider.Held) {
-	f := c.fallOf(w)
+	f := c.failureOf(w)
 	c.note("worker renewed", "worker", w.host.ID, "runs", len(w.runs), "clock", held.Clock, "before", w.clock, "others", f.others)
 	known := attempts(held)
 	for name, r := range inOrder(w.runs) {
 		if known[attempt{name, r.attempt}] {
 			continue
 		}
-		if !f.shared {
+		if !f.correlated {
 			c.crashed(r, f)
 		}
 		r.deadline = held.Clock + c.timing.StartWindow.Milliseconds()
--- a/cell/save.go
+++ b/cell/save.go
@@ -167,7 +167,7 @@
 		b.save.Records = append(b.save.Records, r)
 		b.hosts = append(b.hosts, id)
 	}
-	if err := c.addFallen(b); err != nil {
+	if err := c.addCrashed(b); err != nil {
 		return nil, err
 	}
 	for _, id := range s.dropped {
@@ -198,14 +198,14 @@
 	return b, nil
 }
 
-// addFallen tells the owners that follow which crashed workers the survey found. It
+// addCrashed tells the owners that follow which crashed workers the survey found. It
 // goes with the write that takes these off the record.
-func (c *Cell) addFallen(b *batch) error {
+func (c *Cell) addCrashed(b *batch) error {
 	if !c.survey.untold {
 		return nil
 	}
 	c.survey.untold = false
-	r, err := catalog.FallenRecord(c.survey.fallen)
+	r, err := catalog.CrashedRecord(c.survey.crashed)
 	if err != nil {
 		return err
 	}
--- a/cell/survey.go
+++ b/cell/survey.go
@@ -6,35 +6,35 @@
 // an earlier owner may have started: what runs on each worker that it may
 // have given orders to.
 type survey struct {
-	term   uint64
-	open   map[*worker]struct{}
-	until  time.Duration // when the leases of workers that don't answer have ended
-	done   bool
-	fallen map[string]uint64 // workers that had crashed, or may have, by ID, and the term of the owner that found it
-	untold bool              // not all of them are on record
+	term    uint64
+	open    map[*worker]struct{}
+	until   time.Duration // when the leases of workers that don't answer have ended
+	done    bool
+	crashed map[string]uint64 // workers that had crashed, or may have, by ID, and the term of the owner that found it
+	untold  bool              // not all of them are on record
 }
 
-// fallenTerms is for how many owners a crashed worker is remembered. Those that are
+// crashedTerms is for how many owners a crashed worker is remembered. Those that are
 // followed in haste don't come to deal with what may have crashed it.
-const fallenTerms = 8
+const crashedTerms = 8
 
 // remember takes over the crashed workers that owners not long before found.
-func (s *survey) remember(term uint64, fallen map[string]uint64) {
+func (s *survey) remember(term uint64, crashed map[string]uint64) {
 	s.term = term
-	s.fallen = make(map[string]uint64)
-	for id, found := range fallen {
-		if term-found <= fallenTerms {
-			s.fallen[id] = found
+	s.crashed = make(map[string]uint64)
+	for id, found := range crashed {
+		if term-found <= crashedTerms {
+			s.crashed[id] = found
 		}
 	}
 }
 
-// fell reports whether a worker had crashed, or may have; any worker for no ID.
-func (s *survey) fell(host string) bool {
+// mayHaveCrashed reports whether a worker had crashed, or may have; any worker for no ID.
+func (s *survey) mayHaveCrashed(host string) bool {
 	if host == "" {
-		return len(s.fallen) > 0
+		return len(s.crashed) > 0
 	}
-	return s.fallen[host] > 0
+	return s.crashed[host] > 0
 }
 
 // noteCrash takes note that a worker had crashed, or may have.
@@ -42,7 +42,7 @@
 	if s.done {
 		return
 	}
-	s.fallen[host] = s.term
+	s.crashed[host] = s.term
 	s.untold = true
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -274,13 +274,13 @@
 		return
 	}
 	w.lost = true
-	f := c.fallOf(w)
+	f := c.failureOf(w)
 	c.noteLost(w, reason, f)
 	if !w.host.Draining && !w.leaving {
 		c.crashAll(w, f)
 		c.survey.noteCrash(w.host.ID)
 	}
-	c.noteFallen(w, c.fell(w))
+	c.noteDown(w, c.downSpan(w))
 	for _, r := range inOrder(w.runs) {
 		c.endRun(r, provider.EndLost, "")
 	}
@@ -298,7 +298,7 @@
 		c.checkRuns(w)
 	}
 	c.dropKept()
-	c.dropFallen()
+	c.forgetDown()
 	c.checkSurvey()
 }
 
@@ -336,7 +336,7 @@
 	if len(w.runs) > 0 {
 		c.note("lease ended", "worker", w.host.ID, "runs", len(w.runs), "silent", c.now-w.heard)
 		if !w.vouched { // it may have crashed, or be cut off
-			c.crashAll(w, fall{others: 1, shared: c.fallOf(w).shared})
+			c.crashAll(w, failure{others: 1, correlated: c.failureOf(w).correlated})
 		}
 		for _, r := range inOrder(w.runs) {
 			c.endRun(r, provider.EndLapsed, "")
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -20,7 +20,7 @@
 // crashes workers, takes down sound tasks as well, some of them twice within seconds.
 // So a task that was there becomes a suspect, and its next start is a trial: nothing
 // else has just been started on that worker, nor is until the trial has gone well.
-// A worker that crashes in a trial tells on the task, unless others fell silent with
+// A worker that crashes in a trial is evidence against it, unless others went down with
 // it. A trial that goes well clears the task. Crashes that others share for certain, as
 // half of a rack goes down at once, aren't counted at all.
 package crash
@@ -38,12 +38,12 @@
 // History is what is known of a task whose workers crashed just after its start. The
 // zero History is that of a task without any.
 type History struct {
-	Crashes int    `cbor:"1,keyasint,omitempty"` // workers that crashed under the task
-	Alone   int    `cbor:"2,keyasint,omitempty"` // of them, in trials with nothing else to explain it
-	Attempt uint64 `cbor:"3,keyasint,omitempty"` // of the last crash
-	Told    bool   `cbor:"4,keyasint,omitempty"` // whether that one counts in Alone
-	Trying  bool   `cbor:"5,keyasint,omitempty"` // a start may be under way
-	Host    string `cbor:"6,keyasint,omitempty"` // on which worker, empty if that isn't known
+	Crashes   int    `cbor:"1,keyasint,omitempty"` // workers that crashed under the task
+	Alone     int    `cbor:"2,keyasint,omitempty"` // of them, in trials with nothing else to explain it
+	Attempt   uint64 `cbor:"3,keyasint,omitempty"` // of the last crash
+	LastAlone bool   `cbor:"4,keyasint,omitempty"` // whether that one counts in Alone
+	Trying    bool   `cbor:"5,keyasint,omitempty"` // a start may be under way
+	Host      string `cbor:"6,keyasint,omitempty"` // on which worker, empty if that isn't known
 }
 
 // Suspect reports whether the next start has to be a trial.
@@ -76,7 +76,7 @@
 	h.Untried()
 	h.Crashes++
 	h.Attempt = attempt
-	h.Told = alone
+	h.LastAlone = alone
 	if alone {
 		h.Alone++
 	}
@@ -98,8 +98,8 @@
 	}
 	h.Crashes--
 	h.Attempt = 0
-	if h.Told {
+	if h.LastAlone {
 		h.Alone--
-		h.Told = false
+		h.LastAlone = false
 	}
 }
