--- a/cell/crash.go
+++ b/cell/crash.go
@@ -69,7 +69,7 @@
 	s.inherited = nil
 	for _, t := range inherited {
 		h := s.job.progress.Crashes(t.id)
-		if t.done || t.run != nil || !h.Trying || t.tried > 0 {
+		if t.done || t.run != nil || !h.Trying || t.startChange > 0 {
 			continue
 		}
 		if c.survey.mayHaveCrashed(h.Host) {
@@ -91,7 +91,7 @@
 
 // recorded reports whether that is done.
 func (t *task) recorded() bool {
-	return t.tried > 0 && t.step.job.written >= t.tried
+	return t.startChange > 0 && t.step.job.written >= t.startChange
 }
 
 // record puts a task's start on record.
@@ -100,8 +100,8 @@
 	h := j.progress.Crashes(t.id)
 	h.Try(host)
 	c.setCrashes(t, h)
-	t.tried = j.changes
-	j.tried = j.changes
+	t.startChange = j.changes
+	j.startChange = j.changes
 }
 
 // recordFor puts a task's start on a worker on record, and keeps room for it there
@@ -125,7 +125,7 @@
 			continue
 		}
 		done = false
-		if t.tried == 0 {
+		if t.startChange == 0 {
 			c.record(t, "")
 		}
 	}
@@ -195,7 +195,7 @@
 
 // watched reports whether what becomes of a task's start matters.
 func (t *task) watched() bool {
-	return t.suspect || t.unsure || t.tried > 0
+	return t.suspect || t.unsure || t.startChange > 0
 }
 
 // clear ends the suspicion against a task whose worker went on, or listed its end.
@@ -203,7 +203,7 @@
 	if !t.watched() {
 		return
 	}
-	t.tried = 0
+	t.startChange = 0
 	t.unsure = false
 	if t.step.job.progress.Crashes(t.id) == (crash.History{}) {
 		return
@@ -247,7 +247,7 @@
 	}
 	h := t.step.job.progress.Crashes(t.id)
 	h.Crashed(r.attempt, f.others == 0 && r.trial)
-	t.tried = 0
+	t.startChange = 0
 	t.unsure = false
 	c.note("crash", "task", t.name, "attempt", r.attempt, "worker", r.worker.host.ID,
 		"trial", r.trial, "others", f.others, "crashes", h.Crashes, "alone", h.Alone)
--- a/cell/job.go
+++ b/cell/job.go
@@ -12,20 +12,20 @@
 
 // jobState is a job as its owner sees it.
 type jobState struct {
-	job      *job.Job
-	terms    job.Terms
-	progress *progress.Progress
-	arrived  time.Duration
-	rounds   map[int]*round
-	chains   []time.Duration // longest chain of estimates from each step on
-	opened   int             // occurrences that were opened so far
-	delays   delay.Account   // of the tasks that ended last, step by step
-	claimed  bool            // it is on record that tasks may have been started
-	old      bool            // an earlier owner may have started tasks
-	unsure   bool            // some of them may have crashed a worker
-	changes  uint64          // of progress, so far
-	written  uint64          // of them, those on record
-	tried    uint64          // the last of them that has a start put on record before it is ordered
+	job         *job.Job
+	terms       job.Terms
+	progress    *progress.Progress
+	arrived     time.Duration
+	rounds      map[int]*round
+	chains      []time.Duration // longest chain of estimates from each step on
+	opened      int             // occurrences that were opened so far
+	delays      delay.Account   // of the tasks that ended last, step by step
+	claimed     bool            // it is on record that tasks may have been started
+	old         bool            // an earlier owner may have started tasks
+	unsure      bool            // some of them may have crashed a worker
+	changes     uint64          // of progress, so far
+	written     uint64          // of them, those on record
+	startChange uint64          // the last of them that puts a start on record before it is ordered
 }
 
 // round is one occurrence of a job.
@@ -59,22 +59,22 @@
 
 // task is one task of a step.
 type task struct {
-	id      job.Task
-	name    string
-	step    *stepState
-	run     *run // the run that counts, nil while there is none
-	done    bool
-	queued  bool          // in step.ready
-	waits   time.Duration // since when it waits for its start
-	delays  delay.Account
-	starts  uint64
-	attempt uint64                    // highest one seen or given
-	saved   string                    // newest checkpoint
-	suspect bool                      // it may crash the worker that starts it
-	unsure  bool                      // its start by an earlier owner is on record, without an outcome
-	tried   uint64                    // change of the job's record that says that it is tried, zero if none does
-	kept    *keep                     // room that is kept for it while it is moved
-	shunned map[*worker]time.Duration // where it failed or hung, until when
+	id          job.Task
+	name        string
+	step        *stepState
+	run         *run // the run that counts, nil while there is none
+	done        bool
+	queued      bool          // in step.ready
+	waits       time.Duration // since when it waits for its start
+	delays      delay.Account
+	starts      uint64
+	attempt     uint64                    // highest one seen or given
+	saved       string                    // newest checkpoint
+	suspect     bool                      // it may crash the worker that starts it
+	unsure      bool                      // its start by an earlier owner is on record, without an outcome
+	startChange uint64                    // change of the job's record that tells of its next start, zero if none does
+	kept        *keep                     // room that is kept for it while it is moved
+	shunned     map[*worker]time.Duration // where it failed or hung, until when
 }
 
 // final reports whether nothing is left to do for the job.
--- a/cell/relocate.go
+++ b/cell/relocate.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		if c.mustRecord(t) && !t.recorded() {
-			if t.tried == 0 {
+			if t.startChange == 0 {
 				c.record(t, t.kept.worker.host.ID)
 			}
 			continue
--- a/cell/save.go
+++ b/cell/save.go
@@ -282,7 +282,7 @@
 		c.changed = true
 	}
 	for _, ch := range b.jobs {
-		if ch.job.tried > ch.job.written {
+		if ch.job.startChange > ch.job.written {
 			c.changed = true
 		}
 		ch.job.written = ch.number
