Tests of crashes: one loop over seeds, one schedule of faults

Nine tests had the same loop over seeds, two the same schedule of faults, three the same list of tasks that crash their workers.

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -24,6 +24,29 @@
 	}
 }
 
+// crashEach has the first task of each nth of some jobs crash them.
+func (s *site) crashEach(nth, jobs int) {
+	var names []string
+	for i := range jobs / nth {
+		names = append(names, jobID(i*nth)+".0.0.0")
+	}
+	s.crashers(names...)
+}
+
+// crashSeeds is how many seeds a test with such tasks plays.
+const crashSeeds = 8
+
+// eachSeed plays a test with some seeds, side by side.
+func eachSeed(t *testing.T, seeds int, play func(t *testing.T, seed uint64)) {
+	t.Helper()
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed)
+		})
+	}
+}
+
 // mustTell checks that the jobs with a task that crashes its workers have failed, and
 // no other job, and returns how many workers the former have crashed.
 func (s *site) mustTell(n int) int {
@@ -84,27 +107,24 @@
 // their start. Cause: crashes that aren't the task's doing counted like those that
 // are.
 func TestRackWithoutPower(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			const jobs, every = 300, 100 * time.Millisecond
-			s := newSite(t, 300+seed, 24, 1)
-			s.setRacks(6)
-			s.arrive(jobs, every)
-			s.owners[0].take()
-			for n := range 24 {
-				rack := s.rng.IntN(4) * s.rack
-				dark := n%2 == 0
-				s.after(time.Second+time.Duration(n)*1200*time.Millisecond, func() {
-					for i := rack; i < rack+s.rack; i++ {
-						s.drop(s.workers[i], dark)
-					}
-				})
-			}
-			s.run(jobs*every + 2*quiet)
-			s.mustTell(jobs)
-		})
-	}
+	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 300, 100 * time.Millisecond
+		s := newSite(t, 300+seed, 24, 1)
+		s.setRacks(6)
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		for n := range 24 {
+			rack := s.rng.IntN(4) * s.rack
+			dark := n%2 == 0
+			s.after(time.Second+time.Duration(n)*1200*time.Millisecond, func() {
+				for i := rack; i < rack+s.rack; i++ {
+					s.drop(s.workers[i], dark)
+				}
+			})
+		}
+		s.run(jobs*every + 2*quiet)
+		s.mustTell(jobs)
+	})
 }
 
 // setRacks gives the racks another size.
@@ -132,24 +152,21 @@
 // has several tasks; those beside it are lost with it, some of them twice within
 // seconds. Cause: what is there when a worker crashes isn't what crashed it.
 func TestTasksBesideOneThatCrashes(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			const jobs, every = 200, 120 * time.Millisecond
-			s := newSite(t, 400+seed, 24, 1)
-			var bad []string
-			for i := range jobs / 10 {
-				bad = append(bad, fmt.Sprintf("%s.0.%d.%d", jobID(i*10), s.rng.IntN(2), s.rng.IntN(2)))
-			}
-			s.crashers(bad...)
-			s.arrive(jobs, every)
-			s.owners[0].take()
-			s.run(jobs*every + 2*quiet)
-			crashed := s.mustTell(jobs)
-			is.True(crashed <= 4*len(bad))
-		})
-	}
+	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
+		is := is.New(t)
+		const jobs, every = 200, 120 * time.Millisecond
+		s := newSite(t, 400+seed, 24, 1)
+		var bad []string
+		for i := range jobs / 10 {
+			bad = append(bad, fmt.Sprintf("%s.0.%d.%d", jobID(i*10), s.rng.IntN(2), s.rng.IntN(2)))
+		}
+		s.crashers(bad...)
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		s.run(jobs*every + 2*quiet)
+		crashed := s.mustTell(jobs)
+		is.True(crashed <= 4*len(bad))
+	})
 }
 
 // Symptom: a task that crashes its workers is started for ever. Sequence: the owner is
@@ -157,22 +174,19 @@
 // was known of the crashes went with the owner, and the run of the last one left no
 // trace for the next.
 func TestCrashesOutliveTheirOwner(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			const jobs, every = 60, 200 * time.Millisecond
-			s := newSite(t, 500+seed, 24, 3)
-			s.crashers(jobID(5)+".0.0.1", jobID(11)+".0.1.0", jobID(17)+".0.0.0", jobID(40)+".0.1.1")
-			s.arrive(jobs, every)
-			s.owners[0].take()
-			for n := range 12 {
-				at := 1500*time.Millisecond + time.Duration(n)*1700*time.Millisecond + time.Duration(s.rng.Int64N(int64(500*time.Millisecond)))
-				s.after(at, func() { s.takeover(n%3, (n+1)%3) })
-			}
-			s.run(jobs*every + 3*quiet)
-			s.mustTell(jobs)
-		})
-	}
+	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 60, 200 * time.Millisecond
+		s := newSite(t, 500+seed, 24, 3)
+		s.crashers(jobID(5)+".0.0.1", jobID(11)+".0.1.0", jobID(17)+".0.0.0", jobID(40)+".0.1.1")
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		for n := range 12 {
+			at := 1500*time.Millisecond + time.Duration(n)*1700*time.Millisecond + time.Duration(s.rng.Int64N(int64(500*time.Millisecond)))
+			s.after(at, func() { s.takeover(n%3, (n+1)%3) })
+		}
+		s.run(jobs*every + 3*quiet)
+		s.mustTell(jobs)
+	})
 }
 
 // Symptom and cause as of one task, for what is started and restarted in other ways:
@@ -207,19 +221,16 @@
 // from its worker without an end counted as a start that wasn't carried out, and ends
 // with numbers that had been seen as those of the life before.
 func TestWorkerIsBackUnderItsOldID(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			const jobs, every = 60, 200 * time.Millisecond
-			s := newSite(t, 600+seed, 24, 1)
-			s.keepNames = true
-			s.crashers(jobID(5)+".0.0.1", jobID(11)+".0.1.0", jobID(17)+".0.0.0", jobID(40)+".0.1.1")
-			s.arrive(jobs, every)
-			s.owners[0].take()
-			s.run(jobs*every + 2*quiet)
-			s.mustTell(jobs)
-		})
-	}
+	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 60, 200 * time.Millisecond
+		s := newSite(t, 600+seed, 24, 1)
+		s.keepNames = true
+		s.crashers(jobID(5)+".0.0.1", jobID(11)+".0.1.0", jobID(17)+".0.0.0", jobID(40)+".0.1.1")
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		s.run(jobs*every + 2*quiet)
+		s.mustTell(jobs)
+	})
 }
 
 // Symptom: a task that crashes its workers is started for ever, or a sound one is
@@ -227,34 +238,17 @@
 // such tasks among the others. Cause: in each case a crash that wasn't counted, or one
 // that was counted for another reason.
 func TestRandomSchedulesWithCrashes(t *testing.T) {
-	for seed := range uint64(schedules) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			s := newSite(t, 800+seed, scheduleHosts, 3)
-			var bad []string
-			for i := range scheduleJobs / 8 {
-				bad = append(bad, fmt.Sprintf("%s.0.0.0", jobID(i*8)))
+	eachSeed(t, schedules, func(t *testing.T, seed uint64) {
+		is := is.New(t)
+		s := newSite(t, 800+seed, scheduleHosts, 3)
+		s.crashEach(8, scheduleJobs)
+		s.playSchedule()
+		for id := range s.jobs {
+			if s.state(id) == "failed" {
+				is.True(s.crashes[id+".0.0.0"] > 0) // its own fault
 			}
-			s.crashers(bad...)
-			s.arrivals()
-			s.owners[0].take()
-			for range 7 {
-				at := time.Duration(s.rng.Int64N(int64(scheduleFor)))
-				s.after(at, s.fault)
-			}
-			s.after(scheduleFor, s.heal)
-			s.run(scheduleFor + 3*quiet)
-			is.Equal(s.broken, nil)
-			for id := range s.jobs {
-				state := s.state(id)
-				is.True(state == "completed" || state == "cancelled" || state == "failed") // nothing is left
-				if state == "failed" {
-					is.True(s.crashes[id+".0.0.0"] > 0) // its own fault
-				}
-			}
-		})
-	}
+		}
+	})
 }
 
 // Symptom: a task that crashes its workers is started three times more after three
@@ -264,26 +258,19 @@
 // same moment as three others, whichever, counted for nothing, as if all of them stood
 // in a rack without power.
 func TestCrashesThatAreNoticedLate(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			const jobs, every = 60, 150 * time.Millisecond
-			s := newSite(t, 900+seed, 8, 2)
-			s.dark = true
-			var bad []string
-			for i := range jobs / 6 {
-				bad = append(bad, jobID(i*6)+".0.0.0")
-			}
-			s.crashers(bad...)
-			s.arrive(jobs, every)
-			s.owners[0].take()
-			for n := range 4 {
-				s.after(time.Duration(2+3*n)*time.Second, func() { s.takeover(n%2, (n+1)%2) })
-			}
-			s.run(jobs*every + 4*quiet)
-			s.mustTell(jobs)
-		})
-	}
+	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 60, 150 * time.Millisecond
+		s := newSite(t, 900+seed, 8, 2)
+		s.dark = true
+		s.crashEach(6, jobs)
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		for n := range 4 {
+			s.after(time.Duration(2+3*n)*time.Second, func() { s.takeover(n%2, (n+1)%2) })
+		}
+		s.run(jobs*every + 4*quiet)
+		s.mustTell(jobs)
+	})
 }
 
 // Symptom: a sound job is shown as failed. Sequence: its tasks wait for room, owner
@@ -291,23 +278,20 @@
 // owner had put on record, and didn't come to order, counted as one whose worker had
 // crashed under it.
 func TestWhatWaitsThroughTakeovers(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			const jobs, every = 180, 35 * time.Millisecond
-			s := newSite(t, 1000+seed, 12, 3)
-			s.length = func(string) time.Duration { return 2 * time.Second }
-			s.arrive(jobs, every)
-			s.owners[0].take()
-			for n := range 14 {
-				at := time.Duration(n+1) * 1300 * time.Millisecond
-				s.after(at, func() { s.drop(s.workers[n%12], n%2 == 0) })
-				s.after(at+time.Duration(s.rng.Int64N(int64(300*time.Millisecond))), func() { s.takeover(n%3, (n+1)%3) })
-			}
-			s.run(jobs*every + 6*quiet)
-			s.mustTell(jobs)
-		})
-	}
+	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 180, 35 * time.Millisecond
+		s := newSite(t, 1000+seed, 12, 3)
+		s.length = func(string) time.Duration { return 2 * time.Second }
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		for n := range 14 {
+			at := time.Duration(n+1) * 1300 * time.Millisecond
+			s.after(at, func() { s.drop(s.workers[n%12], n%2 == 0) })
+			s.after(at+time.Duration(s.rng.Int64N(int64(300*time.Millisecond))), func() { s.takeover(n%3, (n+1)%3) })
+		}
+		s.run(jobs*every + 6*quiet)
+		s.mustTell(jobs)
+	})
 }
 
 // Symptom: a task that crashes its workers is started a sixth time. Sequence: an owner is
@@ -316,25 +300,18 @@
 // of a crash, starts the task as any other, and is killed before it has noticed the
 // second. Cause: that a worker had crashed was known to one owner alone.
 func TestOwnersInHaste(t *testing.T) {
-	for seed := range uint64(8) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			const jobs, every = 40, 150 * time.Millisecond
-			s := newSite(t, 1100+seed, 24, 3)
-			var bad []string
-			for i := range jobs / 8 {
-				bad = append(bad, jobID(i*8)+".0.0.0")
-			}
-			s.crashers(bad...)
-			s.arrive(jobs, every)
-			s.owners[0].take()
-			at := time.Second
-			for n := range 16 {
-				s.after(at, func() { s.takeover(n%3, (n+1)%3) })
-				at += 150*time.Millisecond + time.Duration(s.rng.Int64N(int64(900*time.Millisecond)))
-			}
-			s.run(jobs*every + 4*quiet)
-			s.mustTell(jobs)
-		})
-	}
+	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 40, 150 * time.Millisecond
+		s := newSite(t, 1100+seed, 24, 3)
+		s.crashEach(8, jobs)
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		at := time.Second
+		for n := range 16 {
+			s.after(at, func() { s.takeover(n%3, (n+1)%3) })
+			at += 150*time.Millisecond + time.Duration(s.rng.Int64N(int64(900*time.Millisecond)))
+		}
+		s.run(jobs*every + 4*quiet)
+		s.mustTell(jobs)
+	})
 }
--- a/cell/schedule_test.go
+++ b/cell/schedule_test.go
@@ -1,7 +1,6 @@
 package cell_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -21,26 +20,30 @@
 // and holds every start against what must never happen. Once they are over,
 // every job has to end.
 func TestRandomSchedules(t *testing.T) {
-	for seed := range uint64(schedules) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			s := newSite(t, 100+seed, scheduleHosts, 3)
-			s.failing = func(_ string, attempt uint64) bool { return attempt%5 == 4 }
-			s.arrivals()
-			s.owners[0].take()
-			for range 7 {
-				at := time.Duration(s.rng.Int64N(int64(scheduleFor)))
-				s.after(at, s.fault)
-			}
-			s.after(scheduleFor, s.heal)
-			s.run(scheduleFor + 3*quiet)
-			is.Equal(s.broken, nil)
-			for id := range s.jobs {
-				state := s.state(id)
-				is.True(state == "completed" || state == "cancelled" || state == "failed") // nothing is left
-			}
-		})
+	eachSeed(t, schedules, func(t *testing.T, seed uint64) {
+		s := newSite(t, 100+seed, scheduleHosts, 3)
+		s.failing = func(_ string, attempt uint64) bool { return attempt%5 == 4 }
+		s.playSchedule()
+	})
+}
+
+// playSchedule plays arrivals and faults, and checks that every job has ended once
+// they are over.
+func (s *site) playSchedule() {
+	s.t.Helper()
+	is := is.New(s.t)
+	s.arrivals()
+	s.owners[0].take()
+	for range 7 {
+		at := time.Duration(s.rng.Int64N(int64(scheduleFor)))
+		s.after(at, s.fault)
+	}
+	s.after(scheduleFor, s.heal)
+	s.run(scheduleFor + 3*quiet)
+	is.Equal(s.broken, nil)
+	for id := range s.jobs {
+		state := s.state(id)
+		is.True(state == "completed" || state == "cancelled" || state == "failed") // nothing is left
 	}
 }
 
