Logs: which incarnation of a worker answers, and how many of the listed workers are known

The adapter reads born, of an entry and of a hold's answer, also through a relay; lines about workers have it. A run that is missing is logged with the last end that was read and the last that may be acknowledged, which tells ends that were acknowledged unread from others. The load line has how many workers are listed beside how many the owner knows.

No decision changes.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -283,6 +283,6 @@
 			started = append(started, name)
 		}
 	}
-	c.note("worker lost", "worker", w.host.ID, "reason", reason, "runs", len(w.runs),
+	c.note("worker lost", "worker", w.host.ID, "born", w.host.Born, "reason", reason, "runs", len(w.runs),
 		"silent", c.now-w.heard, "just_started", strings.Join(started, ","), "others", f.others, "correlated", f.correlated)
 }
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -111,7 +111,7 @@
 	w := c.workers[h.ID]
 	if w == nil {
 		w = c.addWorker(h)
-		c.note("worker", "worker", h.ID, "zone", h.AvailabilityZone, "labels", strings.Join(h.Labels, ","), "draining", h.Draining)
+		c.note("worker", "worker", h.ID, "born", h.Born, "zone", h.AvailabilityZone, "labels", strings.Join(h.Labels, ","), "draining", h.Draining)
 	}
 	leaves := h.Draining && !w.host.Draining
 	if h.Capacity != w.host.Capacity {
--- a/cell/load.go
+++ b/cell/load.go
@@ -36,7 +36,7 @@
 			fills += len(s.ready)
 		}
 	}
-	c.note("load", "waiting", waiting, "filling_waiting", fills, "checks", c.looks.total, "runs", runs, "workers", len(c.workers), "usable", usable, "serving", serving, "images", images, "over", over,
+	c.note("load", "waiting", waiting, "filling_waiting", fills, "checks", c.looks.total, "runs", runs, "listed", len(c.list.newest.Hosts), "workers", len(c.workers), "usable", usable, "serving", serving, "images", images, "over", over,
 		"processors", percent(processors, wholeProcessors), "memory", percent(memory, wholeMemory), "filling", percent(filling, wholeProcessors),
 		"starts_unanswered", c.flow.inFlight, "starts_bound", c.flow.bound.Value(), "behind", c.toldBacklog)
 }
--- a/cell/renew.go
+++ b/cell/renew.go
@@ -51,7 +51,7 @@
 // is gone with it. A start that wasn't answered may still be carried out.
 func (c *Cell) renew(w *worker, held *provider.Held) {
 	f := c.failureOf(w)
-	c.note("worker renewed", "worker", w.host.ID, "runs", len(w.runs), "clock", held.Clock, "before", w.clock, "others", f.others)
+	c.note("worker renewed", "worker", w.host.ID, "born", held.Born, "runs", len(w.runs), "clock", held.Clock, "before", w.clock, "others", f.others)
 	known := attempts(held)
 	for name, r := range inOrder(w.runs) {
 		if known[attempt{name, r.attempt}] {
--- a/cell/report.go
+++ b/cell/report.go
@@ -105,7 +105,8 @@
 			continue
 		}
 		if held.Clock > r.deadline {
-			c.note("not running", "task", name, "attempt", r.attempt, "worker", w.host.ID, "state", int(r.state))
+			c.note("not running", "task", name, "attempt", r.attempt, "worker", w.host.ID, "state", int(r.state),
+				"born", held.Born, "ended", w.ended, "seen", w.seen)
 			c.endRun(r, provider.EndLapsed, "")
 		}
 	}
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -9,8 +9,9 @@
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
-// Host is one life of a worker that runs tasks of jobs. A worker that
-// restarts has a new ID, runs nothing and knows no token.
+// Host is one life of a worker that runs tasks of jobs. A worker that restarts may
+// have a new ID or the one it had; the new life runs nothing, knows no token and
+// counts its ends and its clock anew.
 type Host struct {
 	ID               string          `cbor:"1,keyasint"`
 	Address          string          `cbor:"2,keyasint"` // host:port of its control side
@@ -22,6 +23,7 @@
 	Draining         bool            `cbor:"8,keyasint,omitempty"`
 	Left             time.Duration   `cbor:"9,keyasint,omitempty"`  // at least so long until a draining worker goes
 	Cold             time.Duration   `cbor:"10,keyasint,omitempty"` // slow for so long after its start
+	Born             uint64          `cbor:"11,keyasint,omitempty"` // start of this life, milliseconds since 1970; zero where the platform doesn't say
 }
 
 // HostList is the platform's list of workers, whole, with all that was written
@@ -83,7 +85,8 @@
 // Held is a worker's answer to a HoldOrder: all that runs there, and all ends
 // that aren't acknowledged.
 type Held struct {
-	Clock   int64 // worker's steady clock, milliseconds
+	Born    uint64 // start of the life that answers, as in Host
+	Clock   int64  // worker's steady clock, milliseconds
 	Running []Run
 	Ended   []Ended
 }
--- a/relay/wire/lists.go
+++ b/relay/wire/lists.go
@@ -14,6 +14,7 @@
 	Kept  []Kept  `cbor:"2,keyasint,omitempty"`
 	Fresh []Run   `cbor:"3,keyasint,omitempty"`
 	Ended []Ended `cbor:"4,keyasint,omitempty"`
+	Born  uint64  `cbor:"5,keyasint,omitempty"`
 }
 
 // Kept is a run that was on the list before.
@@ -70,7 +71,7 @@
 	for i := range before {
 		at[key{before[i].Task, before[i].Attempt}] = i
 	}
-	h := &Held{Clock: held.Clock}
+	h := &Held{Born: held.Born, Clock: held.Clock}
 	now := make([]provider.Run, 0, len(held.Running))
 	var fresh []provider.Run
 	for _, r := range held.Running {
@@ -99,7 +100,7 @@
 // connection has to be made anew.
 func (l *Lists) Restore(host uint64, h *Held) (provider.Held, error) {
 	before := l.last[host]
-	held := provider.Held{Clock: h.Clock}
+	held := provider.Held{Born: h.Born, Clock: h.Clock}
 	for _, k := range h.Kept {
 		if k.Index < 0 || k.Index >= len(before) {
 			return held, fault.New(fault.Invalid, "run %d of %d", k.Index, len(before))
--- a/relay/wire/lists_test.go
+++ b/relay/wire/lists_test.go
@@ -38,7 +38,10 @@
 }
 
 func drawHeld(t *rapid.T) provider.Held {
-	held := provider.Held{Clock: rapid.Int64Range(0, 1<<40).Draw(t, "clock")}
+	held := provider.Held{
+		Born:  rapid.Uint64Range(0, 1<<41).Draw(t, "born"),
+		Clock: rapid.Int64Range(0, 1<<40).Draw(t, "clock"),
+	}
 	for _, task := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 0, 5, rapid.ID).Draw(t, "tasks") {
 		held.Running = append(held.Running, provider.Run{
 			Task:       task,
