Each incarnation of a worker is a worker of its own to the owner

What callers saw: two tasks were started again after they had ended well, and those ends were acknowledged.

Cause: what the owner remembered of a worker was kept under its ID and reset field by field when the next incarnation was noticed. A write that was under way then held how many ends of the one before it had on record; when it was done, that number became the new one's, whose ends up to it were acknowledged unread. The tasks were missing without an end and were started again.

Change: born tells another incarnation. It is another worker in the owner's memory, with nothing of the one before; writes, questions, room that is kept and waits refer to the one before and change nothing any more. Starts without an answer when their worker restarts are settled by the first answer of the next incarnation, as it may carry them out, or after 2 s. Recognising another incarnation by runs that are gone isn't needed any more; by a clock that goes back it still is where the platform doesn't say born.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -74,6 +74,7 @@
 	pressure    *pressure.Estimator
 	plan        *colocation.Plan
 	plannedAt   time.Duration
+	unsettled   map[string][]*run  // starts that may still be carried out by the next incarnation of their worker, by its ID
 	kept        []*task            // tasks that are being moved, with room kept for them
 	down        map[*worker]span   // workers that went down a moment ago, without a trial
 	demand      map[string]float64 // processors that filling images want, in workers
@@ -101,24 +102,25 @@
 // after its term was set.
 func New(self Self, timing Timing, known *catalog.Catalog, now time.Duration, wall time.Time) (*Cell, error) {
 	c := &Cell{
-		self:     self,
-		timing:   timing,
-		now:      now,
-		wall:     wall,
-		table:    queue.New(0, queue.Limits{}, nil, nil),
-		jobs:     make(map[string]*jobState),
-		waves:    make(map[int]*wave),
-		known:    known.Waves(),
-		began:    now,
-		workers:  make(map[string]*worker),
-		pools:    make(map[string][]*worker),
-		looks:    looks{pools: make(map[string]*pool)},
-		pressure: pressure.New(),
-		demand:   make(map[string]float64),
-		down:     make(map[*worker]span),
-		saves:    newSaver(now, self.Sequence+1),
-		list:     hostList{old: true},
-		flow:     newFlow(),
+		self:      self,
+		timing:    timing,
+		now:       now,
+		wall:      wall,
+		table:     queue.New(0, queue.Limits{}, nil, nil),
+		jobs:      make(map[string]*jobState),
+		waves:     make(map[int]*wave),
+		known:     known.Waves(),
+		began:     now,
+		workers:   make(map[string]*worker),
+		pools:     make(map[string][]*worker),
+		looks:     looks{pools: make(map[string]*pool)},
+		pressure:  pressure.New(),
+		demand:    make(map[string]float64),
+		down:      make(map[*worker]span),
+		unsettled: make(map[string][]*run),
+		saves:     newSaver(now, self.Sequence+1),
+		list:      hostList{old: true},
+		flow:      newFlow(),
 	}
 	entries, err := known.Entries()
 	if err != nil {
@@ -138,6 +140,7 @@
 	for _, h := range inOrder(known.Hosts()) {
 		w := c.addWorker(h)
 		w.registered = true
+		w.born = h.Born
 		c.survey.add(w)
 	}
 	c.survey.remember(self.Term, known.Crashed())
--- /dev/null
+++ b/cell/incarnation.go
@@ -0,0 +1,101 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// replaced reports whether another incarnation of a worker answers than the one that
+// answered before, or that is on record.
+func (w *worker) replaced(held *provider.Held) bool {
+	if w.born != 0 && held.Born != 0 {
+		return w.born != held.Born
+	}
+	return w.asked && held.Clock < w.clock
+}
+
+// restart replaces a worker by its next incarnation, which has nothing of the one
+// before but its ID.
+func (c *Cell) restart(w *worker, held *provider.Held) {
+	c.note("worker restarted", "worker", w.host.ID, "born", held.Born, "before", w.born, "runs", len(w.runs))
+	c.lose(w, "restarted")
+	next := c.workers[w.host.ID]
+	if next == nil {
+		next = c.addWorker(w.host)
+		next.listed = w.listed
+		next.listedUntil = w.listedUntil
+	}
+	c.hold(next)
+}
+
+// orderTime is how long after it was given an order may still reach a worker: the
+// time-out of the order, of the instance that it is relayed by, and a margin.
+const orderTime = 2 * time.Second
+
+// mayBegin reports whether a start may still be carried out by the next incarnation of
+// its worker.
+func (c *Cell) mayBegin(r *run) bool {
+	return r.worker.born != 0 && r.task != nil && r.begunClock == 0 && c.now < r.began+orderTime
+}
+
+// keepStart keeps a start that may still be carried out though its worker is lost. Its
+// task isn't started again before that is settled.
+func (c *Cell) keepStart(r *run) {
+	id := r.worker.host.ID
+	c.unsettled[id] = append(c.unsettled[id], r)
+}
+
+// settleStarts settles the starts that were under way to the incarnations before with the first
+// answer of a worker. One that the worker tells of is taken for what it says.
+func (c *Cell) settleStarts(w *worker, held *provider.Held) {
+	starts := c.unsettled[w.host.ID]
+	if len(starts) == 0 {
+		return
+	}
+	delete(c.unsettled, w.host.ID)
+	told := attempts(held)
+	for _, r := range starts {
+		if told[attempt{r.name, r.attempt}] {
+			c.removeRun(r)
+		} else {
+			c.endRun(r, provider.EndLost, "")
+		}
+	}
+}
+
+// dropStarts ends the starts that can't be carried out any more.
+func (c *Cell) dropStarts() {
+	for id, starts := range inOrder(c.unsettled) {
+		var left []*run
+		for _, r := range starts {
+			if c.mayBegin(r) {
+				left = append(left, r)
+			} else {
+				c.endRun(r, provider.EndLost, "")
+			}
+		}
+		c.unsettled[id] = left
+		if len(left) == 0 {
+			delete(c.unsettled, id)
+		}
+	}
+}
+
+// attempt names a run.
+type attempt struct {
+	task   string
+	number uint64
+}
+
+// attempts returns the runs that an answer tells of, running or ended.
+func attempts(held *provider.Held) map[attempt]bool {
+	told := make(map[attempt]bool, len(held.Running)+len(held.Ended))
+	for i := range held.Running {
+		told[attempt{held.Running[i].Task, held.Running[i].Attempt}] = true
+	}
+	for i := range held.Ended {
+		told[attempt{held.Ended[i].Task, held.Ended[i].Attempt}] = true
+	}
+	return told
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -203,8 +204,9 @@
 		c.missed(w, in)
 		return
 	}
-	if w.renewed(&in.Held) {
-		c.renew(w, &in.Held)
+	if w.replaced(&in.Held) {
+		c.restart(w, &in.Held)
+		return
 	}
 	if w.misses > 0 {
 		c.note("worker regained", "worker", w.host.ID, "after", c.now-w.heard, "runs", len(w.runs))
@@ -216,7 +218,10 @@
 	w.clockAt = c.now
 	first := !w.asked
 	w.asked = true
-	w.born = in.Held.Born
+	w.born = cmp.Or(in.Held.Born, w.born)
+	if first {
+		c.settleStarts(w, &in.Held)
+	}
 	c.takeEnds(w, in.Held.Ended)
 	c.takeRuns(w, in.Held.Running)
 	c.settleRuns(w, in.Held)
@@ -284,7 +289,11 @@
 	}
 	c.noteDown(w, c.downSpan(w))
 	for _, r := range inOrder(w.runs) {
-		c.endRun(r, provider.EndLost, "")
+		if c.mayBegin(r) {
+			c.keepStart(r)
+		} else {
+			c.endRun(r, provider.EndLost, "")
+		}
 	}
 	c.surveyed(w)
 	c.dropWorker(w)
@@ -301,6 +310,7 @@
 		c.checkRuns(w)
 	}
 	c.dropKept()
+	c.dropStarts()
 	c.forgetDown()
 	c.checkSurvey()
 }
