Orders to one incarnation of a worker are void for the next

What callers saw: tasks that run twice, and workers over their capacity; found by looking for the incident's cause in orders and their late answers.

Cause: a worker that restarts under its ID has seen no token, so it carries out what was ordered of the incarnation before and comes late: starts, whose deadline is by another clock, acknowledgements, leases. And what is answered to such an order was taken for news of the next.

Change: each incarnation gets a token of its own, the term times 4096 and one more each time. An incarnation that was asked once refuses what was given to the ones before. Outcomes carry the token of their order; those of other tokens than the worker's change nothing, but that a refusal settles a start. An entry with another start than the one that answered is a reason to ask at once, with a higher token. An owner that has used a worker's 4096 gives the cell up.

TestAnswersOfTheIncarnationBefore fails without the check of the token.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -74,6 +74,7 @@
 	pressure    *pressure.Estimator
 	plan        *colocation.Plan
 	plannedAt   time.Duration
+	tokens      map[string]uint64  // of the next incarnation of workers that were dropped, by ID
 	unsettled   map[string][]*run  // starts that may still be carried out by the next incarnation of their worker, by its ID
 	kept        []*task            // tasks that are being moved, with room kept for them
 	down        map[*worker]span   // workers that went down a moment ago, without a trial
@@ -117,6 +118,7 @@
 		pressure:  pressure.New(),
 		demand:    make(map[string]float64),
 		down:      make(map[*worker]span),
+		tokens:    make(map[string]uint64),
 		unsettled: make(map[string][]*run),
 		saves:     newSaver(now, self.Sequence+1),
 		list:      hostList{old: true},
@@ -262,6 +264,6 @@
 }
 
 // order returns an order for a run on the worker.
-func (w *worker) order(token uint64, r *run) provider.RunOrder {
-	return provider.RunOrder{Host: w.host, Token: token, Task: r.name, Attempt: r.attempt}
+func (w *worker) order(r *run) provider.RunOrder {
+	return provider.RunOrder{Host: w.host, Token: w.token, Task: r.name, Attempt: r.attempt}
 }
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -213,10 +213,11 @@
 	list     provider.HostList // as it last read it, in whichever term
 	noWorker map[int]bool
 	life     int
-	asking   int                // questions for the adviser that are under way
-	noted    func(event string) // told of what the owner logs
-	starting int                // starts without an answer
-	most     int                // of them at any time
+	asking   int                      // questions for the adviser that are under way
+	noted    func(event string)       // told of what the owner logs
+	ordered  func(provider.HoldOrder) // told of each hold
+	starting int                      // starts without an answer
+	most     int                      // of them at any time
 }
 
 // take makes the owner claim the cell, as an instance does that reaches the
@@ -362,9 +363,12 @@
 	case cell.Save:
 		o.save(a)
 	case cell.Hold:
+		if o.ordered != nil {
+			o.ordered(a.Order)
+		}
 		o.order(a.Order.Host, orderBytes, a.Order.Wait, func(w *fakeWorker) any { return w.hold(a.Order) }, func(out any, err error) cell.Input {
 			held, _ := out.(provider.Held)
-			return cell.HoldReply{Host: a.Order.Host.ID, Sent: s.now, Held: held, Err: err}
+			return cell.HoldReply{Host: a.Order.Host.ID, Token: a.Order.Token, Sent: s.now, Held: held, Err: err}
 		})
 	case cell.Start:
 		s.checkLife(o.list, a.Order.Host)
@@ -374,11 +378,11 @@
 		o.order(a.Order.Host, orderBytes+len(a.Order.Spec), 0, func(w *fakeWorker) any { return w.start(a.Order) }, func(out any, err error) cell.Input {
 			o.starting--
 			refusal, _ := out.(provider.Refusal)
-			return cell.StartReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Sent: sent, Refusal: refusal, Err: err}
+			return cell.StartReply{Host: a.Order.Host.ID, Token: a.Order.Token, Task: a.Order.Task, Attempt: a.Order.Attempt, Sent: sent, Refusal: refusal, Err: err}
 		})
 	case cell.Stop:
 		o.order(a.Order.Host, orderBytes, 0, func(w *fakeWorker) any { return w.stop(a.Order) }, func(_ any, err error) cell.Input {
-			return cell.StopReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Err: err}
+			return cell.StopReply{Host: a.Order.Host.ID, Token: a.Order.Token, Task: a.Order.Task, Attempt: a.Order.Attempt, Err: err}
 		})
 	case cell.Pace:
 		s.paces[a.Order.Task] = a.Order.Percent
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -118,6 +118,9 @@
 		c.note("worker resized", "worker", h.ID, "from", w.host.Capacity.String(), "to", h.Capacity.String(), "used", w.used.String())
 		c.touch(w)
 	}
+	if w.born != 0 && h.Born != 0 && h.Born != w.born && h.Born != w.host.Born {
+		c.suspectRestart(w)
+	}
 	w.host = h
 	w.listed = true
 	if leaves {
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -1,8 +1,10 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
+	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
@@ -29,6 +31,57 @@
 	c.hold(next)
 }
 
+// tokensPerTerm is how many incarnations of a worker one owner may order. Tokens of a
+// later owner are above them.
+const tokensPerTerm = 1 << 12
+
+// firstToken returns the token of orders to workers that this owner knows no earlier
+// incarnation of. Each incarnation gets a higher one than those before it, so that it
+// carries out no order that was given to them and comes late.
+func (c *Cell) firstToken() uint64 {
+	return c.self.Term * tokensPerTerm
+}
+
+// nextToken returns the token of the next incarnation of a worker. An owner that has
+// used all of its tokens gives the cell up, and the next one has as many again.
+func (c *Cell) nextToken(id string) uint64 {
+	token := max(c.firstToken(), c.tokens[id])
+	if token >= c.firstToken()+tokensPerTerm {
+		c.depose("worker " + id + " has restarted too often for one term")
+	}
+	return token
+}
+
+// addressee returns the worker that an order was given to, nil if that is lost, or may
+// have been followed by another incarnation since.
+func (c *Cell) addressee(id string, token uint64) *worker {
+	if w := c.workers[id]; w != nil && w.token == token {
+		return w
+	}
+	return nil
+}
+
+// fenced takes a refusal of an order that isn't the newest to its worker. It is another
+// owner's doing unless this owner has used a higher token.
+func (c *Cell) fenced(id string, token uint64, err error) {
+	newest := c.tokens[id] - 1
+	if w := c.workers[id]; w != nil {
+		newest = w.token
+	}
+	if kindOf(err) == orderFenced && token == newest {
+		c.beaten(id)
+	}
+}
+
+// suspectRestart asks a worker at once whether it still is the incarnation that answered, with
+// a token above those of what is under way to it, whose outcomes don't count any more.
+func (c *Cell) suspectRestart(w *worker) {
+	c.tokens[w.host.ID] = w.token + 1
+	w.token = c.nextToken(w.host.ID)
+	w.holding = false
+	w.holdAt = c.now
+}
+
 // orderTime is how long after it was given an order may still reach a worker: the
 // time-out of the order, of the instance that it is relayed by, and a margin.
 const orderTime = 2 * time.Second
@@ -64,6 +117,20 @@
 	}
 }
 
+// settleStart takes the outcome of a start whose worker is lost. Only a refusal settles
+// it: a start that was accepted may run on the next incarnation.
+func (c *Cell) settleStart(in StartReply) {
+	refused := in.Err == nil && in.Refusal != provider.Accepted || fault.Is(in.Err, fault.Unavailable)
+	for i, r := range c.unsettled[in.Host] {
+		if refused && r.name == in.Task && r.attempt == in.Attempt {
+			c.unsettled[in.Host] = slices.Delete(c.unsettled[in.Host], i, i+1)
+			c.removeRun(r)
+			c.requeue(r.task)
+			return
+		}
+	}
+}
+
 // dropStarts ends the starts that can't be carried out any more.
 func (c *Cell) dropStarts() {
 	for id, starts := range inOrder(c.unsettled) {
--- a/cell/input.go
+++ b/cell/input.go
@@ -28,15 +28,17 @@
 
 // HoldReply is the outcome of a Hold.
 type HoldReply struct {
-	Host string
-	Sent time.Duration // when the order went out
-	Held provider.Held
-	Err  error
+	Host  string
+	Token uint64        // of the order
+	Sent  time.Duration // when it went out
+	Held  provider.Held
+	Err   error
 }
 
 // StartReply is the outcome of a Start.
 type StartReply struct {
 	Host    string
+	Token   uint64 // of the order
 	Task    string
 	Attempt uint64
 	Sent    time.Duration // when it was ordered
@@ -47,6 +49,7 @@
 // StopReply is the outcome of a Stop.
 type StopReply struct {
 	Host    string
+	Token   uint64 // of the order
 	Task    string
 	Attempt uint64
 	Err     error
@@ -55,6 +58,7 @@
 // PaceReply is the outcome of a Pace.
 type PaceReply struct {
 	Host    string
+	Token   uint64 // of the order
 	Task    string
 	Attempt uint64
 	Percent int
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -1,12 +1,16 @@
 package cell_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodladder/dogwoodladder/cell"
+	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // restartSeeds is how many seeds a test of workers that restart plays.
@@ -105,3 +109,76 @@
 		})
 	}
 }
+
+// Guards against orders to one incarnation of a worker that the next one carries out.
+func TestLateOrdersReachTheNextIncarnation(t *testing.T) {
+	eachSeed(t, restartSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 60, 150 * time.Millisecond
+		s := newSite(t, 1400+seed, 8, 1)
+		s.lateOrders = 0.1
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		for n := range 6 {
+			down := 400*time.Millisecond + time.Duration(s.rng.Int64N(int64(600*time.Millisecond)))
+			s.after(time.Duration(n+1)*1900*time.Millisecond, func() { s.restartSome(3, down, n%2 == 0) })
+		}
+		s.after(jobs*every+2*time.Second, func() { s.lateOrders = 0 })
+		s.run(jobs*every + 3*quiet)
+		s.mustTell(jobs)
+	})
+}
+
+// Guards against an answer of one incarnation that comes after one of the next.
+func TestAnswersOfTheIncarnationBefore(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1500, 3, 1)
+	s.length = func(string) time.Duration { return 2 * time.Second }
+	s.owners[0].take()
+	var token uint64
+	s.owners[0].ordered = func(o provider.HoldOrder) {
+		if o.Host.ID == s.workers[0].host.ID {
+			token = o.Token
+		}
+	}
+	s.run(2 * time.Second)
+	before := s.workers[0].held()
+	late := cell.HoldReply{Host: s.workers[0].host.ID, Token: token, Sent: s.now, Held: before}
+	late.Held.Ended = []provider.Ended{{Number: 9, Task: jobID(7) + ".0.0.0", Attempt: 1, How: provider.EndDone}}
+	s.restartSome(3, 500*time.Millisecond, false)
+	s.run(4 * time.Second)
+	fill(s, 3)
+	s.run(5 * time.Second)
+	is.True(len(s.workers[0].runs) > 0)
+	s.owners[0].step(late)
+	late.Err = fault.New(fault.StaleEpoch, "fenced")
+	s.owners[0].step(late)
+	s.run(quiet)
+	s.mustComplete(3)
+	for task := range s.workers[0].barred {
+		is.Equal(s.workers[0].barred[task]%4096, uint64(1)) // none was started again
+	}
+}
+
+// Guards against a worker that restarts more often than an owner has tokens for it.
+func TestTokensOfATermRunOut(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1501, 2, 2)
+	fill(s, 3)
+	s.owners[0].take()
+	s.run(time.Second)
+	first := s.owners[0].list
+	for born := range uint64(5000) {
+		if s.owners[0].cell == nil {
+			break
+		}
+		list := first
+		list.AsOf = s.now
+		list.Hosts = slices.Clone(first.Hosts)
+		list.Hosts[0].Born = 1 + born
+		s.owners[0].step(cell.Hosts{List: list})
+	}
+	is.True(s.owners[0].cell == nil)
+	s.owners[1].take()
+	s.run(quiet)
+	s.mustComplete(3)
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -63,7 +63,7 @@
 	c.gauge.Started()
 	c.do(Start{Order: provider.StartOrder{
 		Host:       w.host,
-		Token:      c.self.Term,
+		Token:      w.token,
 		Task:       t.name,
 		Attempt:    attempt,
 		Spec:       t.step.job.job.Spec,
@@ -71,7 +71,7 @@
 		Checkpoint: t.saved,
 		Ticket:     c.ticket(t.step, w),
 	}})
-	c.note("start", "task", t.name, "attempt", attempt, "worker", w.host.ID, "token", c.self.Term,
+	c.note("start", "task", t.name, "attempt", attempt, "worker", w.host.ID, "term", c.self.Term, "token", w.token,
 		"waited", c.now-t.step.job.arrived, "resumes", t.saved != "", "list_age", c.now-c.list.newest.AsOf)
 }
 
@@ -159,8 +159,9 @@
 func (c *Cell) started(in StartReply) {
 	c.flow.answered(c.now, in)
 	c.changed = true
-	w := c.workers[in.Host]
+	w := c.addressee(in.Host, in.Token)
 	if w == nil {
+		c.settleStart(in)
 		return
 	}
 	r := w.runs[in.Task]
@@ -240,20 +241,18 @@
 
 func (c *Cell) sendStop(r *run) {
 	r.stopSent = c.now
-	c.do(Stop{Order: r.worker.order(c.self.Term, r)})
+	c.do(Stop{Order: r.worker.order(r)})
 }
 
 func (c *Cell) stopped(in StopReply) {
 	if in.Err == nil {
 		return
 	}
-	if w := c.workers[in.Host]; w != nil {
+	if w := c.addressee(in.Host, in.Token); w != nil {
 		c.failedOrder(w, in.Err)
 		return
 	}
-	if kindOf(in.Err) == orderFenced {
-		c.beaten(in.Host)
-	}
+	c.fenced(in.Host, in.Token, in.Err)
 }
 
 // overdue reports whether a run has to be dealt with: a stop had no effect, or it
--- a/cell/serving.go
+++ b/cell/serving.go
@@ -189,7 +189,7 @@
 	r.pace = percent
 	r.paced = c.now
 	r.exposure.change(c.now, c.now+c.timing.PaceDelay, r.worker.share(r.use))
-	order := r.worker.order(c.self.Term, r)
+	order := r.worker.order(r)
 	order.Percent = percent
 	c.do(Pace{Order: order})
 	c.note("pace", "task", r.name, "worker", r.worker.host.ID, "percent", percent)
@@ -209,12 +209,9 @@
 	if in.Err == nil {
 		return
 	}
-	if kindOf(in.Err) == orderFenced {
-		c.beaten(in.Host)
-		return
-	}
-	w := c.workers[in.Host]
-	if w == nil {
+	w := c.addressee(in.Host, in.Token)
+	if w == nil || kindOf(in.Err) == orderFenced {
+		c.fenced(in.Host, in.Token, in.Err)
 		return
 	}
 	if r := w.runs[in.Task]; r != nil && r.attempt == in.Attempt && r.pace == in.Percent {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -21,7 +21,8 @@
 	leaving     bool          // its machine is about to go down; it gets no new tasks
 	asked       bool          // it has answered this owner; its runs are known
 	born        uint64        // start of the incarnation that answers, zero where that isn't known
-	lost        bool          // that life of it is over
+	lost        bool          // that incarnation of it is over
+	token       uint64        // of orders to it; see firstToken
 
 	runs    map[string]*run // by task name
 	used    resource.Vector
@@ -106,6 +107,7 @@
 		images: make(map[string]int),
 		holdAt: c.now,
 		heard:  c.now,
+		token:  c.nextToken(h.ID),
 	}
 	c.workers[h.ID] = w
 	c.all = nil
@@ -117,6 +119,7 @@
 
 func (c *Cell) dropWorker(w *worker) {
 	delete(c.workers, w.host.ID)
+	c.tokens[w.host.ID] = w.token + 1
 	c.all = nil
 	pool := c.pools[w.host.Service]
 	if i := slices.Index(pool, w); i >= 0 {
@@ -160,7 +163,7 @@
 }
 
 func (c *Cell) hold(w *worker) {
-	order := provider.HoldOrder{Host: w.host, Token: c.self.Term, Seen: w.seen, Wait: c.timing.HoldWait}
+	order := provider.HoldOrder{Host: w.host, Token: w.token, Seen: w.seen, Wait: c.timing.HoldWait}
 	if len(w.runs) == 0 {
 		order.Wait = c.timing.IdleWait
 	}
@@ -195,8 +198,9 @@
 
 // held takes a worker's answer to a hold.
 func (c *Cell) held(in HoldReply) {
-	w := c.workers[in.Host]
+	w := c.addressee(in.Host, in.Token)
 	if w == nil {
+		c.fenced(in.Host, in.Token, in.Err)
 		return
 	}
 	w.holding = false
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -60,25 +60,26 @@
 	sent := d.clock()
 	held, err := d.platform.Executor.Hold(ctx, a.Order)
 	d.counters.held(err)
-	return cell.HoldReply{Host: a.Order.Host.ID, Sent: sent, Held: held, Err: err}
+	return cell.HoldReply{Host: a.Order.Host.ID, Token: a.Order.Token, Sent: sent, Held: held, Err: err}
 }
 
 func (d *Dispatcher) start(ctx context.Context, a cell.Start, ordered time.Duration) cell.Input {
 	sent := time.Now()
 	refusal, err := d.platform.Executor.Start(ctx, a.Order)
 	d.counters.startTime.Record(time.Since(sent))
-	return cell.StartReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Sent: ordered, Refusal: refusal, Err: err}
+	return cell.StartReply{Host: a.Order.Host.ID, Token: a.Order.Token, Task: a.Order.Task, Attempt: a.Order.Attempt, Sent: ordered, Refusal: refusal, Err: err}
 }
 
 func (d *Dispatcher) stop(ctx context.Context, a cell.Stop) cell.Input {
 	err := d.platform.Executor.Stop(ctx, a.Order)
-	return cell.StopReply{Host: a.Order.Host.ID, Task: a.Order.Task, Attempt: a.Order.Attempt, Err: err}
+	return cell.StopReply{Host: a.Order.Host.ID, Token: a.Order.Token, Task: a.Order.Task, Attempt: a.Order.Attempt, Err: err}
 }
 
 func (d *Dispatcher) pace(ctx context.Context, a cell.Pace) cell.Input {
 	err := d.platform.Executor.Pace(ctx, a.Order)
 	return cell.PaceReply{
 		Host:    a.Order.Host.ID,
+		Token:   a.Order.Token,
 		Task:    a.Order.Task,
 		Attempt: a.Order.Attempt,
 		Percent: a.Order.Percent,
