An end is acknowledged once, and only to an incarnation that has just answered

What callers saw: tasks started again though they had ended well and that end was acknowledged; found by asking what else could acknowledge ends unread.

Cause: each hold said again up to which end all is on record, those too that are sent until a silent worker answers. The first that its next incarnation gets said it of ends that were still to come.

Change: what was acknowledged, and answered, isn't said again, and nothing is acknowledged to a worker that is silent or hasn't answered in the last 0.3 s, less than a restart takes.

--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -87,9 +87,12 @@
 	tests := []struct {
 		name  string
 		store time.Duration // of a write, one way
+		mark  bool
 	}{
-		{"the store is quick", 0},
-		{"the store is slow", 800 * time.Millisecond},
+		{"the store is quick", 0, false},
+		{"the store is slow", 800 * time.Millisecond, false},
+		{"acknowledgements count for what comes", 0, true},
+		{"the same with a slow store", 800 * time.Millisecond, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -97,6 +100,7 @@
 				const jobs, every = 100, 150 * time.Millisecond
 				s := newSite(t, 1300+seed, 8, 1)
 				s.storeDelay = tt.store
+				s.keepsMark = tt.mark
 				s.arrive(jobs, every)
 				s.owners[0].take()
 				for n := range 6 {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -58,6 +58,8 @@
 	heard    time.Duration // last answer
 	ended    uint64        // highest end that was handled
 	seen     uint64        // highest end that is on record
+	sentSeen uint64        // highest end that the hold under way acknowledges
+	forgot   uint64        // highest end that was acknowledged for certain
 	failures int           // of different tasks, in a row
 	resting  time.Duration // in quarantine until then
 	suspect  bool          // it hasn't completed a task since its quarantine began
@@ -163,7 +165,7 @@
 }
 
 func (c *Cell) hold(w *worker) {
-	order := provider.HoldOrder{Host: w.host, Token: w.token, Seen: w.seen, Wait: c.timing.HoldWait}
+	order := provider.HoldOrder{Host: w.host, Token: w.token, Seen: c.acknowledging(w), Wait: c.timing.HoldWait}
 	if len(w.runs) == 0 {
 		order.Wait = c.timing.IdleWait
 	}
@@ -183,9 +185,24 @@
 		w.deadline = max(w.deadline, order.Deadline)
 	}
 	w.holding = true
+	w.sentSeen = order.Seen
 	c.do(Hold{Order: order})
 }
 
+// ackWithin is how long after an answer a worker is sent an acknowledgement. One that
+// restarts is away for longer, so it can't be the next incarnation that takes it.
+const ackWithin = 300 * time.Millisecond
+
+// acknowledging returns up to which end the next hold may have a worker forget its ends.
+// What is acknowledged once isn't again: on the next incarnation it would stand for
+// ends that nobody has read.
+func (c *Cell) acknowledging(w *worker) uint64 {
+	if w.seen == w.forgot || w.misses > 0 || c.now-w.heard >= ackWithin {
+		return 0
+	}
+	return w.seen
+}
+
 // mixedWait returns how long a worker with filling tasks beside serving ones
 // may keep a hold. On a large site it grows, so that these holds take no more
 // than a few hundred calls a second.
@@ -223,6 +240,7 @@
 	first := !w.asked
 	w.asked = true
 	w.born = cmp.Or(in.Held.Born, w.born)
+	w.forgot = max(w.forgot, w.sentSeen)
 	if first {
 		c.settleStarts(w, &in.Held)
 	}
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -32,6 +32,7 @@
 	barred   map[string]uint64 // highest attempt that ended or was stopped, by task
 	ended    []provider.Ended
 	count    uint64
+	mark     uint64 // highest end that was acknowledged, of workers that keep it
 	waiters  []func()
 	onReset  []func() // of the holds that wait
 	refuses  bool     // connections, while its process is down on a machine that is up
@@ -223,11 +224,20 @@
 	if o.Deadline > 0 {
 		w.extend(o.Deadline)
 	}
-	for len(w.ended) > 0 && w.ended[0].Number <= o.Seen {
+	w.forget(o.Seen)
+	return w.held()
+}
+
+// forget drops the ends up to one, and where workers keep a mark also those that come.
+func (w *fakeWorker) forget(seen uint64) {
+	if w.site.keepsMark {
+		w.mark = max(w.mark, seen)
+		seen = w.mark
+	}
+	for len(w.ended) > 0 && w.ended[0].Number <= seen {
 		w.site.acknowledged(w.ended[0])
 		w.ended = w.ended[1:]
 	}
-	return w.held()
 }
 
 func (w *fakeWorker) held() provider.Held {
@@ -365,6 +375,7 @@
 	w.barred[name] = max(w.barred[name], r.attempt)
 	w.count++
 	w.ended = append(w.ended, provider.Ended{Number: w.count, Task: name, Attempt: r.attempt, How: how})
+	w.forget(0)
 	waiters := w.waiters
 	w.waiters = nil
 	for _, answer := range waiters {
