A start that may never have begun isn't evidence by itself that a task crashes workers

What callers saw: a sound job shown as failed.

Cause: of three crashes that counted against the task two were trials on workers that had been down for 0.3 s and more when the start was ordered; it never had an answer, and neither had they missed one. 'Alone' counted as if the task had been there.

Change: only a start that is known to have begun counts as alone. One that isn't still counts among the four crashes in all, so that a task that crashes its worker before it can answer is bounded as well.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -246,7 +246,7 @@
 		return
 	}
 	h := t.step.job.progress.Crashes(t.id)
-	h.Crashed(r.attempt, f.others == 0 && r.trial)
+	h.Crashed(r.attempt, f.others == 0 && r.trial && r.begunClock != 0)
 	t.startChange = 0
 	t.unsure = false
 	c.note("crash", "task", t.name, "attempt", r.attempt, "worker", r.worker.host.ID,
