A restarted worker gets no task before it is on record itself

What callers saw: nothing yet; found by looking for the cause in records.

Cause: a write that takes a worker off the record, or puts it on, was answered by its ID. Where its next incarnation had answered meanwhile, that counted as on record, and got tasks. An owner that followed in that moment wouldn't have asked it, and would have run its tasks again.

Change: a write knows which worker it puts on record, and its record tells of the incarnation that answers, not of the one that the entry still names.

--- a/cell/checks_test.go
+++ b/cell/checks_test.go
@@ -37,6 +37,9 @@
 	if !w.fits(used, roomNotice) {
 		s.violate("capacity: %s on %s: %v", o.Task, w.host.ID, used)
 	}
+	if s.onRecord && s.store.fold(s.t).Hosts()[w.host.ID].Born != w.host.Born {
+		s.violate("record: %s on %s, of which this incarnation isn't on record", o.Task, w.host.ID)
+	}
 	for _, other := range s.workers {
 		if r := other.runs[o.Task]; other.up && r != nil {
 			s.violate("twice: %s attempt %d on %s, attempt %d on %s", o.Task, o.Attempt, w.host.ID, r.attempt, other.host.ID)
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -60,6 +60,7 @@
 	crashes   map[string]int         // workers that such a task has crashed
 	beyond    map[string]int         // its starts since the third
 	lives     int                    // of workers that came back
+	onRecord  bool                   // each start is held against the record of workers
 	keepsMark bool                   // workers take an acknowledgement for ends to come as well
 	keepNames bool                   // workers that were reset come back under their old IDs
 	failing   func(task string, attempt uint64) bool
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -186,3 +186,22 @@
 	s.run(quiet)
 	s.mustComplete(3)
 }
+
+// Guards against tasks on a worker of which only the incarnation before is on record: an
+// owner that follows wouldn't ask it.
+func TestRestartedWorkersAreOnRecord(t *testing.T) {
+	eachSeed(t, restartSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 60, 60 * time.Millisecond
+		s := newSite(t, 1600+seed, 8, 1)
+		s.onRecord = true
+		s.storeDelay = 200 * time.Millisecond
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		for n := range 3 {
+			down := 400*time.Millisecond + time.Duration(s.rng.Int64N(int64(400*time.Millisecond)))
+			s.after(time.Duration(n+1)*2*time.Second, func() { s.restartSome(2, down, false) })
+		}
+		s.run(jobs*every + 3*quiet)
+		s.mustTell(jobs)
+	})
+}
--- a/cell/save.go
+++ b/cell/save.go
@@ -8,7 +8,6 @@
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/fault"
-	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // saver holds what is to be written and what is being written. One write is
@@ -16,8 +15,8 @@
 // a lost answer changes nothing.
 type saver struct {
 	jobs    map[*jobState]struct{}
-	dropped []string // jobs whose progress goes
-	hosts   map[string]*provider.Host
+	dropped []string           // jobs whose progress goes
+	hosts   map[string]*worker // to put on record, nil to drop, by ID
 	waves   map[int]catalog.Wave
 	waiting map[*worker]struct{} // with ends to acknowledge after the next write
 	batch   *batch
@@ -36,7 +35,7 @@
 	retryAt time.Duration
 	claimed []*jobState
 	jobs    []change
-	hosts   []string
+	workers []*worker // put on record
 	seen    []acknowledgement
 	leaving bool
 }
@@ -63,7 +62,7 @@
 func newSaver(now time.Duration, first uint64) saver {
 	return saver{
 		jobs:    make(map[*jobState]struct{}),
-		hosts:   make(map[string]*provider.Host),
+		hosts:   make(map[string]*worker),
 		waiting: make(map[*worker]struct{}),
 		waves:   make(map[int]catalog.Wave),
 		next:    first,
@@ -82,8 +81,14 @@
 	s.dropped = append(s.dropped, id)
 }
 
-func (s *saver) host(id string, h *provider.Host) {
-	s.hosts[id] = h
+// register puts a worker on record.
+func (s *saver) register(w *worker) {
+	s.hosts[w.host.ID] = w
+}
+
+// unregister drops a worker's record.
+func (s *saver) unregister(w *worker) {
+	s.hosts[w.host.ID] = nil
 }
 
 // wait has a worker's ends acknowledged after the next write. It reports
@@ -159,13 +164,15 @@
 			b.claimed = append(b.claimed, j)
 		}
 	}
-	for id, h := range inOrder(s.hosts) {
-		r, err := catalog.HostRecord(id, h)
+	for id, w := range inOrder(s.hosts) {
+		r, err := catalog.HostRecord(id, w.record())
 		if err != nil {
 			return nil, err
 		}
 		b.save.Records = append(b.save.Records, r)
-		b.hosts = append(b.hosts, id)
+		if w != nil {
+			b.workers = append(b.workers, w)
+		}
 	}
 	if err := c.addCrashed(b); err != nil {
 		return nil, err
@@ -287,11 +294,9 @@
 		}
 		ch.job.written = ch.number
 	}
-	for _, id := range b.hosts {
-		if w := c.workers[id]; w != nil {
-			w.registered = true
-			c.changed = true
-		}
+	for _, w := range b.workers {
+		w.registered = true
+		c.changed = true
 	}
 	for _, a := range b.seen {
 		w := a.worker
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -128,7 +128,7 @@
 		c.pools[w.host.Service] = slices.Delete(pool, i, i+1)
 	}
 	if w.asked || w.registered {
-		c.saves.host(w.host.ID, nil) // also if its record is only on its way
+		c.saves.unregister(w) // also if its record is only on its way
 	}
 }
 
@@ -273,10 +273,21 @@
 // all.
 func (c *Cell) register(w *worker) {
 	if !w.registered {
-		c.saves.host(w.host.ID, &w.host)
+		c.saves.register(w)
 	}
 }
 
+// record returns what is put on record of a worker, nil for none. It tells of the
+// incarnation that answered, which the entry may not do yet.
+func (w *worker) record() *provider.Host {
+	if w == nil {
+		return nil
+	}
+	h := w.host
+	h.Born = w.born
+	return &h
+}
+
 // missed takes a hold that had no good answer.
 func (c *Cell) missed(w *worker, in HoldReply) {
 	if c.failedOrder(w, in.Err) {
