Relays reach a worker that restarts at another address

What callers saw: nothing yet; found by looking for the cause in relays.

Cause: a worker gets a number on each connection, by its ID, with the address that it had then. After a restart elsewhere under its ID all orders went on to the old address.

Change: a worker at an address gets the number.

TestWorkerRestartsAtAnotherAddress failed before: three orders to the first address.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -27,6 +27,7 @@
 	orders []string // "way task"
 	token  uint64
 	runs   []provider.Run
+	at     []string                 // addresses at which runs were stopped
 	specs  map[string]string        // by task
 	mute   map[string]bool          // ways on which nothing is answered
 	takes  map[string]time.Duration // time for an answer, by way
@@ -82,6 +83,9 @@
 }
 
 func (w way) Stop(ctx context.Context, o provider.RunOrder) error {
+	w.mu.Lock()
+	w.at = append(w.at, o.Host.Address)
+	w.mu.Unlock()
 	return w.order(ctx, o.Token, "stop "+o.Task)
 }
 
@@ -463,6 +467,21 @@
 	})
 }
 
+// Guards against orders to where a worker was before it restarted under its ID.
+func TestWorkerRestartsAtAnotherAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		moved := host
+		moved.Address = "10.0.1.9:1"
+		for _, h := range []provider.Host{host, moved, moved} {
+			is.NoErr(s.owner.Stop(t.Context(), provider.RunOrder{Host: h, Token: 3, Task: "t1"}))
+		}
+		is.Equal(s.at, []string{host.Address, moved.Address, moved.Address})
+		is.Equal(s.taken(), []string{"relayed stop t1", "relayed stop t1", "relayed stop t1"})
+	})
+}
+
 func TestRecords(t *testing.T) {
 	is := is.New(t)
 	i := relay.Instance{ID: "e2", Address: address, AvailabilityZone: "a"}
--- a/relay/session.go
+++ b/relay/session.go
@@ -37,12 +37,17 @@
 	got     uint64    // messages
 
 	// Owned by the writer.
-	hosts  map[string]uint64 // numbers of workers
-	specs  map[string]uint64 // numbers of specifications
+	hosts  map[endpoint]uint64 // numbers of workers
+	specs  map[string]uint64   // numbers of specifications
 	texts  [specNumbers]string
 	specAt uint64
 }
 
+// endpoint is a worker at an address: it may restart under its ID at another one.
+type endpoint struct {
+	id, address string
+}
+
 // call is an order under way.
 type call struct {
 	host  provider.Host
@@ -66,7 +71,7 @@
 		asked:    make(chan struct{}, 1),
 		pending:  make(map[uint64]*call),
 		heard:    time.Now(),
-		hosts:    make(map[string]uint64),
+		hosts:    make(map[endpoint]uint64),
 		specs:    make(map[string]uint64),
 	}
 }
@@ -200,10 +205,11 @@
 
 // number puts numbers in place of the worker and the specification.
 func (s *session) number(c *call, message *wire.Orders) {
-	n, ok := s.hosts[c.host.ID]
+	at := endpoint{id: c.host.ID, address: c.host.Address}
+	n, ok := s.hosts[at]
 	if !ok {
 		n = uint64(len(s.hosts))
-		s.hosts[c.host.ID] = n
+		s.hosts[at] = n
 		message.Hosts = append(message.Hosts, wire.Host{Number: n, ID: c.host.ID, Address: c.host.Address})
 	}
 	c.order.Host = n
