A relayed acknowledgement isn't repeated on the direct way

Nothing was seen of it; found by asking where an acknowledgement may reach the next incarnation of a worker. A hold that finds no answer on its way is repeated directly, up to 0.9 s later, with what it acknowledged, while a worker may restart within half a second. It is repeated without. TestAcknowledgementsAreNotRepeated failed before (5 acknowledged directly).

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -386,6 +386,7 @@
 		return provider.Held{}, r.Err()
 	}
 	o.Wait = 0
+	o.Seen = 0 // the worker may have restarted since
 	return e.direct.Hold(ctx, o)
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -28,13 +28,14 @@
 	token  uint64
 	runs   []provider.Run
 	at     []string                 // addresses at which runs were stopped
+	seen   map[string]uint64        // ends acknowledged by the last hold, by way
 	specs  map[string]string        // by task
 	mute   map[string]bool          // ways on which nothing is answered
 	takes  map[string]time.Duration // time for an answer, by way
 }
 
 func newWorkers() *workers {
-	return &workers{specs: make(map[string]string), mute: make(map[string]bool), takes: make(map[string]time.Duration)}
+	return &workers{seen: make(map[string]uint64), specs: make(map[string]string), mute: make(map[string]bool), takes: make(map[string]time.Duration)}
 }
 
 // way is an Executor by which an instance reaches the workers.
@@ -66,6 +67,9 @@
 }
 
 func (w way) Hold(ctx context.Context, o provider.HoldOrder) (provider.Held, error) {
+	w.mu.Lock()
+	w.workers.seen[w.name] = o.Seen
+	w.mu.Unlock()
 	if err := w.order(ctx, o.Token, "hold"); err != nil {
 		return provider.Held{}, err
 	}
@@ -482,6 +486,22 @@
 	})
 }
 
+// Guards against an acknowledgement that is repeated to a worker that may have
+// restarted since.
+func TestAcknowledgementsAreNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		s.setMute("relayed", true)
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		_, err := s.owner.Hold(ctx, provider.HoldOrder{Host: host, Token: 3, Seen: 5})
+		is.NoErr(err)
+		is.Equal(s.taken(), []string{"relayed hold", "direct hold"})
+		is.Equal(s.seen, map[string]uint64{"relayed": 5, "direct": 0})
+	})
+}
+
 func TestRecords(t *testing.T) {
 	is := is.New(t)
 	i := relay.Instance{ID: "e2", Address: address, AvailabilityZone: "a"}
