An acknowledgement that wasn't taken is repeated

An answer to a hold counted as proof that the worker has forgotten what the hold acknowledged. Where it hasn't, as the hold was repeated without, it would list the ends, and answer each hold at once, for good. What it still lists now tells what it hasn't forgotten.

TestAcknowledgementsAreRepeatedUntilTaken failed before: five ends are listed at the end of the test.

--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -205,3 +205,16 @@
 		s.mustTell(jobs)
 	})
 }
+
+// Guards against ends that are never forgotten as their acknowledgement wasn't taken.
+func TestAcknowledgementsAreRepeatedUntilTaken(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1700, 1, 1)
+	s.workers[0].ignores = 3
+	fill(s, 1)
+	s.owners[0].take()
+	s.run(quiet)
+	s.mustComplete(1)
+	is.Equal(s.workers[0].ignores, 0)
+	is.Equal(len(s.workers[0].ended), 0)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -240,7 +240,7 @@
 	first := !w.asked
 	w.asked = true
 	w.born = cmp.Or(in.Held.Born, w.born)
-	w.forgot = max(w.forgot, w.sentSeen)
+	w.noteForgot(in.Held.Ended)
 	if first {
 		c.settleStarts(w, &in.Held)
 	}
@@ -277,6 +277,15 @@
 	}
 }
 
+// noteForgot takes note of the ends that a worker has forgotten, by the ones that it
+// still lists.
+func (w *worker) noteForgot(listed []provider.Ended) {
+	w.forgot = max(w.forgot, w.sentSeen)
+	for i := range listed {
+		w.forgot = min(w.forgot, listed[i].Number-1)
+	}
+}
+
 // record returns what is put on record of a worker, nil for none. It tells of the
 // incarnation that answered, which the entry may not do yet.
 func (w *worker) record() *provider.Host {
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -32,6 +32,7 @@
 	barred   map[string]uint64 // highest attempt that ended or was stopped, by task
 	ended    []provider.Ended
 	count    uint64
+	ignores  int    // acknowledgements that it passes over
 	mark     uint64 // highest end that was acknowledged, of workers that keep it
 	waiters  []func()
 	onReset  []func() // of the holds that wait
@@ -224,6 +225,10 @@
 	if o.Deadline > 0 {
 		w.extend(o.Deadline)
 	}
+	if o.Seen > 0 && w.ignores > 0 {
+		w.ignores--
+		return w.held()
+	}
 	w.forget(o.Seen)
 	return w.held()
 }
