A ticket is of one incarnation of its worker

What callers saw: nothing yet; found by looking for the cause in advice. Tickets were kept by the worker's ID, so that the next incarnation was ordered to start tasks with those of the one before, which it rejects. They are kept by incarnation, and an answer that was asked for before the restart counts for neither.

TestTicketsEndWithTheirIncarnation failed before.

--- a/cell/advice.go
+++ b/cell/advice.go
@@ -14,8 +14,8 @@
 
 // advice is what is known of the workers that may run a step.
 type advice struct {
-	asked   map[string]bool   // workers that were asked about, and whether they may
-	tickets map[string]ticket // by worker
+	asked   map[*worker]bool // incarnations of workers that were asked about, and whether they may
+	tickets map[*worker]ticket
 }
 
 // ticket allows a worker to run a step for a while.
@@ -37,7 +37,7 @@
 	if s.advice == nil {
 		return ""
 	}
-	t := s.advice.tickets[w.host.ID]
+	t := s.advice.tickets[w]
 	if c.now >= t.until {
 		return ""
 	}
@@ -46,7 +46,7 @@
 
 func (c *Cell) dropTicket(s *stepState, w *worker) {
 	if s.advice != nil {
-		delete(s.advice.tickets, w.host.ID)
+		delete(s.advice.tickets, w)
 	}
 }
 
@@ -58,7 +58,7 @@
 		return
 	}
 	if s.advice == nil {
-		s.advice = &advice{asked: make(map[string]bool), tickets: make(map[string]ticket)}
+		s.advice = &advice{asked: make(map[*worker]bool), tickets: make(map[*worker]ticket)}
 	}
 	hosts := c.toAsk(s)
 	if len(hosts) == 0 {
@@ -73,7 +73,7 @@
 func (c *Cell) toAsk(s *stepState) []string {
 	var hosts []string
 	for _, w := range c.usableIn(s.job.terms.Service) {
-		may, asked := s.advice.asked[w.host.ID]
+		may, asked := s.advice.asked[w]
 		if asked && !may || c.ticket(s, w) != "" || !c.suits(s, w) || !s.ready[0].mayRunOn(w, c.now) {
 			continue
 		}
@@ -100,15 +100,27 @@
 	}
 	s.tried = 0
 	for _, h := range in.Hosts {
-		s.advice.asked[h] = false
+		if w := c.thereSince(h, in.Sent); w != nil {
+			s.advice.asked[w] = false
+		}
 	}
 	for _, t := range in.Tickets {
-		s.advice.asked[t.Host] = true
-		s.advice.tickets[t.Host] = ticket{value: t.Ticket, until: in.Sent + in.Valid - adviceMargin}
+		if w := c.thereSince(t.Host, in.Sent); w != nil {
+			s.advice.asked[w] = true
+			s.advice.tickets[w] = ticket{value: t.Ticket, until: in.Sent + in.Valid - adviceMargin}
+		}
 	}
 	c.note("advice", "job", in.Job, "step", in.Step, "asked", len(in.Hosts), "allowed", len(in.Tickets))
 }
 
+// thereSince returns a worker that hasn't restarted since a time, as far as is known.
+func (c *Cell) thereSince(id string, at time.Duration) *worker {
+	if w := c.workers[id]; w != nil && w.since <= at {
+		return w
+	}
+	return nil
+}
+
 func (c *Cell) stepOf(id string, number, step int) *stepState {
 	j := c.jobs[id]
 	if j == nil || j.rounds[number] == nil || step >= len(j.rounds[number].steps) {
--- a/cell/advice_test.go
+++ b/cell/advice_test.go
@@ -31,3 +31,21 @@
 	s.mustComplete(6)
 	is.True(len(s.tickets) >= 4) // both workers were asked about again
 }
+
+// Guards against starts with a ticket of the worker's incarnation before.
+func TestTicketsEndWithTheirIncarnation(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2, 4, 1)
+	s.advised = func(string) bool { return true }
+	advised := terms
+	advised.Advice = &job.Advice{Decision: 10 * time.Millisecond, Each: time.Millisecond, Valid: ticketTime}
+	s.table = queue.New(1, queue.Limits{}, []queue.Queue{{Name: "q", Terms: advised}}, []queue.Service{{Name: service}})
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(120, 2)}})
+	s.owners[0].take()
+	for n := range 4 {
+		s.after(time.Duration(n+1)*2*time.Second, func() { s.restartSome(2, 400*time.Millisecond, false) })
+	}
+	s.run(quiet)
+	s.mustComplete(1)
+	is.Equal(s.ticketsRefused, 0)
+}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -23,24 +23,25 @@
 // an owner and everything that comes back is an event, which can be delayed,
 // lost or carried out late.
 type site struct {
-	t       *testing.T
-	rng     *rand.Rand
-	now     time.Duration
-	events  events
-	order   int
-	store   *logStore
-	workers []*fakeWorker
-	owners  []*owner
-	table   *queue.Table
-	broken  []string
-	paces   map[string]int           // last pace ordered, by task
-	waves   map[int]bool             // as last reported: whether they are completed
-	upkeeps map[string]int           // by machine
-	tickets map[string]time.Duration // until when they are valid
-	advised func(host string) bool   // whether a worker may run what needs advice
-	wanted  []provider.Wave          // waves that the operators ask for
-	strays  []provider.Host          // entries on the list that no worker stands behind
-	taken   func(*fakeWorker)        // told of a worker whose machine goes down for upkeep
+	t              *testing.T
+	rng            *rand.Rand
+	now            time.Duration
+	events         events
+	order          int
+	store          *logStore
+	workers        []*fakeWorker
+	owners         []*owner
+	table          *queue.Table
+	broken         []string
+	paces          map[string]int           // last pace ordered, by task
+	waves          map[int]bool             // as last reported: whether they are completed
+	upkeeps        map[string]int           // by machine
+	tickets        map[string]time.Duration // until when they are valid
+	advised        func(host string) bool   // whether a worker may run what needs advice
+	ticketsRefused int
+	wanted         []provider.Wave   // waves that the operators ask for
+	strays         []provider.Host   // entries on the list that no worker stands behind
+	taken          func(*fakeWorker) // told of a worker whose machine goes down for upkeep
 
 	link         *link         // of the owners, nil for one that carries all at once
 	again        int           // starts of tasks that had ended well
--- a/cell/services_test.go
+++ b/cell/services_test.go
@@ -28,7 +28,7 @@
 		reply := cell.Advised{Job: a.Job, Round: a.Round, Step: a.Step, Hosts: a.Hosts, Valid: ticketTime, Sent: sent}
 		for _, h := range a.Hosts {
 			if s.advised(h) {
-				ticket := fmt.Sprintf("%s/%v", h, s.now)
+				ticket := fmt.Sprintf("%s/%d/%v", h, s.bornOf(h), s.now)
 				s.tickets[ticket] = s.now + ticketTime
 				reply.Tickets = append(reply.Tickets, provider.Ticket{Host: h, Ticket: ticket})
 			}
@@ -39,6 +39,16 @@
 	})
 }
 
+// bornOf returns when the incarnation of a worker that is there started, zero if none is.
+func (s *site) bornOf(id string) uint64 {
+	for _, w := range s.workers {
+		if w.up && w.host.ID == id {
+			return w.host.Born
+		}
+	}
+	return 0
+}
+
 // upkeepTime is how long a machine is down for its upkeep.
 const upkeepTime = 2 * time.Second
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -23,6 +23,7 @@
 	born        uint64        // start of the incarnation that answers, zero where that isn't known
 	lost        bool          // that incarnation of it is over
 	token       uint64        // of orders to it; see firstToken
+	since       time.Duration // when it became known
 
 	runs    map[string]*run // by task name
 	used    resource.Vector
@@ -110,6 +111,7 @@
 		holdAt: c.now,
 		heard:  c.now,
 		token:  c.nextToken(h.ID),
+		since:  c.now,
 	}
 	c.workers[h.ID] = w
 	c.all = nil
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -297,7 +297,8 @@
 		return provider.RefusedOld
 	}
 	w.extend(o.Deadline)
-	if s.advised != nil && (s.tickets[o.Ticket] < s.now || !strings.HasPrefix(o.Ticket, w.host.ID+"/")) {
+	if s.advised != nil && (s.tickets[o.Ticket] < s.now || !strings.HasPrefix(o.Ticket, fmt.Sprintf("%s/%d/", w.host.ID, w.host.Born))) {
+		s.ticketsRefused++
 		return provider.RefusedTicket
 	}
 	s.checkStart(w, o)
