Upkeep follows the incarnation that is on a machine, not the ID of its worker

What callers saw: nothing yet; found by looking for the cause in lists. A machine counted as back from its upkeep once a worker with another ID was on it. One that comes back under its ID was waited for until 9 s were over, and the wave was late by as much for each machine.

Change: the upkeep remembers the incarnation that it emptied. The machine is back once another one has answered; one that restarts before is emptied in its turn.

TestWaveOfWorkersThatKeepTheirIDs failed before: two of four machines had their upkeep in the time for all. TestUpkeepEmptiesAWorkerThatRestarts passed before, and fails where the new incarnation isn't emptied.

--- a/cell/services_test.go
+++ b/cell/services_test.go
@@ -61,7 +61,11 @@
 			if w.up && w.host.Machine == a.Order.Machine {
 				s.upkeeps[a.Order.Machine]++
 				s.taken(w)
-				w.crash(upkeepTime, s.upkeeps[a.Order.Machine])
+				if s.keepNames {
+					w.restart(upkeepTime)
+				} else {
+					w.crash(upkeepTime, s.upkeeps[a.Order.Machine])
+				}
 			}
 		}
 		s.after(hop, func() {
--- a/cell/wave.go
+++ b/cell/wave.go
@@ -25,7 +25,7 @@
 
 // upkeep is the upkeep of one machine.
 type upkeep struct {
-	host    string        // worker that ran there before
+	worker  *worker       // that ran there before, nil if none is known
 	since   time.Duration // when its worker began to be emptied
 	ordered bool          // the machine may be down, or go down
 	sent    time.Duration
@@ -91,13 +91,20 @@
 
 func (c *Cell) beginUpkeep(w *wave, machine string) {
 	u := &upkeep{since: c.now}
-	if host := c.workerOn(machine); host != nil {
-		u.host = host.host.ID
-		host.leaving = true
-		c.evacuate(host)
-	}
 	w.machines[machine] = u
-	c.note("upkeep", "wave", w.spec.Number, "machine", machine, "worker", u.host)
+	c.note("upkeep", "wave", w.spec.Number, "machine", machine)
+	c.vacate(u, machine)
+}
+
+// vacate begins to empty the worker on a machine, also one that has restarted since.
+func (c *Cell) vacate(u *upkeep, machine string) {
+	w := c.workerOn(machine)
+	if w == nil || w == u.worker {
+		return
+	}
+	u.worker = w
+	w.leaving = true
+	c.evacuate(w)
 }
 
 // workerOn returns the worker that is on a machine, as far as is known. A life
@@ -117,15 +124,17 @@
 }
 
 func (c *Cell) workUpkeep(w *wave, machine string, u *upkeep) {
-	host := c.workers[u.host]
-	if !u.ordered && host != nil && !host.lost {
-		c.evacuate(host)
-		if len(host.runs) > 0 && c.now-u.since < emptyWithin || c.wouldMiss(host) {
+	if !u.ordered {
+		c.vacate(u, machine)
+	}
+	if !u.ordered && u.worker != nil && !u.worker.lost {
+		c.evacuate(u.worker)
+		if len(u.worker.runs) > 0 && c.now-u.since < emptyWithin || c.wouldMiss(u.worker) {
 			return
 		}
 	}
 	if slices.Contains(w.progress.Begun, machine) {
-		if back := c.workerOn(machine); back != nil && back.host.ID != u.host && back.listed {
+		if back := c.workerOn(machine); back != nil && back != u.worker && back.asked && back.listed {
 			delete(w.machines, machine)
 		} else if c.now-u.sent > c.timing.Lease {
 			delete(w.machines, machine) // it doesn't come back
@@ -167,8 +176,8 @@
 	switch {
 	case in.Err == nil:
 		c.begunUpkeep(w, in.Machine)
-		if host := c.workers[u.host]; host != nil {
-			c.lose(host, "machine went down for upkeep")
+		if u.worker != nil {
+			c.lose(u.worker, "machine went down for upkeep")
 		}
 	case fault.Is(in.Err, fault.StaleEpoch):
 		c.depose("machine " + in.Machine + " has seen a higher term")
--- a/cell/wave_test.go
+++ b/cell/wave_test.go
@@ -94,3 +94,56 @@
 		})
 	}
 }
+
+// Guards against a wave that doesn't notice that a machine is back, as its worker has
+// the ID that it had.
+func TestWaveOfWorkersThatKeepTheirIDs(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2, 5, 1)
+	s.keepNames = true
+	s.wanted = []provider.Wave{{Number: 3, Machines: []string{"m0", "m1", "m2", "m3"}, Most: 1, Within: time.Minute}}
+	s.owners[0].take()
+	most := 0
+	var watch func()
+	watch = func() {
+		down := 0
+		for _, w := range s.workers {
+			if !w.up {
+				down++
+			}
+		}
+		most = max(most, down)
+		s.after(tickTime, watch)
+	}
+	s.after(0, watch)
+	s.run(5*time.Second + 4*(upkeepTime+time.Second))
+	is.Equal(s.broken, nil)
+	is.Equal(s.upkeeps, map[string]int{"m0": 1, "m1": 1, "m2": 1, "m3": 1})
+	is.True(s.waves[3])
+	is.Equal(most, 1)
+}
+
+// Guards against the upkeep of a machine whose worker restarts while it is emptied, and
+// gets tasks again.
+func TestUpkeepEmptiesAWorkerThatRestarts(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3, 3, 1)
+	s.length = func(string) time.Duration { return 800 * time.Millisecond }
+	s.after(5700*time.Millisecond, func() { s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(12, 2)}}) })
+	s.owners[0].take()
+	s.after(6*time.Second, func() {
+		s.owners[0].step(cell.Waves{Waves: []provider.Wave{{Number: 3, Machines: []string{"m0"}, Most: 1}}})
+	})
+	s.after(6100*time.Millisecond, func() {
+		is.True(len(s.workers[0].runs) > 0) // it is being emptied
+		s.workers[0].hangUp()
+		s.workers[0].restart(100 * time.Millisecond)
+	})
+	s.after(6210*time.Millisecond, func() { s.submit(&job.Job{ID: jobID(1), Spec: "x", Steps: []job.Step{step(12, 2)}}) })
+	ran := -1
+	s.taken = func(w *fakeWorker) { ran = len(w.runs) }
+	s.run(quiet)
+	s.mustComplete(2)
+	is.True(s.waves[3])
+	is.Equal(ran, 0)
+}
