A start on record names the incarnation of its worker

What callers saw: nothing yet; found by looking for the cause in records and the survey. A sound job was shown as failed.

Cause: starts that are put on record before they are ordered, and workers that a survey found crashed, were remembered by the worker's ID for eight owners. A start that was meant for the next incarnation, and that its owner didn't come to order, counted as a crash for each owner that followed, though the worker was up.

Change: both name the incarnation, its ID and when it was born. Records of earlier versions have the ID alone and match no crash: a start is counted less by one, once, when a version is replaced.

TestStartsThatWereNotOrderedOnARestartedWorker failed before: four crashes were counted of one and the job was failed. TestCrashesOfRestartedWorkersOutliveTheirOwner passed before and holds that crashes are counted all the same.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -76,7 +76,7 @@
 	owner   Owner
 	learned []byte
 	backlog backlog
-	crashed map[string]uint64 // workers that had crashed when an owner asked them, by ID
+	crashed map[string]uint64 // incarnations of workers that had crashed when an owner asked them
 	waves   map[int]Wave
 	news    []string // jobs that were accepted or cancelled since the last Take
 }
@@ -180,8 +180,8 @@
 	return provider.KeyedRecord{Key: learnedKey, Value: data}
 }
 
-// CrashedRecord returns the record of workers that owners found to have crashed before
-// they knew what ran there, with the term of the owner that did.
+// CrashedRecord returns the record of incarnations of workers that owners found to have
+// crashed before they knew what ran there, with the term of the owner that did.
 func CrashedRecord(crashed map[string]uint64) (provider.KeyedRecord, error) {
 	data, err := cbor.Marshal(crashed)
 	if err != nil {
@@ -199,7 +199,7 @@
 	return nil
 }
 
-// Crashed returns these workers by ID.
+// Crashed returns these incarnations by name.
 func (c *Catalog) Crashed() map[string]uint64 {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -95,10 +95,10 @@
 }
 
 // record puts a task's start on record.
-func (c *Cell) record(t *task, host string) {
+func (c *Cell) record(t *task, incarnation string) {
 	j := t.step.job
 	h := j.progress.Crashes(t.id)
-	h.Try(host)
+	h.Try(incarnation)
 	c.setCrashes(t, h)
 	t.startChange = j.changes
 	j.startChange = j.changes
@@ -107,7 +107,7 @@
 // recordFor puts a task's start on a worker on record, and keeps room for it there
 // until that is done. See startKept.
 func (c *Cell) recordFor(t *task, w *worker) {
-	c.record(t, w.host.ID)
+	c.record(t, w.incarnation())
 	c.keepRoom(t, w)
 	if t.suspect {
 		t.kept.trial = true
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -2,12 +2,22 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
+// incarnation returns the name of a worker's incarnation on record, by which it is told
+// from others of its ID.
+func (w *worker) incarnation() string {
+	if w.born == 0 {
+		return w.host.ID
+	}
+	return w.host.ID + "@" + strconv.FormatUint(w.born, 10)
+}
+
 // replaced reports whether another incarnation of a worker answers than the one that
 // answered before, or that is on record.
 func (w *worker) replaced(held *provider.Held) bool {
--- a/cell/relocate.go
+++ b/cell/relocate.go
@@ -129,7 +129,7 @@
 		}
 		if c.mustRecord(t) && !t.recorded() {
 			if t.startChange == 0 {
-				c.record(t, t.kept.worker.host.ID)
+				c.record(t, t.kept.worker.incarnation())
 			}
 			continue
 		}
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -218,3 +218,56 @@
 	is.Equal(s.workers[0].ignores, 0)
 	is.Equal(len(s.workers[0].ended), 0)
 }
+
+// Guards against crashes that leave no trace for the next owner, as the worker is back
+// under its ID.
+func TestCrashesOfRestartedWorkersOutliveTheirOwner(t *testing.T) {
+	eachSeed(t, restartSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 60, 200 * time.Millisecond
+		s := newSite(t, 1800+seed, 24, 3)
+		s.keepNames = true
+		s.crashers(jobID(5)+".0.0.1", jobID(11)+".0.1.0", jobID(17)+".0.0.0", jobID(40)+".0.1.1")
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		for n := range 24 {
+			at := 800*time.Millisecond + time.Duration(n)*600*time.Millisecond + time.Duration(s.rng.Int64N(int64(500*time.Millisecond)))
+			s.after(at, func() { s.takeover(n%3, (n+1)%3) })
+		}
+		s.run(jobs*every + 3*quiet)
+		s.mustTell(jobs)
+	})
+}
+
+// Guards against starts that count as crashes since an incarnation before of their
+// worker had crashed.
+func TestStartsThatWereNotOrderedOnARestartedWorker(t *testing.T) {
+	s := newSite(t, 1900, 3, 2)
+	s.storeDelay = 300 * time.Millisecond
+	s.workers[0].host.Labels = append(s.workers[0].host.Labels, "only")
+	only := step(1, 2)
+	only.Label = "only"
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{only}})
+	s.owners[0].take()
+	crashed := false
+	s.crashing = func(string) bool {
+		defer func() { crashed = true }()
+		return !crashed
+	}
+	s.keepNames = true
+	for !crashed {
+		s.run(s.now + tickTime)
+	}
+	s.owners[0].kill()
+	s.run(s.now + 300*time.Millisecond)
+	s.owners[1].take()
+	for s.workers[0].before == 0 || s.store.fold(t).Hosts()["w0-0"].Born != s.workers[0].host.Born {
+		s.run(s.now + tickTime)
+	}
+	s.run(s.now + 700*time.Millisecond)
+	for n := range 6 {
+		s.takeover((n+1)%2, n%2)
+		s.run(s.now + 1050*time.Millisecond) // a start is on record, and isn't ordered yet
+	}
+	s.run(quiet)
+	s.mustComplete(1)
+}
--- a/cell/survey.go
+++ b/cell/survey.go
@@ -10,7 +10,7 @@
 	open    map[*worker]struct{}
 	until   time.Duration // when the leases of workers that don't answer have ended
 	done    bool
-	crashed map[string]uint64 // workers that had crashed, or may have, by ID, and the term of the owner that found it
+	crashed map[string]uint64 // incarnations of workers that had crashed, or may have, and the term of the owner that found it
 	untold  bool              // not all of them are on record
 }
 
@@ -29,20 +29,21 @@
 	}
 }
 
-// mayHaveCrashed reports whether a worker had crashed, or may have; any worker for no ID.
-func (s *survey) mayHaveCrashed(host string) bool {
-	if host == "" {
+// mayHaveCrashed reports whether an incarnation had crashed, or may have; any for an
+// empty name.
+func (s *survey) mayHaveCrashed(incarnation string) bool {
+	if incarnation == "" {
 		return len(s.crashed) > 0
 	}
-	return s.crashed[host] > 0
+	return s.crashed[incarnation] > 0
 }
 
 // noteCrash takes note that a worker had crashed, or may have.
-func (s *survey) noteCrash(host string) {
+func (s *survey) noteCrash(w *worker) {
 	if s.done {
 		return
 	}
-	s.crashed[host] = s.term
+	s.crashed[w.incarnation()] = s.term
 	s.untold = true
 }
 
@@ -78,7 +79,7 @@
 	}
 	for w := range c.survey.open {
 		c.note("lease ended", "worker", w.host.ID, "silent", c.now-w.heard)
-		c.survey.noteCrash(w.host.ID)
+		c.survey.noteCrash(w)
 		delete(c.survey.open, w)
 	}
 	c.endSurvey()
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -329,7 +329,7 @@
 	c.noteLost(w, reason, f)
 	if !w.host.Draining && !w.leaving {
 		c.crashAll(w, f)
-		c.survey.noteCrash(w.host.ID)
+		c.survey.noteCrash(w)
 	}
 	c.noteDown(w, c.downSpan(w))
 	for _, r := range inOrder(w.runs) {
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -191,13 +191,14 @@
 
 // restart ends the worker's life; another one comes up after down under its ID.
 func (w *fakeWorker) restart(down time.Duration) {
-	id := w.host.ID
 	w.site.lives++
 	w.restarts = true
 	w.crash(down, w.site.lives)
 	w.site.after(down, func() {
 		next := w.site.worker(w.host)
-		next.host.ID = id
+		born := next.host.Born
+		next.host = w.host
+		next.host.Born = born
 		next.before = w.host.Born
 		next.listedAt = w.site.now + w.site.entryTime
 	})
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -43,7 +43,7 @@
 	Attempt   uint64 `cbor:"3,keyasint,omitempty"` // of the last crash
 	LastAlone bool   `cbor:"4,keyasint,omitempty"` // whether that one counts in Alone
 	Trying    bool   `cbor:"5,keyasint,omitempty"` // a start may be under way
-	Host      string `cbor:"6,keyasint,omitempty"` // on which worker, empty if that isn't known
+	Host      string `cbor:"6,keyasint,omitempty"` // on which incarnation of a worker, empty if that isn't known
 }
 
 // Suspect reports whether the next start has to be a trial.
@@ -56,9 +56,9 @@
 	return h.Alone >= trialBound || h.Crashes >= crashBound
 }
 
-// Try puts down that the task is about to be started on a worker. It has to be on
-// record before that: an owner that is killed while the worker crashes would leave no
-// trace of it, and its successor would start the task as often again.
+// Try puts down that the task is about to be started on an incarnation of a worker. It
+// has to be on record before that: an owner that is killed while the worker crashes
+// would leave no trace of it, and its successor would start the task as often again.
 func (h *History) Try(host string) {
 	h.Trying = true
 	h.Host = host
