--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -166,11 +166,12 @@
 			continue
 		}
 		h := w.host
+		h.Draining = w.leaves && at >= w.leavesAt
+		h.Capacity = w.roomAt(at - hostBeat)
 		if at < w.listedAt {
 			h.Born = w.before
+			h.Capacity = w.sizeBefore
 		}
-		h.Draining = w.leaves && at >= w.leavesAt
-		h.Capacity = w.roomAt(at - hostBeat)
 		list.Hosts = append(list.Hosts, h)
 	}
 	return list
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
 // restartSeeds is how many seeds a test of workers that restart plays.
@@ -271,3 +272,25 @@
 	s.run(quiet)
 	s.mustComplete(1)
 }
+
+// Guards against starts by the entry of the incarnation before, which was larger.
+func TestRestartedWorkerIsSmaller(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2000, 4, 1)
+	s.entryTime = time.Second
+	s.machinesTime = 3 * time.Second
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(200, 2)}})
+	s.owners[0].take()
+	s.run(3 * time.Second)
+	for _, w := range s.workers[:2] {
+		w.hangUp()
+		w.restart(300 * time.Millisecond)
+	}
+	s.run(s.now + 300*time.Millisecond)
+	for _, w := range s.workers[:2] {
+		is.True(w.up)
+		w.host.Capacity = w.host.Capacity.Scale(1).Sub(resource.Vector{Processors: workerCores / 2})
+	}
+	s.run(2 * quiet)
+	s.mustComplete(1)
+}
