The lease of a restarted worker counts as the longest there is at first

What callers saw: nothing yet; found by looking for the cause in late orders. A lease that was meant for the incarnation before, and is carried out by the next before that was asked, runs for up to the longest lease; the owner reckoned with the leases that it gave the next one, and ran tasks of a worker out of reach again while they ran there.

TestLeaseOfARestartedWorker failed before: tasks of the worker run twice.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -92,6 +92,14 @@
 	w.holdAt = c.now
 }
 
+// assumeLease takes the lease of a worker that has restarted for as long as an order to the
+// incarnation before may have made it.
+func (c *Cell) assumeLease(w *worker) {
+	if w.token > c.firstToken() {
+		w.deadline = max(w.deadline, w.clock+c.timing.MaxLease.Milliseconds())
+	}
+}
+
 // orderTime is how long after it was given an order may still reach a worker: the
 // time-out of the order, of the instance that it is relayed by, and a margin.
 const orderTime = 2 * time.Second
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -294,3 +294,26 @@
 	s.run(2 * quiet)
 	s.mustComplete(1)
 }
+
+// Guards against tasks that are run again while the lease goes on that a late order to
+// the incarnation before has given the worker.
+func TestLeaseOfARestartedWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2100, 3, 1)
+	s.length = func(string) time.Duration { return 9800 * time.Millisecond }
+	s.owners[0].take()
+	s.run(2 * time.Second)
+	s.workers[0].hangUp()
+	s.workers[0].restart(300 * time.Millisecond)
+	s.run(s.now + 310*time.Millisecond)
+	w := s.workers[0]
+	is.True(w.up)
+	w.extend(w.clock() + 10_000) // the longest lease there is
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(8, 2)}})
+	for len(w.runs) == 0 {
+		s.run(s.now + 5*time.Millisecond)
+	}
+	s.owners[0].noWorker[0] = true
+	s.run(2 * quiet)
+	is.Equal(s.broken, nil)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -245,6 +245,7 @@
 	w.noteForgot(in.Held.Ended)
 	if first {
 		c.settleStarts(w, &in.Held)
+		c.assumeLease(w)
 	}
 	c.takeEnds(w, in.Held.Ended)
 	c.takeRuns(w, in.Held.Running)
