A worker that never answered and isn't listed any more is forgotten

Nothing was seen of it; found while reading. A dead worker whose entry hasn't lapsed yet is taken up again by the next list that differs, and was then asked twice a second for as long as the owner had the cell: only workers that had answered were ever given up.

TestStrayEntryIsForgotten failed before.

--- a/cell/hostlist_test.go
+++ b/cell/hostlist_test.go
@@ -9,6 +9,7 @@
 	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Symptom: tasks are started on workers that said seconds ago that they leave;
@@ -196,3 +197,25 @@
 	is.Equal(racks["r0"]*racks["r1"], 0)
 	is.Equal(racks["r0"]+racks["r1"], 4)
 }
+
+// Guards against questions without an end to a worker that never answered and isn't
+// listed any more.
+func TestStrayEntryIsForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 506, 3, 1)
+	s.addStray()
+	asked := 0
+	s.owners[0].ordered = func(o provider.HoldOrder) {
+		if o.Host.ID == "stray" {
+			asked++
+		}
+	}
+	s.owners[0].take()
+	s.run(4 * time.Second)
+	is.True(asked > 0)
+	s.strays = nil
+	s.run(8 * time.Second)
+	asked = 0
+	s.run(20 * time.Second)
+	is.Equal(asked, 0)
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -385,6 +385,9 @@
 // that was fenced by our term succeeded later than it.
 func (c *Cell) checkLease(w *worker) {
 	if !w.asked {
+		if !w.registered && !c.onList(w) {
+			c.dropWorker(w) // it never answered, and isn't listed any more
+		}
 		return
 	}
 	ends := c.leaseEnds(w)
