--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -41,22 +41,22 @@
 	c.hold(next)
 }
 
-// tokensPerTerm is how many incarnations of a worker one owner may order. Tokens of a
+// TokensPerTerm is how many incarnations of a worker one owner may order. Tokens of a
 // later owner are above them.
-const tokensPerTerm = 1 << 12
+const TokensPerTerm = 1 << 12
 
 // firstToken returns the token of orders to workers that this owner knows no earlier
 // incarnation of. Each incarnation gets a higher one than those before it, so that it
 // carries out no order that was given to them and comes late.
 func (c *Cell) firstToken() uint64 {
-	return c.self.Term * tokensPerTerm
+	return c.self.Term * TokensPerTerm
 }
 
 // nextToken returns the token of the next incarnation of a worker. An owner that has
 // used all of its tokens gives the cell up, and the next one has as many again.
 func (c *Cell) nextToken(id string) uint64 {
 	token := max(c.firstToken(), c.tokens[id])
-	if token >= c.firstToken()+tokensPerTerm {
+	if token >= c.firstToken()+TokensPerTerm {
 		c.depose("worker " + id + " has restarted too often for one term")
 	}
 	return token
