Daemon: a worker that has restarted under its ID is owned again at once

What callers saw: nothing yet; found by looking for the cause in the daemon's engine.

Cause: a worker that restarts counts its epochs from one again. Its grants were void, on record and in the owner's book, until so many had been acquired that the count was above the highest epoch known: 2 s for nine, minutes for a thousand, and each epoch was in force at the worker a second time.

Change: whoever acquires a lease says which epoch it knows, and is granted one above it.

TestRestartedWorkerIsUsedAgain failed before: 1.5 s after the restart the worker wasn't owned under the next epoch. What else the engine remembers of a worker goes by the epoch: tasks that the new lease doesn't list are evicted and queued again.

--- a/controller/holding.go
+++ b/controller/holding.go
@@ -166,8 +166,7 @@
 		want := c.wanted(h.id, live) && !(h.leaving && len(h.tasks)+len(h.replicas) == 0)
 		switch {
 		case want && h.listed && h.phase == unowned && !h.busy && !now.Before(h.retryAt):
-			h.phase = acquiring
-			c.call(h, Call{Verb: Acquire, Lease: c.book.Acquire()})
+			c.acquire(h)
 		case !want && (h.phase == granted || h.phase == adopted) && !c.lastInstance():
 			c.handOver(h)
 		}
@@ -260,7 +259,7 @@
 		return // acquired after the lease expires
 	}
 	h.phase = acquiring
-	request := c.book.Acquire()
+	request := c.book.Acquire(h.id)
 	request.Epoch = in.Epoch
 	c.call(h, Call{Verb: Renew, Epoch: in.Epoch, Lease: request})
 }
@@ -537,8 +536,19 @@
 // that is still under way.
 func (c *Controller) reacquire(now time.Time, h *holding) {
 	c.giveUp(now, h)
+	c.acquire(h)
+}
+
+// acquire asks for a worker's lease, under an epoch above the one on record: a worker
+// that has restarted counts them from one again.
+func (c *Controller) acquire(h *holding) {
 	h.phase = acquiring
-	c.call(h, Call{Verb: Acquire, Lease: c.book.Acquire()})
+	request := c.book.Acquire(h.id)
+	if s := c.State(); s != nil {
+		w, _ := s.Worker(h.id)
+		request.After = max(request.After, w.Epoch)
+	}
+	c.call(h, Call{Verb: Acquire, Lease: request})
 }
 
 func (c *Controller) transferred(now time.Time, h *holding, in Leased) {
--- a/lease/book.go
+++ b/lease/book.go
@@ -49,9 +49,13 @@
 	return &Book{settings: newSettings(opts), entries: map[string]*entry{}}
 }
 
-// Acquire returns the request for a lease that isn't held.
-func (b *Book) Acquire() provider.LeaseRequest {
-	return provider.LeaseRequest{Holder: b.holder, TTL: b.ttl}
+// Acquire returns the request for a worker's lease that isn't held.
+func (b *Book) Acquire(worker string) provider.LeaseRequest {
+	r := provider.LeaseRequest{Holder: b.holder, TTL: b.ttl}
+	if e, known := b.entries[worker]; known {
+		r.After = e.epoch
+	}
+	return r
 }
 
 // Granted books the answer to an acquisition or a renewal that was sent at
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -6,7 +6,7 @@
 //
 //	book := lease.New(lease.WithHolder(id), lease.WithTTL(6*time.Second))
 //	sent := now
-//	answer, err := worker.Acquire(ctx, book.Acquire())
+//	answer, err := worker.Acquire(ctx, book.Acquire(id))
 //	book.Granted(sent, id, answer)
 //	...
 //	if epoch, _, ok := book.Valid(now, id); ok { worker.Start(ctx, epoch, task) }
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -87,6 +87,7 @@
 type LeaseRequest struct {
 	Holder string        `json:"holder"`
 	Epoch  uint64        `json:"epoch,omitempty"` // zero to acquire, else the epoch to renew
+	After  uint64        `json:"after,omitempty"` // the highest epoch known; one that is acquired is above it, also where the worker has restarted since
 	TTL    time.Duration `json:"ttl"`             // how long the lease lasts
 	Tasks  time.Duration `json:"tasks,omitempty"` // extends the batch tasks' own leases; zero leaves them
 }
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -36,7 +36,7 @@
 		return provider.Lease{}, err
 	}
 	w.lease.holder = request.Holder
-	w.lease.epoch++
+	w.lease.epoch = max(w.lease.epoch, request.After) + 1
 	w.extend(request, now)
 	return w.granted(), nil
 }
