--- a/cell/worker.go
+++ b/cell/worker.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -158,130 +157,6 @@
 	return w.clockAt + c.timing.stretched(max(0, left))
 }
 
-// holdIdle sends a hold to each worker that is due for one.
-func (c *Cell) holdIdle() {
-	for _, w := range c.everyWorker() {
-		if !w.holding && !w.lost && c.now >= w.holdAt {
-			c.hold(w)
-		}
-	}
-}
-
-func (c *Cell) hold(w *worker) {
-	order := provider.HoldOrder{Host: w.host, Token: w.token, Seen: c.acknowledging(w), Wait: c.timing.HoldWait}
-	if len(w.runs) == 0 {
-		order.Wait = c.timing.IdleWait
-	}
-	if w.serving > 0 && w.filling > 0 {
-		order.Wait = c.mixedWait()
-	}
-	if w.trial != nil {
-		order.Wait = trialWait
-	}
-	if !w.asked || w.misses > 0 {
-		order.Wait = 0
-	}
-	// A worker that doesn't answer isn't extended: such an order may be carried
-	// out all the same, and its tasks would never count as ended.
-	if w.asked && w.misses == 0 && c.mayOrder() {
-		order.Deadline = c.clockNow(w) + c.timing.Lease.Milliseconds()
-		w.deadline = max(w.deadline, order.Deadline)
-	}
-	w.holding = true
-	w.sentSeen = order.Seen
-	c.do(Hold{Order: order})
-}
-
-// ackWithin is how long after it made an answer a worker is sent an acknowledgement. One
-// that restarts is away for longer, so it can't be the next incarnation that takes it.
-const ackWithin = 300 * time.Millisecond
-
-// noteMade reckons when an answer was made at the earliest: after its hold was sent, and
-// so long after the one before as the worker's clock says. It may have been under way
-// for a long time, as where the owner stood still.
-func (w *worker) noteMade(now time.Duration, in HoldReply) {
-	made := w.madeAt + time.Duration(in.Held.Clock-w.clock)*time.Millisecond
-	if !w.asked {
-		made = in.Sent
-	}
-	w.madeAt = min(now, max(in.Sent, made))
-}
-
-// acknowledging returns up to which end the next hold may have a worker forget its ends.
-// What is acknowledged once isn't again: on the next incarnation it would stand for
-// ends that nobody has read.
-func (c *Cell) acknowledging(w *worker) uint64 {
-	if w.seen == w.forgot || w.misses > 0 || c.now-w.madeAt >= ackWithin {
-		return 0
-	}
-	return w.seen
-}
-
-// mixedWait returns how long a worker with filling tasks beside serving ones
-// may keep a hold. On a large site it grows, so that these holds take no more
-// than a few hundred calls a second.
-func (c *Cell) mixedWait() time.Duration {
-	return min(c.timing.HoldWait, max(c.timing.MixedWait, time.Duration(len(c.workers))*mixedShare))
-}
-
-// mixedShare is the time between two such holds of the whole site.
-const mixedShare = 2 * time.Millisecond
-
-// held takes a worker's answer to a hold.
-func (c *Cell) held(in HoldReply) {
-	w := c.addressee(in.Host, in.Token)
-	if w == nil {
-		c.fenced(in.Host, in.Token, in.Err)
-		return
-	}
-	w.holding = false
-	if in.Err != nil {
-		c.missed(w, in)
-		return
-	}
-	if w.replaced(&in.Held) {
-		c.restart(w, &in.Held)
-		return
-	}
-	if w.misses > 0 {
-		c.note("worker regained", "worker", w.host.ID, "after", c.now-w.heard, "runs", len(w.runs))
-	}
-	w.misses = 0
-	w.vouched = false
-	w.heard = c.now
-	w.noteMade(c.now, in)
-	w.clock = in.Held.Clock
-	w.clockAt = c.now
-	first := !w.asked
-	w.asked = true
-	w.born = cmp.Or(in.Held.Born, w.born)
-	w.noteForgot(in.Held.Ended)
-	if first {
-		c.settleStarts(w, &in.Held)
-		c.assumeLease(w)
-	}
-	c.takeEnds(w, in.Held.Ended)
-	c.takeRuns(w, in.Held.Running)
-	c.settleRuns(w, in.Held)
-	if first {
-		c.register(w)
-		c.surveyed(w)
-		c.evacuateFound(w)
-	}
-	w.holdAt = c.now
-	if w.ended > w.seen {
-		if c.saves.wait(w) {
-			w.holdAt = c.now + c.timing.UnseenWait
-		} else {
-			w.seen = w.ended
-		}
-	}
-	c.touch(w)
-	if c.now >= w.holdAt {
-		c.hold(w)
-	}
-}
-
 // register puts a worker on record, so that a successor asks it what it runs. One
 // that never answered was never given a task: an entry may name a worker that
 // isn't there, and a successor would wait for its answer, and then for the end of
@@ -293,15 +168,6 @@
 	}
 }
 
-// noteForgot takes note of the ends that a worker has forgotten, by the ones that it
-// still lists.
-func (w *worker) noteForgot(listed []provider.Ended) {
-	w.forgot = max(w.forgot, w.sentSeen)
-	for i := range listed {
-		w.forgot = min(w.forgot, listed[i].Number-1)
-	}
-}
-
 // record returns what is put on record of a worker, nil for none. It tells of the
 // incarnation that answered, which the entry may not do yet.
 func (w *worker) record() *provider.Host {
@@ -313,26 +179,6 @@
 	return &h
 }
 
-// missed takes a hold that had no good answer.
-func (c *Cell) missed(w *worker, in HoldReply) {
-	if c.failedOrder(w, in.Err) {
-		return
-	}
-	w.misses++
-	if w.misses == 1 {
-		w.silent = c.now
-		c.note("worker silent", "worker", w.host.ID, "runs", len(w.runs), "err", in.Err)
-	}
-	w.holdAt = c.now + min(maxHoldPause, firstHoldPause<<min(w.misses, 4))
-}
-
-// Pauses after holds without an answer. They bound what a worker that is out
-// of reach costs, and how late its return is noticed.
-const (
-	firstHoldPause = 50 * time.Millisecond
-	maxHoldPause   = 500 * time.Millisecond
-)
-
 // lose ends all runs of a worker whose life is over.
 func (c *Cell) lose(w *worker, reason string) {
 	if w.lost {
