--- a/promises_test.go
+++ b/promises_test.go
@@ -19,7 +19,7 @@
 // promiseRows is how many rows each table of the promises has to have at
 // least, by the letter of their numbers. A fault or promise that is left out
 // would otherwise go unnoticed.
-var promiseRows = map[string]int{"P": 14, "F": 21, "X": 23}
+var promiseRows = map[string]int{"P": 14, "F": 22, "X": 24}
 
 // caseFiles are the files that subtests are named after.
 var caseFiles = map[string]string{
--- a/spec/cell.pml
+++ b/spec/cell.pml
@@ -1,6 +1,8 @@
 /*
  * One cell: a store that fences a writer's term, two owners that take the cell
- * from each other, two workers that check the term as a token, and one task.
+ * from each other, two workers that check the term as a token, and one task. With
+ * RESTARTS workers start again under the IDs that they had: the next incarnation
+ * knows no token, runs nothing and numbers its ends from one.
  * README.md maps each action to the Go code. check.sh runs every search.
  *
  * Mutations (M_...) come from -D. Times are in ticks.
@@ -18,6 +20,10 @@
 #ifndef CHANGES
 #define CHANGES 2 /* of the network */
 #endif
+#ifndef RESTARTS
+#define RESTARTS 0 /* of workers, in all */
+#endif
+#define SPAN 4 /* tokens of a term */
 #define WINDOW 1 /* how long a start order stays good */
 #define LEASE 2 /* of a worker; above WINDOW */
 #ifdef M_NO_ISOLATION
@@ -47,13 +53,34 @@
 #else
 #define MAY_FORGET recorded
 #endif
+#ifdef M_SAME_TOKEN
+#define TOKEN(w) (my * SPAN)
+#else
+#define TOKEN(w) (my * SPAN + bump[w])
+#endif
 #ifdef M_NO_TOKEN
 #define BEATEN(w) false
 #define FRESH true
 #else
-#define BEATEN(w) (token[w] > my)
+#define BEATEN(w) (token[w] > TOKEN(w))
 #define FRESH (order[me] >= token[me])
 #endif
+#ifdef M_KEPT_MARK
+#define NEW_MARK mark[w]
+#else
+#define NEW_MARK 0
+#endif
+#ifdef M_LATE_ACK
+#define JUST_HEARD(w) true
+#else
+#define JUST_HEARD(w) (known[w] == born[w]) /* a restart takes longer */
+#endif
+#define ACKS(w) (w == 0 && mark[w] > 0 && ack[w] == 0 && JUST_HEARD(w))
+#ifdef M_NO_BORN
+#define RESTARTED(w) false
+#else
+#define RESTARTED(w) (known[w] != born[w])
+#endif
 #ifdef M_NO_WINDOW
 #define GOOD TMAX
 #else
@@ -80,6 +107,14 @@
 byte lease[NW];  /* the last tick of what runs */
 byte order[NW];  /* token of a start order on its way, 0 if there is none */
 byte until[NW];  /* last tick at which it is good */
+byte born[NW];   /* tells apart the incarnations */
+#if RESTARTS
+byte restarts;
+byte ends[NW];   /* ends of this incarnation, of any task */
+byte number[NW]; /* of the task's end */
+byte ack[NW];    /* highest end that an acknowledgement on its way is for, 0 for none */
+byte acker[NW];  /* its token */
+#endif
 
 /* who reaches whom */
 bool store[NO];
@@ -107,6 +142,12 @@
 	byte good = 0;     /* last tick of the start order */
 	bool asked[NW];
 	byte sent[NW];     /* latest lease given */
+	byte known[NW];    /* incarnation that answered last */
+	byte bump[NW];     /* restarts that were noticed in this term */
+	byte placed = 0;   /* token of the start order */
+#if RESTARTS
+	byte mark[NW];     /* highest end of the worker that is on record */
+#endif
 	byte w;
 	do
 	/* take the cell */
@@ -121,6 +162,10 @@
 		done = recorded;
 		place = NONE;
 		asked[0] = false; asked[1] = false;
+		bump[0] = 0; bump[1] = 0;
+#if RESTARTS
+		mark[0] = 0; mark[1] = 0;
+#endif
 		sent[0] = 0; sent[1] = 0
 	}
 	/* a heartbeat */
@@ -148,14 +193,34 @@
 		fi;
 		if
 		:: BEATEN(w) -> my = 0
+		:: !BEATEN(w) && asked[w] && RESTARTED(w) ->
+			/* another incarnation: what ran is gone, and it is asked again */
+			token[w] = TOKEN(w);
+			known[w] = born[w];
+			bump[w]++;
+			asked[w] = false;
+#if RESTARTS
+			mark[w] = NEW_MARK;
+#endif
+			if
+			:: place == w && settled -> place = NONE
+			:: else -> skip
+			fi
 		:: else ->
-			token[w] = my;
+			token[w] = TOKEN(w);
+			known[w] = born[w];
 			if
 			:: ended[w] -> done = true
 			:: running[w] && !done -> place = w; settled = true
-			:: !running[w] && !ended[w] && place == w && (settled || now > good) -> place = NONE
+			:: !running[w] && !ended[w] && place == w && (settled || now > good || placed < TOKEN(w)) -> place = NONE
 			:: else -> skip
 			fi;
+#if RESTARTS
+			if
+			:: !ended[w] && ends[w] > mark[w] -> mark[w] = ends[w]
+			:: else -> skip
+			fi;
+#endif
 			asked[w] = true;
 			extend(w)
 		fi
@@ -177,7 +242,8 @@
 		place = w;
 		settled = false;
 		good = now + WINDOW;
-		order[w] = my;
+		order[w] = TOKEN(w);
+		placed = TOKEN(w);
 		until[w] = GOOD;
 		if
 		:: sent[w] < good -> sent[w] = good
@@ -198,6 +264,18 @@
 		:: else -> recorded = true; contact = now
 		fi
 	}
+#if RESTARTS
+	/* acknowledge the ends on record */
+	:: atomic {
+		my > 0 && (ACKS(0) || ACKS(1)) ->
+		if
+		:: ACKS(0) -> w = 0
+		:: ACKS(1) -> w = 1
+		fi;
+		ack[w] = mark[w];
+		acker[w] = TOKEN(w)
+	}
+#endif
 	/* acknowledge its end */
 	:: atomic {
 		my > 0 && done && MAY_FORGET ->
@@ -206,7 +284,7 @@
 		:: ended[1] && reaches(1) -> w = 1
 		fi;
 		if
-		:: token[w] <= my -> token[w] = my; ended[w] = false; forgotten = true
+		:: !BEATEN(w) -> token[w] = TOKEN(w); ended[w] = false; forgotten = true
 		:: else -> my = 0
 		fi
 	}
@@ -244,7 +322,52 @@
 	/* an order is lost */
 	:: atomic { order[me] > 0 -> order[me] = 0 }
 	/* the task ends well */
-	:: atomic { running[me] -> running[me] = false; ended[me] = true }
+	:: atomic {
+		running[me] -> running[me] = false; ended[me] = true;
+#if RESTARTS
+		ends[me]++;
+		number[me] = ends[me]
+#endif
+	}
+#if RESTARTS
+	/* another task ends, before a restart */
+	:: atomic { me == 0 && ends[me] == 0 && born[me] == 0 -> ends[me] = 1 }
+	/* an acknowledgement arrives, now or later */
+	:: atomic {
+		ack[me] > 0 ->
+		if
+		:: acker[me] >= token[me] ->
+			token[me] = acker[me];
+			if
+			:: ended[me] && number[me] <= ack[me] -> ended[me] = false; forgotten = true
+			:: else -> skip
+			fi
+		:: else -> skip
+		fi;
+		ack[me] = 0
+	}
+	/* it starts again; a start order that is still good may reach the next
+	   incarnation, whose clock doesn't refuse it. Acknowledgements don't: they are sent
+	   just after an answer, and a restart takes longer */
+	:: atomic {
+		me == 0 && restarts < RESTARTS -> /* the other worker stands for those that don't */
+		restarts++;
+		born[me]++;
+		token[me] = 0;
+		running[me] = false;
+		ended[me] = false;
+		ends[me] = 0;
+		number[me] = 0;
+#ifndef M_LATE_ACK
+		ack[me] = 0;
+#endif
+		if
+		:: order[me] > 0 && now > until[me] -> order[me] = 0
+		:: order[me] > 0 && now <= until[me] -> until[me] = TMAX
+		:: else -> skip
+		fi
+	}
+#endif
 	/* its lease ends */
 	:: atomic { running[me] && now > lease[me] -> running[me] = false }
 	:: now == TMAX -> break
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -11,6 +11,7 @@
 
 readonly SPEC=$(cd "$(dirname "$0")" && pwd)
 readonly SMALL="-DISOLATION=0"
+readonly RESTART="-DCELL -DRESTARTS=1 -DTERMS=1 -DCHANGES=0"
 readonly LIVE="-DLIVE -DE0=4 -DE1=4 -DFMAX=1 -DAMAX=5 $SMALL"
 readonly MEMORY_MB=3500
 readonly DEPTH=200000
@@ -63,6 +64,11 @@
 	cell-start-without-deadline|caught|-DCELL -DM_NO_WINDOW -DCHANGES=3
 	cell-no-survey|caught|-DCELL -DM_NO_SURVEY
 	cell-no-claim|caught|-DCELL -DM_NO_CLAIM
+	cell-restart|holds|$RESTART -DTMAX=1
+	cell-no-born|caught|$RESTART -DTMAX=1 -DM_NO_BORN
+	cell-kept-mark|caught|$RESTART -DTMAX=1 -DM_KEPT_MARK
+	cell-late-acknowledgement|caught|$RESTART -DTMAX=1 -DM_LATE_ACK
+	cell-same-token|caught|$RESTART -DTMAX=3 -DM_SAME_TOKEN
 	cell-accept-early|caught|-DCELL -DM_ACCEPT_EARLY -DTERMS=0 -DTMAX=1 -DCHANGES=0
 	liveness-no-abandon|caught|$LIVE -DWITH_RETURN
 	liveness-no-return|caught|$LIVE -DWITH_ABANDON
