--- a/cell/crash.go
+++ b/cell/crash.go
@@ -233,9 +233,12 @@
 	if !t.suspect || t.step.job.final() {
 		return
 	}
-	h := t.step.job.progress.Crashes(t.id)
+	counted := t.step.job.progress.Crashes(t.id)
+	h := counted
 	h.Alive(attempt)
-	c.setCrashes(t, h)
+	if h != counted {
+		c.setCrashes(t, h)
+	}
 }
 
 // crashed counts a crash of a run's worker against its task if it has just been
