--- a/cell/backlog_test.go
+++ b/cell/backlog_test.go
@@ -9,12 +9,7 @@
 	"github.com/dogwoodladder/dogwoodladder/job"
 )
 
-// Symptom: a site of 490 workers never gets over a takeover; the cell changes
-// hands every two seconds, and 16,000 tasks wait. Sequence: an owner dies under
-// load, and its successor finds hundreds of steps that wait. Cause: each report
-// of a worker had every step checked against every worker, for which a whole
-// processor isn't enough; so the successor wrote no heartbeat in time, and the
-// next one found a longer backlog.
+// Guards against a backlog that keeps its owner too busy to write heartbeats.
 func TestBacklogCostsLittle(t *testing.T) {
 	const (
 		workers = 100
@@ -38,10 +33,7 @@
 	is.True(perSecond < 500_000) // 0.05 of a processor at most
 }
 
-// Symptom: an owner with a fifth of a processor loses the cell every three
-// seconds, and so does each that follows it. Sequence: 3,000 tasks can start at
-// once. Cause: all were ordered at once; they took longer to send than they were
-// good for, and the owner wrote no heartbeat meanwhile.
+// Guards against more starts at once than a small owner can send before their deadline.
 func TestFewStartsWithoutAnAnswer(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 200, 1)
--- a/cell/behind_test.go
+++ b/cell/behind_test.go
@@ -27,10 +27,7 @@
 	}
 }
 
-// Symptom: other instances go on accepting jobs that their owner can't order in
-// time. Sequence: an owner with a link of 2 Mbit/s is asked for twice as many
-// starts as fit on it. Cause: nobody but the owner knew. One that keeps up, or
-// whose workers have no room, tells of nothing.
+// Guards against a backlog that the instances which accept jobs don't hear of.
 func TestOwnerTellsOfItsBacklog(t *testing.T) {
 	const rate = 2_000_000 / 8
 	tests := []struct {
--- a/cell/cancel_test.go
+++ b/cell/cancel_test.go
@@ -25,10 +25,7 @@
 	return n
 }
 
-// Symptom: a task runs on for as long as it lasts after its job was cancelled.
-// Sequence: a start order is held up on its way; the job is cancelled and
-// nothing of it runs any more; then the worker carries the order out. Cause:
-// what an idle worker lists was looked at only for ends.
+// Guards against a start that is carried out after its job was cancelled, and is never stopped.
 func TestLateStartOfCancelledJobIsStopped(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 3, 1)
@@ -46,9 +43,7 @@
 	is.Equal(s.running(jobID(0)), 0)
 }
 
-// Symptom: the same. Sequence: the owner that started the tasks is removed for
-// good, and the job is cancelled while there is none. Cause: stops were left to
-// the one that had started a task.
+// Guards against tasks of a cancelled job that go on as their starter was removed.
 func TestTasksOfRemovedStarterAreStopped(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 3, 2)
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -53,10 +53,7 @@
 	s.mustComplete(12)
 }
 
-// Symptom: a start brings a worker over its capacity. Sequence: an owner is
-// killed while its tasks run and while a cancelled one is being stopped; the
-// next owner finds them all on the workers. Cause: a run that no job needs any
-// more was taken over as if it needed nothing.
+// Guards against runs that a new owner finds and counts as needing no room.
 func TestTakeoverCountsWhatRuns(t *testing.T) {
 	s := newSite(t, 2, 3, 2)
 	s.length = func(string) time.Duration { return 3 * time.Second }
@@ -77,10 +74,7 @@
 	}
 }
 
-// Symptom: a task runs twice at the same time. Sequence: an owner is frozen
-// between deciding and ordering; another one takes the cell; the first wakes
-// and goes on with what it had decided. Cause: without the term that workers
-// check, nothing tells its orders from those of its successor.
+// Guards against orders of an owner that stood still while another one took the cell.
 func TestFrozenOwnerWakes(t *testing.T) {
 	s := newSite(t, 3, 4, 2)
 	fill(s, 20)
@@ -91,10 +85,7 @@
 	s.mustComplete(20)
 }
 
-// Symptom: a task runs twice at the same time. Sequence: an owner loses the
-// store but not its workers, and half of them can't be reached by the next
-// owner, which takes the cell meanwhile. Cause: the next owner started tasks
-// that it found nowhere, though the first still ran them where it couldn't look.
+// Guards against tasks that run on where a new owner can't look, and are run again.
 func TestOwnerCutOffWithItsWorkers(t *testing.T) {
 	s := newSite(t, 4, 4, 2)
 	s.length = func(string) time.Duration { return 2500 * time.Millisecond }
@@ -117,11 +108,7 @@
 	s.mustComplete(16)
 }
 
-// Symptom: a task runs twice at the same time. Sequence: an owner without the
-// store sees a worker fall silent, waits for its lease to end and starts the
-// worker's tasks elsewhere. Meanwhile its successor reaches that worker and
-// keeps its tasks running. Cause: the end of a lease says nothing to an owner
-// that can't know whether it still is one.
+// Guards against a lease that counts as ended for an owner that may have been replaced.
 func TestLeaseEndsOnlyForAnOwner(t *testing.T) {
 	s := newSite(t, 5, 4, 2)
 	s.length = func(string) time.Duration { return 20 * time.Second }
@@ -144,10 +131,7 @@
 	s.mustComplete(3)
 }
 
-// Symptom: a task runs twice at the same time. Sequence: an owner without the
-// store keeps the leases of workers that its successor can't reach, for longer
-// than the successor waits for them. Cause: nothing ended the leases of an
-// owner that hasn't heard of its successor.
+// Guards against an owner without the store that extends leases for longer than its successor waits.
 func TestIsolatedOwnerStopsExtending(t *testing.T) {
 	s := newSite(t, 15, 4, 2)
 	s.length = func(string) time.Duration { return 60 * time.Second }
@@ -170,10 +154,7 @@
 	s.mustComplete(4)
 }
 
-// Symptom: a task is started again after it was done and acknowledged.
-// Sequence: the store is slow, more tasks end while a write is under way, and
-// the owner is killed right after that write. Cause: ends were acknowledged
-// that came after what the write held.
+// Guards against ends that are acknowledged with a write that doesn't hold them.
 func TestEndsDuringAWrite(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -197,10 +178,7 @@
 	}
 }
 
-// Symptom: a job is failed though each of its tasks failed less often than is
-// allowed. Sequence: a failure is recorded, and the owner is killed before it
-// acknowledges it; the next owner sees it listed again. Cause: the same end
-// counted twice.
+// Guards against a failure that counts again for the next owner that sees it listed.
 func TestFailuresCountOnce(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -221,9 +199,7 @@
 	}
 }
 
-// Symptom: a task isn't started again after a takeover. Sequence: it failed
-// under one owner, and the next one starts it on the same worker. Cause: its
-// attempts were numbered from 1 again, which the worker refuses.
+// Guards against attempts of a new owner that a worker refuses as too low.
 func TestAttemptsRiseOverOwners(t *testing.T) {
 	s := newSite(t, 16, 1, 2)
 	s.failing = func(_ string, attempt uint64) bool { return attempt == 4097 }
@@ -235,9 +211,7 @@
 	s.mustComplete(2)
 }
 
-// Symptom: a task runs twice, or over a worker's capacity. Sequence: a worker
-// carries orders out 2 to 12 s late and doesn't answer them. Cause: a start
-// without an answer was given up, and took effect after all.
+// Guards against a start without an answer that takes effect after it was given up.
 func TestOrdersCarriedOutLate(t *testing.T) {
 	s := newSite(t, 6, 5, 1)
 	s.lateOrders = 0.15
@@ -248,10 +222,7 @@
 	s.mustComplete(25)
 }
 
-// Symptom: a job fails too early, or a task is started after it is done.
-// Sequence: an owner's writes are done but not answered, and it is killed; its
-// successor sees the same ends again. Cause: an end counted once for each time
-// that it was seen.
+// Guards against ends that count once for each time that they are seen.
 func TestLostAnswersOfTheStore(t *testing.T) {
 	s := newSite(t, 7, 4, 3)
 	s.lostSaves = 0.4
@@ -268,9 +239,7 @@
 	s.mustComplete(16)
 }
 
-// Symptom: tasks of a crashed worker are lost, or stay away for a whole lease.
-// Sequence: a worker crashes with ends that nobody has recorded, and comes
-// back as another life. Cause: its runs were waited for by their lease alone.
+// Guards against tasks of a crashed worker that wait for its lease, or are lost.
 func TestWorkerCrashes(t *testing.T) {
 	s := newSite(t, 8, 4, 1)
 	s.length = func(string) time.Duration { return 2 * time.Second }
@@ -282,9 +251,7 @@
 	s.mustComplete(12)
 }
 
-// Symptom: a cancelled job's task is started long after the cancellation.
-// Sequence: jobs are cancelled while their first tasks are being started, and
-// the owner is replaced. Cause: a cancellation that only the first owner knew.
+// Guards against a cancellation that only the owner before knew.
 func TestCancelDuringTakeover(t *testing.T) {
 	s := newSite(t, 9, 3, 2)
 	fill(s, 15)
@@ -319,9 +286,7 @@
 	is.Equal(s.failures[jobID(0)+".0.0.1"], terms.Attempts)
 }
 
-// Symptom: a task that is to last stays away. Sequence: it ends, by itself, by
-// a crash of its worker and by a takeover. Cause: an end of a lasting task
-// counted as its last.
+// Guards against a lasting task that stays away after it ended.
 func TestLastingTasksAreRestarted(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 11, 4, 2)
@@ -428,9 +393,7 @@
 	}
 }
 
-// Symptom: tasks of a silent worker are stopped as if they hung. Sequence: a
-// worker can't be reached for two seconds. Cause: that its reports showed no
-// advance was read off a report that was old.
+// Guards against tasks of a silent worker that are stopped as if they hung.
 func TestSilentWorkerDoesNotHang(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 17, 2, 1)
@@ -449,9 +412,7 @@
 	}
 }
 
-// Symptom: after a takeover most workers are in quarantine. Sequence: an owner
-// paused filling tasks and was replaced. Cause: its successor took them for
-// running at full speed, saw no advance, and blamed their workers.
+// Guards against runs paused by the owner before that count as hanging.
 func TestAdoptedFillingTasksGoOn(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 18, 2, 2)
@@ -470,10 +431,7 @@
 	}
 }
 
-// Symptom: the store fills up, or jobs that ended long ago run again. Sequence:
-// jobs end, are kept for a while and dropped, while the cell changes hands at
-// any moment of that. Cause: progress that is dropped before its job makes the
-// job look as if it hadn't begun.
+// Guards against a store that fills up with jobs of long ago, or such jobs running again.
 func TestOldJobsAreForgotten(t *testing.T) {
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -67,14 +67,7 @@
 	return crashed
 }
 
-// Symptom: workers go down by the dozen, for as long as the site runs, and all that
-// ran there is begun again. Sequence: a task crashes the worker that it is started
-// on; the worker is found to be down, its runs count as lost, and the task is started
-// on the next worker, ten milliseconds later. Cause: only ends that a worker lists as
-// failed counted against a task. A run that is lost with its worker is none, so
-// nothing bounded the starts. Evidence: the owner's log has the same tasks lost and
-// started every 0.74 s under one term, each as the one that had just started on its
-// worker, and no line of attempts that are used up.
+// Guards against a task that is started for ever though it crashes its workers.
 func TestTaskThatCrashesItsWorkers(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 24, 1)
@@ -101,11 +94,7 @@
 	}
 }
 
-// Symptom: a sound job is shown as failed. Sequence: racks lose their power, one
-// after the other and the same one again, under a load that starts some tasks on each
-// worker every second; some of them lose their worker two or three times, just after
-// their start. Cause: crashes that aren't the task's doing counted like those that
-// are.
+// Guards against a sound job that fails by racks that lose their power.
 func TestRackWithoutPower(t *testing.T) {
 	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
 		const jobs, every = 300, 100 * time.Millisecond
@@ -147,10 +136,7 @@
 	}
 }
 
-// Symptom: a sound job is shown as failed, or one that crashes its workers goes on.
-// Sequence: a tenth of the jobs have such a task, under a load in which each worker
-// has several tasks; those beside it are lost with it, some of them twice within
-// seconds. Cause: what is there when a worker crashes isn't what crashed it.
+// Guards against a sound job that fails beside tasks that crash their workers.
 func TestTasksBesideOneThatCrashes(t *testing.T) {
 	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
 		is := is.New(t)
@@ -169,10 +155,7 @@
 	})
 }
 
-// Symptom: a task that crashes its workers is started for ever. Sequence: the owner is
-// killed between the start and the loss of the worker, again and again. Cause: what
-// was known of the crashes went with the owner, and the run of the last one left no
-// trace for the next.
+// Guards against crashes that are forgotten with the owner that saw them.
 func TestCrashesOutliveTheirOwner(t *testing.T) {
 	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
 		const jobs, every = 60, 200 * time.Millisecond
@@ -189,9 +172,7 @@
 	})
 }
 
-// Symptom and cause as of one task, for what is started and restarted in other ways:
-// a gang, of which all members start again when one is lost; a task that lasts, for
-// which failures have no bound; and one of a job with a schedule.
+// Guards against gangs, lasting and scheduled tasks that crash their workers for ever.
 func TestWhatElseCrashesItsWorkers(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 6, 24, 1)
@@ -215,11 +196,7 @@
 	is.Equal(s.state(jobID(4)), "running")
 }
 
-// Symptom: a task that crashes its workers is started for ever, and ends of sound
-// tasks are never heard. Sequence: the worker is back under its old ID, with nothing
-// that ran there and ends that are numbered from one again. Cause: a run that is gone
-// from its worker without an end counted as a start that wasn't carried out, and ends
-// with numbers that had been seen as those of the life before.
+// Guards against crashes and ends that go unnoticed where a worker is back under its ID.
 func TestWorkerIsBackUnderItsOldID(t *testing.T) {
 	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
 		const jobs, every = 60, 200 * time.Millisecond
@@ -233,10 +210,7 @@
 	})
 }
 
-// Symptom: a task that crashes its workers is started for ever, or a sound one is
-// shown as failed. Sequence: faults of owners, the store and workers overlap, with
-// such tasks among the others. Cause: in each case a crash that wasn't counted, or one
-// that was counted for another reason.
+// Guards against crashes that count wrongly among other faults.
 func TestRandomSchedulesWithCrashes(t *testing.T) {
 	eachSeed(t, schedules, func(t *testing.T, seed uint64) {
 		is := is.New(t)
@@ -251,12 +225,7 @@
 	})
 }
 
-// Symptom: a task that crashes its workers is started three times more after three
-// have crashed under it. Sequence: a sixth of the jobs have such a task; their workers
-// go without a word, so that it takes a second to notice, and each seems to have gone
-// together with three others; now and then the owner is killed. Cause: a crash at the
-// same moment as three others, whichever, counted for nothing, as if all of them stood
-// in a rack without power.
+// Guards against crashes that count for nothing as others were noticed at the same time.
 func TestCrashesThatAreNoticedLate(t *testing.T) {
 	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
 		const jobs, every = 60, 150 * time.Millisecond
@@ -273,10 +242,7 @@
 	})
 }
 
-// Symptom: a sound job is shown as failed. Sequence: its tasks wait for room, owner
-// after owner is killed, and each time a worker crashes beside. Cause: a start that an
-// owner had put on record, and didn't come to order, counted as one whose worker had
-// crashed under it.
+// Guards against starts on record that were never ordered and count as crashes.
 func TestWhatWaitsThroughTakeovers(t *testing.T) {
 	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
 		const jobs, every = 180, 35 * time.Millisecond
@@ -294,11 +260,7 @@
 	})
 }
 
-// Symptom: a task that crashes its workers is started a sixth time. Sequence: an owner is
-// killed before it has noticed the crash; the next one finds the crashed worker, takes
-// it off the record, and is killed before it starts the task; the third finds nothing
-// of a crash, starts the task as any other, and is killed before it has noticed the
-// second. Cause: that a worker had crashed was known to one owner alone.
+// Guards against a crashed worker that only the owner knew which was killed next.
 func TestOwnersInHaste(t *testing.T) {
 	eachSeed(t, crashSeeds, func(t *testing.T, seed uint64) {
 		const jobs, every = 40, 150 * time.Millisecond
--- a/cell/hostlist_test.go
+++ b/cell/hostlist_test.go
@@ -12,18 +12,7 @@
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
-// Symptom: tasks are started on workers that said seconds ago that they leave;
-// they are cut off when the worker goes, and run again elsewhere. Sequence: an
-// instance owns the cell for the second time. In between, while it didn't read
-// the list of workers, some said that they leave. It starts the tasks that wait
-// at once, and reads the list 0.4 s later. Cause: a list was taken for how things
-// are, however old it was. What proved it: the starts lie between the log lines
-// of the takeover, with a list 12 s old, and of the first list that was read;
-// owners that had read no list before started nothing in between.
-//
-// The other cases have the same cause in other places: the owner's own record of
-// workers, reads that fail or take long while writes go on, and an owner that
-// stood still.
+// Guards against tasks on workers that have said that they leave, by a list that is too old.
 func TestNoStartByAnOldList(t *testing.T) {
 	tests := []struct {
 		name string
@@ -81,11 +70,7 @@
 	}
 }
 
-// Symptom: a task runs twice at the same time. Sequence: a machine's worker is
-// silent, and the owner asks what became of the machines. While the answer is on
-// its way another machine comes up anew; its worker gets a task and is silent for
-// a moment. The answer names the life before it. Cause: a list of machines that
-// was made before a worker was last heard was taken for news of that worker.
+// Guards against a list of machines that tells of the incarnation before, and ends the tasks of the next.
 func TestMachineListIsOlderThanTheWorker(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 501, 4, 1)
@@ -107,11 +92,7 @@
 	s.mustComplete(4)
 }
 
-// Symptom: the work of tasks that save their progress is lost with a worker that
-// had said seconds before that it leaves. Sequence: the worker says so, and the
-// owner is replaced; the next one reads the list of workers before the worker
-// has told what it runs. Cause: what runs there was moved when the news came that
-// the worker leaves, and nothing was known to run there yet.
+// Guards against saved work that is lost with a leaving worker that a new owner found.
 func TestTakeoverEvacuatesWhatItFinds(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 502, 3, 2)
@@ -131,10 +112,7 @@
 	is.Equal(len(s.workers[1].runs)+len(s.workers[2].runs), 8) // as many as there is room for
 }
 
-// Symptom: a worker whose entry was written over gets tasks, or what runs on it
-// is run again or never heard of any more. Sequence: the entry is spoiled while
-// tasks run there, is sound again later, and the cell changes hands in between.
-// Cause: a worker off the list gets tasks for a while; what it runs goes on.
+// Guards against tasks on a worker whose entry was written over, or work there that is lost.
 func TestUnsoundEntryInTheList(t *testing.T) {
 	for _, takeover := range []bool{false, true} {
 		is := is.New(t)
@@ -157,11 +135,7 @@
 	}
 }
 
-// Symptom: after a takeover no task of a job that had begun starts for 18 s.
-// Sequence: another writer's entry names a worker that looks sound, at an address
-// where nobody answers, on no machine; then the cell changes hands. Cause: the
-// worker was put on record before it had ever answered, so that the next owner
-// waited for its answer, and for the end of a lease that it never had.
+// Guards against a takeover that waits for a worker which isn't there.
 func TestEntryThatLeadsNowhere(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 504, 3, 2)
@@ -174,9 +148,7 @@
 	is.Equal(len(s.store.fold(t).Hosts()), 3) // those that answered
 }
 
-// Symptom: a gang that is slow across racks is spread over them. Sequence: an
-// entry without labels, of a worker that isn't there, is on the list. Cause: the
-// label of their kind, which all other workers share, looked like a rack's.
+// Guards against a gang spread over racks by the labels of a worker that isn't there.
 func TestStrayEntryMakesNoRack(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 505, 4, 1)
@@ -198,8 +170,7 @@
 	is.Equal(racks["r0"]+racks["r1"], 4)
 }
 
-// Guards against questions without an end to a worker that never answered and isn't
-// listed any more.
+// Guards against questions without an end to a worker that never answered and isn't listed.
 func TestStrayEntryIsForgotten(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 506, 3, 1)
--- a/cell/link_test.go
+++ b/cell/link_test.go
@@ -66,13 +66,7 @@
 	return once
 }
 
-// Symptom: tasks run again though they had ended well, sound workers are silent,
-// lasting tasks end with their leases, and hardly a job is done, on a calm day.
-// Sequence: an owner with a link of 2 Mbit/s has 140 workers, and jobs come whose
-// orders fill half of it; then 900 tasks come at once.
-// Cause: all that could start was ordered at once. The orders took longer on the
-// link than an answer was waited for, and so did the workers' reports behind them;
-// what was given up was ordered anew, and so the link stayed full.
+// Guards against more orders than a narrow link carries, and reports that come late behind them.
 func TestNarrowLink(t *testing.T) {
 	const (
 		workers = 140
--- a/cell/quarantine_test.go
+++ b/cell/quarantine_test.go
@@ -9,11 +9,7 @@
 	"github.com/dogwoodladder/dogwoodladder/job"
 )
 
-// Symptom: on a calm day four of 48 healthy workers get no tasks at any time; or
-// jobs fail as their attempts are used up on one worker that fails everything.
-// Sequence: two tasks in a row fail on a worker, by chance or because it is unhealthy.
-// Cause: both got the same rest of five seconds, and after it as many tasks as
-// fit, of which an unhealthy worker failed each.
+// Guards against sound workers in quarantine by chance, or unhealthy ones that get tasks.
 func TestQuarantine(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/cell/records_test.go
+++ b/cell/records_test.go
@@ -52,10 +52,7 @@
 
 var zero float32
 
-// Symptom: an instance ends, or never becomes owner, whenever it is started.
-// Sequence: a record of another version, or by another hand, comes into one of
-// our own streams. Cause: what could be decoded was taken for what this version
-// writes.
+// Guards against records of another version that end each owner.
 func TestOddRecordsOfOurStreams(t *testing.T) {
 	for _, tt := range odd {
 		if err := playOdd(t, tt.stream, provider.KeyedRecord{Key: tt.key, Value: tt.value}); err != "" {
--- a/cell/relocate_test.go
+++ b/cell/relocate_test.go
@@ -18,10 +18,7 @@
 	return j
 }
 
-// Symptom: filling jobs wait for minutes, though half of the workers would bear
-// them. Sequence: two kinds of serving tasks come to stand on one worker, as
-// there was room nowhere else; later room comes free beside the like of one of
-// them. Cause: serving tasks stayed wherever they had been started.
+// Guards against filling tasks that wait as serving tasks of many images are mixed.
 func TestServingTasksAreMovedToTheirLike(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 2, 1)
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -91,8 +91,7 @@
 	}
 }
 
-// Guards against ends that are acknowledged unread because the worker's incarnation
-// before had listed as many.
+// Guards against ends that are acknowledged unread, as the incarnation before had listed as many.
 func TestEndsOfANewIncarnationAreRead(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -198,8 +197,7 @@
 	s.mustComplete(3)
 }
 
-// Guards against tasks on a worker of which only the incarnation before is on record: an
-// owner that follows wouldn't ask it.
+// Guards against tasks on a worker of which only the incarnation before is on record.
 func TestRestartedWorkersAreOnRecord(t *testing.T) {
 	eachSeed(t, restartSeeds, func(t *testing.T, seed uint64) {
 		const jobs, every = 60, 60 * time.Millisecond
@@ -230,8 +228,7 @@
 	is.Equal(len(s.workers[0].ended), 0)
 }
 
-// Guards against crashes that leave no trace for the next owner, as the worker is back
-// under its ID.
+// Guards against crashes that leave no trace for the next owner, as the worker has its old ID.
 func TestCrashesOfRestartedWorkersOutliveTheirOwner(t *testing.T) {
 	eachSeed(t, restartSeeds, func(t *testing.T, seed uint64) {
 		const jobs, every = 60, 200 * time.Millisecond
@@ -249,8 +246,7 @@
 	})
 }
 
-// Guards against starts that count as crashes since an incarnation before of their
-// worker had crashed.
+// Guards against starts that count as crashes since an incarnation before had crashed.
 func TestStartsThatWereNotOrderedOnARestartedWorker(t *testing.T) {
 	s := newSite(t, 1900, 3, 2)
 	s.storeDelay = 300 * time.Millisecond
@@ -305,8 +301,7 @@
 	s.mustComplete(1)
 }
 
-// Guards against tasks that are run again while the lease goes on that a late order to
-// the incarnation before has given the worker.
+// Guards against tasks that run again while a lease goes on that was meant for the incarnation before.
 func TestLeaseOfARestartedWorker(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 2100, 3, 1)
@@ -328,8 +323,7 @@
 	is.Equal(s.broken, nil)
 }
 
-// Guards against what restarts bring about together with other faults: of owners, the
-// store, orders and each other.
+// Guards against what restarts bring about together with other faults and each other.
 func TestRandomSchedulesWithRestarts(t *testing.T) {
 	eachSeed(t, 3*schedules, func(t *testing.T, seed uint64) {
 		s := newSite(t, 2200+seed, scheduleHosts, 3)
--- a/cell/room_test.go
+++ b/cell/room_test.go
@@ -14,14 +14,7 @@
 	return s.store.fold(s.t).Backlog().HasRoom(service, terms.Priority)
 }
 
-// Symptom: urgent jobs wait until they are worth nothing, all day, on a site that has
-// lost some of its workers. Sequence: lasting jobs come, and go after 8 to 16 s, as many
-// as have room without any other; the urgent ones ask for an eighth of the processors,
-// in tasks of five eighths of a worker. Cause: all lasting jobs were accepted, and each
-// hole that one left fitted the next, and no urgent task.
-// What callers get instead: three of four urgent jobs are in time in place of one in
-// fourteen, and a third of the lasting ones are told at once to come back later; where
-// there is room for all, none is.
+// Guards against urgent jobs that wait for room which lasting jobs go on taking.
 func TestUrgentJobsFindRoom(t *testing.T) {
 	const (
 		workers = 40
--- a/cell/serving_test.go
+++ b/cell/serving_test.go
@@ -9,11 +9,7 @@
 	"github.com/dogwoodladder/dogwoodladder/job"
 )
 
-// Symptom: half of the rebuild jobs are late though nothing waits for a start;
-// a quarter of all filling tasks stand still. Sequence: a filling task is paused
-// beside a serving one at the peak of its load, whose tail then stays at 0.6 to
-// 0.95 of its target. Cause: there the task was neither let go on nor moved to a
-// worker that bears it.
+// Guards against paused filling tasks that are neither let go on nor moved.
 func TestPausedTasksAreMoved(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 2, 1)
--- a/cell/shrink_test.go
+++ b/cell/shrink_test.go
@@ -8,12 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// Symptom: a start brings a worker over its capacity, which it doesn't guard itself.
-// Sequence: the capacity of workers shrinks under what they run, and grows again.
-// Meanwhile the owner doesn't learn of it: the store gives it no answer, or it reads
-// nothing but its own writes' outcome, or it stands still, or another owner follows.
-// Cause: while the store is away an owner goes on by the last list it read, and a
-// shrunk worker looks as wide there as it was 8 s before.
+// Guards against starts by a capacity that a worker doesn't have any more.
 func TestStartsFitWorkersThatShrink(t *testing.T) {
 	tests := []struct {
 		name string
--- a/cell/store_test.go
+++ b/cell/store_test.go
@@ -87,10 +87,7 @@
 	return kept
 }
 
-// Symptom: urgent jobs of several steps are late while the store is slow.
-// Sequence: the first step's end is being recorded, which takes 0.6 s, and the
-// second one's comes meanwhile. Cause: a worker wasn't looked at again before
-// what it had listed was on record, as it answers at once until then.
+// Guards against ends that are seen late as the store is slow.
 func TestEndsAreSeenWhileTheStoreIsSlow(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 1, 1)
--- a/cell/wave_test.go
+++ b/cell/wave_test.go
@@ -12,11 +12,7 @@
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
-// Symptom: a machine goes down for its upkeep under tasks that serve, without
-// their having been moved. Sequence: a worker crashes and its machine comes up
-// again as another life, at another address; the owner still holds the first one's record when the
-// machine's upkeep is due. Cause: the record of a life that is over was taken for
-// the worker that is there now, and emptied in its place.
+// Guards against upkeep under tasks, as the record of an earlier worker of the machine was emptied.
 func TestUpkeepEmptiesTheLifeThatIsThere(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1, 2, 1)
@@ -95,8 +91,7 @@
 	}
 }
 
-// Guards against a wave that doesn't notice that a machine is back, as its worker has
-// the ID that it had.
+// Guards against a wave that doesn't notice that a machine is back, as its worker has its old ID.
 func TestWaveOfWorkersThatKeepTheirIDs(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 2, 5, 1)
@@ -123,8 +118,7 @@
 	is.Equal(most, 1)
 }
 
-// Guards against the upkeep of a machine whose worker restarts while it is emptied, and
-// gets tasks again.
+// Guards against upkeep under the tasks of a worker that restarted while it was emptied.
 func TestUpkeepEmptiesAWorkerThatRestarts(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 3, 3, 1)
--- a/dispatcher/control_test.go
+++ b/dispatcher/control_test.go
@@ -26,12 +26,7 @@
 	return nil
 }
 
-// Symptom: a cell of a new deployment stays without an owner for 20 s and more,
-// once in twenty starts with all processors busy, until the first job comes.
-// Sequence: the last of the two streams is read, the control goroutine is woken
-// and looks before that read is marked as done; nothing is written to the store
-// meanwhile, so nothing wakes it again. Cause: the election heard of the owner,
-// or that there is none, only when it was woken.
+// Guards against a cell on an empty store without an owner.
 func TestElectionHearsOfAnEmptyStore(t *testing.T) {
 	is := is.New(t)
 	now := time.Second
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -184,10 +184,7 @@
 	return &job.Job{ID: fmt.Sprintf("%016x", n), Queue: "q", Steps: []job.Step{{Count: 1}}}
 }
 
-// Symptom: callers are held until their deadline and told that their job may
-// have been accepted. Sequence: the store is fifty times slower than usual, and
-// seven instances take jobs. Cause: each had several writes under way, which
-// waited behind each other for longer than the instances did, and wrote again.
+// Guards against callers told that their job may run as writes queue up at a slow store.
 func TestSlowStoreTakesJobsInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -237,10 +234,7 @@
 	})
 }
 
-// Symptom: a caller that asks just after its job's last task has ended is told
-// that the job runs. Sequence: it asks an instance that doesn't own the cell,
-// which read the job's progress 200 ms ago. Cause: what is known was taken for
-// what is.
+// Guards against a state that is shown long after it has changed.
 func TestStatesAreFresh(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -266,8 +260,7 @@
 	})
 }
 
-// Symptom: a caller waits for an answer that can only be no. Sequence: the
-// store rejects all writes. Cause: they were repeated until the deadline.
+// Guards against callers that wait for an answer which can only be no.
 func TestRejectionsAreQuick(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -329,9 +322,7 @@
 
 func (m *muteWorkers) Stop(context.Context, provider.RunOrder) error { return nil }
 
-// Symptom: the first tasks of a new owner wait for 0.4 s. Sequence: it asks each
-// of its 490 workers what runs there, and reads the list of workers beside that.
-// Cause: the list was read last, though nothing starts without it.
+// Guards against first tasks that wait for the list of workers after a claim.
 func TestClaimReadsTheList(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -401,9 +392,7 @@
 	}
 }
 
-// Symptom: a task runs twice. Sequence: the worker that runs it is silent for
-// half a second, on a platform that has no list of machines. Cause: the list
-// that can't be had counted as one without that worker's machine.
+// Guards against a list of machines that can't be had, taken for one without machines.
 func TestSilentWorkerWithoutMachines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -423,10 +412,7 @@
 	})
 }
 
-// Symptom: tasks are started on workers that said seconds ago that they leave.
-// Sequence: an instance that owned the cell before, and read the list of workers
-// then, takes it again. Jobs wait, and the list is read 0.4 s later. Cause: the
-// list from the earlier term was kept, and handed to the cell as if it were new.
+// Guards against tasks on leaving workers by a list from an earlier ownership.
 func TestTakeoverAwaitsTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -465,11 +451,7 @@
 	return fallen
 }
 
-// Symptom: tasks that are done run again. Sequence: an instance claims the
-// cell, the claim is written, and reading what was accepted before it fails;
-// meanwhile the instance reads its own claim back. Cause: a claim that was read
-// back made it owner without that read, so that it took the progress of jobs
-// that it hadn't heard of for left over, and dropped it.
+// Guards against an owner that doesn't know all jobs and drops their progress.
 func TestClaimReadBackNeedsAllJobs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -501,11 +483,7 @@
 	})
 }
 
-// Symptom: a small instance has the cell, with thousands of tasks waiting, though a
-// large one is there. Sequence: the stream of accepted jobs can't be read, and the
-// owner falls silent; the large instance claims the cell and waits for its reads;
-// another claims the next term meanwhile. Cause: it claimed what it couldn't own, and
-// was silent.
+// Guards against a claim by an instance that can't read what was accepted.
 func TestNoClaimWithoutReads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -538,12 +516,7 @@
 	return d.Submit(ctx, newJob(n))
 }
 
-// Symptom: a caller's job is accepted, and isn't begun for ten seconds though workers
-// have room. Sequence: the owner orders 100 starts a second and has 3,000 to order.
-// Cause: only the owner knew. What callers get: a job is rejected at once, has not
-// run, and its caller knows when to come back; one that is on record, or that comes
-// where the owner keeps up, is accepted. Where urgent jobs wait for room, lasting ones
-// of their pool are rejected.
+// Guards against jobs accepted for an owner that can't order them in time.
 func TestOwnerThatDoesNotKeepUp(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -602,10 +575,7 @@
 	}
 }
 
-// Symptom: callers wait for nearly their whole deadline and are told that their
-// job may have been accepted. Sequence: the store falls silent, and requests go on
-// coming. Cause: each was sent after the ones that had no answer; and one that
-// was never sent, as others were under way, was taken for one that may have been.
+// Guards against callers held for a store that is known to be silent.
 func TestSilentStoreIsKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -637,9 +607,7 @@
 	})
 }
 
-// Symptom: a cell has two owners, or none. Sequence: all instances start at
-// once and claim the same term. Cause: the store took a second claim with the
-// sequence of the first for its repeat.
+// Guards against two owners of one cell, or none.
 func TestOneOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/relay/gap_test.go
+++ b/relay/gap_test.go
@@ -29,10 +29,7 @@
 	}
 }
 
-// Symptom: an owner with processors to spare has each end, and each start that
-// follows it, wait for 10 ms; one without has them all spent on messages. Sequence:
-// 490 or 198 workers, whose ends and starts come evenly, go through 8 connections
-// or 5. Cause: the time between two messages was the same for both.
+// Guards against messages that wait for each other though the owner's processors have time.
 func TestGapFollowsTheLoad(t *testing.T) {
 	tests := []struct {
 		name       string
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -260,10 +260,7 @@
 	})
 }
 
-// Symptom: workers are silent for seconds, though they are sound and the owner
-// reaches them. Sequence: the instance that relays to them loses power, or freezes,
-// or something on the way loses track of the connection; holds wait there. Cause:
-// the connection stays open, and no read on it fails.
+// Guards against workers that count as silent as the instance between is.
 func TestSilentInstanceIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -283,10 +280,7 @@
 	})
 }
 
-// Symptom: tasks that had begun go on half a second after a takeover, which takes
-// 800 connections. Sequence: a new owner asks each worker what runs there, at once.
-// Cause: it had no connection yet to the instances near them. Where they can't be
-// reached, the workers are asked directly after a moment.
+// Guards against a new owner that asks all workers directly before it has connections.
 func TestFirstOrdersWaitForTheInstances(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -335,9 +329,7 @@
 	}
 }
 
-// Symptom: all connections are made anew at once, again and again. Sequence: the
-// owner's own link is full for a second. Cause: each instance is taken for silent,
-// though nothing is heard from any.
+// Guards against all connections given up where the owner's own link is full.
 func TestAllSilentIsThisEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -386,8 +378,7 @@
 	})
 }
 
-// Symptom: as above, for as long as the instance lives. Sequence: one instance is cut
-// off from a worker, and the owner isn't. Cause: the owner goes on ordering through it.
+// Guards against a worker that counts as silent as its instance alone can't reach it.
 func TestWorkerOutOfTheInstancesReach(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -421,9 +412,7 @@
 	})
 }
 
-// Symptom: a task works at a speed that was ordered seconds ago. Sequence: an
-// instance stands still, and then sends on what came meanwhile; the owner has
-// ordered otherwise. Cause: a pace has no deadline of its own.
+// Guards against orders that an instance sends on seconds later.
 func TestLateOrdersAreNotSentOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -442,8 +431,7 @@
 	})
 }
 
-// Symptom: an instance holds more connections with each owner that was lost.
-// Sequence: an owner loses power. Cause: no read of its connection fails.
+// Guards against connections of owners that are gone.
 func TestLostOwnersConnectionEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -486,8 +474,7 @@
 	})
 }
 
-// Guards against an acknowledgement that is repeated to a worker that may have
-// restarted since.
+// Guards against an acknowledgement that is repeated to a worker which may have restarted.
 func TestAcknowledgementsAreNotRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
