An entry that doesn't tell when its worker started isn't sound, where others do

An entry may lack a field by another writer's hand, and then names no worker to use. Where the platform doesn't tell starts at all, entries without one are as good as before, and a worker whose answers alone tell it is used.

TestEntryWithoutAStart failed before: the worker stays on the list.

--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -132,7 +132,7 @@
 // entered reports whether a worker's entry is of the incarnation that answers. The next
 // one may have another capacity and other labels.
 func (w *worker) entered() bool {
-	return w.born == 0 || w.host.Born == w.born
+	return w.born == 0 || w.host.Born == 0 || w.host.Born == w.born
 }
 
 // relist takes up the worker on the list under the ID of one that was lost, if that is
