--- a/cell/crash.go
+++ b/cell/crash.go
@@ -242,7 +242,7 @@
 }
 
 // crashed counts a crash of a run's worker against its task if it has just been
-// started there.
+// started there. A start that may never have begun is no trial.
 func (c *Cell) crashed(r *run, f failure) {
 	t := r.task
 	if t == nil || t.step.job.final() || !r.justStarted() {
@@ -286,6 +286,6 @@
 			started = append(started, name)
 		}
 	}
-	c.note("worker lost", "worker", w.host.ID, "born", w.host.Born, "reason", reason, "runs", len(w.runs),
+	c.note("worker lost", "worker", w.host.ID, "born", w.born, "reason", reason, "runs", len(w.runs),
 		"silent", c.now-w.heard, "just_started", strings.Join(started, ","), "others", f.others, "correlated", f.correlated)
 }
