A worker that is back in another pool gets that pool's tasks

What callers saw: nothing yet; found by reading. A worker's pool was kept from when it became known; an entry that names another service, as of the next incarnation under its ID, changed the service that is shown and left the worker among those of the old one.

TestRestartedWorkerIsInAnotherPool failed before: 12 tasks ran on a worker of another service.

--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -170,8 +170,7 @@
 		h.Draining = w.leaves && at >= w.leavesAt
 		h.Capacity = w.roomAt(at - hostBeat)
 		if at < w.listedAt {
-			h.Born = w.before
-			h.Capacity = w.sizeBefore
+			h = w.before
 		}
 		list.Hosts = append(list.Hosts, h)
 	}
@@ -221,8 +220,9 @@
 	asking   int                      // questions for the adviser that are under way
 	noted    func(event string)       // told of what the owner logs
 	ordered  func(provider.HoldOrder) // told of each hold
-	starting int                      // starts without an answer
-	most     int                      // of them at any time
+	started  func(provider.StartOrder)
+	starting int // starts without an answer
+	most     int // of them at any time
 }
 
 // take makes the owner claim the cell, as an instance does that reaches the
@@ -378,6 +378,9 @@
 		})
 	case cell.Start:
 		s.checkLife(o.list, a.Order.Host)
+		if o.started != nil {
+			o.started(a.Order)
+		}
 		o.starting++
 		o.most = max(o.most, o.starting)
 		sent := s.now
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -121,6 +121,10 @@
 	if w.born != 0 && h.Born != 0 && h.Born != w.born && h.Born != w.host.Born {
 		c.suspectRestart(w)
 	}
+	if h.Service != w.host.Service {
+		c.leavePool(w)
+		c.joinPool(w, h.Service)
+	}
 	w.host = h
 	w.listed = true
 	if leaves {
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -83,8 +83,9 @@
 	}
 }
 
-// suspectRestart asks a worker at once whether it still is the incarnation that answered, with
-// a token above those of what is under way to it, whose outcomes don't count any more.
+// suspectRestart asks a worker at once whether it still is the incarnation that answered,
+// with a token above those of what is under way to it. The outcomes of that don't count
+// any more.
 func (c *Cell) suspectRestart(w *worker) {
 	c.tokens[w.host.ID] = w.token + 1
 	w.token = c.nextToken(w.host.ID)
@@ -92,8 +93,8 @@
 	w.holdAt = c.now
 }
 
-// assumeLease takes the lease of a worker that has restarted for as long as an order to the
-// incarnation before may have made it.
+// assumeLease takes the lease of a worker that has restarted for as long as an order to
+// the incarnation before may have made it.
 func (c *Cell) assumeLease(w *worker) {
 	if w.token > c.firstToken() {
 		w.deadline = max(w.deadline, w.clock+c.timing.MaxLease.Milliseconds())
@@ -117,8 +118,8 @@
 	c.unsettled[id] = append(c.unsettled[id], r)
 }
 
-// settleStarts settles the starts that were under way to the incarnations before with the first
-// answer of a worker. One that the worker tells of is taken for what it says.
+// settleStarts settles the starts that were under way to the incarnations before with the
+// first answer of a worker. What the worker tells of one counts.
 func (c *Cell) settleStarts(w *worker, held *provider.Held) {
 	starts := c.unsettled[w.host.ID]
 	if len(starts) == 0 {
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -267,7 +267,7 @@
 	s.owners[0].kill()
 	s.run(s.now + 300*time.Millisecond)
 	s.owners[1].take()
-	for s.workers[0].before == 0 || s.store.fold(t).Hosts()["w0-0"].Born != s.workers[0].host.Born {
+	for s.workers[0].before.ID == "" || s.store.fold(t).Hosts()["w0-0"].Born != s.workers[0].host.Born {
 		s.run(s.now + tickTime)
 	}
 	s.run(s.now + 700*time.Millisecond)
@@ -340,3 +340,19 @@
 		s.playSchedule()
 	})
 }
+
+// Guards against tasks of one service on a worker that is back in the pool of another.
+func TestRestartedWorkerIsInAnotherPool(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2500, 3, 1)
+	s.entryTime = 500 * time.Millisecond
+	s.machinesTime = 3 * time.Second
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(60, 2)}})
+	s.owners[0].take()
+	s.run(2 * time.Second)
+	s.restartOne(0, 500*time.Millisecond, false)
+	s.workers[0].host.Service = "other"
+	s.run(quiet)
+	s.mustComplete(1)
+	is.Equal(len(s.workers[0].barred), 0) // nothing ran there since
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -115,20 +115,28 @@
 	}
 	c.workers[h.ID] = w
 	c.all = nil
-	pool := append(c.pools[h.Service], w)
-	slices.SortFunc(pool, func(a, b *worker) int { return strings.Compare(a.host.ID, b.host.ID) })
-	c.pools[h.Service] = pool
+	c.joinPool(w, h.Service)
 	return w
 }
 
-func (c *Cell) dropWorker(w *worker) {
-	delete(c.workers, w.host.ID)
-	c.tokens[w.host.ID] = w.token + 1
-	c.all = nil
+func (c *Cell) joinPool(w *worker, service string) {
+	pool := append(c.pools[service], w)
+	slices.SortFunc(pool, func(a, b *worker) int { return strings.Compare(a.host.ID, b.host.ID) })
+	c.pools[service] = pool
+}
+
+func (c *Cell) leavePool(w *worker) {
 	pool := c.pools[w.host.Service]
 	if i := slices.Index(pool, w); i >= 0 {
 		c.pools[w.host.Service] = slices.Delete(pool, i, i+1)
 	}
+}
+
+func (c *Cell) dropWorker(w *worker) {
+	delete(c.workers, w.host.ID)
+	c.tokens[w.host.ID] = w.token + 1
+	c.all = nil
+	c.leavePool(w)
 	if w.asked || w.registered {
 		c.saves.unregister(w) // also if its record is only on its way
 	}
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -13,33 +13,32 @@
 
 // fakeWorker starts whatever it is told and keeps what the protocol says.
 type fakeWorker struct {
-	site       *site
-	number     int
-	host       provider.Host
-	up         bool
-	downAt     time.Duration   // when it went, if it isn't up
-	restarts   bool            // it comes up again under its ID, before its entry lapses
-	before     uint64          // when the incarnation before it was born
-	sizeBefore resource.Vector // that one's capacity
-	listedAt   time.Duration   // when its own entry replaces that one's
-	rooms      []room          // its capacity over time, empty if it never changed
-	unsound    bool            // its entry names no worker
-	spoiled    time.Duration   // since when
-	leaves     bool            // it has said that it leaves
-	leavesAt   time.Duration   // when it did
-	token      uint64
-	deadline   int64
-	runs       map[string]*fakeRun
-	barred     map[string]uint64 // highest attempt that ended or was stopped, by task
-	ended      []provider.Ended
-	count      uint64
-	ignores    int    // acknowledgements that it passes over
-	mark       uint64 // highest end that was acknowledged, of workers that keep it
-	waiters    []func()
-	onReset    []func() // of the holds that wait
-	refuses    bool     // connections, while its process is down on a machine that is up
-	offset     time.Duration
-	rate       float64
+	site     *site
+	number   int
+	host     provider.Host
+	up       bool
+	downAt   time.Duration // when it went, if it isn't up
+	restarts bool          // it comes up again under its ID, before its entry lapses
+	before   provider.Host // entry of the incarnation before it
+	listedAt time.Duration // when its own entry replaces that one's
+	rooms    []room        // its capacity over time, empty if it never changed
+	unsound  bool          // its entry names no worker
+	spoiled  time.Duration // since when
+	leaves   bool          // it has said that it leaves
+	leavesAt time.Duration // when it did
+	token    uint64
+	deadline int64
+	runs     map[string]*fakeRun
+	barred   map[string]uint64 // highest attempt that ended or was stopped, by task
+	ended    []provider.Ended
+	count    uint64
+	ignores  int    // acknowledgements that it passes over
+	mark     uint64 // highest end that was acknowledged, of workers that keep it
+	waiters  []func()
+	onReset  []func() // of the holds that wait
+	refuses  bool     // connections, while its process is down on a machine that is up
+	offset   time.Duration
+	rate     float64
 }
 
 type fakeRun struct {
@@ -192,6 +191,7 @@
 
 // restart ends the worker's life; another one comes up after down under its ID.
 func (w *fakeWorker) restart(down time.Duration) {
+	before := w.host
 	w.site.lives++
 	w.restarts = true
 	w.crash(down, w.site.lives)
@@ -200,8 +200,7 @@
 		born := next.host.Born
 		next.host = w.host
 		next.host.Born = born
-		next.before = w.host.Born
-		next.sizeBefore = w.host.Capacity
+		next.before = before
 		next.listedAt = w.site.now + w.site.entryTime
 	})
 }
