A survey waits for the next incarnation of a worker that has restarted

What callers saw: nothing yet; found by reading. A new owner that learns in its survey that a worker has restarted took it for surveyed. The next incarnation may have carried out an order of an earlier owner that came late, and what it runs wasn't looked at before the tasks were run again.

TestSurveyAsksTheNextIncarnation failed before: a task runs twice.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -31,13 +31,14 @@
 // before but its ID.
 func (c *Cell) restart(w *worker, held *provider.Held) {
 	c.note("worker restarted", "worker", w.host.ID, "born", held.Born, "before", w.born, "runs", len(w.runs))
-	c.lose(w, "restarted")
+	c.endIncarnation(w, "restarted")
 	next := c.workers[w.host.ID]
 	if next == nil {
 		next = c.addWorker(w.host)
 		next.listed = w.listed
 		next.listedUntil = w.listedUntil
 	}
+	c.survey.replace(w, next)
 	c.hold(next)
 }
 
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -356,3 +356,29 @@
 	s.mustComplete(1)
 	is.Equal(len(s.workers[0].barred), 0) // nothing ran there since
 }
+
+// Guards against a survey that ends before the next incarnation of a worker was asked.
+func TestSurveyAsksTheNextIncarnation(t *testing.T) {
+	s := newSite(t, 2600, 3, 2)
+	s.length = func(string) time.Duration { return 2 * time.Second }
+	fill(s, 4)
+	var late provider.StartOrder
+	s.owners[0].started = func(o provider.StartOrder) {
+		if o.Host.ID == s.workers[0].host.ID {
+			late = o
+		}
+	}
+	s.owners[0].take()
+	s.run(1500 * time.Millisecond)
+	s.owners[0].kill()
+	s.restartOne(0, 500*time.Millisecond, false)
+	s.run(2100 * time.Millisecond)
+	late.Deadline = s.workers[0].clock() + 700
+	late.Attempt++
+	s.workers[0].start(late) // carried out late, by the next incarnation
+	s.owners[1].take()
+	s.after(3*time.Millisecond, func() { s.owners[1].noWorker[0] = true }) // once it has answered
+	s.after(1500*time.Millisecond, func() { s.owners[1].noWorker[0] = false })
+	s.run(quiet)
+	s.mustComplete(4)
+}
--- a/cell/survey.go
+++ b/cell/survey.go
@@ -54,6 +54,15 @@
 	s.open[w] = struct{}{}
 }
 
+// replace has the next incarnation of a worker asked in its place: it may have carried out
+// an order of an earlier owner that came late.
+func (s *survey) replace(w, next *worker) {
+	if _, ok := s.open[w]; ok {
+		delete(s.open, w)
+		s.add(next)
+	}
+}
+
 // begin starts the wait. An earlier owner that is cut off from the store goes
 // on extending leases for Timing.Isolation, and the last one runs for the
 // longest lease of the worker's clock.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -187,11 +187,17 @@
 	return &h
 }
 
-// lose ends all runs of a worker whose life is over.
+// lose gives up a worker that is down.
 func (c *Cell) lose(w *worker, reason string) {
 	if w.lost {
 		return
 	}
+	c.endIncarnation(w, reason)
+	c.surveyed(w)
+}
+
+// endIncarnation ends what ran on a worker, and drops it.
+func (c *Cell) endIncarnation(w *worker, reason string) {
 	w.lost = true
 	f := c.failureOf(w)
 	c.noteLost(w, reason, f)
@@ -207,7 +213,6 @@
 			c.endRun(r, provider.EndLost, "")
 		}
 	}
-	c.surveyed(w)
 	c.dropWorker(w)
 	c.relist(w)
 }
