--- a/cell/correlate.go
+++ b/cell/correlate.go
@@ -109,8 +109,8 @@
 }
 
 // mayExplain reports whether the end of a worker tells of a cause beside the tasks
-// that are tried. One that never answered may be a life that was over before, whose
-// entry is still on the list.
+// that are tried. One that never answered may have been over before, with its entry
+// still on the list.
 func (w *worker) mayExplain() bool {
 	return w.asked && w.trial == nil
 }
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -19,7 +19,7 @@
 type hostList struct {
 	read   bool // this owner has taken one
 	newest provider.HostList
-	lives  map[string]string // ID of the worker that is on the list, by machine
+	on     map[string]string // ID of the worker that is on the list, by machine
 	woke   time.Duration     // when the owner went on after it had stood still
 	old    bool              // starts wait for another one
 }
@@ -74,11 +74,11 @@
 		return
 	}
 	on := make(map[string]bool, len(list.Hosts))
-	c.list.lives = make(map[string]string, len(list.Hosts))
+	c.list.on = make(map[string]string, len(list.Hosts))
 	for _, h := range list.Hosts {
 		on[h.ID] = true
 		if h.Machine != "" {
-			c.list.lives[h.Machine] = h.ID
+			c.list.on[h.Machine] = h.ID
 		}
 		c.updateHost(h)
 	}
@@ -150,7 +150,7 @@
 }
 
 // onList reports whether a worker is on the list, or went off it a moment ago
-// without another life of its machine having come.
+// without another worker of its machine having come.
 func (c *Cell) onList(w *worker) bool {
-	return w.listed || c.now < w.listedUntil && c.list.lives[w.host.Machine] == ""
+	return w.listed || c.now < w.listedUntil && c.list.on[w.host.Machine] == ""
 }
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -15,7 +15,7 @@
 )
 
 // askMachines asks the platform what became of workers that are silent. One
-// whose machine is off, or carries another life, runs nothing any more, so its
+// whose machine is off, or carries another worker, runs nothing any more, so its
 // tasks needn't wait for the end of its lease.
 func (c *Cell) askMachines() {
 	if c.asking || c.now-c.askedAt < askEvery || !c.doubts() {
@@ -45,9 +45,8 @@
 }
 
 // machines takes the platform's list of machines. It says nothing of a worker
-// that was heard after it was asked for: the list may tell of the machine's life
-// before this one, whose end would have this one's tasks started again while
-// they run.
+// that was heard after it was asked for: the list may tell of the incarnation
+// before, whose end would have this one's tasks started again while they run.
 func (c *Cell) machines(in MachineList) {
 	c.asking = false
 	if in.Err != nil {
@@ -87,7 +86,7 @@
 	}
 }
 
-// whyDown tells why a worker's life is over by what the platform says of its
+// whyDown tells why a worker is down by what the platform says of its
 // machine; it is empty where that doesn't follow.
 func whyDown(w *worker, m *provider.Machine) string {
 	switch {
@@ -96,7 +95,7 @@
 	case m.State == provider.MachineUnknown:
 		return ""
 	case m.Host != "" && m.Host != w.host.ID:
-		return "machine carries another life"
+		return "machine carries another worker"
 	case m.State != provider.MachineUp:
 		return "machine isn't up"
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -15,7 +15,7 @@
 const (
 	orderUnknown   orderOutcome = iota // it may be carried out, now or later
 	orderFenced                        // a higher token was seen
-	orderElsewhere                     // another life of the worker answered
+	orderElsewhere                     // a worker with another ID answered
 )
 
 func kindOf(err error) orderOutcome {
@@ -36,7 +36,7 @@
 		c.beaten(w.host.ID)
 		return true
 	case orderElsewhere:
-		c.lose(w, "another life answers")
+		c.lose(w, "another worker answers")
 		return true
 	}
 	return false
--- a/cell/wave.go
+++ b/cell/wave.go
@@ -107,12 +107,12 @@
 	c.evacuate(w)
 }
 
-// workerOn returns the worker that is on a machine, as far as is known. A life
-// that is over may be known beside the one on the list, from the record or until
-// it is found out: emptied in its place, it would leave the tasks of the other to
-// be ended with their machine.
+// workerOn returns the worker that is on a machine, as far as is known. One that
+// is gone may be known beside the one on the list, from the record or until it is
+// found out: emptied in its place, it would leave the tasks of the other to be
+// ended with their machine.
 func (c *Cell) workerOn(machine string) *worker {
-	if w := c.workers[c.list.lives[machine]]; w != nil {
+	if w := c.workers[c.list.on[machine]]; w != nil {
 		return w
 	}
 	for _, w := range c.everyWorker() {
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -9,8 +9,8 @@
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
-// Host is one life of a worker that runs tasks of jobs. A worker that restarts may
-// have a new ID or the one it had; the new life runs nothing, knows no token and
+// Host is one incarnation of a worker that runs tasks of jobs. A worker that restarts may
+// have a new ID or the one it had; its next incarnation runs nothing, knows no token, and
 // counts its ends and its clock anew.
 type Host struct {
 	ID               string          `cbor:"1,keyasint"`
@@ -23,7 +23,7 @@
 	Draining         bool            `cbor:"8,keyasint,omitempty"`
 	Left             time.Duration   `cbor:"9,keyasint,omitempty"`  // at least so long until a draining worker goes
 	Cold             time.Duration   `cbor:"10,keyasint,omitempty"` // slow for so long after its start
-	Born             uint64          `cbor:"11,keyasint,omitempty"` // start of this life, milliseconds since 1970; zero where the platform doesn't say
+	Born             uint64          `cbor:"11,keyasint,omitempty"` // start of this incarnation, milliseconds since 1970; zero where the platform doesn't say
 }
 
 // HostList is the platform's list of workers, whole, with all that was written
@@ -75,7 +75,7 @@
 
 // Ended is a run that a worker lists until it is acknowledged.
 type Ended struct {
-	Number     uint64 // counts the ends of one life of the worker from 1
+	Number     uint64 // counts the ends of one incarnation from 1
 	Task       string
 	Attempt    uint64
 	How        End
@@ -85,7 +85,7 @@
 // Held is a worker's answer to a HoldOrder: all that runs there, and all ends
 // that aren't acknowledged.
 type Held struct {
-	Born    uint64 // start of the life that answers, as in Host
+	Born    uint64 // start of the incarnation that answers, as in Host
 	Clock   int64  // worker's steady clock, milliseconds
 	Running []Run
 	Ended   []Ended
@@ -141,10 +141,10 @@
 	RefusedOther                 // other
 )
 
-// Executor gives orders to workers. An error of kind fault.NotFound says that
-// another life of the worker, or another worker, answered at the address; one
-// of kind fault.StaleEpoch that a higher token was seen. After fault.MayHaveRun
-// an order may still be carried out.
+// Executor gives orders to workers. An error of kind fault.NotFound says that a
+// worker with another ID answered at the address, one of kind fault.StaleEpoch
+// that a higher token was seen. After fault.MayHaveRun an order may still be
+// carried out, also by the next incarnation under the ID.
 type Executor interface {
 	Hold(ctx context.Context, order HoldOrder) (Held, error)
 	Start(ctx context.Context, order StartOrder) (Refusal, error)
@@ -175,7 +175,7 @@
 	MachineUnknown // what the platform says of it isn't understood
 )
 
-// Machine is a machine that carries one life of a worker at a time. One without
+// Machine is a machine that carries one incarnation of a worker at a time. One without
 // an ID is of state MachineUnknown: any machine that isn't on its list may be it.
 type Machine struct {
 	ID    string
--- a/relay/wire/wire.go
+++ b/relay/wire/wire.go
@@ -87,8 +87,8 @@
 // Outcome is what became of an order.
 type Outcome uint8
 
-// Outcomes: the worker answered; it has seen a higher token; another life of it, or
-// another worker, answered; it refused; the order wasn't sent; it was sent and has no
+// Outcomes: the worker answered; it has seen a higher token; a worker with
+// another ID answered; it refused; the order wasn't sent; it was sent and has no
 // answer; it came so late that it wasn't sent.
 const (
 	Answered Outcome = iota
