Crashes of workers that leave count against the tasks that had just begun there

Cause: what is lost with a worker that has said that it leaves counted as lost by its leaving. A worker that leaves gets no new tasks for seconds before it goes, so nothing has just begun there when it does.

Change: only workers that go down by our own order for upkeep are left out.

TestCrashesOfLeavingWorkers failed before.

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // crashers has the tasks of some jobs crash the workers that start them. A name is
@@ -277,3 +278,25 @@
 		s.mustTell(jobs)
 	})
 }
+
+// Guards against crashes that count for nothing as their workers had said that they leave.
+func TestCrashesOfLeavingWorkers(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		is := is.New(t)
+		s := newSite(t, 1150, 12, 1)
+		s.keepNames = keep
+		s.entryTime = time.Second
+		s.crashers(jobID(0) + ".0.0.0")
+		fill(s, 3)
+		s.owners[0].started = func(o provider.StartOrder) {
+			w := s.worker(o.Host)
+			if s.crashing(o.Task) {
+				w.leaves, w.leavesAt = true, s.now // and crashes before it has left
+			}
+		}
+		s.owners[0].take()
+		s.run(quiet)
+		is.Equal(s.broken, nil)
+		is.Equal(s.state(jobID(0)), "failed")
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -201,8 +201,10 @@
 	w.lost = true
 	f := c.failureOf(w)
 	c.noteLost(w, reason, f)
-	if !w.host.Draining && !w.leaving {
+	if !w.leaving {
 		c.crashAll(w, f)
+	}
+	if !w.leaving && !w.host.Draining {
 		c.survey.noteCrash(w)
 	}
 	c.noteDown(w, c.downSpan(w))
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -192,6 +192,7 @@
 // restart ends the worker's life; another one comes up after down under its ID.
 func (w *fakeWorker) restart(down time.Duration) {
 	before := w.host
+	before.Draining = w.leaves
 	w.site.lives++
 	w.restarts = true
 	w.crash(down, w.site.lives)
