Incarnations of one worker that go down together count as one

Cause: a crash counts for nothing where half of the pool, six at least, may have gone down at the same moment. What went down is remembered by incarnation for four seconds, so that three machines that came back and went down again were six, and half of a pool of six.

Evidence: the log line of the crash that wasn't counted has others=6 and correlated=true; the lines of the workers lost in its span are of four machines.

Change: others are counted by their machine, and its own earlier incarnations aren't among them.

--- a/cell/correlate.go
+++ b/cell/correlate.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/provider"
@@ -51,31 +52,37 @@
 	return failure{others: len(others), correlated: c.correlated(w, others)}
 }
 
+// place returns what a worker is counted by: several of its incarnations are one worker.
+func (w *worker) place() string {
+	return cmp.Or(w.host.Machine, w.host.ID)
+}
+
 // failedWith returns the other workers that may have gone down at the same moment as
-// this one, leaving out those with a trial of their own.
-func (c *Cell) failedWith(w *worker) map[*worker]bool {
+// this one, by place, leaving out those with a trial of their own.
+func (c *Cell) failedWith(w *worker) map[string]*worker {
 	span := c.downSpan(w)
-	others := make(map[*worker]bool)
+	others := make(map[string]*worker)
 	for other, at := range c.down {
-		if other != w && at.overlaps(span) {
-			others[other] = true
+		if at.overlaps(span) {
+			others[other.place()] = other
 		}
 	}
 	for _, other := range c.everyWorker() {
-		if _, noted := c.down[other]; noted || other == w {
+		if _, noted := c.down[other]; noted {
 			continue
 		}
 		if other.mayExplain() && other.misses > 0 && c.downSpan(other).overlaps(span) {
-			others[other] = true
+			others[other.place()] = other
 		}
 	}
+	delete(others, w.place())
 	return others
 }
 
 // correlated reports whether what took a worker down took its like, too. Which label
 // is that of a rack isn't said, so any may be: half of all workers of a kind don't go
 // at one moment by chance either.
-func (c *Cell) correlated(w *worker, others map[*worker]bool) bool {
+func (c *Cell) correlated(w *worker, others map[string]*worker) bool {
 	if len(others) < rackFailures {
 		return false
 	}
@@ -84,7 +91,7 @@
 	}
 	for _, label := range w.host.Labels {
 		down := 0
-		for other := range others {
+		for _, other := range others {
 			if other.host.HasLabel(label) {
 				down++
 			}
@@ -98,10 +105,10 @@
 
 // stillUp returns how many workers with a label go on, but for one and those that went
 // down with it.
-func (c *Cell) stillUp(w *worker, label string, others map[*worker]bool) int {
+func (c *Cell) stillUp(w *worker, label string, others map[string]*worker) int {
 	n := 0
 	for _, other := range c.pools[w.host.Service] {
-		if other != w && other.asked && !others[other] && other.host.HasLabel(label) {
+		if other.place() != w.place() && other.asked && others[other.place()] == nil && other.host.HasLabel(label) {
 			n++
 		}
 	}
--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"testing"
@@ -131,7 +132,7 @@
 	case !w.up:
 	case dark:
 		s.lives++
-		w.crash(2*time.Second, s.lives)
+		w.crash(cmp.Or(s.backAfter, 2*time.Second), s.lives)
 	default:
 		w.reset()
 	}
@@ -300,3 +301,21 @@
 		is.Equal(s.state(jobID(0)), "failed")
 	}
 }
+
+// Guards against several incarnations of few workers that count as half of a pool.
+func TestFewWorkersThatCrashAgainAndAgain(t *testing.T) {
+	eachSeed(t, 3*crashSeeds, func(t *testing.T, seed uint64) {
+		const jobs, every = 60, 150 * time.Millisecond
+		s := newSite(t, 1160+seed, 7, 2)
+		s.keepNames = seed%2 == 0
+		s.dark = seed%4 >= 2
+		s.noMachines = true
+		s.backAfter = 700 * time.Millisecond
+		s.crashEach(3, jobs)
+		s.arrive(jobs, every)
+		s.owners[0].take()
+		s.after(3*time.Second, func() { s.takeover(0, 1) })
+		s.run(jobs*every + 4*quiet)
+		s.mustTell(jobs)
+	})
+}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -55,20 +55,22 @@
 	ran          map[string]bool // tasks that ended well
 	failures     map[string]int  // acknowledged failures by task
 
-	dark      bool                   // workers that a task crashes go without a word
-	rack      int                    // workers in a rack
-	crashing  func(task string) bool // tasks that crash the worker that starts them; nil for none
-	crashes   map[string]int         // workers that such a task has crashed
-	beyond    map[string]int         // its starts since the third
-	lives     int                    // of workers that came back
-	onRecord  bool                   // each start is held against the record of workers
-	lateReach bool                   // late orders reach the next incarnation of their worker as well
-	keepsMark bool                   // workers take an acknowledgement for ends to come as well
-	keepNames bool                   // workers that were reset come back under their old IDs
-	failing   func(task string, attempt uint64) bool
-	unhealthy func(*fakeWorker) bool // fails all that ends there; nil for none
-	length    func(task string) time.Duration
-	tail      func(task string, w *fakeWorker) time.Duration // of serving tasks; nil reports none
+	dark       bool                   // workers that a task crashes go without a word
+	rack       int                    // workers in a rack
+	crashing   func(task string) bool // tasks that crash the worker that starts them; nil for none
+	crashes    map[string]int         // workers that such a task has crashed
+	beyond     map[string]int         // its starts since the third
+	lives      int                    // of workers that came back
+	backAfter  time.Duration          // until a worker that crashed is back, if not the usual time
+	noMachines bool                   // the site has no list of machines
+	onRecord   bool                   // each start is held against the record of workers
+	lateReach  bool                   // late orders reach the next incarnation of their worker as well
+	keepsMark  bool                   // workers take an acknowledgement for ends to come as well
+	keepNames  bool                   // workers that were reset come back under their old IDs
+	failing    func(task string, attempt uint64) bool
+	unhealthy  func(*fakeWorker) bool // fails all that ends there; nil for none
+	length     func(task string) time.Duration
+	tail       func(task string, w *fakeWorker) time.Duration // of serving tasks; nil reports none
 }
 
 type event struct {
@@ -437,6 +439,10 @@
 
 func (s *site) machines() cell.MachineList {
 	list := cell.MachineList{Sent: s.now - hop}
+	if s.noMachines {
+		list.Err = fault.New(fault.Unavailable, "the site has no list of machines")
+		return list
+	}
 	for _, w := range s.workers {
 		m := provider.Machine{ID: w.host.Machine, Host: w.host.ID, State: provider.MachineUp}
 		if !w.up {
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -178,7 +179,7 @@
 		return
 	}
 	w.site.lives++
-	w.crash(3*time.Second, w.site.lives)
+	w.crash(cmp.Or(w.site.backAfter, 3*time.Second), w.site.lives)
 }
 
 // hangUp resets the worker's connections; no new ones are accepted.
