--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -437,6 +437,17 @@
 	})
 }
 
+// down returns how many workers are down.
+func (s *site) down() int {
+	n := 0
+	for _, w := range s.workers {
+		if !w.up {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *site) machines() cell.MachineList {
 	list := cell.MachineList{Sent: s.now - hop}
 	if s.noMachines {
--- a/cell/wave_test.go
+++ b/cell/wave_test.go
@@ -66,13 +66,7 @@
 			}
 			var watch func()
 			watch = func() {
-				down := 0
-				for _, w := range s.workers {
-					if !w.up {
-						down++
-					}
-				}
-				if down > tt.most {
+				if down := s.down(); down > tt.most {
 					s.violate("%d machines are down", down)
 				}
 				if s.waves[3] && len(s.upkeeps) < 4 {
@@ -101,13 +95,7 @@
 	most := 0
 	var watch func()
 	watch = func() {
-		down := 0
-		for _, w := range s.workers {
-			if !w.up {
-				down++
-			}
-		}
-		most = max(most, down)
+		most = max(most, s.down())
 		s.after(tickTime, watch)
 	}
 	s.after(0, watch)
