Tokens begin at the term; terms are 4096 apart

Cause: tokens were made 4096 times the term, so that each incarnation of a worker has one of its own.

Change: the space is in the terms. A claim takes the next multiple of 4096; an owner's tokens are its term and up. How long a crashed worker is remembered counted terms, and counts owners as before (TestOwnersInHaste fails without).

Failed first: TestFirstTokenIsTheTerm (4096 != 1). New: TestTerms. Tests that named the first attempt as 4097 take it from a constant; what they assert is the same.

The specification has tokens of this shape already (SPAN).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -57,6 +57,15 @@
 	Progress  *progress.Progress
 }
 
+// TermSpacing is the distance between the terms of owners. An owner may use the numbers
+// from its term up to the next one.
+const TermSpacing = 1 << 12
+
+// NextTerm returns the term that follows.
+func NextTerm(term uint64) uint64 {
+	return (term/TermSpacing + 1) * TermSpacing
+}
+
 // Owner tells who owns the cell. An owner that leaves says so, so that others
 // needn't wait for its silence.
 type Owner struct {
--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -202,7 +202,7 @@
 // Guards against attempts of a new owner that a worker refuses as too low.
 func TestAttemptsRiseOverOwners(t *testing.T) {
 	s := newSite(t, 16, 1, 2)
-	s.failing = func(_ string, attempt uint64) bool { return attempt == 4097 }
+	s.failing = func(_ string, attempt uint64) bool { return attempt == firstAttempt }
 	fill(s, 2)
 	s.owners[0].take()
 	s.relay(1, 5*time.Second)
@@ -226,7 +226,7 @@
 func TestLostAnswersOfTheStore(t *testing.T) {
 	s := newSite(t, 7, 4, 3)
 	s.lostSaves = 0.4
-	s.failing = func(_ string, attempt uint64) bool { return attempt == 4097 } // the first start of each task
+	s.failing = func(_ string, attempt uint64) bool { return attempt == firstAttempt } // the first start of each task
 	fill(s, 16)
 	s.owners[0].take()
 	for i, at := range []time.Duration{2500, 4100, 6000} {
@@ -407,7 +407,7 @@
 	for _, w := range s.workers {
 		is.Equal(len(w.barred), int(w.count)) // each run ended once, by itself
 		for _, e := range w.barred {
-			is.True(e < 4098) // and no task needed a second attempt
+			is.True(e <= firstAttempt) // and no task needed a second attempt
 		}
 	}
 }
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -227,6 +227,9 @@
 	most     int // of them at any time
 }
 
+// firstAttempt is the number of the first start of a task by the first owner.
+const firstAttempt = catalog.TermSpacing<<12 + 1
+
 // take makes the owner claim the cell, as an instance does that reaches the
 // store and took the last owner for gone.
 func (o *owner) take() {
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
@@ -42,22 +43,13 @@
 	c.hold(next)
 }
 
-// TokensPerTerm is how many incarnations of a worker one owner may order. Tokens of a
-// later owner are above them.
-const TokensPerTerm = 1 << 12
-
-// firstToken returns the token of orders to workers that this owner knows no earlier
-// incarnation of. Each incarnation gets a higher one than those before it, so that it
-// carries out no order that was given to them and comes late.
-func (c *Cell) firstToken() uint64 {
-	return c.self.Term * TokensPerTerm
-}
-
-// nextToken returns the token of the next incarnation of a worker. An owner that has
-// used all of its tokens gives the cell up, and the next one has as many again.
+// nextToken returns the token of orders to the next incarnation of a worker: the term,
+// if this owner knows none before it. Each gets a higher one than those before it, so
+// that it carries out no order that was given to them and comes late. An owner that has
+// used all tokens below the next term gives the cell up.
 func (c *Cell) nextToken(id string) uint64 {
-	token := max(c.firstToken(), c.tokens[id])
-	if token >= c.firstToken()+TokensPerTerm {
+	token := max(c.self.Term, c.tokens[id])
+	if token >= catalog.NextTerm(c.self.Term) {
 		c.depose("worker " + id + " has restarted too often for one term")
 	}
 	return token
@@ -97,7 +89,7 @@
 // assumeLease takes the lease of a worker that has restarted for as long as an order to
 // the incarnation before may have made it.
 func (c *Cell) assumeLease(w *worker) {
-	if w.token > c.firstToken() {
+	if w.token > c.self.Term {
 		w.deadline = max(w.deadline, w.clock+c.timing.MaxLease.Milliseconds())
 	}
 }
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -173,6 +173,16 @@
 	}
 }
 
+// Guards against workers that refuse an owner of a version that has one token for all of them, its term.
+func TestFirstTokenIsTheTerm(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1502, 2, 1)
+	s.owners[0].ordered = func(o provider.HoldOrder) { is.Equal(o.Token, s.store.term) }
+	s.owners[0].take()
+	s.run(time.Second)
+	is.True(s.workers[0].token > 0)
+}
+
 // Guards against a worker that restarts more often than an owner has tokens for it.
 func TestTokensOfATermRunOut(t *testing.T) {
 	is := is.New(t)
--- a/cell/store_test.go
+++ b/cell/store_test.go
@@ -45,7 +45,7 @@
 }
 
 func (l *logStore) claim(instance string) uint64 {
-	l.term++
+	l.term = catalog.NextTerm(l.term)
 	l.last = 1
 	clear(l.answers)
 	l.answers[1] = nil
--- a/cell/survey.go
+++ b/cell/survey.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/catalog"
+)
 
 // survey is what a new owner has to find out before it may start tasks that
 // an earlier owner may have started: what runs on each worker that it may
@@ -14,16 +18,16 @@
 	untold  bool              // not all of them are on record
 }
 
-// crashedTerms is for how many owners a crashed worker is remembered. Those that are
+// crashedOwners is for how many owners a crashed worker is remembered. Those that are
 // followed in haste don't come to deal with what may have crashed it.
-const crashedTerms = 8
+const crashedOwners = 8
 
 // remember takes over the crashed workers that owners not long before found.
 func (s *survey) remember(term uint64, crashed map[string]uint64) {
 	s.term = term
 	s.crashed = make(map[string]uint64)
 	for id, found := range crashed {
-		if term-found <= crashedTerms {
+		if (term-found)/catalog.TermSpacing <= crashedOwners {
 			s.crashed[id] = found
 		}
 	}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -21,7 +21,7 @@
 	asked       bool          // it has answered this owner; its runs are known
 	born        uint64        // start of the incarnation that answers, zero where that isn't known
 	lost        bool          // that incarnation of it is over
-	token       uint64        // of orders to it; see firstToken
+	token       uint64        // of orders to it; see nextToken
 	since       time.Duration // when it became known
 
 	runs    map[string]*run // by task name
--- a/election/election.go
+++ b/election/election.go
@@ -122,5 +122,5 @@
 
 // Term returns the term to claim with.
 func (e *Election) Term() uint64 {
-	return e.owner.Term + 1
+	return catalog.NextTerm(e.owner.Term)
 }
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -64,5 +64,25 @@
 	e.Failed(time.Second)
 	is.True(!e.Stand(1100*time.Millisecond, 0))
 	is.True(e.Stand(1400*time.Millisecond, 0))
-	is.Equal(e.Term(), uint64(1))
+}
+
+// Guards against an owner whose tokens reach into the next one's.
+func TestTerms(t *testing.T) {
+	tests := []struct {
+		name       string
+		last, next uint64
+	}{
+		{"no owner before", 0, catalog.TermSpacing},
+		{"an owner of a version that counted terms", 57, catalog.TermSpacing},
+		{"an owner that has given all of its tokens", 2*catalog.TermSpacing - 1, 2 * catalog.TermSpacing},
+		{"an owner", 2 * catalog.TermSpacing, 3 * catalog.TermSpacing},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := election.New("e1", 7, 1, election.DefaultTiming(), half)
+			e.Observe(0, catalog.Owner{Term: tt.last})
+			is.Equal(e.Term(), tt.next)
+		})
+	}
 }
