Cordoned availability zones get no new tasks

Cause: the requests to empty a zone were records of a key that the adapter passed over, so no owner knew of them.

Package cell counts a worker of a cordoned zone as not usable: starts, gangs, moves and advice go by that. What runs there goes on, as the request is about what is sent.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -71,6 +71,7 @@
 	saves       saver
 	survey      survey
 	list        hostList
+	cordoned    map[string]bool // availability zones whose workers get no new tasks
 	pressure    *pressure.Estimator
 	plan        *colocation.Plan
 	plannedAt   time.Duration
@@ -175,6 +176,8 @@
 		c.paced(in)
 	case Waves:
 		c.setWaves(in.Waves)
+	case Cordoned:
+		c.cordon(in.AvailabilityZones)
 	case Advised:
 		c.advised(in)
 	case UpkeepReply:
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -40,6 +40,7 @@
 	advised        func(host string) bool   // whether a worker may run what needs advice
 	ticketsRefused int
 	wanted         []provider.Wave   // waves that the operators ask for
+	cordoned       []string          // availability zones that get no new tasks
 	strays         []provider.Host   // entries on the list that no worker stands behind
 	taken          func(*fakeWorker) // told of a worker whose machine goes down for upkeep
 
@@ -218,6 +219,7 @@
 	listTime time.Duration     // that a read of it takes
 	list     provider.HostList // as it last read it, in whichever term
 	noWorker map[int]bool
+	cordoned []string // availability zones, as it was told
 	life     int
 	asking   int                      // questions for the adviser that are under way
 	noted    func(event string)       // told of what the owner logs
@@ -251,6 +253,8 @@
 	o.life++
 	o.queued = nil
 	o.step(cell.Configured{Table: s.table})
+	o.cordoned = s.cordoned
+	o.step(cell.Cordoned{AvailabilityZones: o.cordoned})
 	o.step(cell.Hosts{List: o.list})
 	o.step(cell.Waves{Waves: s.wanted})
 	o.tick(o.life)
@@ -307,6 +311,10 @@
 			}
 		}
 	}
+	if !slices.Equal(o.cordoned, s.cordoned) {
+		o.cordoned = s.cordoned
+		o.step(cell.Cordoned{AvailabilityZones: o.cordoned})
+	}
 	o.readList()
 }
 
@@ -383,6 +391,9 @@
 		})
 	case cell.Start:
 		s.checkLife(o.list, a.Order.Host)
+		if slices.Contains(o.cordoned, zoneOf(s.worker(a.Order.Host).number)) {
+			s.violate("%s is started in a cordoned availability zone", a.Order.Task)
+		}
 		if o.started != nil {
 			o.started(a.Order)
 		}
--- a/cell/input.go
+++ b/cell/input.go
@@ -76,6 +76,11 @@
 	Waves []provider.Wave
 }
 
+// Cordoned are the availability zones whose workers get no new tasks, all of them.
+type Cordoned struct {
+	AvailabilityZones []string
+}
+
 // Advised is the outcome of an Advise.
 type Advised struct {
 	Job         string
@@ -121,6 +126,7 @@
 func (PaceReply) input()   {}
 func (Saved) input()       {}
 func (Waves) input()       {}
+func (Cordoned) input()    {}
 func (Advised) input()     {}
 func (UpkeepReply) input() {}
 func (Forgotten) input()   {}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -144,7 +144,7 @@
 
 // usable reports whether new tasks may be started on a worker.
 func (c *Cell) usable(w *worker) bool {
-	return w.registered && c.onList(w) && w.entered() && w.asked && !w.lost && !w.leaving && !w.host.Draining &&
+	return w.registered && c.onList(w) && w.entered() && w.asked && !w.lost && !w.leaving && !w.host.Draining && !c.cordoned[w.host.AvailabilityZone] &&
 		w.misses == 0 && c.now-w.heard < c.timing.IdleWait+c.timing.Silence && c.now >= w.resting
 }
 
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -68,13 +68,14 @@
 		number: number,
 		up:     true,
 		host: provider.Host{
-			ID:       fmt.Sprintf("w%d-%d", number, life),
-			Address:  fmt.Sprintf("10.0.0.%d:1", number),
-			Service:  service,
-			Machine:  fmt.Sprintf("m%d", number),
-			Labels:   []string{fmt.Sprintf("r%d", number/s.rack)},
-			Capacity: resource.Vector{Processors: workerCores, Memory: workerMemory},
-			Born:     bornAt(s.now, number, life),
+			ID:               fmt.Sprintf("w%d-%d", number, life),
+			Address:          fmt.Sprintf("10.0.0.%d:1", number),
+			Service:          service,
+			AvailabilityZone: zoneOf(number),
+			Machine:          fmt.Sprintf("m%d", number),
+			Labels:           []string{fmt.Sprintf("r%d", number/s.rack)},
+			Capacity:         resource.Vector{Processors: workerCores, Memory: workerMemory},
+			Born:             bornAt(s.now, number, life),
 		},
 		runs:   make(map[string]*fakeRun),
 		barred: make(map[string]uint64),
@@ -83,6 +84,11 @@
 	}
 }
 
+// zoneOf returns the availability zone of a worker, one of two.
+func zoneOf(number int) string {
+	return fmt.Sprintf("z%d", number%2)
+}
+
 // bornAt returns the time of day at which an incarnation started, by the clock of its
 // machine, which may have been set back or ahead since the one before.
 func bornAt(now time.Duration, number, life int) uint64 {
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -49,6 +49,9 @@
 		case waves := <-d.wavesIn:
 			d.waves = waves
 			d.step(cell.Waves{Waves: waves})
+		case zones := <-d.cordonsIn:
+			d.cordoned = zones
+			d.step(cell.Cordoned{AvailabilityZones: zones})
 		case list := <-d.lists:
 			d.takeList(list)
 		case <-leave:
@@ -236,6 +239,9 @@
 	d.counters.owned.Add(1)
 	d.logger.Info("owner", zap.Uint64("term", term), zap.Int("jobs", d.catalog.Len()), zap.Int("workers", len(d.catalog.Hosts())))
 	d.step(cell.Configured{Table: d.table.Load()})
+	if len(d.cordoned) > 0 {
+		d.step(cell.Cordoned{AvailabilityZones: d.cordoned})
+	}
 	d.giveList()
 	d.step(cell.Waves{Waves: d.waves})
 	if d.isLeaving() {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -93,6 +93,8 @@
 	lists       chan provider.HostList
 	waves       []provider.Wave
 	wavesIn     chan []provider.Wave
+	cordoned    []string // availability zones
+	cordonsIn   chan []string
 }
 
 // Option sets up a Dispatcher.
@@ -135,21 +137,22 @@
 func New(p Platform, opts ...Option) *Dispatcher {
 	begun := time.Now()
 	d := &Dispatcher{
-		platform: p,
-		nonce:    rand.Uint64(),
-		timing:   cell.DefaultTiming(),
-		logger:   zap.NewNop(),
-		clock:    func() time.Duration { return time.Since(begun) },
-		catalog:  catalog.New(),
-		inputs:   make(chan cell.Input, 4096),
-		woken:    make(chan struct{}, 1),
-		leave:    make(chan struct{}),
-		left:     make(chan struct{}),
-		claims:   make(chan claim, 1),
-		lists:    make(chan provider.HostList, 1),
-		wavesIn:  make(chan []provider.Wave, 1),
-		onOwning: func(bool) {},
-		readList: func(context.Context) error { return nil },
+		platform:  p,
+		nonce:     rand.Uint64(),
+		timing:    cell.DefaultTiming(),
+		logger:    zap.NewNop(),
+		clock:     func() time.Duration { return time.Since(begun) },
+		catalog:   catalog.New(),
+		inputs:    make(chan cell.Input, 4096),
+		woken:     make(chan struct{}, 1),
+		leave:     make(chan struct{}),
+		left:      make(chan struct{}),
+		claims:    make(chan claim, 1),
+		lists:     make(chan provider.HostList, 1),
+		wavesIn:   make(chan []provider.Wave, 1),
+		cordonsIn: make(chan []string, 1),
+		onOwning:  func(bool) {},
+		readList:  func(context.Context) error { return nil },
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -244,6 +247,12 @@
 	replace(d.wavesIn, waves)
 }
 
+// SetCordons hands over the availability zones whose workers the operators want to
+// get no new tasks, all of them.
+func (d *Dispatcher) SetCordons(zones []string) {
+	replace(d.cordonsIn, zones)
+}
+
 // replace puts a value into a channel of one, in place of an older one that
 // nobody has looked at.
 func replace[T any](c chan T, value T) {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -441,6 +441,29 @@
 	})
 }
 
+// Guards against a new owner that hasn't heard of cordons from before its term.
+func TestTakeoverKeepsCordons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		workers := &muteWorkers{}
+		clock := newClock()
+		d := dispatcher.New(dispatcher.Platform{Store: newSlowStore(2 * time.Millisecond), Executor: workers}, dispatcher.WithClock(clock))
+		d.Configure(onePool())
+		d.SetCordons([]string{"z1"})
+		go list(ctx, d, clock, provider.Host{ID: "w1", Service: "pool", AvailabilityZone: "z1"})
+		go func() { _ = d.Run(ctx) }()
+		is.NoErr(d.Submit(ctx, newJob(1)))
+		time.Sleep(3 * time.Second)
+		is.Equal(workers.started(), 0)
+		d.SetCordons(nil)
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(workers.started(), 1)
+		cancel()
+		time.Sleep(3 * time.Second) // for the holds that are under way
+	})
+}
+
 // fallenOwner puts an owner on record that writes nothing further, and returns the
 // record.
 func fallenOwner(ctx context.Context, is *is.I, store *slowStore) provider.KeyedRecord {
