Order of what waits: filling tasks by what is left of their job, once some are late

Package ranking, which takes the order out of package cell: by due while all of a priority can be in time; where some work of it is late, filling tasks go by the least work that is left of their job. Whoever runs the system sets nothing for it. Other tasks go by due as before: room is reserved for them, and their order isn't what binds.

--- a/cell/backlog.go
+++ b/cell/backlog.go
@@ -1,6 +1,9 @@
 package cell
 
-import "github.com/dogwoodladder/dogwoodladder/overload"
+import (
+	"github.com/dogwoodladder/dogwoodladder/overload"
+	"github.com/dogwoodladder/dogwoodladder/ranking"
+)
 
 // backlog returns what waits because this owner doesn't keep up or its workers have no
 // room, nil if neither is so.
@@ -48,7 +51,7 @@
 	if s.spec.Lasting || s.spec.Fills || len(s.ready) == 0 {
 		return false
 	}
-	return s.standing != inTime && s.tried > 0 && c.now-s.ready[0].waits >= overload.RoomPatience
+	return s.rank.Standing != ranking.InTime && s.tried > 0 && c.now-s.ready[0].waits >= overload.RoomPatience
 }
 
 // processorsOf returns the processors of a service's workers that may get tasks.
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -35,6 +35,7 @@
 	"github.com/dogwoodladder/dogwoodladder/pressure"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/queue"
+	"github.com/dogwoodladder/dogwoodladder/ranking"
 )
 
 // attemptsPerTerm is how many times one owner may start a task. Attempts of a
@@ -61,9 +62,10 @@
 	all         []*worker            // in a fixed order, nil if it has to be made anew
 	pools       map[string][]*worker // by service, in a fixed order
 	looks       looks
-	waiting     []*stepState  // steps with tasks to start, the most urgent first
-	sorted      bool          // whether waiting is in order
-	ordered     time.Duration // when waiting was last put in order
+	waiting     []*stepState    // steps with tasks to start, the most urgent first
+	ranking     ranking.Ranking // that waiting is in the order of
+	sorted      bool            // whether waiting is in order
+	ordered     time.Duration   // when waiting was last put in order
 	flow        flow
 	gauge       overload.Gauge
 	changed     bool        // whether a start may have become possible
--- a/cell/job.go
+++ b/cell/job.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodladder/dogwoodladder/delay"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/progress"
+	"github.com/dogwoodladder/dogwoodladder/ranking"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
@@ -53,8 +54,7 @@
 	inherited []*task         // tried by an earlier owner, with an outcome that isn't known
 	advice    *advice         // where the queue asks for it
 	onHost    map[*worker]int // runs by worker, kept for PerWorker
-	standing  standing
-	due       time.Duration // when it has to begin for the job to be in time
+	rank      ranking.Rank
 }
 
 // task is one task of a step.
--- a/cell/urgency.go
+++ b/cell/urgency.go
@@ -1,9 +1,11 @@
 package cell
 
 import (
-	"cmp"
+	"iter"
 	"slices"
 	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/ranking"
 )
 
 // orderSteps puts the steps that wait in order anew, as the time that passes
@@ -15,29 +17,29 @@
 	c.sorted = true
 	c.ordered = c.now
 	for _, s := range c.waiting {
-		s.standing, s.due = c.standing(s)
+		s.rank = c.rankOf(s)
 	}
-	slices.SortStableFunc(c.waiting, byUrgency)
+	c.ranking = ranking.New(c.ranks())
+	slices.SortStableFunc(c.waiting, func(a, b *stepState) int { return c.ranking.Compare(a.rank, b.rank) })
 }
 
-// byUrgency compares steps by their queue's priority, then by how their job
-// stands to its objective, then by when they should be done. Under overload
-// first come, first served makes every job late; so those that can still be in
-// time go before those that can't.
-func byUrgency(a, b *stepState) int {
-	return cmp.Or(
-		cmp.Compare(a.job.terms.Priority, b.job.terms.Priority),
-		cmp.Compare(a.standing, b.standing),
-		cmp.Compare(a.due, b.due),
-	)
+// ranks ranges over the ranks of what waits.
+func (c *Cell) ranks() iter.Seq[ranking.Rank] {
+	return func(yield func(ranking.Rank) bool) {
+		for _, s := range c.waiting {
+			if !yield(s.rank) {
+				return
+			}
+		}
+	}
 }
 
 // await puts a step among those that wait, where its urgency belongs.
 func (c *Cell) await(s *stepState) {
 	s.queued = true
-	s.standing, s.due = c.standing(s)
+	s.rank = c.rankOf(s)
 	at, _ := slices.BinarySearchFunc(c.waiting, s, func(other, s *stepState) int {
-		if byUrgency(other, s) > 0 {
+		if c.ranking.Compare(other.rank, s.rank) > 0 {
 			return 1
 		}
 		return -1 // among equals the newest goes last
@@ -49,43 +51,41 @@
 // seconds long.
 const orderEvery = 200 * time.Millisecond
 
-// standing tells how a job stands to its objective.
-type standing uint8
-
-const (
-	inTime  standing = iota // it can still be met
-	late                    // it can't, but the job is worth something
-	tooLate                 // the job has taken a multiple of its objective
-)
-
 // lastingPatience is how long a lasting task that waits for room lets urgent
 // jobs that came after it go first. It serves for a minute or more, so that
 // some seconds cost it little, while the job would be late.
 const lastingPatience = 20 * time.Second
 
-// lateFactor is the multiple of its objective from which a job that is late is
-// worth nothing to its caller any more.
-const lateFactor = 3
-
-// standing returns how a step's job stands, and when the step has to begin for
-// the job to be in time, by rough estimates.
-func (c *Cell) standing(s *stepState) (standing, time.Duration) {
+// rankOf returns the rank of a step, by rough estimates.
+func (c *Cell) rankOf(s *stepState) ranking.Rank {
 	j := s.job
+	r := ranking.Rank{Priority: j.terms.Priority}
 	if s.spec.Lasting {
-		return inTime, j.arrived + lastingPatience
+		r.Due = j.arrived + lastingPatience
+		return r
 	}
-	begun := j.begin(s.round)
-	objective := j.objective()
-	due := begun + objective - j.chainFrom(s.number)
-	switch {
-	case c.now <= due:
-		return inTime, due
-	case c.now <= begun+lateFactor*objective:
-		return late, due
+	begun, objective := j.begin(s.round), j.objective()
+	r.Due = begun + objective - j.chainFrom(s.number)
+	r.Standing = ranking.StandingOf(c.now, begun, r.Due, objective)
+	if s.spec.Fills {
+		r.Work = s.round.work()
 	}
-	return tooLate, due
+	return r
 }
 
+// work returns the work that is left of a round by its estimates, in core-seconds.
+func (r *round) work() float64 {
+	work := 0.0
+	for _, s := range r.steps {
+		cores := float64(s.spec.Need.Processors) / milliPerCore
+		work += float64(s.left) * cores * s.spec.Estimate.Seconds()
+	}
+	return work
+}
+
+// milliPerCore is how many thousandths a core has.
+const milliPerCore = 1000
+
 // objective returns how long a job may take, by rough estimates.
 func (j *jobState) objective() time.Duration {
 	return time.Duration(max(j.terms.Stretch, 1)*float64(j.chain())) + j.terms.Objective
