--- a/deploy/landing.sh
+++ b/deploy/landing.sh
@@ -19,6 +19,7 @@
 
 small_sites="sites/mizani-dar sites/bmsp-sched further/kanatli-refakat"
 big_sites="grown/mizani-dar-grown grown/bmsp-sched-grown further-grown/kanatli-refakat-grown large/mizani-dar-large"
+new_sites="shifted/mizani-dar-now-grown" # as large as the big ones, hunted like the small ones
 small_days=42 # a site; 40 are asked for, and each third is one of deploy/days
 big_days=8    # of 60 machines or more
 twins=10      # hunted on the small twin of each of these
@@ -38,7 +39,7 @@
 
 hunts() {
 	local s
-	for s in $small_sites; do play "hunt-$(basename "$s")" hunt "$KIT/$s.toml" --days $small_days --jobs "$jobs"; done
+	for s in $small_sites $new_sites; do play "hunt-$(basename "$s")" hunt "$KIT/$s.toml" --days $small_days --jobs "$jobs"; done
 	for s in $big_sites; do play "hunt-$(basename "$s")" hunt "$KIT/$s.toml" --days $big_days --jobs "$jobs"; done
 }
 
@@ -47,7 +48,7 @@
 	local s d seed
 	export -f play
 	export BENCH KIT why out
-	for s in $big_sites; do
+	for s in $big_sites $new_sites; do
 		for d in quiet-1 trouble-1 scale-1 trouble-2 scale-2 trouble-3; do
 			grep -q "name = \"$d\"" "$KIT/$s.toml" && echo "small-$(basename "$s")-$d run $KIT/$s.toml $d --small"
 		done
@@ -59,7 +60,7 @@
 
 days() {
 	local s d
-	for s in $big_sites; do
+	for s in $big_sites $new_sites; do
 		for d in deploy/days/*.toml; do
 			play "day-$(basename "$s")-$(basename "$d" .toml)" run "$KIT/$s.toml" "$d"
 		done
@@ -68,11 +69,12 @@
 
 scores() {
 	local s
-	for s in $small_sites $big_sites; do play "score-$(basename "$s")" score "$KIT/$s.toml" --jobs "$jobs"; done
+	for s in $small_sites $big_sites $new_sites; do play "score-$(basename "$s")" score "$KIT/$s.toml" --jobs "$jobs"; done
 }
 
 sweep() {
-	play sweep sweep "$KIT/large/mizani-dar-large.toml" --jobs "$jobs"
+	local s
+	for s in $big_sites $new_sites; do play "sweep-$(basename "$s")" sweep "$KIT/$s.toml" --jobs "$jobs"; done
 }
 
 case $part in
