Reads of a congested store shrink, last longer and are spread

Cause: a read that timed out was repeated with the same size and timeout after 50 to 400 ms, by every reader in step. Where hundreds of instances fall behind together, the store transmits answers that nobody waits for any more, and the congestion outlives its cause.

Change: package pacing decides size, timeout and delay of each read. Records known to exist are read once at a time by an instance.

--- a/cmd/dogwoodladder/bench.go
+++ b/cmd/dogwoodladder/bench.go
@@ -7,6 +7,7 @@
 	"github.com/dogwoodladder/dogwoodladder/bench/capacity"
 	"github.com/dogwoodladder/dogwoodladder/bench/mixed"
 	"github.com/dogwoodladder/dogwoodladder/bench/quick"
+	"github.com/dogwoodladder/dogwoodladder/bench/readers"
 )
 
 type benchCmd struct {
@@ -14,6 +15,7 @@
 	Mixed    mixedBenchCmd    `cmd:"" help:"Measure what runs beside what."`
 	Batch    batchBenchCmd    `cmd:"" help:"Measure batch work at the planned size."`
 	Capacity capacityBenchCmd `cmd:"" help:"Measure how costs grow with the size of a site, with real processes too."`
+	Readers  readersBenchCmd  `cmd:"" help:"Measure how many readers one store carries after an outage."`
 }
 
 type quickBenchCmd struct {
@@ -62,3 +64,12 @@
 		capacity.WithProgram(program),
 	).Run(os.Stdout)
 }
+
+type readersBenchCmd struct {
+	Seed  uint64 `default:"1" help:"Seed of the random delays."`
+	Sizes []int  `default:"100,300,600,1200,2400" help:"Numbers of readers."`
+}
+
+func (c *readersBenchCmd) Run() error {
+	return readers.Table(os.Stdout, c.Seed, c.Sizes)
+}
--- a/dispatcher/control_test.go
+++ b/dispatcher/control_test.go
@@ -18,7 +18,7 @@
 	return provider.KeyedPage{}, nil
 }
 
-func (emptyStore) Read(context.Context, string, uint64, time.Duration) (provider.KeyedPage, error) {
+func (emptyStore) Read(context.Context, string, uint64, provider.ReadLimit) (provider.KeyedPage, error) {
 	return provider.KeyedPage{}, nil
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -63,8 +63,8 @@
 	return provider.KeyedPage{Records: append([]provider.KeyedRecord(nil), st.records...), Next: uint64(len(st.records))}, nil
 }
 
-func (s *slowStore) Read(ctx context.Context, name string, from uint64, wait time.Duration) (provider.KeyedPage, error) {
-	until := time.Now().Add(wait)
+func (s *slowStore) Read(ctx context.Context, name string, from uint64, limit provider.ReadLimit) (provider.KeyedPage, error) {
+	until := time.Now().Add(limit.Wait)
 	for {
 		s.mu.Lock()
 		if s.unreadable == name {
--- a/provider/keyed.go
+++ b/provider/keyed.go
@@ -31,6 +31,13 @@
 	Sequence uint64
 }
 
+// ReadLimit bounds a read of a stream. A page holds at least one record if there is one,
+// even if that is larger than Bytes.
+type ReadLimit struct {
+	Wait  time.Duration // longest wait for the first record
+	Bytes int           // largest size of the page; zero sets no bound
+}
+
 // Keyed is a store of keyed streams. The newest record of each key is kept
 // forever; older ones can be read for a limited time. An error of kind
 // fault.Unavailable or fault.Overloaded means that nothing was written, one of
@@ -41,9 +48,9 @@
 	// can include records written in the meantime, so a reader continues from the
 	// Next of the first page.
 	Newest(ctx context.Context, stream, after string) (KeyedPage, error)
-	// Read returns records starting at an offset, and waits up to wait for the
-	// first. An offset that is no longer kept gives fault.Expired.
-	Read(ctx context.Context, stream string, from uint64, wait time.Duration) (KeyedPage, error)
+	// Read returns records starting at an offset. An offset that is no longer kept
+	// gives fault.Expired.
+	Read(ctx context.Context, stream string, from uint64, limit ReadLimit) (KeyedPage, error)
 	// Append writes all records or none. A nil writer writes without fencing.
 	Append(ctx context.Context, stream string, writer *Writer, records []KeyedRecord) error
 	// Claim writes one record under a new term of the writer, if the stream still
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -10,27 +10,25 @@
 // After the initial load, records reach apply in the stream's order. A reader that
 // falls behind the records that the stream retains loads the newest records
 // again. Each batch carries the time up to which all writes have been applied, so
-// that a decision knows the maximum age of its data.
+// that a decision knows the maximum age of its data. Reads of a congested store become
+// smaller, longer and rarer, as package pacing decides.
 package tail
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/pacing"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
-// Times of reads. The store answers within milliseconds after a read's wait, and within
-// a quarter of a second when it is slow; a read that takes much longer has lost its
-// connection.
+// Times of reads. Package pacing has those of reads that fail.
 const (
-	defaultWait       = time.Second
-	readTimeoutMargin = 900 * time.Millisecond
-	minRetryDelay     = 50 * time.Millisecond
-	maxRetryDelay     = 400 * time.Millisecond
+	defaultWait = time.Second
 	// pageTimeout bounds the read of a page of newest records. A page has up to 1 MB,
 	// which takes 0.8 s over a link of 10 Mbit/s, and other streams are loaded at the
 	// same time.
@@ -79,6 +77,10 @@
 	asOf          time.Duration // all records written before it have been applied
 	streamEnd     atomic.Uint64 // end offset of the stream in the last response
 
+	catchUpSemaphore chan struct{} // held by a read of records that are known to exist, so that they are transmitted once
+	pacerMu          sync.Mutex    // guards pacer
+	pacer            *pacing.Pacer
+
 	refreshSemaphore chan struct{} // held while a refresh runs, like loadSemaphore
 	upcomingMu       sync.Mutex    // guards upcoming
 	upcoming         *refresh
@@ -129,6 +131,8 @@
 		resumeSignal:     make(chan struct{}, 1),
 		loadSemaphore:    make(chan struct{}, 1),
 		refreshSemaphore: make(chan struct{}, 1),
+		catchUpSemaphore: make(chan struct{}, 1),
+		pacer:            pacing.New(rand.Float64),
 	}
 	for _, opt := range opts {
 		opt(t)
@@ -193,23 +197,20 @@
 
 // Run follows the stream until ctx is done.
 func (t *Tail) Run(ctx context.Context) error {
-	failures := 0
 	for ctx.Err() == nil {
 		t.waitUntilResumed(ctx)
 		sent := time.Now()
 		wait := t.wait
-		if failures > 0 {
+		if t.lastReadFailed.Load() {
 			wait = 0 // detect immediately when reads succeed again
 		}
-		err := t.readOnce(ctx, wait)
+		retryDelay, err := t.readOnce(ctx, wait)
 		t.lastReadFailed.Store(err != nil)
 		if err != nil && ctx.Err() == nil {
 			t.onError(err)
-			failures++
-			sleep(ctx, min(maxRetryDelay, minRetryDelay<<min(failures, 4)))
+			sleep(ctx, retryDelay)
 			continue
 		}
-		failures = 0
 		sleep(ctx, time.Duration(t.spacing.Load())-time.Since(sent))
 	}
 	return nil
@@ -263,7 +264,7 @@
 		}
 	}
 	for {
-		if err := t.readOnce(ctx, 0); err != nil {
+		if _, err := t.readOnce(ctx, 0); err != nil {
 			return err
 		}
 		if from, _ := t.nextOffset(); from >= t.streamEnd.Load() {
@@ -272,25 +273,57 @@
 	}
 }
 
-// readOnce reads the records after the last one applied, or loads the newest records.
-func (t *Tail) readOnce(ctx context.Context, wait time.Duration) error {
+// readOnce reads the records after the last one applied, or loads the newest records. With
+// an error it returns the time until the next read.
+func (t *Tail) readOnce(ctx context.Context, wait time.Duration) (retryDelay time.Duration, err error) {
 	from, loaded := t.nextOffset()
+	if loaded && from < t.streamEnd.Load() {
+		t.catchUpSemaphore <- struct{}{}
+		defer func() { <-t.catchUpSemaphore }()
+		from, loaded = t.nextOffset()
+	}
 	if !loaded {
-		return t.load(ctx)
+		return t.recordOutcome(t.load(ctx), false, 0)
 	}
-	readCtx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	isBehind := from < t.streamEnd.Load()
+	limit := t.limit()
+	readCtx, cancel := context.WithTimeout(ctx, wait+limit.Timeout)
 	defer cancel()
 	sent := t.clock()
-	page, err := t.store.Read(readCtx, t.stream, from, wait)
+	page, err := t.store.Read(readCtx, t.stream, from, provider.ReadLimit{Wait: wait, Bytes: limit.Bytes})
 	if fault.Is(err, fault.Expired) {
 		t.requireLoad()
-		return t.load(ctx)
+		return t.recordOutcome(t.load(ctx), false, 0)
 	}
-	if err != nil {
-		return err
+	took := time.Duration(0) // unknown after a wait for new records
+	if isBehind {
+		took = t.clock() - sent
 	}
-	t.applyPage(from, page, sent)
-	return nil
+	if err == nil {
+		t.applyPage(from, page, sent)
+	}
+	return t.recordOutcome(err, readCtx.Err() != nil, took)
+}
+
+func (t *Tail) limit() pacing.Limit {
+	t.pacerMu.Lock()
+	defer t.pacerMu.Unlock()
+	return t.pacer.Limit()
+}
+
+// recordOutcome records the outcome of a read, and returns it with the time until the next
+// read.
+func (t *Tail) recordOutcome(err error, timedOut bool, took time.Duration) (retryDelay time.Duration, _ error) {
+	t.pacerMu.Lock()
+	defer t.pacerMu.Unlock()
+	switch {
+	case err == nil:
+		t.pacer.Succeeded(took)
+		return 0, nil
+	case timedOut:
+		return t.pacer.Failed(pacing.TimedOut), err
+	}
+	return t.pacer.Failed(pacing.Rejected), err
 }
 
 func (t *Tail) nextOffset() (uint64, bool) {
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -87,7 +87,7 @@
 	return page, nil
 }
 
-func (s *slowLinkStore) Read(ctx context.Context, _ string, from uint64, wait time.Duration) (provider.KeyedPage, error) {
+func (s *slowLinkStore) Read(ctx context.Context, _ string, from uint64, _ provider.ReadLimit) (provider.KeyedPage, error) {
 	if err := s.transfer(ctx, time.Millisecond); err != nil {
 		return provider.KeyedPage{}, err
 	}
@@ -247,3 +247,55 @@
 		is.NoErr(<-first)
 	})
 }
+
+// stallingStore takes a given time for each read of records.
+type stallingStore struct {
+	provider.Keyed
+	mu     sync.Mutex
+	took   time.Duration
+	limits []provider.ReadLimit
+}
+
+func (s *stallingStore) setTook(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.took = d
+}
+
+func (s *stallingStore) Newest(context.Context, string, string) (provider.KeyedPage, error) {
+	return provider.KeyedPage{}, nil
+}
+
+func (s *stallingStore) Read(ctx context.Context, _ string, _ uint64, limit provider.ReadLimit) (provider.KeyedPage, error) {
+	s.mu.Lock()
+	s.limits = append(s.limits, limit)
+	took := s.took
+	s.mu.Unlock()
+	select {
+	case <-time.After(took):
+		return provider.KeyedPage{}, nil
+	case <-ctx.Done():
+		return provider.KeyedPage{}, fault.Wrap(fault.Unavailable, ctx.Err(), "answer")
+	}
+}
+
+// Guards against a reader that gives an answer up and asks for the same again, without end.
+func TestTimedOutReadIsFollowedBySmallerOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &stallingStore{took: 2 * time.Second}
+		reader := tail.New(s, "jobs", func(tail.Batch) {}, tail.WithWait(0), tail.WithSpacing(100*time.Millisecond))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = reader.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		is.True(reader.Age() < 3*time.Second) // a longer read has ended
+		s.setTook(time.Millisecond)
+		time.Sleep(5 * time.Second)
+		is.True(reader.Age() < 200*time.Millisecond)
+		cancel()
+		synctest.Wait()
+		for i, l := range s.limits[1:3] {
+			is.True(l.Bytes < s.limits[i].Bytes)
+		}
+	})
+}
