Only the owner and a few standbys follow the streams of all jobs

Cause: every instance read every record of every job, so that reads and bytes at the store grew with instances times jobs.

Change: the owner selects standbys, four in each availability zone, those with the most processors first (package selection), and writes them with its heartbeat and its backlog to a small fenced stream that all instances read (package roster). Standbys follow both streams, answer the queries of the others over the instances' own connections (packages inquiry and referral: near ones first, failed ones last, an older state only if nobody has a newer one) and succeed the owner. An instance that isn't named follows only if there may be nobody left: the owner is silent for 4.5 s, or no standby answers (package standby).

An instance that stops to follow drops what it knew, and a load of the newest records drops what they don't have: an instance that was away for longer than the stream retains kept deleted jobs, which it would have run again as owner.

Ruled out: asking the owner alone (its processor binds first); heartbeats of standbys over connections from the owner (a zone cut off from the owner would lose its standbys); standbys that volunteer (a herd at each loss).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -402,6 +402,52 @@
 	return nil
 }
 
+// RetainAccepts drops the jobs and cancellations whose keys aren't among the records, which
+// are the newest of all keys of stream Accepts. A reader that was away for longer than
+// the stream retains would otherwise keep jobs that were deleted meanwhile, and an owner
+// would run them again.
+func (c *Catalog) RetainAccepts(records []provider.KeyedRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	keys := keysOf(records)
+	for id, e := range c.entries {
+		if !keys[acceptKey+id] {
+			e.Job = nil
+		}
+		e.Cancelled = e.Cancelled && keys[cancelKey+id]
+		c.deleteIfEmpty(id, e)
+	}
+}
+
+// RetainProgress is RetainAccepts for stream Progress.
+func (c *Catalog) RetainProgress(records []provider.KeyedRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	keys := keysOf(records)
+	for id, e := range c.entries {
+		if !keys[progressKey+id] {
+			e.Progress = nil
+		}
+		c.deleteIfEmpty(id, e)
+	}
+	maps.DeleteFunc(c.hosts, func(id string, _ provider.Host) bool { return !keys[hostKey+id] })
+	maps.DeleteFunc(c.waves, func(n int, _ Wave) bool { return !keys[waveKey+strconv.Itoa(n)] })
+}
+
+func keysOf(records []provider.KeyedRecord) map[string]bool {
+	keys := make(map[string]bool, len(records))
+	for _, r := range records {
+		keys[r.Key] = len(r.Value) > 0
+	}
+	return keys
+}
+
+func (c *Catalog) deleteIfEmpty(id string, e *Entry) {
+	if e.Job == nil && e.Progress == nil && !e.Cancelled {
+		delete(c.entries, id)
+	}
+}
+
 // State returns the state of a job, and whether it was accepted. A job whose
 // cancellation is on record is cancelled, unless it had ended before.
 func (c *Catalog) State(id string) (progress.State, bool) {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -137,3 +137,39 @@
 	is.Equal(c.Backlog(), nil)
 	is.True(c.Progress(provider.KeyedRecord{Key: "backlog", Value: []byte("?")}) != nil)
 }
+
+// Guards against jobs and workers that an instance still knows after their deletion, since it
+// was away for longer than the stream retains records: an owner would run the jobs again.
+func TestLoadDropsWhatWasDeleted(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New()
+	accept := func(id string) provider.KeyedRecord {
+		r, err := catalog.AcceptRecord(&job.Job{ID: id, Queue: "q", Steps: []job.Step{{Count: 1}}})
+		is.NoErr(err)
+		is.NoErr(c.Accept(r))
+		return r
+	}
+	host := func(id string) provider.KeyedRecord {
+		r, err := catalog.HostRecord(id, &provider.Host{ID: id, Address: "10.0.0.1:1"})
+		is.NoErr(err)
+		is.NoErr(c.Progress(r))
+		return r
+	}
+	accept("deleted")
+	kept := accept("kept")
+	is.NoErr(c.Accept(catalog.CancelRecord("deleted")))
+	p, err := catalog.ProgressRecord("deleted", &progress.Progress{State: progress.Running})
+	is.NoErr(err)
+	is.NoErr(c.Progress(p))
+	host("gone")
+	keptHost := host("here")
+
+	c.RetainAccepts([]provider.KeyedRecord{kept, {Key: "a/deleted"}})
+	c.RetainProgress([]provider.KeyedRecord{keptHost})
+	_, known := c.State("deleted")
+	is.Equal(known, false)
+	_, known = c.State("kept")
+	is.True(known)
+	is.Equal(c.Len(), 1)
+	is.Equal(len(c.Hosts()), 1)
+}
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -62,16 +62,19 @@
 }
 
 func (d *Dispatcher) tick() {
+	d.standbys.update(d.cell != nil || d.claiming)
 	if d.cell != nil {
 		d.step(cell.Tick{Wall: time.Now()})
 		if d.cell != nil && d.cell.HasLeft() {
 			d.relinquish("left")
 		}
+		d.standbys.maintain()
 		return
 	}
-	if d.isLeaving() || !d.observeOwner() {
+	if d.isLeaving() || !d.standbys.following.Load() || !d.observeOwner() {
 		return
 	}
+	d.standbys.sendHeartbeat()
 	if !d.claiming && d.canClaim() && d.election.ShouldClaim(d.clock(), d.progress.Age()) {
 		d.startClaim()
 	}
@@ -89,17 +92,7 @@
 
 // streamsLoaded reports whether both streams were read to their ends at least once.
 func (d *Dispatcher) streamsLoaded() bool {
-	select {
-	case <-d.accepts.Loaded():
-	default:
-		return false
-	}
-	select {
-	case <-d.progress.Loaded():
-		return true
-	default:
-		return false
-	}
+	return d.accepts.IsLoaded() && d.progress.IsLoaded()
 }
 
 // applyUpdates applies a new configuration and new records of the streams.
@@ -237,7 +230,9 @@
 	d.setOwning(true, ownerSpacing)
 	d.counters.owned.Add(1)
 	d.logger.Info("owner", zap.Uint64("term", term), zap.Int("jobs", d.catalog.Len()), zap.Int("workers", len(d.catalog.Hosts())))
-	d.step(cell.ConfigChanged{Table: d.table.Load()})
+	if t := d.table.Load(); t != nil {
+		d.step(cell.ConfigChanged{Table: t})
+	}
 	if len(d.cordonedZones) > 0 {
 		d.step(cell.ZonesCordoned{AvailabilityZones: d.cordonedZones})
 	}
@@ -261,6 +256,7 @@
 func (d *Dispatcher) setOwning(owning bool, spacing time.Duration) {
 	d.owning.Store(owning)
 	d.accepts.SetSpacing(spacing)
+	d.standbys.setOwning(owning)
 	d.onOwning(owning)
 }
 
--- a/dispatcher/control_test.go
+++ b/dispatcher/control_test.go
@@ -7,8 +7,11 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/election"
+	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/queue"
 )
 
 // emptyStore holds no records and accepts claims.
@@ -26,6 +29,10 @@
 	return nil
 }
 
+func (emptyStore) Append(context.Context, string, *provider.Writer, []provider.KeyedRecord) error {
+	return nil
+}
+
 // Guards against a cell without an owner on an empty store: the notification of the
 // last read is handled before the read is marked as done, and none follows.
 func TestElectionHearsOfAnEmptyStore(t *testing.T) {
@@ -42,3 +49,20 @@
 	d.tomb.Kill(nil)
 	is.NoErr(d.tomb.Wait())
 }
+
+// Guards against an instance that crashes as it becomes owner of jobs before it has read a
+// configuration.
+func TestOwnerWithoutConfiguration(t *testing.T) {
+	is := is.New(t)
+	d := New(Platform{Store: emptyStore{}}, WithInstance("e1"))
+	record, err := catalog.AcceptRecord(&job.Job{ID: "1", Queue: "q", Steps: []job.Step{{Count: 1}}})
+	is.NoErr(err)
+	is.NoErr(d.catalog.Accept(record))
+	d.becomeOwner(catalog.Owner{Term: catalog.TermSpacing})
+	is.True(d.cell != nil)
+	d.Configure(queue.New(1, queue.Limits{}, nil, nil))
+	d.applyUpdates()
+	is.True(d.cell != nil)
+	d.tomb.Kill(nil)
+	is.NoErr(d.tomb.Wait())
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -68,6 +68,7 @@
 
 	tomb           tomb.Tomb
 	catalog        *catalog.Catalog
+	standbys       *standbys
 	accepts        *tail.Tail
 	progress       *tail.Tail
 	intake         *intake
@@ -154,24 +155,29 @@
 		onOwning:        func(bool) {},
 		readList:        func(context.Context) error { return nil },
 	}
+	d.standbys = newStandbys(d)
 	for _, opt := range opts {
 		opt(d)
 	}
 	d.counters = newCounters(d.clock)
 	d.election = election.New(d.instance, d.nonce, d.processors, election.DefaultTiming(), rand.Float64)
-	d.accepts = d.newTail(catalog.Accepts, d.catalog.Accept, tail.WithSpacing(acceptsSpacing))
-	d.progress = d.newTail(catalog.Progress, d.catalog.Progress, tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
+	d.accepts = d.newTail(catalog.Accepts, d.foldInto(catalog.Accepts, d.catalog.Accept, d.catalog.RetainAccepts), tail.WithSpacing(acceptsSpacing))
+	d.progress = d.newTail(catalog.Progress, d.foldInto(catalog.Progress, d.catalog.Progress, d.catalog.RetainProgress), tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
 	d.intake = newIntake(d)
+	d.standbys.init()
 	return d
 }
 
-func (d *Dispatcher) newTail(stream string, fold func(provider.KeyedRecord) error, opts ...tail.Option) *tail.Tail {
-	outages := &outageLogger{logger: d.logger, dependency: "store", stream: stream}
-	apply := func(b tail.Batch) {
-		outages.handleAnswer()
+// foldInto returns a function that folds the records of a stream into the catalog. Retain
+// drops what a load of the newest records doesn't have.
+func (d *Dispatcher) foldInto(stream string, fold func(provider.KeyedRecord) error, retain func([]provider.KeyedRecord)) tail.Apply {
+	return func(b tail.Batch) {
 		if len(b.Records) == 0 && !b.IsComplete {
 			return
 		}
+		if b.IsComplete {
+			retain(b.Records)
+		}
 		for _, r := range b.Records {
 			if err := fold(r); err != nil {
 				d.logger.Warn("record not understood", zap.String("stream", stream), zap.String("key", r.Key), zap.Error(err))
@@ -179,8 +185,17 @@
 		}
 		d.notifyUpdate()
 	}
+}
+
+// newTail returns a Tail of a stream whose outages are logged.
+func (d *Dispatcher) newTail(stream string, apply tail.Apply, opts ...tail.Option) *tail.Tail {
+	outages := &outageLogger{logger: d.logger, dependency: "store", stream: stream}
+	logged := func(b tail.Batch) {
+		outages.handleAnswer()
+		apply(b)
+	}
 	opts = append(opts, tail.WithErrors(outages.handleFailure), tail.WithClock(d.clock))
-	return tail.New(d.platform.Store, stream, apply, opts...)
+	return tail.New(d.platform.Store, stream, logged, opts...)
 }
 
 // notifyUpdate notifies the control goroutine of a new configuration or new records.
@@ -198,6 +213,7 @@
 		d.tomb.Go(func() error { return d.accepts.Run(inner) })
 		d.tomb.Go(func() error { return d.progress.Run(inner) })
 		d.tomb.Go(func() error { return d.intake.run(inner) })
+		d.standbys.run(inner)
 		d.tomb.Go(d.control)
 		select {
 		case <-ctx.Done():
@@ -273,12 +289,21 @@
 	return d.owning.Load()
 }
 
-// maxReadyAge is the maximum age of the store's last answer for a ready instance. It covers
-// a slow answer and one retry.
-const maxReadyAge = 2500 * time.Millisecond
+// Maximum age of the store's last answer for a ready instance. It covers a slow answer and
+// one retry; that of the roster also covers the wait for a heartbeat.
+const (
+	maxReadyAge       = 2500 * time.Millisecond
+	maxReadyRosterAge = rosterWait + time.Second
+)
 
 // Ready reports whether the instance can accept jobs: it has a configuration, and the
-// store answered reads of both streams recently.
+// store answered its reads recently.
 func (d *Dispatcher) Ready() bool {
-	return d.table.Load() != nil && d.accepts.Age() < maxReadyAge && d.progress.Age() < maxReadyAge
+	if d.table.Load() == nil {
+		return false
+	}
+	if !d.standbys.isCurrent() {
+		return d.standbys.rosterLog.Age() < maxReadyRosterAge && !d.standbys.rosterLog.Failing()
+	}
+	return d.accepts.Age() < maxReadyAge && d.progress.Age() < maxReadyAge
 }
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -11,6 +11,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/inquiry"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/overload"
 	"github.com/dogwoodladder/dogwoodladder/progress"
@@ -235,7 +236,7 @@
 // error of kind fault.Unavailable or fault.Overloaded the job will never run; after one
 // of kind fault.MayHaveRun it may.
 func (d *Dispatcher) Submit(ctx context.Context, j *job.Job) error {
-	if _, known := d.catalog.State(j.ID); known {
+	if _, known := d.catalog.State(j.ID); known && d.standbys.isCurrent() {
 		return nil
 	}
 	record, err := catalog.AcceptRecord(j)
@@ -266,11 +267,11 @@
 	if reason == "" {
 		return nil
 	}
-	if err := d.accepts.Refresh(ctx); err != nil {
+	_, err := d.State(ctx, j.ID)
+	if err != nil && !fault.Is(err, fault.NotFound) {
 		d.logger.Debug("looking up a repeated job failed", zap.String("job", j.ID), zap.Error(err))
-		return nil
 	}
-	if _, known := d.catalog.State(j.ID); known {
+	if !fault.Is(err, fault.NotFound) {
 		return nil
 	}
 	return fault.New(fault.Overloaded, "%s", reason).After(overload.RetryAfter(lag, rand.Float64()))
@@ -292,6 +293,9 @@
 // backlog returns the owner's backlog of starts and its full pools. It is nil if the
 // owner keeps up and has free capacity, or if the last read of its records is too old.
 func (d *Dispatcher) backlog() *overload.Backlog {
+	if !d.standbys.isCurrent() {
+		return d.standbys.backlogOfRoster()
+	}
 	if d.progress.Age() > maxBacklogAge {
 		return nil
 	}
@@ -303,16 +307,34 @@
 const maxBacklogAge = time.Second
 
 // applyRecord applies a record that was just written to the catalog, so that this instance
-// knows it before its next read.
+// knows it before its next read. An instance that doesn't follow the stream keeps nothing.
 func (d *Dispatcher) applyRecord(r provider.KeyedRecord) error {
+	if !d.standbys.isCurrent() {
+		return nil
+	}
 	defer d.notifyUpdate()
 	return d.catalog.Accept(r)
 }
 
-// State returns the state of a job. For an unknown job it reads the store first. It
-// returns fault.NotFound for a job that was never accepted, and fault.Unavailable if
-// that read fails.
+// State returns the state of a job. It returns fault.NotFound for a job that was never
+// accepted, and fault.Unavailable if that can't be found out.
 func (d *Dispatcher) State(ctx context.Context, id string) (progress.State, error) {
+	if d.standbys.isCurrent() {
+		return d.localState(ctx, id)
+	}
+	a, err := d.standbys.ask(ctx, inquiry.Question{Job: id})
+	if err != nil {
+		return progress.Queued, err
+	}
+	if !a.Known {
+		return progress.Queued, fault.New(fault.NotFound, "no job %s", id)
+	}
+	return a.State, nil
+}
+
+// localState returns the state of a job as this instance has read it. For an unknown job it
+// reads the store first.
+func (d *Dispatcher) localState(ctx context.Context, id string) (progress.State, error) {
 	if s, known := d.catalog.State(id); known {
 		if s.Final() || !d.refreshProgress(ctx) {
 			return s, nil
@@ -362,7 +384,12 @@
 	return d.applyRecord(record)
 }
 
-// Pending returns the number of a queue's jobs that haven't started.
-func (d *Dispatcher) Pending(queue string) int {
-	return d.catalog.Pending(queue)
+// Pending returns the number of a queue's jobs that haven't started. It returns
+// fault.Unavailable if that can't be found out.
+func (d *Dispatcher) Pending(ctx context.Context, queue string) (int, error) {
+	if d.standbys.isCurrent() {
+		return d.catalog.Pending(queue), nil
+	}
+	a, err := d.standbys.ask(ctx, inquiry.Question{Queue: queue})
+	return a.Pending, err
 }
--- /dev/null
+++ b/dispatcher/standby.go
@@ -0,0 +1,426 @@
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/inquiry"
+	"github.com/dogwoodladder/dogwoodladder/overload"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/referral"
+	"github.com/dogwoodladder/dogwoodladder/roster"
+	"github.com/dogwoodladder/dogwoodladder/selection"
+	"github.com/dogwoodladder/dogwoodladder/standby"
+	"github.com/dogwoodladder/dogwoodladder/tail"
+)
+
+// standbyStream is the keyed stream of the standbys' heartbeats, keyed by instance. Only the
+// owner reads it.
+const standbyStream = "standbys"
+
+// Intervals of the roster and of the standbys' heartbeats.
+const (
+	rosterWait              = 2500 * time.Millisecond // long poll; above rosterInterval, so that a heartbeat ends it
+	rosterInterval          = 2 * time.Second         // between two heartbeats of the owner
+	changedRosterInterval   = 500 * time.Millisecond  // between two records of a roster that changes
+	standbyInterval         = 2500 * time.Millisecond // between two heartbeats of a standby
+	standbyHeartbeatSpacing = 2 * time.Second         // between the owner's reads of them
+	maxHeartbeatAge         = 4 * time.Second         // age of the owner's reads from which it selects no standbys
+	maxStandbyLag           = 2 * time.Second         // of a standby that sends heartbeats
+	rosterWriteTimeout      = 1200 * time.Millisecond
+)
+
+// Bounds of queries to standbys.
+const (
+	peerTimeout    = 400 * time.Millisecond
+	maxRemoteAge   = time.Second // a standby with older state is asked last
+	queryRetryTime = time.Second // Retry-After if no standby answers
+)
+
+// Peers asks other instances.
+type Peers interface {
+	Ask(ctx context.Context, to roster.Member, q inquiry.Question) (inquiry.Answer, error)
+}
+
+// standbys is the part of a Dispatcher that follows the streams of all jobs only if needed:
+// if it owns the cell or is one of its standbys. Without peers, it always follows them.
+type standbys struct {
+	d         *Dispatcher
+	self      roster.Member
+	peers     Peers
+	router    *referral.Router
+	roster    *roster.Roster
+	rosterLog *tail.Tail
+	following atomic.Bool
+	wasFound  atomic.Int64 // time of the last heartbeat that was read, on the dispatcher's clock
+
+	queryMu sync.Mutex
+	duty    *standby.Duty // guarded by queryMu
+
+	// Used by the owner.
+	heartbeats   *tail.Tail
+	candidates   atomic.Pointer[[]selection.Candidate]
+	heardMu      sync.Mutex
+	heard        []string // standbys whose heartbeats were read since the last selection
+	selector     *selection.Selector
+	members      []roster.Member // of the last record
+	backlogKnown bool            // whether the last record had a backlog
+	write        *rosterWrite    // in flight or to be retried; nil otherwise
+	sequence     uint64
+	count        uint64
+	lastWriteAt  time.Duration
+	selectedAt   time.Duration
+
+	lastHeartbeatAt  time.Duration // of this instance as a standby
+	heartbeatRunning atomic.Bool
+}
+
+// rosterWrite is a write of the roster. It is repeated unchanged until it is answered.
+type rosterWrite struct {
+	writer  provider.Writer
+	records []provider.KeyedRecord
+	outcome chan error // of the attempt in flight; nil between two attempts
+	retryAt time.Duration
+}
+
+// WithPeers makes the dispatcher one of many: it follows the streams of all jobs only as
+// owner or standby, and asks the standbys otherwise. Self is how others reach it.
+func WithPeers(self roster.Member, p Peers) Option {
+	return func(d *Dispatcher) {
+		d.standbys.self = self
+		d.standbys.peers = p
+	}
+}
+
+func newStandbys(d *Dispatcher) *standbys {
+	return &standbys{d: d, roster: roster.New()}
+}
+
+// init completes the construction once the options are applied.
+func (s *standbys) init() {
+	d := s.d
+	if s.peers == nil {
+		s.following.Store(true)
+		return
+	}
+	s.router = referral.New(s.self.ID, s.self.AvailabilityZone, rand.Shuffle)
+	s.duty = standby.New(s.self.ID, d.processors, standby.DefaultTiming(), rand.Float64)
+	s.rosterLog = d.newTail(roster.Stream, s.applyRoster, tail.WithWait(rosterWait))
+	s.heartbeats = d.newTail(standbyStream, s.applyHeartbeat, tail.WithSpacing(standbyHeartbeatSpacing), tail.WithPause())
+	d.accepts.Pause(true)
+	d.progress.Pause(true)
+}
+
+// run follows the roster until ctx is done.
+func (s *standbys) run(ctx context.Context) {
+	if s.peers == nil {
+		return
+	}
+	s.d.tomb.Go(func() error { return s.rosterLog.Run(ctx) })
+	s.d.tomb.Go(func() error { return s.heartbeats.Run(ctx) })
+}
+
+func (s *standbys) applyRoster(b tail.Batch) {
+	for _, r := range b.Records {
+		if err := s.roster.Apply(r); err != nil {
+			s.d.logger.Warn("record not understood", zap.String("stream", roster.Stream), zap.String("key", r.Key), zap.Error(err))
+		}
+	}
+	now := s.d.clock()
+	if len(b.Records) > 0 {
+		s.wasFound.Store(int64(now))
+	}
+	s.queryMu.Lock()
+	defer s.queryMu.Unlock()
+	s.duty.Observe(now, s.roster.Heartbeat(), s.roster.Names(s.self.ID))
+}
+
+func (s *standbys) applyHeartbeat(b tail.Batch) {
+	if b.IsComplete {
+		return // these may be old
+	}
+	s.heardMu.Lock()
+	defer s.heardMu.Unlock()
+	for _, r := range b.Records {
+		s.heard = append(s.heard, r.Key)
+	}
+}
+
+// takeHeard returns the standbys whose heartbeats were read since the last call.
+func (s *standbys) takeHeard() []string {
+	s.heardMu.Lock()
+	defer s.heardMu.Unlock()
+	heard := s.heard
+	s.heard = nil
+	return heard
+}
+
+// isCurrent reports whether this instance can answer for all jobs from its own state.
+func (s *standbys) isCurrent() bool {
+	return s.peers == nil || s.following.Load() && s.d.accepts.IsLoaded() && s.d.progress.IsLoaded()
+}
+
+// Following reports whether this instance follows the streams of all jobs, as owner or
+// standby.
+func (d *Dispatcher) Following() bool {
+	return d.standbys.following.Load()
+}
+
+// update starts or stops to follow the streams of all jobs. An instance that stops drops
+// their state, since others may delete jobs that it would keep. It runs in the control
+// goroutine.
+func (s *standbys) update(isNeeded bool) {
+	if s.peers == nil {
+		return
+	}
+	s.queryMu.Lock()
+	follows := s.duty.Follows(s.d.clock(), s.rosterLog.Age()) || isNeeded
+	s.queryMu.Unlock()
+	if follows == s.following.Load() {
+		return
+	}
+	s.following.Store(follows)
+	s.d.logger.Info("standby", zap.Bool("following", follows), zap.Bool("named", s.roster.Names(s.self.ID)))
+	for _, t := range []*tail.Tail{s.d.accepts, s.d.progress} {
+		if !follows {
+			t.Reset()
+		}
+		t.Pause(!follows)
+	}
+	if !follows {
+		s.d.catalog.RetainAccepts(nil)
+		s.d.catalog.RetainProgress(nil)
+	}
+}
+
+// sendHeartbeat tells the owner that this standby is current.
+func (s *standbys) sendHeartbeat() {
+	now := s.d.clock()
+	due := s.lastHeartbeatAt + standbyInterval
+	if s.peers == nil || now < due || !s.isCurrent() || !s.roster.Names(s.self.ID) || s.d.progress.Lag() > maxStandbyLag {
+		return
+	}
+	if s.heartbeatRunning.Swap(true) {
+		return
+	}
+	s.lastHeartbeatAt = now
+	s.d.tomb.Go(func() error {
+		defer s.heartbeatRunning.Store(false)
+		ctx, cancel := context.WithTimeout(s.d.tomb.Context(context.Background()), rosterWriteTimeout)
+		defer cancel()
+		record := provider.KeyedRecord{Key: s.self.ID, Value: []byte{1}}
+		if err := s.d.platform.Store.Append(ctx, standbyStream, nil, []provider.KeyedRecord{record}); err != nil {
+			s.d.logger.Debug("heartbeat of a standby not written", zap.Error(err))
+		}
+		return nil
+	})
+}
+
+// SetCandidates sets the instances of which the owner selects standbys.
+func (d *Dispatcher) SetCandidates(candidates []selection.Candidate) {
+	d.standbys.candidates.Store(&candidates)
+}
+
+// setOwning prepares the selection of standbys by a new owner, or ends that of one that lost
+// the cell.
+func (s *standbys) setOwning(owning bool) {
+	if s.peers == nil {
+		return
+	}
+	s.heartbeats.Pause(!owning)
+	s.write = nil
+	if !owning {
+		s.selector = nil
+		return
+	}
+	s.heartbeats.Reset() // heartbeats from before would count as new
+	s.takeHeard()
+	s.selector = selection.New()
+	s.selector.Adopt(s.d.clock(), s.roster.Members())
+	s.members = s.roster.Members()
+	s.sequence = rand.Uint64N(sequenceRange)
+	s.count = 0
+	s.lastWriteAt = -time.Hour
+	s.selectedAt = -time.Hour
+}
+
+// maintain writes the roster when it is due. It runs in the owner's control goroutine.
+func (s *standbys) maintain() {
+	if s.peers == nil || s.selector == nil {
+		return
+	}
+	now := s.d.clock()
+	if s.write != nil {
+		s.continueWrite(now)
+		return
+	}
+	if now-s.lastWriteAt < changedRosterInterval {
+		return
+	}
+	members := s.selectMembers(now)
+	backlog := s.d.catalog.Backlog()
+	changed := !slices.Equal(members, s.members)
+	if !changed && s.count > 0 && backlog == nil && !s.backlogKnown && now-s.lastWriteAt < rosterInterval {
+		return
+	}
+	s.begin(now, members, changed, backlog)
+}
+
+// selectMembers returns the standbys. While the store doesn't answer, silence tells nothing
+// of them.
+func (s *standbys) selectMembers(now time.Duration) []roster.Member {
+	for _, id := range s.takeHeard() {
+		s.selector.Heard(now, id)
+	}
+	s.selector.Heard(now, s.self.ID)
+	candidates := s.candidates.Load()
+	if candidates == nil || s.heartbeats.Age() > maxHeartbeatAge {
+		return s.members
+	}
+	return s.selector.Select(now, *candidates)
+}
+
+func (s *standbys) begin(now time.Duration, members []roster.Member, changed bool, backlog *overload.Backlog) {
+	s.count++
+	heartbeat, err := roster.HeartbeatRecord(roster.Heartbeat{Term: s.d.term, Count: s.count, Owner: s.self.ID, Backlog: backlog})
+	if err != nil {
+		s.d.logger.Error("heartbeat not encoded", zap.Error(err))
+		return
+	}
+	records := []provider.KeyedRecord{heartbeat}
+	if changed {
+		r, err := roster.MembersRecord(s.d.term, members)
+		if err != nil {
+			s.d.logger.Error("list of standbys not encoded", zap.Error(err))
+			return
+		}
+		records = append(records, r)
+		s.d.logger.Info("standbys", zap.Int("selected", len(members)), zap.Int("before", len(s.members)))
+	}
+	s.members = members
+	s.backlogKnown = backlog != nil
+	s.lastWriteAt = now
+	s.write = &rosterWrite{writer: provider.Writer{Name: writerName, Term: s.d.term, Sequence: s.sequence}, records: records}
+	s.sequence++
+	s.send()
+}
+
+func (s *standbys) send() {
+	w := s.write
+	outcome := make(chan error, 1)
+	w.outcome = outcome
+	s.d.tomb.Go(func() error {
+		ctx, cancel := context.WithTimeout(s.d.tomb.Context(context.Background()), rosterWriteTimeout)
+		defer cancel()
+		outcome <- s.d.platform.Store.Append(ctx, roster.Stream, &w.writer, w.records)
+		return nil
+	})
+}
+
+// continueWrite handles the outcome of the write in flight or repeats it. A roster that a
+// later owner has fenced isn't written again: the cell learns of that owner by its own
+// writes.
+func (s *standbys) continueWrite(now time.Duration) {
+	w := s.write
+	if w.outcome == nil {
+		if now >= w.retryAt {
+			s.send()
+		}
+		return
+	}
+	select {
+	case err := <-w.outcome:
+		w.outcome = nil
+		w.retryAt = now + s.d.timing.SaveRetryInterval
+		if err == nil || fault.Is(err, fault.StaleEpoch) || fault.Is(err, fault.Conflict) {
+			s.write = nil
+			return
+		}
+		s.d.logger.Debug("roster not written", zap.Error(err))
+	default:
+	}
+}
+
+// ask asks the standbys until one answers from recent state. A final state never changes, so
+// that its age doesn't matter. Otherwise an answer from older state is returned only if no
+// other standby gives a better one.
+func (s *standbys) ask(ctx context.Context, q inquiry.Question) (inquiry.Answer, error) {
+	var older *inquiry.Answer
+	var last error
+	for _, m := range s.router.Order(s.d.clock(), s.roster.Members(), s.roster.Heartbeat().Owner) {
+		peerCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		a, err := s.peers.Ask(peerCtx, m, q)
+		cancel()
+		if err != nil {
+			last = err
+			s.router.Failed(s.d.clock(), m.ID)
+			s.d.logger.Debug("standby doesn't answer", zap.String("standby", m.ID), zap.Error(err))
+			continue
+		}
+		if a.State.Final() || time.Duration(a.Age)*time.Millisecond <= maxRemoteAge {
+			s.recordQuery(true)
+			return a, nil
+		}
+		if a.Known || q.Job == "" {
+			older = &a
+		}
+	}
+	if older != nil {
+		s.recordQuery(true)
+		return *older, nil
+	}
+	s.recordQuery(false)
+	return inquiry.Answer{}, fault.Wrap(fault.Unavailable, last, "no standby answers").After(queryRetryTime)
+}
+
+func (s *standbys) recordQuery(answered bool) {
+	s.queryMu.Lock()
+	defer s.queryMu.Unlock()
+	if answered {
+		s.duty.QueryAnswered()
+	} else {
+		s.duty.QueryFailed(s.d.clock())
+	}
+}
+
+// Respond answers a question of another instance.
+func (d *Dispatcher) Respond(ctx context.Context, q inquiry.Question) (inquiry.Answer, error) {
+	if !d.standbys.isCurrent() {
+		return inquiry.Answer{}, fault.New(fault.Unavailable, "not a standby")
+	}
+	if q.Job == "" {
+		return inquiry.Answer{Pending: d.catalog.Pending(q.Queue), Age: d.stateAge()}, nil
+	}
+	state, err := d.localState(ctx, q.Job)
+	if fault.Is(err, fault.NotFound) {
+		return inquiry.Answer{}, nil
+	}
+	if err != nil {
+		return inquiry.Answer{}, err
+	}
+	return inquiry.Answer{Known: true, State: state, Age: d.stateAge()}, nil
+}
+
+// stateAge returns the age of the state of all jobs in milliseconds. The owner's state is its
+// own.
+func (d *Dispatcher) stateAge() int64 {
+	if d.Owning() {
+		return 0
+	}
+	return d.progress.Lag().Milliseconds()
+}
+
+// backlogOfRoster returns the backlog in the owner's last heartbeat, nil if that is too old.
+func (s *standbys) backlogOfRoster() *overload.Backlog {
+	if s.d.clock()-time.Duration(s.wasFound.Load()) > maxBacklogAge {
+		return nil
+	}
+	return s.roster.Heartbeat().Backlog
+}
--- a/relay/instance.go
+++ b/relay/instance.go
@@ -20,6 +20,9 @@
 	ID               string `cbor:"-"`
 	Address          string `cbor:"1,keyasint"` // host:port of its agent
 	AvailabilityZone string `cbor:"2,keyasint"`
+	// Processors is the number of processors, which may be a fraction. It is zero in the
+	// record of an instance that can't be a standby.
+	Processors float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // EncodeRecord encodes an instance as a record of Stream.
--- /dev/null
+++ b/standby/standby_test.go
@@ -0,0 +1,108 @@
+package standby_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/roster"
+	"github.com/dogwoodladder/dogwoodladder/standby"
+)
+
+const step = 10 * time.Millisecond
+
+// followTime returns the first time at which a Duty follows, from from on.
+func followTime(d *standby.Duty, from, until, age time.Duration) (time.Duration, bool) {
+	for now := from; now < until; now += step {
+		if d.Follows(now, age) {
+			return now, true
+		}
+	}
+	return 0, false
+}
+
+func TestFollows(t *testing.T) {
+	timing := standby.DefaultTiming()
+	heartbeat := roster.Heartbeat{Term: 4096, Count: 1, Owner: "e1"}
+	tests := []struct {
+		name     string
+		observe  func(d *standby.Duty)
+		age      time.Duration
+		earliest time.Duration // zero for never within a minute
+		latest   time.Duration
+	}{
+		{"before the roster is read", func(*standby.Duty) {}, 0, 0, 0},
+		{"named", func(d *standby.Duty) { d.Observe(time.Second, heartbeat, true) }, 0, time.Second, time.Second},
+		{"the owner is silent", func(d *standby.Duty) { d.Observe(time.Second, heartbeat, false) }, 0,
+			time.Second + timing.SilenceTimeout, time.Second + timing.SilenceTimeout + timing.MaxDelay + timing.MaxHandicap},
+		{"there was no owner", func(d *standby.Duty) { d.Observe(time.Second, roster.Heartbeat{}, false) }, 0,
+			time.Second, time.Second + timing.MaxDelay + timing.MaxHandicap},
+		{"cut off from the store", func(d *standby.Duty) { d.Observe(time.Second, heartbeat, false) }, 4 * time.Second, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := standby.New("e2", 0.2, timing, rand.New(rand.NewPCG(1, 1)).Float64)
+			tt.observe(d)
+			at, follows := followTime(d, time.Second, time.Minute, tt.age)
+			is.Equal(follows, tt.latest > 0)
+			is.True(at >= tt.earliest && at <= tt.latest)
+		})
+	}
+}
+
+// Guards against hundreds of instances that all read the state of all jobs, and claim the
+// cell, at the same moment: at the start, and when the owner and its standbys are lost.
+func TestFewStartAtOnce(t *testing.T) {
+	const takeover = 300 * time.Millisecond // from the first start to the new owner's heartbeat
+	for _, n := range []int{8, 60, 600, 1200, 2400} {
+		is := is.New(t)
+		random := rand.New(rand.NewPCG(1, uint64(n)))
+		var starts []time.Duration
+		for range n {
+			d := standby.New("e", 1, standby.DefaultTiming(), random.Float64)
+			d.Observe(0, roster.Heartbeat{}, false)
+			at, follows := followTime(d, 0, time.Minute, 0)
+			is.True(follows)
+			starts = append(starts, at)
+		}
+		first := slices.Min(starts)
+		together := 0
+		for _, at := range starts {
+			if at <= first+takeover {
+				together++
+			}
+		}
+		t.Logf("%d instances: first after %v, %d together", n, first, together)
+		is.True(together <= 50) // whatever the number of instances
+		is.True(first <= 2*time.Second)
+	}
+}
+
+// Guards against an instance that reads the state of all jobs for good after a moment
+// without standbys.
+func TestStopsWithoutReason(t *testing.T) {
+	is := is.New(t)
+	timing := standby.DefaultTiming()
+	d := standby.New("e2", 1, timing, rand.New(rand.NewPCG(1, 1)).Float64)
+	heartbeats := uint64(0)
+	alive := func(now time.Duration) {
+		heartbeats++
+		d.Observe(now, roster.Heartbeat{Term: 4096, Count: heartbeats}, false)
+	}
+	alive(0)
+	now := time.Duration(0)
+	run := func(length time.Duration, each func()) bool {
+		for end := now + length; now < end; now += 500 * time.Millisecond {
+			alive(now)
+			each()
+		}
+		return d.Follows(now, 0)
+	}
+	is.Equal(run(5*time.Second, func() { d.QueryFailed(now) }), true)
+	is.Equal(run(timing.StopDelay, func() {}), true)
+	is.Equal(run(timing.QueryRetry+timing.StopDelay, func() { d.Follows(now, 0) }), false)
+}
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -183,11 +183,34 @@
 	return t.clock() - time.Duration(read)
 }
 
+// Lag returns the age of the state that results from the records applied: all records
+// written before that time have been applied. It is at least an hour before the initial load.
+func (t *Tail) Lag() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isLoaded {
+		return time.Hour
+	}
+	return t.clock() - t.asOf
+}
+
 // Failing reports whether the last read of Run failed.
 func (t *Tail) Failing() bool {
 	return t.lastReadFailed.Load()
 }
 
+// IsLoaded reports whether the records read so far are those of the whole stream.
+func (t *Tail) IsLoaded() bool {
+	_, loaded := t.nextOffset()
+	return loaded
+}
+
+// Reset makes the next read load the newest records again. A paused reader needs it when the
+// state that results from its records is dropped.
+func (t *Tail) Reset() {
+	t.requireLoad()
+}
+
 // Next returns the offset after the last record applied.
 func (t *Tail) Next() uint64 {
 	t.mu.Lock()
