A value that contains itself is reported where it does

Cause: an alias within its own anchor's value was read until the bound on values ended it (500,001 calls). Change: such aliases are found once after parsing and reported with their place.

--- a/document/document.go
+++ b/document/document.go
@@ -42,7 +42,7 @@
 // Read parses data and calls read with its root. It returns nil, or Problems with all
 // problems found before or during the call.
 func Read(file string, data []byte, read func(root Node)) error {
-	r := &reader{file: file, anchors: map[string]*ast.AnchorNode{}}
+	r := &reader{file: file, anchors: map[string]*ast.AnchorNode{}, cyclic: map[*ast.AliasNode]bool{}}
 	if root, ok := r.parse(data); ok {
 		read(root)
 	}
@@ -52,6 +52,7 @@
 type reader struct {
 	file     string
 	anchors  map[string]*ast.AnchorNode
+	cyclic   map[*ast.AliasNode]bool // aliases within the value of their own anchor
 	problems Problems
 	dropped  int
 	values   int
@@ -82,6 +83,9 @@
 	}
 	body := file.Docs[0].Body
 	ast.Walk(r, body)
+	for name, anchor := range r.anchors {
+		ast.Walk(&cycleFinder{reader: r, anchor: name}, anchor.Value)
+	}
 	return Node{reader: r, value: body, token: firstToken(body)}, true
 }
 
@@ -132,9 +136,28 @@
 	return r
 }
 
+// cycleFinder reports the aliases of an anchor within the anchor's own value. It implements
+// ast.Visitor.
+type cycleFinder struct {
+	reader *reader
+	anchor string
+}
+
+// Visit checks a node of the anchor's value.
+func (f *cycleFinder) Visit(node ast.Node) ast.Visitor {
+	alias, ok := node.(*ast.AliasNode)
+	if !ok {
+		return f
+	}
+	if name := alias.Value.GetToken(); name.Value == f.anchor {
+		f.reader.cyclic[alias] = true
+		f.reader.report(f.reader.place(alias.GetToken()), "alias of anchor %q within its own value", f.anchor)
+	}
+	return f
+}
+
 // resolve follows anchors and aliases to a value, nil if there is none. An alias must
-// come after its anchor; MaxDepth bounds a chain of aliases, and MaxValues the reading of a
-// value that contains an alias of itself.
+// come after its anchor and outside its value; MaxDepth bounds a chain of aliases.
 func (r *reader) resolve(node ast.Node) ast.Node {
 	for range MaxDepth {
 		switch n := node.(type) {
@@ -143,6 +166,9 @@
 		case *ast.TagNode:
 			node = n.Value
 		case *ast.AliasNode:
+			if r.cyclic[n] {
+				return nil
+			}
 			name := n.Value.GetToken()
 			anchor, ok := r.anchors[name.Value]
 			if !ok || anchor.GetToken().Position.Offset >= n.GetToken().Position.Offset {
