A request that a lapsed lease kept back is reported as such

Cause of the known red TestLapsedLeaseSendsNothing: the permit rejects the first write with ErrLapsed, the transport closes the connection, and its read loop may report the closed connection before its write loop reports the rejection. The gateway went by the error that the transport returned, and answered NoWorker ("can't connect") in place of StaleEpoch.

Change: the permit records that it rejected a write because the lease had lapsed, and the gateway asks the permit. Nothing was sent in either case, as before.

--- a/conduit/permit.go
+++ b/conduit/permit.go
@@ -30,6 +30,7 @@
 	sent         bool // a byte was written, or may be being written now
 	written      int64
 	revoked      bool
+	lapsed       bool // a write was rejected because the lease had lapsed
 	responseRead bool
 }
 
@@ -46,6 +47,14 @@
 	return p.sent
 }
 
+// Lapsed reports whether a write was rejected because the lease had lapsed. The error of the
+// request doesn't always tell: the transport may report that the connection was closed.
+func (p *Permit) Lapsed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lapsed
+}
+
 // Revoke rejects all further writes, and reports whether a byte may have been
 // sent.
 func (p *Permit) Revoke() bool {
@@ -97,6 +106,7 @@
 	// check is the last step before the write. If the process is paused after
 	// it, the worker's check of the epoch rejects the request.
 	if !p.until.IsZero() && !time.Now().Before(p.until) {
+		p.lapsed = true
 		return ErrLapsed
 	}
 	p.conn = c
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -138,7 +138,7 @@
 	sent := time.Now()
 	resp, err := t.conduit.Send(ctx, g.newRequest(c, t, w), permit)
 	if err != nil {
-		o := g.sendFailedOutcome(c, err, permit.Revoke(), w)
+		o := g.sendFailedOutcome(c, err, permit, w)
 		o.latency = time.Since(sent)
 		return o
 	}
@@ -182,9 +182,9 @@
 }
 
 // sendFailedOutcome returns the outcome of an attempt without a response.
-func (g *Gateway) sendFailedOutcome(c *call, err error, sent bool, w *watchdog) outcome {
-	if !sent {
-		return g.notSentOutcome(c, err)
+func (g *Gateway) sendFailedOutcome(c *call, err error, permit *conduit.Permit, w *watchdog) outcome {
+	if !permit.Revoke() {
+		return g.notSentOutcome(c, err, permit)
 	}
 	switch {
 	case c.isExpired():
@@ -210,11 +210,11 @@
 }
 
 // notSentOutcome returns the outcome of an attempt of which no byte was sent.
-func (g *Gateway) notSentOutcome(c *call, err error) outcome {
+func (g *Gateway) notSentOutcome(c *call, err error, permit *conduit.Permit) outcome {
 	if c.ctx.Err() != nil {
 		return outcome{callResult: callResult{err: c.notSentFault()}, final: true, result: balancer.Refused}
 	}
-	if isLapsed(err) {
+	if permit.Lapsed() {
 		g.counters.lapsed.Add(1)
 		return failedOutcome(fault.New(fault.StaleEpoch, "the lease lapsed"), balancer.Refused)
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/balancer"
-	"github.com/dogwoodladder/dogwoodladder/conduit"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 )
 
@@ -19,10 +18,6 @@
 // the last bytes.
 const writeGrace = time.Second
 
-func isLapsed(err error) bool {
-	return errors.Is(err, conduit.ErrLapsed)
-}
-
 // relay passes a response on to the caller.
 func (g *Gateway) relay(c *call, t *target, resp *http.Response, w *watchdog) outcome {
 	buffer := g.buffers.Get().(*[copyBufferBytes]byte)
