The configuration reaches most instances through standbys

Cause: each instance read each version whole from the store.

Change: an instance asks a standby for a version newer than its own and waits for the answer (package distribution). An instance doesn't claim the cell before it has read the operators' stream since it last began to follow it, so that no owner misses a cordon.

Weighed beside it: the newest version only (still instances times bytes: 1.8 s of the whole bandwidth a version at 2,400); an announcement in the owner's heartbeat (two seconds without an owner are two seconds without news).

--- a/bench/readers/readers.go
+++ b/bench/readers/readers.go
@@ -33,7 +33,7 @@
 	cutShare    float64
 	outage      time.Duration
 	length      time.Duration
-	written     float64
+	stream      stream
 	bandwidth   float64
 	spacing     time.Duration
 	slowFactor  float64
@@ -67,7 +67,13 @@
 
 // WithWrites sets how many bytes a second are written to the stream (default 40 kB).
 func WithWrites(bytesPerSecond float64) Option {
-	return func(b *Bench) { b.written = bytesPerSecond }
+	return func(b *Bench) { b.stream = steadyStream(bytesPerSecond) }
+}
+
+// WithVersions writes a number of records of a size, one after the other, instead of a steady
+// stream: versions of a configuration that all readers need.
+func WithVersions(number, bytes int, gap time.Duration) Option {
+	return func(b *Bench) { b.stream = versionStream{number: number, bytes: float64(bytes), gap: gap} }
 }
 
 // WithSlowStore divides the store's bandwidth during the outage (default 1).
@@ -80,6 +86,16 @@
 	return func(b *Bench) { b.newPolicy = f }
 }
 
+// WithBandwidth sets the bandwidth of the answers in bytes a second (default Bandwidth).
+func WithBandwidth(bytesPerSecond float64) Option {
+	return func(b *Bench) { b.bandwidth = bytesPerSecond }
+}
+
+// WithLength sets how long the readers are played (default 120 s).
+func WithLength(d time.Duration) Option {
+	return func(b *Bench) { b.length = d }
+}
+
 // WithSeed sets the seed of all random delays (default 1).
 func WithSeed(seed uint64) Option {
 	return func(b *Bench) { b.seed = seed }
@@ -92,7 +108,7 @@
 		cutShare:   0.4,
 		outage:     9 * time.Second,
 		length:     120 * time.Second,
-		written:    40e3,
+		stream:     steadyStream(40e3),
 		bandwidth:  Bandwidth,
 		spacing:    250 * time.Millisecond,
 		slowFactor: 1,
@@ -149,7 +165,8 @@
 	// sampleInterval is the time between two looks at the readers' states.
 	sampleInterval = 100 * time.Millisecond
 	outageStart    = 2 * time.Second
-	currentBound   = time.Second
+	// currentBound is the age of a reader's state up to which it counts as current.
+	currentBound = time.Second
 )
 
 type reader struct {
@@ -184,11 +201,6 @@
 	return b.now >= outageStart && b.now < outageStart+b.outage
 }
 
-// available returns the bytes written so far.
-func (b *Bench) available() float64 {
-	return b.written * b.now.Seconds()
-}
-
 // send sends a reader's next read.
 func (b *Bench) send(r *reader) {
 	r.number++
@@ -203,7 +215,7 @@
 		return
 	}
 	limit := r.policy.Limit()
-	size := min(float64(limit.Bytes), b.available()-r.read)
+	size := b.stream.page(r.read, b.now, float64(limit.Bytes))
 	bandwidth := b.bandwidth
 	if b.inOutage() {
 		bandwidth /= b.slowFactor
@@ -242,7 +254,7 @@
 
 // lag returns the age of a reader's state.
 func (b *Bench) lag(r *reader) time.Duration {
-	return time.Duration((b.available() - r.read) / b.written * float64(time.Second))
+	return b.stream.lag(r.read, b.now)
 }
 
 // sample records how old the readers' states are.
@@ -256,7 +268,7 @@
 			b.result.Oldest = max(b.result.Oldest, lag)
 		}
 	}
-	end := outageStart + b.outage
+	end := max(outageStart+b.outage, b.stream.end())
 	switch {
 	case b.now < end:
 	case behind:
--- a/bench/readers/readers_test.go
+++ b/bench/readers/readers_test.go
@@ -65,6 +65,21 @@
 	}
 }
 
+// Guards against versions of a configuration that reach instances later than their bound:
+// where each instance reads each of them from the store, 2,400 have the last after 14 s.
+func TestConfigurationReachesAll(t *testing.T) {
+	const bound = 5 * time.Second
+	const bytes = 60_000
+	is := is.New(t)
+	is.True(readers.Direct(1, 2400, bytes).Oldest > bound)
+	for _, n := range []int{600, 1200, 2400, 4800} {
+		r := readers.Distributed(1, n, bytes)
+		t.Log(r)
+		is.True(r.CaughtUp > 0)
+		is.True(r.Oldest < bound)
+	}
+}
+
 func TestTable(t *testing.T) {
 	is := is.New(t)
 	var out strings.Builder
--- a/bench/readers/table.go
+++ b/bench/readers/table.go
@@ -30,6 +30,10 @@
 			}
 		}
 	}
+	return printLines(w, lines)
+}
+
+func printLines(w io.Writer, lines []string) error {
 	for _, line := range lines {
 		if _, err := fmt.Fprintln(w, line); err != nil {
 			return fault.Wrap(fault.Internal, err, "print table")
@@ -38,6 +42,50 @@
 	return nil
 }
 
+// Sizes of the distribution through standbys.
+const (
+	standbys      = 20    // of five availability zones
+	linkBandwidth = 125e6 // of a standby in bytes a second
+)
+
+// versions are the options of a storm of configurations: six within two seconds.
+func versions(seed uint64, bytes int) []Option {
+	return []Option{WithSeed(seed), WithOutage(0, 0), WithVersions(6, bytes, 400*time.Millisecond), WithLength(30 * time.Second)}
+}
+
+// Direct plays the storm with all instances reading the store.
+func Direct(seed uint64, instances, bytes int) Result {
+	return New(append(versions(seed, bytes), WithReaders(instances))...).Run()
+}
+
+// Distributed plays the storm with a few standbys reading the store, of each of which its
+// share of the other instances reads. The ages of both steps add up.
+func Distributed(seed uint64, instances, bytes int) Result {
+	first := Direct(seed, standbys, bytes)
+	second := New(append(versions(seed, bytes), WithReaders((instances+standbys-1)/standbys), WithBandwidth(linkBandwidth))...).Run()
+	first.Readers = instances
+	first.Oldest += second.Oldest
+	first.CaughtUp += second.CaughtUp
+	return first
+}
+
+// Versions prints how long a storm of configurations takes to reach all instances, as a
+// Markdown table.
+func Versions(w io.Writer, seed uint64, sizes []int, bytes int) error {
+	lines := []string{
+		"| instances | way | last version in force at all after | oldest configuration in force | answers given up | GB read from the store |",
+		"|--:|---|--:|--:|--:|--:|",
+	}
+	for _, n := range sizes {
+		lines = append(lines, Direct(seed, n, bytes).versionsRow("each reads the store"), Distributed(seed, n, bytes).versionsRow("through standbys"))
+	}
+	return printLines(w, lines)
+}
+
+func (r Result) versionsRow(way string) string {
+	return fmt.Sprintf("| %d | %s | %v | %v | %d | %.3f |", r.Readers, way, r.CaughtUp, r.Oldest, r.GivenUp, r.Transmitted/1e9)
+}
+
 func (r Result) row(share float64, policy string) string {
 	caughtUp := "never"
 	if r.CaughtUp > 0 {
--- a/cmd/dogwoodladder/bench.go
+++ b/cmd/dogwoodladder/bench.go
@@ -68,8 +68,12 @@
 type readersBenchCmd struct {
 	Seed  uint64 `default:"1" help:"Seed of the random delays."`
 	Sizes []int  `default:"100,300,600,1200,2400" help:"Numbers of readers."`
+	Bytes int    `default:"60000" help:"Size of a configuration."`
 }
 
 func (c *readersBenchCmd) Run() error {
-	return readers.Table(os.Stdout, c.Seed, c.Sizes)
+	if err := readers.Table(os.Stdout, c.Seed, c.Sizes); err != nil {
+		return err
+	}
+	return readers.Versions(os.Stdout, c.Seed, c.Sizes, c.Bytes)
 }
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -86,8 +86,11 @@
 // claim, possibly by a smaller instance with thousands of tasks waiting. The log then has
 // two claims, the first without a line "owner". Waiting costs nothing, since no instance
 // can become owner meanwhile.
+//
+// An instance that has just begun to follow the operators' stream again doesn't know yet
+// which zones are cordoned.
 func (d *Dispatcher) canClaim() bool {
-	return !d.accepts.Failing()
+	return !d.accepts.Failing() && d.knowsOperators()
 }
 
 // streamsLoaded reports whether both streams were read to their ends at least once.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -80,6 +80,7 @@
 	owning         atomic.Bool
 	onOwning       func(bool)
 	readList       func(context.Context) error
+	knowsOperators func() bool
 	counters       *Counters
 
 	// Owned by the control goroutine.
@@ -128,6 +129,12 @@
 	return func(d *Dispatcher) { d.onOwning = f }
 }
 
+// WithClaimCondition sets a function that reports whether the operators' stream has been read
+// since this instance last began to follow it. Until then it doesn't claim the cell.
+func WithClaimCondition(f func() bool) Option {
+	return func(d *Dispatcher) { d.knowsOperators = f }
+}
+
 // WithClock sets the clock of all decisions. It must keep running while the machine
 // is suspended; otherwise leases that expired meanwhile would count as valid.
 func WithClock(clock func() time.Duration) Option {
@@ -154,6 +161,7 @@
 		cordonUpdates:   make(chan []string, 1),
 		onOwning:        func(bool) {},
 		readList:        func(context.Context) error { return nil },
+		knowsOperators:  func() bool { return true },
 	}
 	d.standbys = newStandbys(d)
 	for _, opt := range opts {
--- a/dispatcher/standby.go
+++ b/dispatcher/standby.go
@@ -59,7 +59,9 @@
 	roster    *roster.Roster
 	rosterLog *tail.Tail
 	following atomic.Bool
-	wasFound  atomic.Int64 // time of the last heartbeat that was read, on the dispatcher's clock
+	// configuration answers other instances; nil without a source.
+	configuration ConfigurationSource
+	wasFound      atomic.Int64 // time of the last heartbeat that was read, on the dispatcher's clock
 
 	queryMu sync.Mutex
 	duty    *standby.Duty // guarded by queryMu
@@ -390,11 +392,54 @@
 	}
 }
 
+// ConfigurationSource returns the newest configuration above a version, and the time since it
+// was read from the store. It waits up to wait for one and returns none after that.
+type ConfigurationSource func(ctx context.Context, version uint64, wait time.Duration) (data []byte, age time.Duration)
+
+// WithConfigurationSource sets what a standby answers other instances that ask for the
+// configuration.
+func WithConfigurationSource(f ConfigurationSource) Option {
+	return func(d *Dispatcher) { d.standbys.configuration = f }
+}
+
+// AskConfiguration asks a standby for a configuration above a version, and waits up to wait
+// for one. It returns no data without one.
+func (d *Dispatcher) AskConfiguration(ctx context.Context, version uint64, wait time.Duration) (data []byte, age time.Duration, err error) {
+	s := d.standbys
+	order := s.router.Order(d.clock(), s.roster.Members(), s.roster.Heartbeat().Owner)
+	if len(order) == 0 {
+		return nil, 0, fault.New(fault.Unavailable, "no standby is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	defer cancel()
+	a, err := s.peers.Ask(ctx, order[0], inquiry.Question{Configuration: true, Version: version, Wait: wait.Milliseconds()})
+	if err != nil {
+		s.router.Failed(d.clock(), order[0].ID)
+		return nil, 0, err
+	}
+	return a.Data, time.Duration(a.Age) * time.Millisecond, nil
+}
+
+// maxConfigurationWait bounds the wait of an instance that asks for a configuration.
+const maxConfigurationWait = 5 * time.Second
+
+func (s *standbys) respondConfiguration(ctx context.Context, q inquiry.Question) (inquiry.Answer, error) {
+	if s.configuration == nil {
+		return inquiry.Answer{}, fault.New(fault.Unavailable, "no configuration here")
+	}
+	wait := min(maxConfigurationWait, time.Duration(q.Wait)*time.Millisecond)
+	data, age := s.configuration(ctx, q.Version, wait)
+	return inquiry.Answer{Data: data, Age: age.Milliseconds()}, nil
+}
+
 // Respond answers a question of another instance.
 func (d *Dispatcher) Respond(ctx context.Context, q inquiry.Question) (inquiry.Answer, error) {
 	if !d.standbys.isCurrent() {
 		return inquiry.Answer{}, fault.New(fault.Unavailable, "not a standby")
 	}
+	if q.Configuration {
+		return d.standbys.respondConfiguration(ctx, q)
+	}
 	if q.Job == "" {
 		return inquiry.Answer{Pending: d.catalog.Pending(q.Queue), Age: d.stateAge()}, nil
 	}
--- a/inquiry/inquiry.go
+++ b/inquiry/inquiry.go
@@ -38,14 +38,18 @@
 	dialTimeout  = 250 * time.Millisecond
 	idleTimeout  = 30 * time.Second
 	maxIdleConns = 2 // to one standby
-	maxBody      = 4 << 10
+	maxQuestion  = 4 << 10
+	maxAnswer    = 4 << 20 // bytes; a configuration of thousands of queues
 )
 
-// Question asks for the state of a job or, without one, for the number of a queue's jobs that
-// haven't started.
+// Question asks for one of: the state of a job, the number of a queue's jobs that haven't
+// started, or a configuration newer than a version.
 type Question struct {
-	Job   string `cbor:"1,keyasint,omitempty"`
-	Queue string `cbor:"2,keyasint,omitempty"`
+	Job           string `cbor:"1,keyasint,omitempty"`
+	Queue         string `cbor:"2,keyasint,omitempty"`
+	Configuration bool   `cbor:"3,keyasint,omitempty"`
+	Version       uint64 `cbor:"4,keyasint,omitempty"`
+	Wait          int64  `cbor:"5,keyasint,omitempty"` // milliseconds to wait for a newer configuration
 }
 
 // Answer is a standby's answer.
@@ -54,6 +58,7 @@
 	State   progress.State `cbor:"2,keyasint,omitempty"`
 	Pending int            `cbor:"3,keyasint,omitempty"`
 	Age     int64          `cbor:"4,keyasint,omitempty"` // milliseconds since the standby's last read
+	Data    []byte         `cbor:"5,keyasint,omitempty"` // configuration, empty if there is no newer one
 }
 
 // Responder answers questions from its own state. It fails with fault.Unavailable if it
@@ -79,7 +84,7 @@
 		http.Error(w, "this is "+h.instance, http.StatusMisdirectedRequest)
 		return
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxQuestion))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -152,7 +157,7 @@
 		return Answer{}, fault.Wrap(fault.Unavailable, err, "ask %s", to.ID)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 	if err != nil {
 		return Answer{}, fault.Wrap(fault.Unavailable, err, "answer of %s", to.ID)
 	}
