An owner whose writes are rejected yields the cell to its standbys

Change: an owner whose writes have been rejected for 0.4 s tells its standbys. One that can read claims at once, like after a planned leave. The word holds for a second, and not if the owner has written since, so that a store that is away for all changes no owner. Safety is as before: the claim is conditional and the term fences. TestRejectedOwnerYields fails without it.

Not changed: a write without an answer yields nothing, since it may have happened; neither does an owner that is cut off from its standbys too.

--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -52,6 +52,8 @@
 		case zones := <-d.cordonUpdates:
 			d.cordonedZones = zones
 			d.step(cell.ZonesCordoned{AvailabilityZones: zones})
+		case term := <-d.yields:
+			d.election.Yield(d.clock(), term)
 		case list := <-d.hostListUpdates:
 			d.handleHostList(list)
 		case <-leave:
@@ -69,6 +71,7 @@
 			d.relinquish("left")
 		}
 		d.standbys.maintain()
+		d.standbys.yieldIfRejected()
 		return
 	}
 	if d.isLeaving() || !d.standbys.following.Load() || !d.observeOwner() {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -97,6 +97,7 @@
 	waveUpdates     chan []provider.Wave
 	cordonedZones   []string // names of availability zones
 	cordonUpdates   chan []string
+	yields          chan uint64 // terms whose owners can't write
 }
 
 // Option configures a Dispatcher.
@@ -159,6 +160,7 @@
 		hostListUpdates: make(chan provider.HostList, 1),
 		waveUpdates:     make(chan []provider.Wave, 1),
 		cordonUpdates:   make(chan []string, 1),
+		yields:          make(chan uint64, 1),
 		onOwning:        func(bool) {},
 		readList:        func(context.Context) error { return nil },
 		knowsOperators:  func() bool { return true },
--- a/dispatcher/standby.go
+++ b/dispatcher/standby.go
@@ -78,7 +78,8 @@
 	sequence     uint64
 	count        uint64
 	lastWriteAt  time.Duration
-	selectedAt   time.Duration
+	rejected     rejectedWrites
+	yieldedAt    time.Duration
 
 	lastHeartbeatAt  time.Duration // of this instance as a standby
 	heartbeatRunning atomic.Bool
@@ -250,7 +251,8 @@
 	s.sequence = rand.Uint64N(sequenceRange)
 	s.count = 0
 	s.lastWriteAt = -time.Hour
-	s.selectedAt = -time.Hour
+	s.yieldedAt = -time.Hour
+	s.rejected.record(nil)
 }
 
 // maintain writes the roster when it is due. It runs in the owner's control goroutine.
@@ -440,6 +442,10 @@
 	if q.Configuration {
 		return d.standbys.respondConfiguration(ctx, q)
 	}
+	if q.YieldedTerm != 0 {
+		replace(d.yields, q.YieldedTerm)
+		return inquiry.Answer{}, nil
+	}
 	if q.Job == "" {
 		return inquiry.Answer{Pending: d.catalog.Pending(q.Queue), Age: d.stateAge()}, nil
 	}
@@ -469,3 +475,64 @@
 	}
 	return s.roster.Heartbeat().Backlog
 }
+
+// rejectedWrites tells how long the store has rejected the owner's writes.
+type rejectedWrites struct {
+	mu    sync.Mutex
+	since time.Time // zero without a rejection since the last write that succeeded
+}
+
+// record records the outcome of a write. One without an answer tells nothing.
+func (r *rejectedWrites) record(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		r.since = time.Time{}
+	case r.since.IsZero() && (fault.Is(err, fault.Unavailable) || fault.Is(err, fault.Overloaded)):
+		r.since = time.Now()
+	}
+}
+
+// duration returns the time since the first rejection.
+func (r *rejectedWrites) duration() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() {
+		return 0
+	}
+	return time.Since(r.since)
+}
+
+const (
+	// yieldAfter is the time of rejected writes after which the owner yields. Shorter
+	// rejections are those of a store that is asked for too much at once.
+	yieldAfter = 400 * time.Millisecond
+	// yieldInterval is the time between two attempts to yield.
+	yieldInterval = time.Second
+)
+
+// yieldIfRejected tells the standbys that the store rejects this owner's writes. One that the
+// store still serves claims the cell at once, instead of after the heartbeat timeout.
+func (s *standbys) yieldIfRejected() {
+	now := s.d.clock()
+	if s.peers == nil || s.rejected.duration() < yieldAfter || now-s.yieldedAt < yieldInterval {
+		return
+	}
+	s.yieldedAt = now
+	s.d.logger.Info("yield", zap.Uint64("term", s.d.term), zap.Duration("rejected", s.rejected.duration()))
+	for _, m := range s.members {
+		if m.ID == s.self.ID {
+			continue
+		}
+		term := s.d.term
+		s.d.tomb.Go(func() error {
+			ctx, cancel := context.WithTimeout(s.d.tomb.Context(context.Background()), peerTimeout)
+			defer cancel()
+			if _, err := s.peers.Ask(ctx, m, inquiry.Question{YieldedTerm: term}); err != nil {
+				s.d.logger.Debug("standby doesn't answer", zap.String("standby", m.ID), zap.Error(err))
+			}
+			return nil
+		})
+	}
+}
--- a/dispatcher/standby_test.go
+++ b/dispatcher/standby_test.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/inquiry"
 	"github.com/dogwoodladder/dogwoodladder/progress"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/queue"
 	"github.com/dogwoodladder/dogwoodladder/roster"
 	"github.com/dogwoodladder/dogwoodladder/selection"
@@ -28,6 +29,51 @@
 	instances map[string]*dispatcher.Dispatcher
 	stop      map[string]context.CancelFunc
 	cut       map[string]bool // instances whose questions get no answer
+	rejected  map[string]bool // instances that the store turns away
+}
+
+// instanceStore is the store as one instance of a fleet reaches it.
+type instanceStore struct {
+	provider.Keyed
+	fleet *fleet
+	id    string
+}
+
+func (s instanceStore) check() error {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if s.fleet.rejected[s.id] {
+		return fault.New(fault.Unavailable, "turned away")
+	}
+	return nil
+}
+
+func (s instanceStore) Newest(ctx context.Context, stream, after string) (provider.KeyedPage, error) {
+	if err := s.check(); err != nil {
+		return provider.KeyedPage{}, err
+	}
+	return s.Keyed.Newest(ctx, stream, after)
+}
+
+func (s instanceStore) Read(ctx context.Context, stream string, from uint64, limit provider.ReadLimit) (provider.KeyedPage, error) {
+	if err := s.check(); err != nil {
+		return provider.KeyedPage{}, err
+	}
+	return s.Keyed.Read(ctx, stream, from, limit)
+}
+
+func (s instanceStore) Append(ctx context.Context, stream string, w *provider.Writer, records []provider.KeyedRecord) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	return s.Keyed.Append(ctx, stream, w, records)
+}
+
+func (s instanceStore) Claim(ctx context.Context, stream string, w provider.Writer, next uint64, record provider.KeyedRecord) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	return s.Keyed.Claim(ctx, stream, w, next, record)
 }
 
 // asker is the Peers of one instance of a fleet.
@@ -55,13 +101,15 @@
 		instances: make(map[string]*dispatcher.Dispatcher),
 		stop:      make(map[string]context.CancelFunc),
 		cut:       make(map[string]bool),
+		rejected:  make(map[string]bool),
 	}
 	var candidates []selection.Candidate
 	for i := range n {
 		id := fmt.Sprintf("e%d", i)
 		member := roster.Member{ID: id, Address: id + ":1", AvailabilityZone: "a"}
 		candidates = append(candidates, selection.Candidate{Member: member, Processors: 1})
-		d := dispatcher.New(dispatcher.Platform{Store: f.store, Executor: noWorkers{}}, dispatcher.WithInstance(id), dispatcher.WithPeers(member, asker{f, id}))
+		d := dispatcher.New(dispatcher.Platform{Store: instanceStore{f.store, f, id}, Executor: noWorkers{}},
+			dispatcher.WithInstance(id), dispatcher.WithProcessors(1), dispatcher.WithPeers(member, asker{f, id}))
 		d.Configure(queue.New(1, queue.Limits{}, nil, nil))
 		f.instances[id] = d
 	}
@@ -225,6 +273,31 @@
 	})
 }
 
+// Guards against a cell without orders for the whole heartbeat timeout when the store turns
+// its owner away but nobody else.
+func TestRejectedOwnerYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 10)
+		time.Sleep(20 * time.Second)
+		_, before := f.following()
+		f.mu.Lock()
+		f.rejected[before] = true
+		f.mu.Unlock()
+		time.Sleep(1200 * time.Millisecond) // 0.5 s until a write, 0.4 s of rejections
+		owners := 0
+		f.each(func(id string, d *dispatcher.Dispatcher) {
+			if d.Owning() && id != before {
+				owners++
+			}
+		})
+		is.Equal(owners, 1)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against an owner that selects no standbys in place of lost ones.
 func TestLostStandbysAreReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/election/election.go
+++ b/election/election.go
@@ -63,6 +63,8 @@
 	randomDelay    time.Duration // redrawn with each change of the record
 	claimNotBefore time.Duration
 	handicap       time.Duration
+	yieldedTerm    uint64        // term whose owner can't write any more; zero without one
+	yieldedUntil   time.Duration // until when that holds
 }
 
 // New returns the Election of an instance. The nonce distinguishes this process from
@@ -85,6 +87,7 @@
 	}
 	e.observed = true
 	e.owner = owner
+	e.yieldedTerm = 0 // the owner has written since
 	e.silentSince = now
 	e.randomDelay = time.Duration(e.random() * float64(e.timing.MaxDelay))
 	if e.ownerGone() {
@@ -92,6 +95,26 @@
 	}
 }
 
+// yieldTime is how long the word of an owner that can't write holds. Unless others claim the
+// cell meanwhile, the store is away for all, and the owner may go on after it.
+const yieldTime = time.Second
+
+// Yield handles the word of a term's owner that the store rejects its writes.
+func (e *Election) Yield(now time.Duration, term uint64) {
+	if !e.observed || term != e.owner.Term || e.yieldedTerm == term {
+		return
+	}
+	e.yieldedTerm = term
+	e.yieldedUntil = now + yieldTime
+	e.silentSince = now
+	e.randomDelay = time.Duration(e.random() * float64(e.timing.MaxHandoverDelay))
+}
+
+// ownerYields reports whether the owner has said that it can't write.
+func (e *Election) ownerYields(now time.Duration) bool {
+	return e.yieldedTerm != 0 && e.yieldedTerm == e.owner.Term && now < e.yieldedUntil
+}
+
 // ownerGone reports whether the cell surely has no active owner: there was none, it has
 // left, or it was an earlier process of this instance.
 func (e *Election) ownerGone() bool {
@@ -110,7 +133,7 @@
 		return false
 	}
 	timeout := e.timing.HeartbeatTimeout
-	if e.ownerGone() {
+	if e.ownerGone() || e.ownerYields(now) {
 		timeout = 0
 	}
 	return now-e.silentSince >= timeout+e.randomDelay+e.handicap
--- a/election/election_test.go
+++ b/election/election_test.go
@@ -85,3 +85,34 @@
 		})
 	}
 }
+
+// Guards against a cell without orders for the whole heartbeat timeout when the store turns
+// its owner away but nobody else.
+func TestOwnerYields(t *testing.T) {
+	owner := catalog.Owner{Term: 3, Instance: "e2", Nonce: 8, Heartbeats: 4}
+	later := catalog.Owner{Term: 3, Instance: "e2", Nonce: 8, Heartbeats: 5}
+	tests := []struct {
+		name   string
+		term   uint64
+		then   catalog.Owner // read after the owner's word
+		after  time.Duration // time since the owner's word
+		age    time.Duration
+		claims bool
+	}{
+		{"the owner can't write", 3, owner, 50 * time.Millisecond, 0, true},
+		{"an earlier owner can't", 2, owner, 50 * time.Millisecond, 0, false},
+		{"it has written since", 3, later, 50 * time.Millisecond, 0, false},
+		{"nor can this instance read", 3, owner, 50 * time.Millisecond, 800 * time.Millisecond, false},
+		{"the store was away for all", 3, owner, 1100 * time.Millisecond, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := election.New("e1", 7, 1, election.DefaultTiming(), half)
+			e.Observe(time.Second, owner)
+			e.Yield(time.Second, tt.term)
+			e.Observe(time.Second, tt.then)
+			is.Equal(e.ShouldClaim(time.Second+tt.after, tt.age), tt.claims)
+		})
+	}
+}
--- a/inquiry/inquiry.go
+++ b/inquiry/inquiry.go
@@ -43,13 +43,15 @@
 )
 
 // Question asks for one of: the state of a job, the number of a queue's jobs that haven't
-// started, or a configuration newer than a version.
+// started, or a configuration newer than a version. Or it tells that the owner of a term can't
+// write to the store, so that the standby may claim the cell.
 type Question struct {
 	Job           string `cbor:"1,keyasint,omitempty"`
 	Queue         string `cbor:"2,keyasint,omitempty"`
 	Configuration bool   `cbor:"3,keyasint,omitempty"`
 	Version       uint64 `cbor:"4,keyasint,omitempty"`
 	Wait          int64  `cbor:"5,keyasint,omitempty"` // milliseconds to wait for a newer configuration
+	YieldedTerm   uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Answer is a standby's answer.
