--- a/cmd/dogwoodladder/bench.go
+++ b/cmd/dogwoodladder/bench.go
@@ -15,7 +15,7 @@
 	Mixed    mixedBenchCmd    `cmd:"" help:"Measure what runs beside what."`
 	Batch    batchBenchCmd    `cmd:"" help:"Measure batch work at the planned size."`
 	Capacity capacityBenchCmd `cmd:"" help:"Measure how costs grow with the size of a site, with real processes too."`
-	Readers  readersBenchCmd  `cmd:"" help:"Measure how many readers one store carries after an outage."`
+	Readers  readersBenchCmd  `cmd:"" help:"Measure, in a model, how many readers one store carries after an outage, and how a configuration reaches all instances."`
 }
 
 type quickBenchCmd struct {
