A new owner's first orders go through relays, whatever the list of workers takes

Cause: how many relays an owner connects to, and whether it uses any, went by the list of workers. Change: the workers on record, which the survey asks, are counted by zone before the first order. TestRecordedWorkersAreCountedBeforeTheFirstOrder.

--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -236,6 +236,7 @@
 	}
 	d.term = term
 	d.cell = c
+	d.onRecorded(d.countRecorded())
 	d.setOwning(true, ownerSpacing)
 	d.counters.owned.Add(1)
 	d.logger.Info("owner", zap.Uint64("term", term), zap.Int("jobs", d.catalog.Len()), zap.Int("workers", len(d.catalog.Hosts())))
@@ -253,6 +254,15 @@
 	d.step(cell.Tick{Wall: time.Now()})
 }
 
+// countRecorded returns the number of workers on record by availability zone.
+func (d *Dispatcher) countRecorded() map[string]int {
+	byZone := make(map[string]int)
+	for _, h := range d.catalog.Hosts() {
+		byZone[h.AvailabilityZone]++
+	}
+	return byZone
+}
+
 func (d *Dispatcher) isLeaving() bool {
 	select {
 	case <-d.leaveRequested:
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -79,6 +79,7 @@
 	leaveDone      chan struct{}
 	owning         atomic.Bool
 	onOwning       func(bool)
+	onRecorded     func(byZone map[string]int)
 	readList       func(context.Context) error
 	knowsOperators func() bool
 	counters       *Counters
@@ -130,6 +131,13 @@
 	return func(d *Dispatcher) { d.onOwning = f }
 }
 
+// WithRecordedHosts sets a callback that gets the number of workers on record in each
+// availability zone before a new owner sends its first order. It has to ask all of them, and
+// the list of workers may take longer to read.
+func WithRecordedHosts(f func(byZone map[string]int)) Option {
+	return func(d *Dispatcher) { d.onRecorded = f }
+}
+
 // WithClaimCondition sets a function that reports whether the operators' stream has been read
 // since this instance last began to follow it. Until then it doesn't claim the cell.
 func WithClaimCondition(f func() bool) Option {
@@ -162,6 +170,7 @@
 		cordonUpdates:   make(chan []string, 1),
 		yields:          make(chan uint64, 1),
 		onOwning:        func(bool) {},
+		onRecorded:      func(map[string]int) {},
 		readList:        func(context.Context) error { return nil },
 		knowsOperators:  func() bool { return true },
 	}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -293,6 +293,13 @@
 	provider.Executor
 	mu     sync.Mutex
 	starts []provider.StartOrder
+	holds  int
+}
+
+func (m *unresponsiveWorkers) held() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holds
 }
 
 func (m *unresponsiveWorkers) isUnresponsive(host string) bool {
@@ -302,6 +309,9 @@
 }
 
 func (m *unresponsiveWorkers) Hold(ctx context.Context, o provider.HoldOrder) (provider.HoldResult, error) {
+	m.mu.Lock()
+	m.holds++
+	m.mu.Unlock()
 	time.Sleep(5 * time.Millisecond)
 	if m.isUnresponsive(o.Host.ID) {
 		return provider.HoldResult{}, fault.New(fault.MayHaveRun, "no answer")
@@ -375,6 +385,39 @@
 	}
 }
 
+// Guards against a new owner that opens a connection to each of thousands of workers, because
+// it hasn't read the list of workers yet and so doesn't know how many relays they need.
+func TestRecordedWorkersAreCountedBeforeTheFirstOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store, workers := newSlowStore(2*time.Millisecond), &unresponsiveWorkers{}
+		for i := range 5 {
+			h := provider.Host{ID: fmt.Sprintf("w%d", i), Address: "10.0.0.1:1", Service: "pool", AvailabilityZone: fmt.Sprintf("z%d", i%2)}
+			record, err := catalog.HostRecord(h.ID, &h)
+			is.NoErr(err)
+			is.NoErr(store.Append(ctx, catalog.Progress, nil, []provider.KeyedRecord{record}))
+		}
+		counts := make(chan map[string]int, 1)
+		count := func(byZone map[string]int) {
+			is.Equal(workers.held(), 0)
+			counts <- byZone
+		}
+		noList := func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		d := dispatcher.New(dispatcher.Platform{Store: store, Executor: workers}, dispatcher.WithRecordedHosts(count), dispatcher.WithListReader(noList))
+		d.Configure(onePool())
+		go func() { _ = d.Run(ctx) }()
+		is.Equal(<-counts, map[string]int{"z0": 3, "z1": 2})
+		time.Sleep(time.Second)
+		is.True(workers.held() > 0)
+		cancel()
+		time.Sleep(3 * time.Second) // for the holds in flight
+	})
+}
+
 // onePool returns a configuration with one queue and one pool of workers.
 func onePool() *queue.Table {
 	q := queue.Queue{Name: "q", Terms: job.Terms{Service: "pool", Attempts: 2}}
