--- a/cell/end.go
+++ b/cell/end.go
@@ -81,7 +81,7 @@
 		c.failTask(t, r.attempt)
 	}
 	if s.spec.Gang && end != provider.EndDone {
-		c.breakGang(s)
+		c.abortGang(s)
 	}
 	c.requeue(t)
 }
@@ -98,9 +98,9 @@
 	}
 }
 
-// breakGang stops the remaining members of a gang, which can't complete without the one
+// abortGang stops the remaining members of a gang, which can't complete without the one
 // that ended.
-func (c *Cell) breakGang(s *stepState) {
+func (c *Cell) abortGang(s *stepState) {
 	for _, m := range s.tasks {
 		if m.run != nil {
 			c.stopRun(m.run, "another gang member ended")
--- a/cell/job.go
+++ b/cell/job.go
@@ -226,17 +226,18 @@
 	return j.acceptedAt
 }
 
-// chain returns the estimated length of the longest chain of steps.
-func (j *jobState) chain() time.Duration {
+// criticalPath returns the estimated length of the longest chain of steps.
+func (j *jobState) criticalPath() time.Duration {
 	longest := time.Duration(0)
 	for i := range j.job.Steps {
-		longest = max(longest, j.chainFrom(i))
+		longest = max(longest, j.criticalPathFrom(i))
 	}
 	return longest
 }
 
-// chainFrom returns the estimated length of the longest chain that begins with a step.
-func (j *jobState) chainFrom(step int) time.Duration {
+// criticalPathFrom returns the estimated length of the longest chain of steps that begins with
+// a step.
+func (j *jobState) criticalPathFrom(step int) time.Duration {
 	if j.chains == nil {
 		j.chains = chainLengths(j.job.Steps)
 	}
--- a/cell/urgency.go
+++ b/cell/urgency.go
@@ -64,7 +64,7 @@
 		return r
 	}
 	startable, objective := j.startableSince(s.round), j.objective()
-	r.Due = startable + objective - j.chainFrom(s.number)
+	r.Due = startable + objective - j.criticalPathFrom(s.number)
 	r.Standing = ranking.StandingOf(c.now, startable, r.Due, objective)
 	if s.spec.Fills {
 		r.Work = s.round.remainingWork()
@@ -86,5 +86,5 @@
 
 // objective returns how long a job may take, based on rough estimates.
 func (j *jobState) objective() time.Duration {
-	return time.Duration(max(j.terms.Stretch, 1)*float64(j.chain())) + j.terms.Objective
+	return time.Duration(max(j.terms.Stretch, 1)*float64(j.criticalPath())) + j.terms.Objective
 }
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -317,7 +317,7 @@
 	r := &fakeRun{attempt: o.Attempt, duration: s.duration(o.Task), paceSince: s.now, pace: 100, need: s.needOf(o.Task)}
 	w.runs[o.Task] = r
 	if s.crashesWorker != nil && s.crashesWorker(o.Task) {
-		s.after(crashDelay, func() { w.crashUnder(o.Task, r) })
+		s.after(crashDelay, func() { w.crashDuring(o.Task, r) })
 		return provider.Accepted
 	}
 	w.planEnd(o.Task, r)
@@ -327,8 +327,8 @@
 // crashDelay is how long a task that crashes its worker runs there.
 const crashDelay = 10 * time.Millisecond
 
-// crashUnder crashes the worker if the run is still there.
-func (w *fakeWorker) crashUnder(task string, r *fakeRun) {
+// crashDuring crashes the worker if the run is still there.
+func (w *fakeWorker) crashDuring(task string, r *fakeRun) {
 	if !w.up || w.runs[task] != r {
 		return
 	}
