A reader that is behind reads on at once; few instances start at once with long polls, too

All 583 instances began to follow the jobs at start, and 60 claimed. Since the evidence of silence was taken as of the last read, and reads of a silent roster end together after 2.5 s, random delays of up to 2 s had all passed by then. Delays count up to now again, while the last read is recent; silence of less than a heartbeat's interval and such a read together is none, so that an outage isn't taken for it. The owner's list of workers was 3.7 to 13 s old, and nothing started. A reader slept its spacing after each page, also when it was behind: 256 kB in 0.3 s are 853 kB a second, where 6,000 workers write 800, and after one failure pages are smaller. It held while the fleet was small.

--- a/dispatcher/standby.go
+++ b/dispatcher/standby.go
@@ -145,7 +145,7 @@
 	}
 	s.queryMu.Lock()
 	defer s.queryMu.Unlock()
-	return s.roster.Heartbeat().Term, s.duty.OwnerSilent()
+	return s.roster.Heartbeat().Term, s.duty.OwnerSilent(s.d.clock())
 }
 
 // sendHeartbeat tells the owner that this standby is current.
--- a/standby/standby.go
+++ b/standby/standby.go
@@ -26,7 +26,9 @@
 // Timing holds the timeouts and delays of a Duty.
 type Timing struct {
 	// SilenceTimeout is the time without a heartbeat after which the owner and its
-	// standbys may have failed. Standbys succeed an owner well before.
+	// standbys may have failed. Standbys succeed an owner well before. It is above the
+	// interval of heartbeats and MaxReadGap together, so that an outage of the store isn't
+	// taken for silence.
 	SilenceTimeout time.Duration
 	// MaxReadGap is the time between two reads of the roster from which this instance counts
 	// as cut off from the store between them.
@@ -50,7 +52,7 @@
 // DefaultTiming returns the Timing for an owner that sends a heartbeat every two seconds.
 func DefaultTiming() Timing {
 	return Timing{
-		SilenceTimeout:  4 * time.Second,
+		SilenceTimeout:  5 * time.Second,
 		MaxReadGap:      3 * time.Second,
 		QueryTimeout:    time.Second,
 		QueryRetry:      20 * time.Second,
@@ -135,7 +137,7 @@
 		return d.following // the roster wasn't read yet
 	}
 	d.recordRead(now - age)
-	if d.named || d.OwnerSilent() || d.queriesFail(now) {
+	if d.named || d.OwnerSilent(now) || d.queriesFail(now) {
 		d.following = true
 		d.lastReason = now
 	}
@@ -155,14 +157,14 @@
 	d.lastRead = max(d.lastRead, at)
 }
 
-// OwnerSilent reports whether the owner had been silent for long enough at the last read.
-// Without any owner before, only the delay has to pass.
-func (d *Duty) OwnerSilent() bool {
+// OwnerSilent reports whether the owner has been silent for long enough, and was at the last
+// read. Without any owner before, only the delay has to pass.
+func (d *Duty) OwnerSilent(now time.Duration) bool {
 	timeout := d.timing.SilenceTimeout
 	if d.heartbeat.Term == 0 {
 		timeout = 0
 	}
-	return d.lastRead-d.silentSince >= timeout+d.delay
+	return now-d.lastRead <= d.timing.MaxReadGap && now-d.silentSince >= timeout+d.delay
 }
 
 // queriesFail reports whether no standby has answered for long enough.
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -90,7 +90,7 @@
 type Option func(*Tail)
 
 // WithSpacing sets the least time between the starts of two reads, which bounds the load
-// on the store. The default is zero.
+// on the store. A reader that is behind reads on without it. The default is zero.
 func WithSpacing(d time.Duration) Option {
 	return func(t *Tail) { t.spacing.Store(int64(d)) }
 }
@@ -234,11 +234,21 @@
 			sleep(ctx, retryDelay)
 			continue
 		}
-		sleep(ctx, time.Duration(t.spacing.Load())-time.Since(sent))
+		if !t.isBehind() {
+			sleep(ctx, time.Duration(t.spacing.Load())-time.Since(sent))
+		}
 	}
 	return nil
 }
 
+// isBehind reports whether there are records that weren't read yet, as far as this reader
+// knows. It reads on at once then: the spacing bounds the number of reads, not the rate at
+// which a stream can be read.
+func (t *Tail) isBehind() bool {
+	from, loaded := t.nextOffset()
+	return loaded && from < t.streamEnd.Load()
+}
+
 // Refresh reads up to the end that the stream has at the time of the call. Calls made
 // during a refresh share the next one, which starts after all of them. Over a slow link
 // one shared response arrives in time where many concurrent ones wouldn't.
@@ -299,12 +309,11 @@
 // readOnce reads the records after the last one applied, or loads the newest records. With
 // an error it returns the time until the next read.
 func (t *Tail) readOnce(ctx context.Context, wait time.Duration) (retryDelay time.Duration, err error) {
-	from, loaded := t.nextOffset()
-	if loaded && from < t.streamEnd.Load() {
+	if t.isBehind() {
 		t.catchUpSemaphore <- struct{}{}
 		defer func() { <-t.catchUpSemaphore }()
-		from, loaded = t.nextOffset()
 	}
+	from, loaded := t.nextOffset()
 	if !loaded {
 		return t.recordOutcome(t.load(ctx), false, 0)
 	}
