Standbys answer while they load a stream again

Change: the state that was loaded before goes on answering, with its age, until the load is complete; only Reset ends it. TestStateOutlivesLostHistory.

--- a/tail/tail.go
+++ b/tail/tail.go
@@ -74,6 +74,7 @@
 	mu            sync.Mutex    // guards next, isLoaded, asOf and the order of apply
 	next          uint64
 	isLoaded      bool
+	hasState      bool          // whether any load has been completed since the start or the last Reset
 	asOf          time.Duration // all records written before it have been applied
 	streamEnd     atomic.Uint64 // end offset of the stream in the last response
 
@@ -188,7 +189,7 @@
 func (t *Tail) Lag() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.isLoaded {
+	if !t.hasState {
 		return time.Hour
 	}
 	return t.clock() - t.asOf
@@ -199,16 +200,21 @@
 	return t.lastReadFailed.Load()
 }
 
-// IsLoaded reports whether the records read so far are those of the whole stream.
+// IsLoaded reports whether the stream was loaded since the start or the last Reset. It stays
+// true while the stream is loaded again because the next records aren't retained any more.
 func (t *Tail) IsLoaded() bool {
-	_, loaded := t.nextOffset()
-	return loaded
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasState
 }
 
 // Reset makes the next read load the newest records again. A paused reader needs it when the
 // state that results from its records is dropped.
 func (t *Tail) Reset() {
-	t.requireLoad()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isLoaded = false
+	t.hasState = false
 }
 
 // Next returns the offset after the last record applied.
@@ -427,6 +433,7 @@
 	t.streamEnd.Store(l.next)
 	t.lastAnswer.Store(int64(t.clock()))
 	t.isLoaded = true
+	t.hasState = true
 	t.loadOnce.Do(func() { close(t.loadedSignal) })
 }
 
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -319,3 +319,27 @@
 		is.Equal(known(), 101)
 	})
 }
+
+// Guards against standbys that all reject queries while they load a stream again whose history
+// the store has dropped.
+func TestStateOutlivesLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSlowLinkStore(3*pageRecords, 500*time.Millisecond)
+		reader, _ := follow(t, s)
+		is.Equal(reader.IsLoaded(), false)
+		<-reader.Loaded()
+		synctest.Wait()
+		s.write("a", "b")
+		s.mu.Lock()
+		s.firstKept = uint64(len(s.records)) // the reader has missed them
+		s.mu.Unlock()
+		time.Sleep(1200 * time.Millisecond) // the next read and a part of the load
+		is.True(reader.IsLoaded())
+		is.True(reader.Lag() > time.Second)
+		time.Sleep(3 * time.Second)
+		is.True(reader.Lag() < 2*time.Second)
+		reader.Reset()
+		is.Equal(reader.IsLoaded(), false)
+	})
+}
