A read of records that exist doesn't wait, so that a claim's read isn't held up by it

Cause, found by reading: records that are known to exist are read once at a time, and the periodic read would hold the turn for its wait and its timeout if its connection had gone silent, 1.2 to 1.9 s of the 1.5 s that a claim has. BenchmarkFleet has its takeover in the middle, as its comment says.

--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -65,7 +65,7 @@
 }
 
 // BenchmarkFleet simulates 5 s of 6,000 workers with a thousand starts a second and a
-// takeover in the middle, and reports the owners' time per second.
+// takeover in the middle, and reports the time per second, that of the harness included.
 func BenchmarkFleet(b *testing.B) {
 	for range b.N {
 		s := newSite(&testing.T{}, 1, 6000, 2)
@@ -82,7 +82,7 @@
 		}
 		s.after(0, arrive)
 		s.owners[0].takeOver()
-		s.replaceOwner(0, 1)
+		s.after(2500*time.Millisecond, func() { s.replaceOwner(0, 1) })
 		s.run(5 * time.Second)
 		b.ReportMetric(b.Elapsed().Seconds()/float64(b.N)/5, "cores")
 		b.ReportMetric(float64(len(s.completed)), "tasks")
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -324,6 +324,9 @@
 		return t.recordOutcome(t.load(ctx), false, 0)
 	}
 	isBehind := from < t.streamEnd.Load()
+	if isBehind {
+		wait = 0 // there are records
+	}
 	limit := t.limit()
 	readCtx, cancel := context.WithTimeout(ctx, wait+limit.Timeout)
 	defer cancel()
