Large instances follow first where nobody owns the cell

Change: the handicap of small instances is above the longest random delay. TestLargeInstancesStartFirst.

--- a/standby/standby.go
+++ b/standby/standby.go
@@ -42,7 +42,8 @@
 	// MaxDelay is the longest random delay.
 	MaxDelay time.Duration
 	// MaxHandicap is the additional delay of an instance with no processors. It falls
-	// linearly to zero for an instance with AmpleProcessors.
+	// linearly to zero for an instance with AmpleProcessors. That of a small instance is
+	// above MaxDelay, so that a large one, if there is any, owns the cell.
 	MaxHandicap     time.Duration
 	AmpleProcessors float64
 	// StopDelay is the time for which an instance goes on after the last reason to follow.
@@ -57,7 +58,7 @@
 		QueryTimeout:    time.Second,
 		QueryRetry:      20 * time.Second,
 		MaxDelay:        2 * time.Second,
-		MaxHandicap:     500 * time.Millisecond,
+		MaxHandicap:     3 * time.Second,
 		AmpleProcessors: 0.8,
 		StopDelay:       10 * time.Second,
 	}
--- a/standby/standby_test.go
+++ b/standby/standby_test.go
@@ -131,3 +131,18 @@
 	is.Equal(run(timing.StopDelay, func() {}), true)
 	is.Equal(run(timing.QueryRetry+timing.StopDelay, func() { d.Follows(now, 0) }), false)
 }
+
+// Guards against a small instance that owns the cell of a site with large ones, because it began
+// to follow first: it rejects jobs that a large one would start.
+func TestLargeInstancesStartFirst(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	start := func(processors float64) time.Duration {
+		d := standby.New("e", processors, standby.DefaultTiming(), random.Float64)
+		d.Observe(0, roster.Heartbeat{}, false)
+		return followTimeByPolls(is, d)
+	}
+	for range 200 {
+		is.True(start(0.8) < start(0.2))
+	}
+}
