--- a/bench/readers/readers_test.go
+++ b/bench/readers/readers_test.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// Guards against versions of a configuration that reach instances later than their bound:
-// where each instance reads each of them from the store, 2,400 have the last after 14 s.
+// Guards against versions of a configuration that reach instances later than their bound,
+// because each instance reads each of them from the store.
 func TestConfigurationReachesAll(t *testing.T) {
 	const bound = 5 * time.Second
 	const bytes = 60_000
--- a/inquiry/inquiry.go
+++ b/inquiry/inquiry.go
@@ -139,8 +139,8 @@
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
-// Ask asks a standby. An error has kind fault.Unavailable: queries change nothing, so that
-// another standby can be asked.
+// Ask asks a standby. It returns fault.Unavailable without an answer. Questions are
+// idempotent, so that they can be repeated, and asked of another standby.
 func (c *Client) Ask(ctx context.Context, to roster.Member, q Question) (Answer, error) {
 	body, err := cbor.Marshal(q)
 	if err != nil {
