--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -7,9 +7,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"go.uber.org/zap"
-
-	"github.com/dogwoodladder/dogwoodladder/fault"
 )
 
 // Range of the latency histograms, in microseconds: a tenth of a millisecond to a minute.
@@ -118,44 +115,3 @@
 func (d *Dispatcher) Vars() *expvar.Map {
 	return d.counters.vars
 }
-
-// outageLogger logs the outages of a dependency: at most one line per outageLogInterval
-// while it fails, and one when it answers again.
-type outageLogger struct {
-	logger     *zap.Logger
-	dependency string
-	stream     string
-
-	mu           sync.Mutex
-	failingSince time.Time // first failure of the current outage; zero while the dependency answers
-	lastLogAt    time.Time // last logged line
-}
-
-func (l *outageLogger) handleFailure(err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	if l.failingSince.IsZero() {
-		l.failingSince = now
-	}
-	if now.Sub(l.lastLogAt) < outageLogInterval {
-		return
-	}
-	l.lastLogAt = now
-	l.logger.Warn("no answer", zap.String("from", l.dependency), zap.String("part", l.stream),
-		zap.Stringer("kind", fault.KindOf(err)), zap.Error(err))
-}
-
-func (l *outageLogger) handleAnswer() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.failingSince.IsZero() {
-		return
-	}
-	l.logger.Info("answers again", zap.String("from", l.dependency), zap.String("part", l.stream),
-		zap.Duration("after", time.Since(l.failingSince)))
-	l.failingSince = time.Time{}
-}
-
-// outageLogInterval is the minimum interval between two lines about the same outage.
-const outageLogInterval = time.Second
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -27,6 +27,7 @@
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/election"
+	"github.com/dogwoodladder/dogwoodladder/outage"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/queue"
 	"github.com/dogwoodladder/dogwoodladder/tail"
@@ -208,13 +209,9 @@
 
 // newTail returns a Tail of a stream whose outages are logged.
 func (d *Dispatcher) newTail(stream string, apply tail.Apply, opts ...tail.Option) *tail.Tail {
-	outages := &outageLogger{logger: d.logger, dependency: "store", stream: stream}
-	logged := func(b tail.Batch) {
-		outages.handleAnswer()
-		apply(b)
-	}
-	opts = append(opts, tail.WithErrors(outages.handleFailure), tail.WithClock(d.clock))
-	return tail.New(d.platform.Store, stream, logged, opts...)
+	outages := outage.New(d.logger, "store", stream)
+	opts = append(opts, tail.WithOutages(outages), tail.WithClock(d.clock))
+	return tail.New(d.platform.Store, stream, apply, opts...)
 }
 
 // notifyUpdate notifies the control goroutine of a new configuration or new records.
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -63,7 +63,7 @@
 	lastAnswer     atomic.Int64 // time of the last successful read, on clock
 	clock          func() time.Duration
 	loadedSignal   chan struct{}
-	onError        func(error)
+	outages        Outages
 	paused         atomic.Bool
 	lastReadFailed atomic.Bool // whether the last read of Run failed
 	resumeSignal   chan struct{}
@@ -113,11 +113,25 @@
 	return func(t *Tail) { t.clock = clock }
 }
 
-// WithErrors sets a function that is called with the error of each failed read.
-func WithErrors(f func(error)) Option {
-	return func(t *Tail) { t.onError = f }
+// Outages gets to know which reads fail and which are answered.
+type Outages interface {
+	// Failed is called with the error of a read of Run, how long it was waited for, and the
+	// delay until the next one.
+	Failed(err error, waited, delay time.Duration)
+	// Answered is called after each answer, before its records are applied.
+	Answered()
 }
 
+// WithOutages sets who gets to know of failed reads.
+func WithOutages(o Outages) Option {
+	return func(t *Tail) { t.outages = o }
+}
+
+type noOutages struct{}
+
+func (noOutages) Failed(error, time.Duration, time.Duration) {}
+func (noOutages) Answered()                                  {}
+
 // New returns a Tail that passes the stream's records to apply.
 func New(store provider.Keyed, stream string, apply Apply, opts ...Option) *Tail {
 	start := time.Now()
@@ -128,7 +142,7 @@
 		wait:             defaultWait,
 		clock:            func() time.Duration { return time.Since(start) },
 		loadedSignal:     make(chan struct{}),
-		onError:          func(error) {},
+		outages:          noOutages{},
 		resumeSignal:     make(chan struct{}, 1),
 		loadSemaphore:    make(chan struct{}, 1),
 		refreshSemaphore: make(chan struct{}, 1),
@@ -236,7 +250,7 @@
 		retryDelay, err := t.readOnce(ctx, wait)
 		t.lastReadFailed.Store(err != nil)
 		if err != nil && ctx.Err() == nil {
-			t.onError(err)
+			t.outages.Failed(err, time.Since(sent), retryDelay)
 			sleep(ctx, retryDelay)
 			continue
 		}
@@ -430,6 +444,7 @@
 func (t *Tail) finishLoad(l *partialLoad) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.outages.Answered()
 	t.asOf = l.startedAt // records written since then may be missing in the first page
 	t.apply(Batch{Records: l.records, IsComplete: true, AsOf: t.asOf})
 	t.next = max(t.next, l.next)
@@ -446,6 +461,7 @@
 func (t *Tail) applyPage(from uint64, page provider.KeyedPage, sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.outages.Answered()
 	records := page.Records
 	if from < t.next {
 		records = records[min(uint64(len(records)), t.next-from):]
