--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -27,10 +27,7 @@
 func (s *source) IsStandby() bool { return s.isStandby }
 
 func (s *source) Ask(ctx context.Context) (distribution.Answer, error) {
-	select {
-	case <-time.After(s.took):
-	case <-ctx.Done():
-	}
+	sleep(ctx, s.took)
 	return s.answer, s.err
 }
 
@@ -93,3 +90,72 @@
 		synctest.Wait()
 	})
 }
+
+// lostStandbys answer until they are lost, and then not at all or with what they last read.
+type lostStandbys struct {
+	start     time.Time
+	lostAfter time.Duration
+	silent    bool // whether lost standbys don't answer
+	wait      time.Duration
+	timeout   time.Duration // of a question, beyond the wait
+	followsAt time.Duration
+	follows   bool
+}
+
+func (s *lostStandbys) IsStandby() bool { return false }
+
+func (s *lostStandbys) Ask(ctx context.Context) (distribution.Answer, error) {
+	lost := time.Since(s.start) >= s.lostAfter
+	if lost && s.silent {
+		sleep(ctx, s.wait+s.timeout)
+		return distribution.Answer{}, errors.New("no answer")
+	}
+	sleep(ctx, s.wait)
+	age := max(0, time.Since(s.start)-s.lostAfter)
+	return distribution.Answer{Age: age}, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (s *lostStandbys) Apply([]byte) {}
+
+func (s *lostStandbys) FollowStore(follow bool) {
+	if follow && !s.follows {
+		s.followsAt = time.Since(s.start)
+	}
+	s.follows = follow
+}
+
+// Guards against a configuration that comes into force late where the standbys that are asked
+// are lost, because each of them is waited for in turn.
+func TestStoreIsFollowedInTime(t *testing.T) {
+	const bound = 4 * time.Second // for a configuration to be in force
+	const readTime = time.Second  // to read it from the store, if the first read is lost
+	const contactBound = 5 * time.Second
+	for _, silent := range []bool{true, false} {
+		for lostAfter := 3 * time.Second; lostAfter < 5*time.Second; lostAfter += 100 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				s := &lostStandbys{start: time.Now(), lostAfter: lostAfter, silent: silent, wait: 1500 * time.Millisecond, timeout: 400 * time.Millisecond}
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() {
+					_ = distribution.New(s, distribution.WithMaxAge(contactBound/3+500*time.Millisecond)).Run(ctx)
+				}()
+				time.Sleep(20 * time.Second)
+				synctest.Wait()
+				if followed := s.followsAt - lostAfter; !s.follows || followed+readTime > bound {
+					t.Errorf("standbys lost after %v (silent: %v): store followed %v later", lostAfter, silent, followed)
+				}
+				cancel()
+				synctest.Wait()
+			})
+			if t.Failed() {
+				return
+			}
+		}
+	}
+}
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -343,3 +343,84 @@
 		is.Equal(reader.IsLoaded(), false)
 	})
 }
+
+// silentStore is empty and answers at once, or after the wait of a read, except while it is
+// silent. A call that it took while silent, or that would have been answered then, is never
+// answered.
+type silentStore struct {
+	provider.Keyed
+	mu          sync.Mutex
+	silentFrom  time.Time
+	silentUntil time.Time
+	answered    time.Time // last answer
+}
+
+func (s *silentStore) silence(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentFrom = time.Now()
+	s.silentUntil = s.silentFrom.Add(d)
+}
+
+func (s *silentStore) lastAnswer() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answered
+}
+
+func (s *silentStore) answer(ctx context.Context, after time.Duration) error {
+	sent := time.Now()
+	select {
+	case <-time.After(after):
+	case <-ctx.Done():
+		return fault.Wrap(fault.Unavailable, ctx.Err(), "answer")
+	}
+	s.mu.Lock()
+	lost := sent.Before(s.silentUntil) && !time.Now().Before(s.silentFrom)
+	if !lost {
+		s.answered = time.Now()
+	}
+	s.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return fault.Wrap(fault.Unavailable, ctx.Err(), "answer")
+	}
+	return nil
+}
+
+func (s *silentStore) Newest(ctx context.Context, _, _ string) (provider.KeyedPage, error) {
+	return provider.KeyedPage{}, s.answer(ctx, 0)
+}
+
+func (s *silentStore) Read(ctx context.Context, _ string, _ uint64, limit provider.ReadLimit) (provider.KeyedPage, error) {
+	return provider.KeyedPage{}, s.answer(ctx, limit.Wait)
+}
+
+// Guards against a reader that still waits for an answer that was lost in an outage, or for its
+// next attempt, long after the store has returned.
+func TestReturnOfSilentStoreIsNoticed(t *testing.T) {
+	const contactBound = 3 * time.Second // from the store's return until an instance has to be current
+	for _, silence := range []time.Duration{1, 2, 3, 5, 6, 10} {
+		for phase := range 40 {
+			synctest.Test(t, func(t *testing.T) {
+				s := &silentStore{}
+				reader := tail.New(s, "op", func(tail.Batch) {}, tail.WithWait(contactBound/3))
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = reader.Run(ctx) }()
+				time.Sleep(5*time.Second + time.Duration(phase)*25*time.Millisecond)
+				s.silence(silence * time.Second)
+				time.Sleep(silence * time.Second)
+				returned := time.Now()
+				time.Sleep(contactBound)
+				if !s.lastAnswer().After(returned) {
+					t.Errorf("no read in the %v after a silence of %d s", contactBound, silence)
+				}
+				cancel()
+				synctest.Wait()
+			})
+			if t.Failed() {
+				return
+			}
+		}
+	}
+}
