A reader's state can be asked for while it applies a batch

Callers saw 404 for routes that had been acknowledged seconds before, from an instance that went on accepting jobs, until its process was replaced.

Cause: a deadlock. tail.Tail called apply with its mutex held, and apply takes the lock of whoever uses the records; here configuration.store takes configuration.mu. The control goroutine of a standby asks in each tick whether it may claim the cell: configuration.isKnown takes configuration.mu and then the Tail's mutex, by IsLoaded and Lag. While a version is decoded the Tail's mutex is held, so each tick in that time ends in the deadlock; decoding 1,320 routes takes a small instance several ticks. Neither the operators' stream nor the control goroutine goes on: the instance stays on its version and drops out as standby, though its callers' side runs.

Why this works: apply is called with a lock of its own, which only the other batches and Reset wait for. The state's mutex is a leaf: nothing is called while it is held, so that no order of locks involves it, whatever apply does. The state counts a batch once it is applied, as before. It holds for all streams; the control goroutine doesn't wait for batches of thousands of records any more.

Ruled out: versions that are too large for smaller reads (they were read whole), timeouts (14 s without a read).

--- a/tail/tail.go
+++ b/tail/tail.go
@@ -49,7 +49,9 @@
 	AsOf time.Duration
 }
 
-// Apply processes the batches of a stream, one at a time and in order.
+// Apply processes the batches of a stream, one at a time and in order. The Tail's state counts
+// a batch only once it is applied. Apply may call the methods that return that state, and wait
+// for locks under which others call them.
 type Apply func(Batch)
 
 // Tail follows one stream. It is safe for concurrent use.
@@ -71,7 +73,8 @@
 	loadOnce      sync.Once     // closes loadedSignal
 	loadSemaphore chan struct{} // held while loading; no mutex, as the virtual time of synctest doesn't advance while one is waited for
 	partial       *partialLoad  // guarded by loadSemaphore; nil without an unfinished load
-	mu            sync.Mutex    // guards next, isLoaded, asOf and the order of apply
+	applyMu       sync.Mutex    // held while a batch is applied; taken before mu
+	mu            sync.Mutex    // guards the fields up to asOf, never held during a call of apply
 	next          uint64
 	isLoaded      bool
 	hasState      bool          // whether any load has been completed since the start or the last Reset
@@ -223,8 +226,10 @@
 }
 
 // Reset makes the next read load the newest records again. A paused reader needs it when the
-// state that results from its records is dropped.
+// state that results from its records is dropped. It waits for a batch that is being applied.
 func (t *Tail) Reset() {
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.isLoaded = false
@@ -442,39 +447,65 @@
 }
 
 func (t *Tail) finishLoad(l *partialLoad) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
 	t.outages.Answered()
-	t.asOf = l.startedAt // records written since then may be missing in the first page
-	t.apply(Batch{Records: l.records, IsComplete: true, AsOf: t.asOf})
-	t.next = max(t.next, l.next)
+	asOf := l.startedAt // records written since then may be missing in the first page
+	t.apply(Batch{Records: l.records, IsComplete: true, AsOf: asOf})
 	t.streamEnd.Store(l.next)
 	t.lastAnswer.Store(int64(t.clock()))
+	t.markLoaded(l.next, asOf)
+	t.loadOnce.Do(func() { close(t.loadedSignal) })
+}
+
+// markLoaded records that a load has been applied.
+func (t *Tail) markLoaded(next uint64, asOf time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next = max(t.next, next)
+	t.asOf = asOf
 	t.isLoaded = true
 	t.hasState = true
-	t.loadOnce.Do(func() { close(t.loadedSignal) })
 }
 
 // applyPage applies those records of a page that no other read has applied. A page that
 // reaches the stream's end covers all records written before the read was sent; a page
 // truncated by its size doesn't.
 func (t *Tail) applyPage(from uint64, page provider.KeyedPage, sent time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
 	t.outages.Answered()
+	applied, asOf := t.position()
 	records := page.Records
-	if from < t.next {
-		records = records[min(uint64(len(records)), t.next-from):]
+	if from < applied {
+		records = records[min(uint64(len(records)), applied-from):]
 	}
-	t.next = max(t.next, from+uint64(len(page.Records)))
-	if t.next >= page.Next {
-		t.asOf = max(t.asOf, sent)
+	next := max(applied, from+uint64(len(page.Records)))
+	if next >= page.Next {
+		asOf = max(asOf, sent)
 	}
-	t.apply(Batch{Records: records, AsOf: t.asOf})
+	t.apply(Batch{Records: records, AsOf: asOf})
+	t.advance(next, asOf)
 	t.streamEnd.Store(max(t.streamEnd.Load(), page.Next)) // responses may arrive out of order
 	t.lastAnswer.Store(int64(t.clock()))
 }
 
+// position returns the offset after the last record applied, and the time before which all
+// records written have been applied.
+func (t *Tail) position() (next uint64, asOf time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next, t.asOf
+}
+
+// advance records that a page has been applied.
+func (t *Tail) advance(next uint64, asOf time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next = next
+	t.asOf = asOf
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -424,3 +424,34 @@
 		}
 	}
 }
+
+// Guards against a reader and its user that wait for each other: the reader applies a batch while
+// others, holding a lock that apply takes, ask for its state.
+func TestStateIsAvailableDuringApply(t *testing.T) {
+	const timeout = 20 * time.Second // a successful run takes milliseconds
+	is := is.New(t)
+	s := newSlowLinkStore(1, 0)
+	s.write("new") // read after the load
+	var reader *tail.Tail
+	states := make(chan bool, 10)
+	reader = tail.New(s, "jobs", func(tail.Batch) {
+		answered := make(chan bool, 1)
+		go func() { answered <- reader.IsLoaded() && reader.Lag() < time.Hour && reader.Next() > 0 }()
+		select {
+		case loaded := <-answered:
+			states <- loaded
+		case <-time.After(timeout):
+			t.Error("the state isn't available while a batch is applied")
+			states <- false
+		}
+	}, tail.WithSpacing(time.Hour))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = reader.Run(ctx) }()
+	is.Equal(<-states, false) // while the load is applied
+	if t.Failed() {
+		return
+	}
+	is.NoErr(reader.Refresh(t.Context()))
+	is.Equal(<-states, true)
+}
