--- a/bench/readers/readers.go
+++ b/bench/readers/readers.go
@@ -32,6 +32,7 @@
 	readers     int
 	cutShare    float64
 	outage      time.Duration
+	silent      bool
 	length      time.Duration
 	stream      stream
 	bandwidth   float64
@@ -65,6 +66,12 @@
 	return func(b *Bench) { b.cutShare, b.outage = share, d }
 }
 
+// WithSilence leaves the reads of the readers that can't reach the store without an answer,
+// instead of rejecting them.
+func WithSilence() Option {
+	return func(b *Bench) { b.silent = true }
+}
+
 // WithWrites sets how many bytes a second are written to the stream (default 40 kB).
 func WithWrites(bytesPerSecond float64) Option {
 	return func(b *Bench) { b.stream = steadyStream(bytesPerSecond) }
@@ -134,6 +141,13 @@
 	return &Fixed{limit: pacing.Limit{Bytes: pacing.MaxBytes, Timeout: pacing.MinTimeout}}
 }
 
+// Paced returns a policy of package pacing with a bound for noticing the store's return.
+func Paced(bound time.Duration) func(random func() float64) Policy {
+	return func(random func() float64) Policy {
+		return pacing.New(random, pacing.WithReturnBound(bound))
+	}
+}
+
 // Limit returns the fixed bounds.
 func (f *Fixed) Limit() pacing.Limit { return f.limit }
 
@@ -155,6 +169,7 @@
 	Transmitted float64       // bytes
 	Useful      float64       // bytes that were in time
 	Oldest      time.Duration // oldest state of a reader that wasn't cut off
+	Noticed     time.Duration // from the end of the outage until every reader that was cut off had sent a read
 }
 
 const (
@@ -170,10 +185,11 @@
 )
 
 type reader struct {
-	policy Policy
-	cut    bool
-	read   float64 // bytes read
-	number int     // of the read in progress
+	policy   Policy
+	cut      bool
+	returned bool    // whether it has sent a read after the outage
+	read     float64 // bytes read
+	number   int     // of the read in progress
 }
 
 // Run plays the outage and returns what the readers got.
@@ -205,9 +221,10 @@
 func (b *Bench) send(r *reader) {
 	r.number++
 	if r.cut && b.inOutage() {
-		b.fail(r, pacing.Rejected)
+		b.lose(r)
 		return
 	}
+	b.recordReturn(r)
 	queued := max(0, b.linkFreeAt-b.now)
 	if queued > maxQueue {
 		b.result.Rejected++
@@ -237,6 +254,24 @@
 	})
 }
 
+// lose fails a read that doesn't reach the store.
+func (b *Bench) lose(r *reader) {
+	if !b.silent {
+		b.fail(r, pacing.Rejected)
+		return
+	}
+	b.after(r.policy.Limit().Timeout, func() { b.fail(r, pacing.TimedOut) })
+}
+
+// recordReturn records when a reader that was cut off sends its first read after the outage.
+func (b *Bench) recordReturn(r *reader) {
+	if !r.cut || r.returned || b.now < outageStart {
+		return
+	}
+	r.returned = true
+	b.result.Noticed = max(b.result.Noticed, b.now-outageStart-b.outage)
+}
+
 func (b *Bench) receive(r *reader, size float64, sent time.Duration) {
 	r.read += size
 	b.result.Useful += size
--- a/bench/readers/readers_test.go
+++ b/bench/readers/readers_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/bench/readers"
+	"github.com/dogwoodladder/dogwoodladder/pacing"
 )
 
 // idealCatchUp returns how long the store's spare bandwidth needs for what the cut readers
@@ -36,6 +37,15 @@
 		{"two fifths of four times as many", 2400, 0.4, 25e3, true},
 		{"all of four times as many", 2400, 1, 25e3, true},
 	}
+	outages := []struct {
+		bound  time.Duration
+		silent bool
+	}{
+		{pacing.DefaultReturnBound, false},
+		{2 * time.Second, false},
+		{2 * time.Second, true},
+		{4 * time.Second, true},
+	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -45,11 +55,18 @@
 			}
 			fixed := play(readers.WithPolicy(readers.NewFixed))
 			is.Equal(fixed.CaughtUp == 0, tt.fixed)
-			paced := play()
-			t.Log(paced)
-			is.True(paced.CaughtUp > 0)
-			is.True(paced.CaughtUp <= 2*time.Second+5*idealCatchUp(tt.readers, tt.written, tt.share, outage)/2)
-			is.True(paced.Useful > 0.9*paced.Transmitted)
+			for _, o := range outages {
+				opts := []readers.Option{readers.WithPolicy(readers.Paced(o.bound))}
+				if o.silent {
+					opts = append(opts, readers.WithSilence())
+				}
+				paced := play(opts...)
+				t.Log(o, paced)
+				is.True(paced.CaughtUp > 0)
+				is.True(paced.CaughtUp <= 2*time.Second+5*idealCatchUp(tt.readers, tt.written, tt.share, outage)/2)
+				is.True(paced.Useful > 0.9*paced.Transmitted)
+				is.True(paced.Noticed <= o.bound)
+			}
 		})
 	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,6 +28,7 @@
 	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/election"
 	"github.com/dogwoodladder/dogwoodladder/outage"
+	"github.com/dogwoodladder/dogwoodladder/pacing"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/queue"
 	"github.com/dogwoodladder/dogwoodladder/tail"
@@ -83,6 +84,7 @@
 	onRecorded     func(byZone map[string]int)
 	readList       func(context.Context) error
 	knowsOperators func() bool
+	returnBound    time.Duration
 	counters       *Counters
 
 	// Owned by the control goroutine.
@@ -145,6 +147,12 @@
 	return func(d *Dispatcher) { d.knowsOperators = f }
 }
 
+// WithReturnBound sets the longest time for which the store's return may go unnoticed after
+// it was silent.
+func WithReturnBound(bound time.Duration) Option {
+	return func(d *Dispatcher) { d.returnBound = bound }
+}
+
 // WithClock sets the clock of all decisions. It must keep running while the machine
 // is suspended; otherwise leases that expired meanwhile would count as valid.
 func WithClock(clock func() time.Duration) Option {
@@ -174,6 +182,7 @@
 		onRecorded:      func(map[string]int) {},
 		readList:        func(context.Context) error { return nil },
 		knowsOperators:  func() bool { return true },
+		returnBound:     pacing.DefaultReturnBound,
 	}
 	d.standbys = newStandbys(d)
 	for _, opt := range opts {
@@ -210,7 +219,7 @@
 // newTail returns a Tail of a stream whose outages are logged.
 func (d *Dispatcher) newTail(stream string, apply tail.Apply, opts ...tail.Option) *tail.Tail {
 	outages := outage.New(d.logger, "store", stream)
-	opts = append(opts, tail.WithOutages(outages), tail.WithClock(d.clock))
+	opts = append(opts, tail.WithOutages(outages), tail.WithClock(d.clock), tail.WithReturnBound(d.returnBound))
 	return tail.New(d.platform.Store, stream, apply, opts...)
 }
 
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -3,15 +3,21 @@
 //
 // Usage:
 //
-//	p := pacing.New(rand.Float64)
-//	limit := p.Limit()             // of the next read
-//	p.Succeeded(took)              // after an answer
+//	p := pacing.New(rand.Float64, pacing.WithReturnBound(2*time.Second))
+//	limit := p.Limit()                 // of the next read
+//	wait := p.MaxWait()                // for new records, in addition to limit.Timeout
+//	p.Succeeded(took)                  // after an answer
 //	delay := p.Failed(pacing.TimedOut) // after a failure: the time until the next read
 //
 // All readers of a store share its bandwidth. If an answer is given up when most of it has
 // been sent, and asked for again at once, the store transmits nothing but abandoned
 // answers: the congestion sustains itself after its cause has ended. So a read that
 // timed out is followed, after a random delay, by one that asks for less and waits longer.
+//
+// A read that a silent store has taken is never answered, and the store's return goes
+// unnoticed until the read times out and the delay is over. So the wait, the timeout and the
+// delay of a read never add up to more than a bound, the longest time for which the return may
+// go unnoticed.
 package pacing
 
 import "time"
@@ -26,10 +32,16 @@
 	// records. The store answers within milliseconds, and within a quarter of a second
 	// when it is slow; a read that takes much longer has lost its connection.
 	MinTimeout = 900 * time.Millisecond
-	// MaxTimeout bounds the time for which a silent connection goes unnoticed.
+	// MaxTimeout is the longest timeout, whatever the bound.
 	MaxTimeout = 3 * time.Second
+	// DefaultReturnBound is the bound without WithReturnBound.
+	DefaultReturnBound = MaxTimeout + maxTimedOutDelay
 )
 
+// timeoutShare is the share of the bound that the longest timeout takes. The longest delay
+// takes the rest.
+const timeoutShare = 2.0 / 3
+
 const (
 	// slowAnswer is the time of an answer from which the next read asks for less. It is
 	// above that of a slow store, which takes as long for a small answer.
@@ -67,15 +79,39 @@
 // Pacer paces the reads of one stream. It isn't safe for concurrent use.
 type Pacer struct {
 	random    func() float64
+	bound     time.Duration // of a read's wait, timeout and delay together
 	bytes     int
 	threshold int // size from which on it grows slowly
 	timeout   time.Duration
 	level     int // failures not yet offset by answers
 }
 
+// Option configures a Pacer.
+type Option func(*Pacer)
+
+// WithReturnBound sets the longest time for which the store's return may go unnoticed.
+func WithReturnBound(d time.Duration) Option {
+	return func(p *Pacer) { p.bound = d }
+}
+
 // New returns a Pacer without failures. Random returns numbers from 0 to 1.
-func New(random func() float64) *Pacer {
-	return &Pacer{random: random, bytes: MaxBytes, threshold: MaxBytes, timeout: MinTimeout}
+func New(random func() float64, opts ...Option) *Pacer {
+	p := &Pacer{random: random, bound: DefaultReturnBound, bytes: MaxBytes, threshold: MaxBytes}
+	for _, opt := range opts {
+		opt(p)
+	}
+	p.timeout = p.minTimeout()
+	return p
+}
+
+// LongestTimeout returns the longest timeout of a read, which is also that of one whose size
+// can't be limited.
+func (p *Pacer) LongestTimeout() time.Duration {
+	return min(MaxTimeout, time.Duration(timeoutShare*float64(p.bound)))
+}
+
+func (p *Pacer) minTimeout() time.Duration {
+	return min(MinTimeout, p.LongestTimeout())
 }
 
 // Limit returns the bounds of the next read.
@@ -83,6 +119,11 @@
 	return Limit{Bytes: p.bytes, Timeout: p.timeout}
 }
 
+// MaxWait returns the longest time for which the next read may wait for new records.
+func (p *Pacer) MaxWait() time.Duration {
+	return max(0, p.bound-p.timeout-p.longestDelay(TimedOut, p.level+1))
+}
+
 // Succeeded records an answer and the time that it took, without the wait for new records.
 // The bounds return to their defaults step by step, since the cause of a congestion may
 // persist.
@@ -96,7 +137,7 @@
 	default:
 		p.bytes = min(MaxBytes, p.bytes+growth)
 	}
-	p.timeout = max(MinTimeout, time.Duration(timeoutDecrease*float64(p.timeout)))
+	p.timeout = max(p.minTimeout(), time.Duration(timeoutDecrease*float64(p.timeout)))
 	p.level = max(0, p.level-1)
 }
 
@@ -105,16 +146,23 @@
 func (p *Pacer) Failed(f Failure) time.Duration {
 	p.level = min(maxLevel, p.level+1)
 	p.shrink()
-	longest := maxRejectedDelay
 	if f == TimedOut {
-		longest = maxTimedOutDelay
 		p.threshold = p.bytes
-		p.timeout = min(MaxTimeout, time.Duration(timeoutIncrease*float64(p.timeout)))
+		p.timeout = min(p.LongestTimeout(), time.Duration(timeoutIncrease*float64(p.timeout)))
 	}
-	delay := min(longest, minDelay<<p.level)
+	delay := p.longestDelay(f, p.level)
 	return delay/2 + time.Duration(p.random()*float64(delay/2))
 }
 
+// longestDelay returns the longest delay after a failure that is the last of a number of them.
+func (p *Pacer) longestDelay(f Failure, level int) time.Duration {
+	longest := maxRejectedDelay
+	if f == TimedOut {
+		longest = maxTimedOutDelay
+	}
+	return min(longest, p.bound-p.LongestTimeout(), minDelay<<min(maxLevel, level))
+}
+
 func (p *Pacer) shrink() {
 	p.bytes = max(MinBytes, int(shrinkFactor*float64(p.bytes)))
 }
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/dogwoodladder/dogwoodladder/pacing"
 )
@@ -86,3 +87,31 @@
 		is.Equal(p.Failed(pacing.TimedOut), tt.delay)
 	}
 }
+
+// Guards against a reader that notices the store's return later than its bound, whatever
+// answers and failures came before.
+func TestReadAndDelayKeepTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := time.Duration(rapid.Int64Range(int64(300*time.Millisecond), int64(10*time.Second)).Draw(t, "bound"))
+		random := rapid.Float64Range(0, 1)
+		p := pacing.New(func() float64 { return random.Draw(t, "random") }, pacing.WithReturnBound(bound))
+		for range rapid.IntRange(1, 40).Draw(t, "reads") {
+			limit, wait := p.Limit(), p.MaxWait()
+			if limit.Timeout <= 0 || wait < 0 || p.LongestTimeout() > bound {
+				t.Fatalf("timeout %v, wait %v, longest timeout %v", limit.Timeout, wait, p.LongestTimeout())
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "outcome") {
+			case 0:
+				p.Succeeded(time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "took")))
+			case 1:
+				if delay := p.Failed(pacing.Rejected); limit.Timeout+delay > bound {
+					t.Fatalf("timeout %v and delay %v exceed %v", limit.Timeout, delay, bound)
+				}
+			case 2:
+				if delay := p.Failed(pacing.TimedOut); wait+limit.Timeout+delay > bound {
+					t.Fatalf("wait %v, timeout %v and delay %v exceed %v", wait, limit.Timeout, delay, bound)
+				}
+			}
+		}
+	})
+}
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -26,13 +26,9 @@
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
-// Times of reads. Package pacing has those of reads that fail.
+// Times of reads. Package pacing has their timeouts and those of reads that fail.
 const (
 	defaultWait = time.Second
-	// pageTimeout bounds the read of a page of newest records. A page has up to 1 MB,
-	// which takes 0.8 s over a link of 10 Mbit/s, and other streams are loaded at the
-	// same time.
-	pageTimeout = 3 * time.Second
 	// maxPartialAge is the maximum age of a load's first page when the load is resumed.
 	// The stream must still retain all records written since; it does so for 20 s.
 	maxPartialAge = 10 * time.Second
@@ -104,6 +100,12 @@
 	return func(t *Tail) { t.wait = d }
 }
 
+// WithReturnBound sets the longest time for which the store's return may go unnoticed after
+// it was silent. Waits for new records are shortened accordingly.
+func WithReturnBound(d time.Duration) Option {
+	return func(t *Tail) { t.pacer = pacing.New(rand.Float64, pacing.WithReturnBound(d)) }
+}
+
 // WithPause starts the reader paused.
 func WithPause() Option {
 	return func(t *Tail) { t.paused.Store(true) }
@@ -346,7 +348,8 @@
 	if isBehind {
 		wait = 0 // there are records
 	}
-	limit := t.limit()
+	limit, maxWait := t.limit()
+	wait = min(wait, maxWait)
 	readCtx, cancel := context.WithTimeout(ctx, wait+limit.Timeout)
 	defer cancel()
 	sent := t.clock()
@@ -365,10 +368,11 @@
 	return t.recordOutcome(err, readCtx.Err() != nil, took)
 }
 
-func (t *Tail) limit() pacing.Limit {
+// limit returns the bounds of the next read and of its wait for new records.
+func (t *Tail) limit() (limit pacing.Limit, maxWait time.Duration) {
 	t.pacerMu.Lock()
 	defer t.pacerMu.Unlock()
-	return t.pacer.Limit()
+	return t.pacer.Limit(), t.pacer.MaxWait()
 }
 
 // recordOutcome records the outcome of a read, and returns it with the time until the next
@@ -441,7 +445,7 @@
 }
 
 func (t *Tail) readPage(ctx context.Context, after string) (provider.KeyedPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	ctx, cancel := context.WithTimeout(ctx, t.pacer.LongestTimeout())
 	defer cancel()
 	return t.store.Newest(ctx, t.stream, after)
 }
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -352,7 +352,7 @@
 	mu          sync.Mutex
 	silentFrom  time.Time
 	silentUntil time.Time
-	answered    time.Time // last answer
+	sent        time.Time // first call after the silence that isn't lost
 }
 
 func (s *silentStore) silence(d time.Duration) {
@@ -360,12 +360,14 @@
 	defer s.mu.Unlock()
 	s.silentFrom = time.Now()
 	s.silentUntil = s.silentFrom.Add(d)
+	s.sent = time.Time{}
 }
 
-func (s *silentStore) lastAnswer() time.Time {
+// firstSent returns when the first call was sent that the silence hasn't swallowed.
+func (s *silentStore) firstSent() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.answered
+	return s.sent
 }
 
 func (s *silentStore) answer(ctx context.Context, after time.Duration) error {
@@ -377,8 +379,8 @@
 	}
 	s.mu.Lock()
 	lost := sent.Before(s.silentUntil) && !time.Now().Before(s.silentFrom)
-	if !lost {
-		s.answered = time.Now()
+	if !lost && s.sent.IsZero() {
+		s.sent = sent
 	}
 	s.mu.Unlock()
 	if lost {
@@ -399,29 +401,48 @@
 // Guards against a reader that still waits for an answer that was lost in an outage, or for its
 // next attempt, long after the store has returned.
 func TestReturnOfSilentStoreIsNoticed(t *testing.T) {
-	const contactBound = 3 * time.Second // from the store's return until an instance has to be current
-	for _, silence := range []time.Duration{1, 2, 3, 5, 6, 10} {
-		for phase := range 40 {
-			synctest.Test(t, func(t *testing.T) {
-				s := &silentStore{}
-				reader := tail.New(s, "op", func(tail.Batch) {}, tail.WithWait(contactBound/3))
-				ctx, cancel := context.WithCancel(t.Context())
-				go func() { _ = reader.Run(ctx) }()
-				time.Sleep(5*time.Second + time.Duration(phase)*25*time.Millisecond)
-				s.silence(silence * time.Second)
-				time.Sleep(silence * time.Second)
-				returned := time.Now()
-				time.Sleep(contactBound)
-				if !s.lastAnswer().After(returned) {
-					t.Errorf("no read in the %v after a silence of %d s", contactBound, silence)
+	tests := []struct {
+		name         string
+		contactBound time.Duration // from the store's return until an instance has to be current
+		wait         time.Duration
+		unloaded     bool // whether the store falls silent before the reader has loaded the stream
+	}{
+		{"short wait", 3 * time.Second, time.Second, false},
+		{"wait above the bound", 3 * time.Second, 5 * time.Second, false},
+		{"long bound", 6 * time.Second, 2500 * time.Millisecond, false},
+		{"first load", 3 * time.Second, time.Second, true},
+		{"first load with a long bound", 6 * time.Second, time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, silence := range []time.Duration{1, 2, 3, 5, 6, 10} {
+				for phase := range 40 {
+					synctest.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						s := &silentStore{}
+						bound := 2 * tt.contactBound / 3
+						reader := tail.New(s, "op", func(tail.Batch) {}, tail.WithWait(tt.wait), tail.WithReturnBound(bound))
+						ctx, cancel := context.WithCancel(t.Context())
+						until := 5*time.Second + time.Duration(phase)*25*time.Millisecond
+						if tt.unloaded {
+							s.silence(until + silence*time.Second)
+						}
+						go func() { _ = reader.Run(ctx) }()
+						time.Sleep(until)
+						if !tt.unloaded {
+							s.silence(silence * time.Second)
+						}
+						time.Sleep(silence * time.Second)
+						returned := time.Now()
+						time.Sleep(bound + tt.wait) // the first read after it may wait for records
+						is.True(s.firstSent().After(returned))
+						is.True(s.firstSent().Sub(returned) <= bound)
+						cancel()
+						synctest.Wait()
+					})
 				}
-				cancel()
-				synctest.Wait()
-			})
-			if t.Failed() {
-				return
 			}
-		}
+		})
 	}
 }
 
