A roster that can't be read tells nothing of its owner

Cause: an instance takes the owner for lost if its heartbeats are missing for 5 s although the roster was read within 3 s. A long poll that began before an outage is answered up to 2.5 s into it, without a heartbeat, as the owner can't write any more. So 4.5 s after the outage's begin both held at some instances while each further read failed, and they loaded the state of all jobs for ten seconds (log: standby following=true named=false at 24.5 to 25.1 s, store away from 20 s).

Change: while reads of the roster fail, nothing follows from its silence. TestOutageDuringAReadIsNoSilence fails without the condition.

--- a/dispatcher/standby.go
+++ b/dispatcher/standby.go
@@ -119,6 +119,7 @@
 		return
 	}
 	s.queryMu.Lock()
+	s.duty.ReadFails(s.rosterLog.Failing())
 	follows := s.duty.Follows(s.d.clock(), s.rosterLog.Age()) || isNeeded
 	s.queryMu.Unlock()
 	if follows == s.following.Load() {
--- a/standby/standby.go
+++ b/standby/standby.go
@@ -78,6 +78,7 @@
 	named        bool
 	silentSince  time.Duration // when the last heartbeat was read; negative before the first read
 	lastRead     time.Duration // of the roster
+	readFails    bool          // whether the read after it fails
 	delay        time.Duration // redrawn with each heartbeat
 	failingSince time.Duration // first failed query since the last that was answered; negative if none failed
 	lastFailure  time.Duration
@@ -118,6 +119,12 @@
 	d.delay = d.drawDelay()
 }
 
+// ReadFails handles whether reads of the roster fail. While they do, nothing is known of the
+// owner: its heartbeats may fail as well.
+func (d *Duty) ReadFails(fails bool) {
+	d.readFails = fails
+}
+
 // QueryFailed handles a query that no standby answered.
 func (d *Duty) QueryFailed(now time.Duration) {
 	if d.failingSince < 0 {
@@ -165,7 +172,7 @@
 	if d.heartbeat.Term == 0 {
 		timeout = 0
 	}
-	return now-d.lastRead <= d.timing.MaxReadGap && now-d.silentSince >= timeout+d.delay
+	return !d.readFails && now-d.lastRead <= d.timing.MaxReadGap && now-d.silentSince >= timeout+d.delay
 }
 
 // queriesFail reports whether no standby has answered for long enough.
--- a/standby/standby_test.go
+++ b/standby/standby_test.go
@@ -107,6 +107,23 @@
 	is.Equal(d.Follows(14*time.Second, 0), false)
 }
 
+// Guards against an instance that takes the owner for lost in an outage of the store, since a
+// read that began before the outage was answered in it.
+func TestOutageDuringAReadIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	timing := standby.DefaultTiming()
+	d := standby.New("e2", 1, timing, func() float64 { return 0 })
+	d.Observe(time.Second, roster.Heartbeat{Term: 4096, Count: 1}, false)
+	is.Equal(d.Follows(time.Second, 0), false)
+	lastRead := 3400 * time.Millisecond
+	d.ReadFails(true)
+	for now := lastRead; now <= lastRead+timing.MaxReadGap; now += 100 * time.Millisecond {
+		is.Equal(d.Follows(now, now-lastRead), false)
+	}
+	d.ReadFails(false)
+	is.True(d.Follows(lastRead+timing.MaxReadGap, 0)) // the owner is silent though the store answers
+}
+
 // Guards against an instance that reads the state of all jobs for good after a moment
 // without standbys.
 func TestStopsWithoutReason(t *testing.T) {
