--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -130,8 +130,7 @@
 	s.follows = follow
 }
 
-// Guards against a configuration that comes into force late where the standbys that are asked
-// are lost, because each of them is waited for in turn.
+// Guards against a configuration that is late because lost standbys are waited for in turn.
 func TestStoreIsFollowedInTime(t *testing.T) {
 	const bound = 4 * time.Second // for a configuration to be in force
 	const readTime = time.Second  // to read it from the store, if the first read is lost
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -88,8 +88,7 @@
 	}
 }
 
-// Guards against a reader that notices the store's return later than its bound, whatever
-// answers and failures came before.
+// Guards against a reader that notices the store's return later than its bound.
 func TestReadAndDelayKeepTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bound := time.Duration(rapid.Int64Range(int64(300*time.Millisecond), int64(10*time.Second)).Draw(t, "bound"))
--- a/standby/standby_test.go
+++ b/standby/standby_test.go
@@ -107,8 +107,7 @@
 	is.Equal(d.Follows(14*time.Second, 0), false)
 }
 
-// Guards against an instance that takes the owner for lost in an outage of the store, since a
-// read that began before the outage was answered in it.
+// Guards against an instance that takes the owner for lost when an outage begins during a read.
 func TestOutageDuringAReadIsNoSilence(t *testing.T) {
 	is := is.New(t)
 	timing := standby.DefaultTiming()
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -344,9 +344,7 @@
 	})
 }
 
-// silentStore is empty and answers at once, or after the wait of a read, except while it is
-// silent. A call that it took while silent, or that would have been answered then, is never
-// answered.
+// silentStore is an empty store. A call that it takes or would answer while it is silent is lost.
 type silentStore struct {
 	provider.Keyed
 	mu          sync.Mutex
@@ -398,8 +396,7 @@
 	return provider.KeyedPage{}, s.answer(ctx, limit.Wait)
 }
 
-// Guards against a reader that still waits for an answer that was lost in an outage, or for its
-// next attempt, long after the store has returned.
+// Guards against a reader that waits for a lost answer, or its next attempt, long after the store's return.
 func TestReturnOfSilentStoreIsNoticed(t *testing.T) {
 	tests := []struct {
 		name         string
@@ -446,8 +443,7 @@
 	}
 }
 
-// Guards against a reader and its user that wait for each other: the reader applies a batch while
-// others, holding a lock that apply takes, ask for its state.
+// Guards against a deadlock of a reader that applies a batch with others that ask for its state.
 func TestStateIsAvailableDuringApply(t *testing.T) {
 	const timeout = 20 * time.Second // a successful run takes milliseconds
 	is := is.New(t)
