--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -158,7 +157,7 @@
 		return fault.New(fault.Unavailable, "the store rejects writes").After(rejectedRetryAfter)
 	}
 	if d := i.outage.duration(); d > 0 {
-		return fault.New(fault.Unavailable, "the store hasn't answered writes for %v", d.Round(time.Millisecond)).After(retryAfter(d))
+		return fault.New(fault.Unavailable, "the store hasn't answered writes for %v", d.Round(time.Millisecond)).After(retryAfter(d)).Because(fault.StoreSilent)
 	}
 	ambiguous := false
 	rejections := 0
@@ -201,14 +200,14 @@
 	select {
 	case i.pending <- e:
 	default:
-		return fault.New(fault.Overloaded, "%d requests wait to be written already", cap(i.pending))
+		return fault.New(fault.Overloaded, "%d requests wait to be written already", cap(i.pending)).Because(fault.Overload)
 	}
 	select {
 	case err := <-e.done:
 		return err
 	case <-ctx.Done():
 		if e.state.CompareAndSwap(writeWaiting, writeWithdrawn) {
-			return fault.Wrap(fault.Unavailable, ctx.Err(), "not sent to the store, waiting for earlier writes")
+			return fault.Wrap(fault.Unavailable, ctx.Err(), "not sent to the store, waiting for earlier writes").Because(fault.StoreSilent)
 		}
 		return fault.Wrap(fault.MayHaveRun, ctx.Err(), "write not answered by the store")
 	}
@@ -249,7 +248,7 @@
 		err = d.intake.write(ctx, record)
 	}
 	d.counters.recordAccept(time.Since(startedAt), err)
-	d.logger.Info("accept", zap.String("job", j.ID), zap.String("queue", j.Queue), zap.Duration("took", time.Since(startedAt)), zap.Error(err))
+	d.logger.Info("accept", append(outcomeFields(err), zap.String("job", j.ID), zap.String("queue", j.Queue), zap.Duration("took", time.Since(startedAt)), zap.Error(err))...)
 	if err != nil {
 		return err
 	}
@@ -264,7 +263,7 @@
 	b := d.backlog()
 	lag := b.Lag(j.Terms.Priority)
 	reason := rejectionReason(b, lag, j)
-	if reason == "" {
+	if reason == nil {
 		return nil
 	}
 	_, err := d.State(ctx, j.ID)
@@ -274,20 +273,20 @@
 	if !fault.Is(err, fault.NotFound) {
 		return nil
 	}
-	return fault.New(fault.Overloaded, "%s", reason).After(overload.RetryAfter(lag, rand.Float64()))
+	return reason.After(overload.RetryAfter(lag, rand.Float64()))
 }
 
-// rejectionReason returns the reason for which a job is rejected, empty if it is admitted.
-func rejectionReason(b *overload.Backlog, lag time.Duration, j *job.Job) string {
+// rejectionReason returns the error with which a job is rejected, nil if it is admitted.
+func rejectionReason(b *overload.Backlog, lag time.Duration, j *job.Job) *fault.Error {
 	switch {
 	case j.Scheduled():
-		return ""
+		return nil
 	case overload.Rejects(lag, j.TaskCount(), rand.Float64()):
-		return fmt.Sprintf("the backlog of accepted jobs takes %v to start", lag)
+		return fault.New(fault.Overloaded, "the backlog of accepted jobs takes %v to start", lag).Because(fault.Overload)
 	case j.Lasting() && !b.Admits(j.Terms.Service, j.Terms.Priority):
-		return fmt.Sprintf("urgent jobs wait for free capacity in pool %s", j.Terms.Service)
+		return fault.New(fault.Overloaded, "urgent jobs wait for free capacity in pool %s", j.Terms.Service).Because(fault.PoolFull)
 	}
-	return ""
+	return nil
 }
 
 // backlog returns the owner's backlog of starts and its full pools. It is nil if the
--- a/fault/error.go
+++ b/fault/error.go
@@ -14,6 +14,7 @@
 	Message    string
 	RetryAfter time.Duration // overrides the kind's default when not zero
 	Cause      error
+	Reason     Reason // what made the request fail; see ReasonOf
 }
 
 // New returns an error of kind k.
