--- a/cell/cell.go
+++ b/cell/cell.go
@@ -30,6 +30,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/colocation"
+	"github.com/dogwoodladder/dogwoodladder/excess"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/overload"
 	"github.com/dogwoodladder/dogwoodladder/pressure"
@@ -75,6 +76,7 @@
 	hosts               hostList
 	cordonedZones       map[string]bool // availability zones whose workers get no new tasks
 	pressure            *pressure.Estimator
+	excess              *excess.Tracker
 	plan                *colocation.Plan
 	lastPlanAt          time.Duration
 	nextTokens          map[string]uint64     // token for the next incarnation of a dropped worker, by ID
@@ -119,6 +121,7 @@
 		pools:            make(map[string][]*worker),
 		passes:           passState{pools: make(map[string]*pool)},
 		pressure:         pressure.New(),
+		excess:           excess.New(),
 		fillingDemand:    make(map[string]float64),
 		recentlyDown:     make(map[*worker]crashSpan),
 		nextTokens:       make(map[string]uint64),
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -221,7 +221,7 @@
 	cordoned          []string                 // availability zones that its cell knows as cordoned
 	generation        int                      // incremented when it takes or loses the cell
 	adviceInFlight    int                      // requests to the adviser in flight
-	onLog             func(event string)       // called for each log line
+	onLog             func(cell.LogEvent)      // called for each log line
 	onHold            func(provider.HoldOrder) // called for each hold
 	onStart           func(provider.StartOrder)
 	startsInFlight    int // starts without an answer
@@ -428,7 +428,7 @@
 		})
 	case cell.LogEvent:
 		if o.onLog != nil {
-			o.onLog(a.Event)
+			o.onLog(a)
 		}
 	case cell.Deposed:
 		o.kill()
--- a/cell/job.go
+++ b/cell/job.go
@@ -21,6 +21,7 @@
 	chains          []time.Duration // longest chain of estimates from each step on
 	openedCount     int             // occurrences opened so far
 	delays          delay.Account   // delays of the last task of each step
+	workChain       time.Duration   // longest chain of work that an occurrence took, zero if it isn't known
 	claimRecorded   bool            // it is on record that tasks may have been started
 	inherited       bool            // an earlier owner may have started tasks
 	mayHaveCrashed  bool            // one of them may have crashed a worker
@@ -50,6 +51,7 @@
 	lastFullCheckAt time.Duration // when it was last checked against all workers
 	open            bool          // the steps it depends on are done
 	tasksLeft       int           // tasks that aren't done
+	longestWork     time.Duration // longest work of a run that completed a task, without interference and slow workers
 	need            resource.Vector
 	inheritedStarts []*task         // tasks with a recorded start by an earlier owner whose outcome is unknown
 	advice          *advice         // nil unless the queue requires advice
@@ -239,16 +241,17 @@
 // a step.
 func (j *jobState) criticalPathFrom(step int) time.Duration {
 	if j.chains == nil {
-		j.chains = chainLengths(j.job.Steps)
+		j.chains = chainLengths(j.job.Steps, func(step int) time.Duration { return j.job.Steps[step].Estimate })
 	}
 	return j.chains[step]
 }
 
-// chainLengths returns the estimated length of the longest chain from each step on.
-func chainLengths(steps []job.Step) []time.Duration {
+// chainLengths returns the length of the longest chain from each step on, given the length
+// of each step.
+func chainLengths(steps []job.Step, length func(step int) time.Duration) []time.Duration {
 	lengths := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- {
-		lengths[i] += steps[i].Estimate
+		lengths[i] += length(i)
 		for _, a := range steps[i].After {
 			lengths[a] = max(lengths[a], lengths[i])
 		}
@@ -299,6 +302,7 @@
 		return
 	}
 	delete(j.rounds, r.number)
+	j.workChain = max(j.workChain, r.workChain())
 	j.progress.Close(r.number)
 	c.writer.markDirty(j)
 	if len(j.progress.Closed) == j.job.Occurrences() {
--- a/cell/link_test.go
+++ b/cell/link_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
@@ -92,8 +93,8 @@
 	}
 	s.after(jobs/2*interval, func() { submit(surge, jobs) })
 	endedLeases := 0
-	s.owners[0].onLog = func(event string) {
-		if event == "lease ended" {
+	s.owners[0].onLog = func(e cell.LogEvent) {
+		if e.Event == "lease ended" {
 			endedLeases++
 		}
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -233,7 +233,8 @@
 	if r.state == runStopping || r.worker.lost {
 		return
 	}
-	c.logEvent("stop", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", reason)
+	c.logEvent("stop", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", reason,
+		"kind", c.kindOfRun(r), "ran", c.now-r.orderedAt, "cores", c.coresOf(r))
 	r.state = runStopping
 	c.sendStop(r)
 }
--- a/cell/urgency.go
+++ b/cell/urgency.go
@@ -86,5 +86,10 @@
 
 // objective returns how long a job may take, based on rough estimates.
 func (j *jobState) objective() time.Duration {
-	return time.Duration(max(j.terms.Stretch, 1)*float64(j.criticalPath())) + j.terms.Objective
+	return time.Duration(j.stretch()*float64(j.criticalPath())) + j.terms.Objective
+}
+
+// stretch returns the variable part of the objective, as a multiple of the critical path.
+func (j *jobState) stretch() float64 {
+	return max(j.terms.Stretch, 1)
 }
--- a/delay/cause_string.go
+++ b/delay/cause_string.go
@@ -14,13 +14,16 @@
 	_ = x[Moved-3]
 	_ = x[Lost-4]
 	_ = x[Slowed-5]
-	_ = x[Longer-6]
-	_ = x[causes-7]
+	_ = x[Work-6]
+	_ = x[Interference-7]
+	_ = x[Slow-8]
+	_ = x[Longer-9]
+	_ = x[causes-10]
 }
 
-const _Cause_name = "noneroomfailedmovedlostslowedlongercauses"
+const _Cause_name = "noneroomfailedmovedlostslowedworkinterferenceslowlongercauses"
 
-var _Cause_index = [...]uint8{0, 4, 8, 14, 19, 23, 29, 35, 41}
+var _Cause_index = [...]uint8{0, 4, 8, 14, 19, 23, 29, 33, 45, 49, 55, 61}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/delay/delay.go
+++ b/delay/delay.go
@@ -22,28 +22,34 @@
 
 // Causes. Their names are written to logs.
 const (
-	None   Cause = iota // none
-	Room                // room
-	Failed              // failed
-	Moved               // moved
-	Lost                // lost
-	Slowed              // slowed
-	Longer              // longer
+	None         Cause = iota // none
+	Room                      // room
+	Failed                    // failed
+	Moved                     // moved
+	Lost                      // lost
+	Slowed                    // slowed
+	Work                      // work
+	Interference              // interference
+	Slow                      // slow
+	Longer                    // longer
 	causes
 )
 
 // Meaning of the names:
 //
-//	room    waited for a worker with free capacity, or whose serving tasks tolerate the task
-//	failed  ran and failed, because of the task or its worker
-//	moved   ran and was stopped by the owner, to be started on another worker
-//	lost    ran on a worker that was lost or whose lease expired
-//	slowed  ran throttled beside serving tasks
-//	longer  ran longer than estimated
+//	room          waited for a worker with free capacity, or whose serving tasks tolerate the task
+//	failed        ran and failed, because of the task or its worker
+//	moved         ran and was stopped by the owner, to be started on another worker
+//	lost          ran on a worker that was lost or whose lease expired
+//	slowed        ran throttled beside serving tasks
+//	work          ran longer than estimated, undisturbed and on a healthy worker
+//	interference  ran longer than estimated because of filling tasks beside it
+//	slow          ran longer than estimated because its worker is slow
+//	longer        ran longer than estimated; only in logs of versions that don't split it
 
 // All returns all causes except None.
 func All() []Cause {
-	return []Cause{Room, Failed, Moved, Lost, Slowed, Longer}
+	return []Cause{Room, Failed, Moved, Lost, Slowed, Work, Interference, Slow, Longer}
 }
 
 // Account holds durations by cause. The zero value is empty.
--- a/delay/delay_test.go
+++ b/delay/delay_test.go
@@ -16,7 +16,7 @@
 	is.Equal(cause, delay.None)
 	is.Equal(longest, time.Duration(0))
 	first.Add(delay.Room, 200*time.Millisecond)
-	first.Add(delay.Longer, -time.Second) // ran shorter than estimated
+	first.Add(delay.Work, -time.Second) // ran shorter than estimated
 	second.Add(delay.Failed, 150*time.Millisecond)
 	second.Add(delay.Failed, 100*time.Millisecond)
 	first.Merge(&second)
@@ -24,5 +24,5 @@
 	is.Equal(cause.String(), "failed")
 	is.Equal(longest, 250*time.Millisecond)
 	is.Equal(first.Of(delay.Room), 200*time.Millisecond)
-	is.Equal(first.Of(delay.Longer), time.Duration(0))
+	is.Equal(first.Of(delay.Work), time.Duration(0))
 }
--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -136,6 +136,23 @@
 	return total
 }
 
+// Slowdown returns the part of its time, from 0 to 1, that a run of an image loses to the
+// filling tasks beside it. Only weights with readings count: it is zero for an image of which
+// no task serves anywhere, as nothing is known of its interference.
+//
+// By the model of the tails, the part of the time in which a task is delayed is its pressure
+// divided by its base. A task that doesn't serve has no base. It is given the highest one, so
+// that the result is a lower bound.
+func (e *Estimator) Slowdown(image string, fills []Fill) float64 {
+	total := 0.0
+	for _, f := range fills {
+		if w := e.weights[pair{image, f.Image}]; w != nil {
+			total += w.value * f.Share
+		}
+	}
+	return min(1, total/maxBase)
+}
+
 // Observe updates the estimates with a worker's report.
 func (e *Estimator) Observe(now time.Duration, served []Served, fills []Fill) {
 	for i := range served {
--- a/pressure/pressure_test.go
+++ b/pressure/pressure_test.go
@@ -207,3 +207,27 @@
 	}
 	return sum / float64(n)
 }
+
+// Guards against time attributed to interference of which nothing is known: only pairs of
+// images with readings count.
+func TestSlowdown(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation()
+	w.weights[[2]string{"s0", "f0"}], w.weights[[2]string{"s0", "f1"}] = 4.5, 0
+	e := pressure.New()
+	beside := []pressure.Fill{{Image: "f0", Share: 0.1}}
+	is.Equal(e.Slowdown("s0", beside), 0.0)
+	for i := range 4000 {
+		now := time.Duration(i) * 20 * time.Millisecond
+		var fills []pressure.Fill
+		for range w.rng.IntN(3) {
+			fills = append(fills, pressure.Fill{Image: []string{"f0", "f1"}[w.rng.IntN(2)], Share: 0.03 + 0.07*w.rng.Float64()})
+		}
+		e.Observe(now, []pressure.Served{{Job: "j", Image: "s0", Target: target, Tail: w.tail("s0", now, fills)}}, fills)
+	}
+	is.True(math.Abs(e.Slowdown("s0", beside)-0.45) < 0.1) // 4.5 times the share
+	is.True(e.Slowdown("s0", []pressure.Fill{{Image: "f1", Share: 0.1}}) < 0.1)
+	is.Equal(e.Slowdown("s0", nil), 0.0)
+	is.Equal(e.Slowdown("batch", beside), 0.0) // doesn't serve anywhere
+	is.Equal(e.Slowdown("s0", []pressure.Fill{{Image: "f0", Share: 1}}), 1.0)
+}
