--- a/excess/excess.go
+++ b/excess/excess.go
@@ -97,12 +97,19 @@
 type Tracker struct {
 	bySteps   *simplelru.LRU[Step, []sample]
 	byClasses *simplelru.LRU[Class, []sample]
-	workers   *simplelru.LRU[string, []float64] // recent run times as multiples of those elsewhere, the oldest first
+	workers   *simplelru.LRU[string, *recent]
+	elsewhere []time.Duration // buffer of medianElsewhere
+}
+
+// recent holds the times of a worker's last runs as multiples of those elsewhere.
+type recent struct {
+	ratios [recentCount]float64
+	count  int // of all runs; the next one replaces the oldest
 }
 
 // New returns a Tracker without runs.
 func New() *Tracker {
-	return &Tracker{bySteps: newLRU[Step, []sample](maxBatches), byClasses: newLRU[Class, []sample](maxBatches), workers: newLRU[string, []float64](maxWorkers)}
+	return &Tracker{bySteps: newLRU[Step, []sample](maxBatches), byClasses: newLRU[Class, []sample](maxBatches), workers: newLRU[string, *recent](maxWorkers)}
 }
 
 func newLRU[K comparable, V any](size int) *simplelru.LRU[K, V] {
@@ -129,7 +136,10 @@
 // add adds a run to the batch of its step, and compares the batch once it is complete. A
 // batch with too few runs elsewhere joins the batch of its class.
 func (t *Tracker) add(r Run, s sample) {
-	batch, _ := t.bySteps.Get(r.Step)
+	batch, ok := t.bySteps.Get(r.Step)
+	if !ok {
+		batch = make([]sample, 0, batchSize)
+	}
 	batch = append(batch, s)
 	if len(batch) < batchSize && !r.Last {
 		t.bySteps.Add(r.Step, batch)
@@ -154,25 +164,30 @@
 func (t *Tracker) compare(batch []sample) {
 	slices.SortFunc(batch, func(a, b sample) int { return cmp.Compare(a.took, b.took) })
 	for _, s := range batch {
-		elsewhere := medianElsewhere(batch, s.worker)
+		elsewhere := t.medianElsewhere(batch, s.worker)
 		if elsewhere <= 0 {
 			continue
 		}
-		recent, _ := t.workers.Get(s.worker)
-		recent = append(recent, float64(s.took)/float64(elsewhere))
-		t.workers.Add(s.worker, recent[max(0, len(recent)-recentCount):])
+		w, ok := t.workers.Get(s.worker)
+		if !ok {
+			w = &recent{}
+			t.workers.Add(s.worker, w)
+		}
+		w.ratios[w.count%recentCount] = float64(s.took) / float64(elsewhere)
+		w.count++
 	}
 }
 
 // medianElsewhere returns the median time of the runs of a sorted batch on other workers,
 // zero if there are too few.
-func medianElsewhere(sorted []sample, worker string) time.Duration {
-	var others []time.Duration
+func (t *Tracker) medianElsewhere(sorted []sample, worker string) time.Duration {
+	others := t.elsewhere[:0]
 	for _, s := range sorted {
 		if s.worker != worker {
 			others = append(others, s.took)
 		}
 	}
+	t.elsewhere = others
 	if len(others) < minSiblings {
 		return 0
 	}
@@ -182,11 +197,14 @@
 // Factor returns how many times as long as elsewhere a worker's recent runs took, 1 for a
 // worker that isn't slow.
 func (t *Tracker) Factor(worker string) float64 {
-	recent, _ := t.workers.Get(worker)
-	if len(recent) < minRecent {
+	w, ok := t.workers.Get(worker)
+	if !ok || w.count < minRecent {
 		return 1
 	}
-	median := slices.Sorted(slices.Values(recent))[(len(recent)-1)/2]
+	ratios := w.ratios
+	known := ratios[:min(w.count, recentCount)]
+	slices.Sort(known)
+	median := known[(len(known)-1)/2]
 	if median < minFactor {
 		return 1
 	}
