--- a/cell/delays_test.go
+++ b/cell/delays_test.go
@@ -122,3 +122,46 @@
 		})
 	}
 }
+
+// Guards against the time that filling tasks cost the runs beside them being counted as the
+// runs' own work.
+func TestEndHasInterference(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1, 1, 1)
+	s.duration = func(task string) time.Duration {
+		switch task[:len(jobID(1))] {
+		case jobID(1):
+			return time.Hour
+		case jobID(2):
+			return 10 * time.Second // so that it progresses
+		}
+		return 2 * time.Second
+	}
+	filled := false
+	s.tail = func(string, *fakeWorker) time.Duration {
+		if filled {
+			return 5 * time.Millisecond
+		}
+		return 2 * time.Millisecond
+	}
+	ended := s.lines("job ended")
+	s.owners[0].takeOver()
+	submit := func(n int, spec job.Step) {
+		s.submit(&job.Job{ID: jobID(n), Queue: "q", Spec: "x", Steps: []job.Step{spec}})
+	}
+	serving, filling, urgent := step(1, 2), step(1, 1), step(1, 1)
+	serving.Lasting, serving.Image, serving.Target = true, "quick", 10*time.Millisecond
+	filling.Fills, filling.Image = true, "rebuild"
+	urgent.Image = "quick"
+	s.after(3*time.Second, func() { submit(1, serving) })
+	s.after(6*time.Second, func() { submit(2, filling) })
+	s.after(6500*time.Millisecond, func() { filled = true })
+	s.after(10*time.Second, func() { submit(3, urgent) })
+	s.run(14 * time.Second)
+	is.Equal(len(*ended), 1)
+	e := (*ended)[0]
+	interference, _ := e["interference"].(time.Duration)
+	is.True(interference > 100*time.Millisecond)
+	is.True(isAbout(e["chain"], 2*time.Second-interference))
+	is.True(isAbout(e["work"], time.Second-interference))
+}
