--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -58,6 +58,7 @@
 	savesFailed     expvar.Int
 	jobs            expvar.Int
 	rejected        expvar.Int
+	writes          writeCounters
 	listAsOf        atomic.Int64 // AsOf of the newest list of workers, nanoseconds on the dispatcher's clock
 	startLatency    *Latency
 	saveLatency     *Latency
@@ -74,6 +75,7 @@
 	} {
 		c.vars.Set(name, v)
 	}
+	c.writes.publish(c.vars)
 	return c
 }
 
@@ -87,6 +89,25 @@
 	return func() any { return l.Quantiles() }
 }
 
+// writeCounters are the metrics of the ways on which records are written.
+type writeCounters struct {
+	direct     expvar.Int // records that the store acknowledged to this instance first
+	handedOver expvar.Int // records that an aggregator acknowledged first
+	aggregated expvar.Int // records that this instance wrote as aggregator
+	rejected   expvar.Int // records that certainly weren't written
+	unknown    expvar.Int // records without an acknowledgement whose outcome is unknown
+	diversions expvar.Int // changes to state diverted
+}
+
+func (w *writeCounters) publish(vars *expvar.Map) {
+	for name, v := range map[string]expvar.Var{
+		"records_direct": &w.direct, "records_handed_over": &w.handedOver, "records_aggregated": &w.aggregated,
+		"records_rejected": &w.rejected, "records_unknown": &w.unknown, "diversions": &w.diversions,
+	} {
+		vars.Set(name, v)
+	}
+}
+
 func (c *Counters) recordHold(err error) {
 	c.holds.Add(1)
 	if err != nil {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"github.com/dogwoodladder/dogwoodladder/aggregation"
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/election"
@@ -74,6 +75,8 @@
 	accepts        *tail.Tail
 	progress       *tail.Tail
 	intake         *intake
+	recordWriter   *recordWriter
+	aggregator     aggregation.Sink // of this instance; nil without one
 	table          atomic.Pointer[queue.Table]
 	inputs         chan cell.Input
 	updated        chan struct{}
@@ -185,6 +188,7 @@
 		returnBound:     pacing.DefaultReturnBound,
 	}
 	d.standbys = newStandbys(d)
+	d.recordWriter = &recordWriter{d: d}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -193,6 +197,7 @@
 	d.accepts = d.newTail(catalog.Accepts, d.foldInto(catalog.Accepts, d.catalog.Accept, d.catalog.RetainAccepts), tail.WithSpacing(acceptsSpacing))
 	d.progress = d.newTail(catalog.Progress, d.foldInto(catalog.Progress, d.catalog.Progress, d.catalog.RetainProgress), tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
 	d.intake = newIntake(d)
+	d.recordWriter.init()
 	d.standbys.init()
 	return d
 }
@@ -237,7 +242,8 @@
 		inner := d.tomb.Context(context.Background())
 		d.tomb.Go(func() error { return d.accepts.Run(inner) })
 		d.tomb.Go(func() error { return d.progress.Run(inner) })
-		d.tomb.Go(func() error { return d.intake.run(inner) })
+		d.tomb.Go(func() error { return d.intake.batches.run(inner) })
+		d.recordWriter.run(inner)
 		d.standbys.run(inner)
 		d.tomb.Go(d.control)
 		select {
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -18,16 +18,10 @@
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
-// Bounds of the intake. A window of a few milliseconds batches records into one write,
-// as the store takes only a few hundred writes a second. Records that arrive during
-// a write wait for the next one: a store that is fifty times slower than usual takes 9
-// writes a second from all instances together. A concurrent write begins only when the
-// answer of the current one may be lost.
+// Bounds of the intake.
 const (
-	intakeWindow         = 3 * time.Millisecond
-	maxIntakeBatch       = 64
-	maxIntakeWrites      = 3                      // maximum number of concurrent writes
 	concurrentWriteDelay = 400 * time.Millisecond // time without a finished write after which a concurrent one may begin
+	maxIntakeWrites      = 3                      // maximum number of concurrent writes
 	intakeTimeout        = 1800 * time.Millisecond
 	intakeRetryInterval  = 50 * time.Millisecond
 	maxIntakeRejections  = 2                      // rejections after which the request fails, so that its caller can try another instance
@@ -38,112 +32,28 @@
 // intake writes the records of submitted and cancelled jobs to the store, in batches.
 type intake struct {
 	d              *Dispatcher
-	pending        chan pendingWrite
-	writeDone      chan struct{} // gets a value for each finished write
-	writesInFlight int           // number of writes in flight; used by run only
+	batches        *batcher
 	startedAt      time.Time
 	lastRejectedAt atomic.Int64 // time of the last request that failed by rejections, nanoseconds since startedAt
 	outage         outageDetector
 }
 
-// pendingWrite is a record that waits to be written.
-type pendingWrite struct {
-	record provider.KeyedRecord
-	state  *atomic.Int32
-	done   chan error
-}
-
-// States of a pendingWrite. One that was withdrawn before it was sent is certain not to
-// be on record.
-const (
-	writeWaiting int32 = iota
-	writeSent
-	writeWithdrawn
-)
-
 func newIntake(d *Dispatcher) *intake {
-	return &intake{d: d, pending: make(chan pendingWrite, 1024), writeDone: make(chan struct{}, maxIntakeWrites), startedAt: time.Now()}
+	i := &intake{d: d, startedAt: time.Now()}
+	i.batches = newBatcher(d, maxIntakeWrites, concurrentWriteDelay, i.writeBatch)
+	return i
 }
 
-func (i *intake) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case first := <-i.pending:
-			if !i.awaitWriteSlot(ctx) {
-				return nil
-			}
-			batch := i.collect(ctx, first)
-			i.d.tomb.Go(func() error {
-				i.writeBatch(ctx, batch)
-				i.writeDone <- struct{}{}
-				return nil
-			})
-		}
-	}
-}
-
-// awaitWriteSlot waits until a write may begin: no write is in flight, or none has finished
-// within concurrentWriteDelay and fewer than maxIntakeWrites are in flight.
-func (i *intake) awaitWriteSlot(ctx context.Context) bool {
-	for {
-		delay := time.After(concurrentWriteDelay)
-		if i.writesInFlight == 0 {
-			i.writesInFlight++
-			return true
-		}
-		if i.writesInFlight >= maxIntakeWrites {
-			delay = nil
-		}
-		select {
-		case <-i.writeDone:
-			i.writesInFlight--
-		case <-delay:
-			i.writesInFlight++
-			return true
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
-func (i *intake) collect(ctx context.Context, first pendingWrite) []pendingWrite {
-	batch := []pendingWrite{first}
-	window := time.NewTimer(intakeWindow)
-	defer window.Stop()
-	for len(batch) < maxIntakeBatch {
-		select {
-		case e := <-i.pending:
-			batch = append(batch, e)
-		case <-window.C:
-			return batch
-		case <-ctx.Done():
-			return batch
-		}
-	}
-	return batch
-}
-
-func (i *intake) writeBatch(ctx context.Context, batch []pendingWrite) {
-	var records []provider.KeyedRecord
-	var sent []pendingWrite
-	for _, e := range batch {
-		if e.state.CompareAndSwap(writeWaiting, writeSent) {
-			sent = append(sent, e)
-			records = append(records, e.record)
-		}
-	}
-	if len(sent) == 0 {
-		return
-	}
+func (i *intake) writeBatch(ctx context.Context, batch []*pendingWrite) {
 	ctx, cancel := context.WithTimeout(ctx, intakeTimeout)
 	defer cancel()
 	number := i.outage.beginWrite()
-	err := i.d.platform.Store.Append(ctx, catalog.Accepts, nil, records)
+	startedAt := time.Now()
+	err := i.d.platform.Store.Append(ctx, catalog.Accepts, nil, recordsOf(batch))
 	i.outage.endWrite(number, !fault.Is(err, fault.MayHaveRun))
-	for _, e := range sent {
-		e.done <- err
+	i.d.recordWriter.appended(time.Since(startedAt), err)
+	for _, e := range batch {
+		e.finish(err)
 	}
 }
 
@@ -197,17 +107,15 @@
 
 // tryWrite enqueues a record for one write and waits for its result.
 func (i *intake) tryWrite(ctx context.Context, record provider.KeyedRecord) error {
-	e := pendingWrite{record: record, state: new(atomic.Int32), done: make(chan error, 1)}
-	select {
-	case i.pending <- e:
-	default:
-		return fault.New(fault.Overloaded, "%d requests wait to be written already", cap(i.pending))
+	e := newPendingWrite(record)
+	if !i.batches.add(e) {
+		return fault.New(fault.Overloaded, "%d requests wait to be written already", maxPendingWrites)
 	}
 	select {
 	case err := <-e.done:
 		return err
 	case <-ctx.Done():
-		if e.state.CompareAndSwap(writeWaiting, writeWithdrawn) {
+		if e.withdraw() {
 			return fault.Wrap(fault.Unavailable, ctx.Err(), "not sent to the store, waiting for earlier writes")
 		}
 		return fault.Wrap(fault.MayHaveRun, ctx.Err(), "write not answered by the store")
@@ -246,7 +154,7 @@
 	startedAt := time.Now()
 	err = d.admit(ctx, j)
 	if err == nil {
-		err = d.intake.write(ctx, record)
+		err = d.recordWriter.write(ctx, record)
 	}
 	d.counters.recordAccept(time.Since(startedAt), err)
 	d.logger.Info("accept", zap.String("job", j.ID), zap.String("queue", j.Queue), zap.Duration("took", time.Since(startedAt)), zap.Error(err))
@@ -376,7 +284,7 @@
 		return err
 	}
 	record := catalog.CancelRecord(id)
-	err = d.intake.write(ctx, record)
+	err = d.recordWriter.write(ctx, record)
 	d.logger.Info("cancel", zap.String("job", id), zap.String("state", s.String()), zap.Error(err))
 	if err != nil {
 		return err
