--- a/aggregation/router.go
+++ b/aggregation/router.go
@@ -25,6 +25,7 @@
 //
 //	r := aggregation.NewRouter()
 //	for _, m := range r.Order(now, members, owner) {
+//		// wait less for the answer if r.IsSuspect(m.ID)
 //		if result := client.Write(ctx, m, records); result.Outcome == aggregation.Written {
 //			r.Succeeded(m.ID)
 //			break
@@ -33,7 +34,7 @@
 //	}
 type Router struct {
 	mu     sync.Mutex
-	failed map[string]time.Duration // by ID, until when it is tried last
+	failed map[string]time.Duration // by ID, until when it is tried last; kept until it succeeds
 }
 
 // NewRouter returns a Router without failures.
@@ -56,13 +57,20 @@
 	delete(r.failed, id)
 }
 
+// IsSuspect reports whether a candidate has failed and not acknowledged records since.
+func (r *Router) IsSuspect(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, hasFailed := r.failed[id]
+	return hasFailed
+}
+
 // Order returns the candidates to try: the owner, which learns of a job that it writes without
 // reading it, then the standbys in an order that all instances share. Those that failed a
 // moment ago come last.
 func (r *Router) Order(now time.Duration, members []roster.Member, owner string) []roster.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.failed, func(_ string, until time.Duration) bool { return now >= until })
 	byID := make(map[string]roster.Member, len(members))
 	ids := make([]string, 0, len(members))
 	for _, m := range members {
@@ -71,13 +79,14 @@
 			ids = append(ids, m.ID)
 		}
 	}
+	maps.DeleteFunc(r.failed, func(id string, _ time.Duration) bool { return byID[id].ID != id })
 	ids = rendezvous.Order(orderKey, ids)
 	if _, known := byID[owner]; known {
 		ids = append([]string{owner}, ids...)
 	}
 	var order, failed []roster.Member
 	for _, id := range ids {
-		if _, hasFailed := r.failed[id]; hasFailed {
+		if until, hasFailed := r.failed[id]; hasFailed && now < until {
 			failed = append(failed, byID[id])
 		} else {
 			order = append(order, byID[id])
--- a/aggregation/router_test.go
+++ b/aggregation/router_test.go
@@ -50,3 +50,18 @@
 		})
 	}
 }
+
+func TestIsSuspect(t *testing.T) {
+	is := is.New(t)
+	members := []roster.Member{{ID: "e1"}, {ID: "e2"}}
+	r := aggregation.NewRouter()
+	is.True(!r.IsSuspect("e1"))
+	r.Failed(0, "e1")
+	r.Order(time.Minute, members, "e1")
+	is.True(r.IsSuspect("e1")) // it is tried first again, and hasn't succeeded
+	r.Succeeded("e1")
+	is.True(!r.IsSuspect("e1"))
+	r.Failed(time.Minute, "e1")
+	r.Order(time.Minute, members[1:], "e2")
+	is.True(!r.IsSuspect("e1")) // forgotten, as it has left
+}
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/aggregation"
@@ -16,9 +17,18 @@
 }
 
 const (
-	// candidateTimeout is how long a candidate may take to answer before the next one is
-	// asked as well. An aggregator whose appends take 188 ms answers within two of them.
-	candidateTimeout = 400 * time.Millisecond
+	// minCandidateTimeout is how long a candidate may take to answer before the next one is
+	// asked as well.
+	minCandidateTimeout = 400 * time.Millisecond
+	// A record waits for the append in flight and for its own. A candidate that needs longer
+	// than 400 ms for these isn't lost, and each further one that writes makes the appends of
+	// all slower. So a candidate has the time of three appends, within a bound that leaves time
+	// for the others.
+	appendsOfTimeout    = 3
+	maxCandidateTimeout = 1200 * time.Millisecond
+	// suspectTimeout is how long one that has failed before may take, so that a candidate that
+	// stays frozen doesn't delay records each time it is tried again.
+	suspectTimeout = 100 * time.Millisecond
 	// handoverSpacing is the time after which a batch is sent although the previous ones
 	// aren't answered. Their records wait at the aggregator, which writes all of them with
 	// one append, so that more calls don't cost more appends.
@@ -26,8 +36,11 @@
 	// maxHandovers is the maximum number of batches in flight. At handoverSpacing it suffices
 	// for batches that are answered by the second candidate.
 	maxHandovers = 16
-	// handoverTimeout is how long a batch waits for any answer.
-	handoverTimeout = intakeTimeout
+	// handoverTimeout is how long a batch waits for an answer. After a batch that wasn't written
+	// the next one waits less, so that an instance that reaches no candidate rejects its callers
+	// while they can still try another one.
+	handoverTimeout        = 2 * time.Second
+	failingHandoverTimeout = 700 * time.Millisecond
 )
 
 // handover hands batches of records over to aggregators.
@@ -36,8 +49,11 @@
 	client  AggregationClient
 	router  *aggregation.Router
 	batches *batcher
-	// written and failed report whether a batch was acknowledged. Failed is also called for
-	// a batch that no candidate has answered in time.
+	outage  outageDetector
+	failing atomic.Bool // whether the last batch that ended wasn't written
+	// appendTime is the time that the last acknowledged append took, in nanoseconds.
+	appendTime atomic.Int64
+	// written and failed get the outcome of each batch.
 	written func(appendTime time.Duration)
 	failed  func()
 }
@@ -69,10 +85,20 @@
 	return others
 }
 
-// answer is a candidate's answer to a batch.
-type answer struct {
-	from   string
-	result aggregation.Result
+// candidateTimeout returns how long a candidate may take to answer.
+func (h *handover) candidateTimeout(id string) time.Duration {
+	if h.failing.Load() || h.router.IsSuspect(id) {
+		return suspectTimeout
+	}
+	return min(maxCandidateTimeout, max(minCandidateTimeout, appendsOfTimeout*time.Duration(h.appendTime.Load())))
+}
+
+// timeout returns how long a batch waits for an answer.
+func (h *handover) timeout() time.Duration {
+	if h.failing.Load() {
+		return failingHandoverTimeout
+	}
+	return handoverTimeout
 }
 
 // ask hands a batch over to one candidate.
@@ -84,64 +110,100 @@
 }
 
 // writeBatch hands a batch over to one candidate after the other until one acknowledges it. A
-// candidate that doesn't answer in time may still write it, so that its answer is awaited
-// beside that of the next one.
+// candidate that is late may still write it, so that its answer is awaited beside that of the
+// next one.
 func (h *handover) writeBatch(ctx context.Context, batch []*pendingWrite) {
-	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
-	defer cancel()
-	records := recordsOf(batch)
 	candidates := h.candidates()
-	answers := make(chan answer, len(candidates))
-	asked, answered := 0, 0
-	var late <-chan time.Time
-	askNext := func() {
-		to := candidates[asked]
-		asked++
-		late = time.After(candidateTimeout)
-		h.d.tomb.Go(func() error {
-			answers <- answer{from: to.ID, result: h.ask(ctx, to, records)}
-			return nil
-		})
+	ctx, cancel := context.WithTimeout(ctx, h.timeout())
+	defer cancel()
+	c := &handoverCall{handover: h, records: recordsOf(batch), candidates: candidates, answers: make(chan answer, len(candidates))}
+	number := h.outage.beginWrite()
+	err := c.run(ctx, func() {
+		for _, e := range batch {
+			e.done <- errLate
+		}
+	})
+	h.outage.endWrite(number, !fault.Is(err, fault.MayHaveRun))
+	h.failing.Store(err != nil)
+	if err != nil {
+		h.failed()
+	}
+	for _, e := range batch {
+		e.finish(err)
 	}
+}
+
+// handoverCall is the hand-over of one batch to the candidates.
+type handoverCall struct {
+	*handover
+	records    []provider.KeyedRecord
+	candidates []roster.Member
+	answers    chan answer
+	asked      int
+	answered   int
+	late       <-chan time.Time // gets a value when the last candidate that was asked is late
+}
+
+// answer is a candidate's answer to a batch.
+type answer struct {
+	candidate int // index in candidates
+	result    aggregation.Result
+}
+
+// run asks the candidates and returns nil once one has written the batch. It calls onLate when
+// all of them are late.
+func (c *handoverCall) run(ctx context.Context, onLate func()) error {
 	unknown := false
-	for answered < len(candidates) {
-		if asked == answered {
-			askNext()
+	for c.answered < len(c.candidates) {
+		if c.asked == c.answered {
+			c.askNext(ctx)
 		}
 		select {
-		case a := <-answers:
-			answered++
-			if a.result.Outcome == aggregation.Written {
-				h.router.Succeeded(a.from)
-				h.written(a.result.AppendTime)
-				finishAll(batch, nil)
-				return
+		case a := <-c.answers:
+			if c.accept(a) {
+				return nil
 			}
-			h.router.Failed(h.d.clock(), a.from)
 			unknown = unknown || a.result.Outcome == aggregation.Unknown
-		case <-late:
-			late = nil
-			h.router.Failed(h.d.clock(), candidates[asked-1].ID)
-			if asked < len(candidates) {
-				askNext()
-				continue
-			}
-			h.failed()
-			for _, e := range batch {
-				e.done <- errLate
+		case <-c.late:
+			c.late = nil
+			if c.asked < len(c.candidates) {
+				c.askNext(ctx)
+			} else {
+				onLate()
 			}
 		}
 	}
-	h.failed()
 	if unknown {
-		finishAll(batch, fault.New(fault.MayHaveRun, "write not answered by %d aggregators", len(candidates)))
-		return
+		return fault.New(fault.MayHaveRun, "no answer from %d aggregators", len(c.candidates))
 	}
-	finishAll(batch, fault.New(fault.Unavailable, "refused by %d aggregators", len(candidates)))
+	return fault.New(fault.Unavailable, "refused by %d aggregators", len(c.candidates))
 }
 
-func finishAll(batch []*pendingWrite, err error) {
-	for _, e := range batch {
-		e.finish(err)
+func (c *handoverCall) askNext(ctx context.Context) {
+	n := c.asked
+	c.asked++
+	c.late = time.After(c.candidateTimeout(c.candidates[n].ID))
+	c.d.tomb.Go(func() error {
+		c.answers <- answer{candidate: n, result: c.ask(ctx, c.candidates[n], c.records)}
+		return nil
+	})
+}
+
+// accept handles an answer and reports whether the batch is written. A candidate that is late
+// counts as failed only once the next one has overtaken it. If all are slow, as the store is,
+// then avoiding them would add writers, and each one makes the appends of all slower.
+func (c *handoverCall) accept(a answer) (written bool) {
+	c.answered++
+	now := c.d.clock()
+	if a.result.Outcome != aggregation.Written {
+		c.router.Failed(now, c.candidates[a.candidate].ID)
+		return false
+	}
+	for _, m := range c.candidates[:a.candidate] {
+		c.router.Failed(now, m.ID) // refused before, or was overtaken
 	}
+	c.router.Succeeded(c.candidates[a.candidate].ID)
+	c.appendTime.Store(int64(a.result.AppendTime))
+	c.written(a.result.AppendTime)
+	return true
 }
--- a/dispatcher/recordwriter.go
+++ b/dispatcher/recordwriter.go
@@ -55,7 +55,8 @@
 func (w *recordWriter) next() (writepath.Way, time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.path.Next(w.d.clock(), w.d.intake.outage.duration() > 0), w.path.HedgeDelay()
+	silence := writepath.Silence{Store: w.d.intake.outage.duration() > 0, Aggregators: w.handover.outage.duration() > 0}
+	return w.path.Next(w.d.clock(), silence), w.path.HedgeDelay()
 }
 
 // appended reports the end of a direct append to the path. One without an answer was reported
@@ -128,8 +129,12 @@
 	record provider.KeyedRecord
 	acked  chan *pendingWrite
 	writes []*pendingWrite // all writes that were begun
-	direct *pendingWrite   // direct write that hasn't ended; nil without one
-	last   error           // of a write that failed
+	// direct and handed are the writes of each way that haven't ended, nil without one. A way
+	// isn't begun again before that.
+	direct, handed *pendingWrite
+	hedge          <-chan time.Time // until direct is late; nil then, or without it
+	handedIsLate   bool
+	last           error // of a write that failed
 }
 
 // run writes the record. It repeats that until the record is acknowledged, the deadline of ctx
@@ -142,9 +147,9 @@
 		if way == writepath.Reject && r.withdraw() {
 			return nil, r.rejection()
 		}
-		// A record whose outcome is unknown is written again even while others are
-		// rejected, but not beside a direct append without an answer.
-		if way != writepath.Reject || r.direct == nil {
+		// A record whose outcome is unknown is written again although others are rejected,
+		// but not while an older write of it may still be answered.
+		if way != writepath.Reject || r.direct == nil && r.handed == nil {
 			if e := r.race(ctx, way, hedgeDelay); e != nil {
 				return e, nil
 			}
@@ -152,16 +157,8 @@
 		if round >= maxIntakeRejections && r.withdraw() {
 			return nil, r.rejection()
 		}
-		select {
-		case e := <-r.acked:
+		if e := r.await(ctx, time.After(intakeRetryInterval)); e != nil {
 			return e, nil
-		case err := <-r.directDone():
-			if err == nil {
-				return r.direct, nil
-			}
-			r.direct, r.last = nil, err
-		case <-time.After(intakeRetryInterval):
-		case <-ctx.Done():
 		}
 	}
 	if r.withdraw() {
@@ -189,14 +186,6 @@
 	return certain
 }
 
-// directDone returns the channel with the result of the direct write, nil without one.
-func (r *request) directDone() <-chan error {
-	if r.direct == nil {
-		return nil
-	}
-	return r.direct.done
-}
-
 // begin adds a write of the record to a batch. It returns nil if too many records wait there.
 func (r *request) begin(b *batcher) *pendingWrite {
 	e := newPendingWrite(r.record)
@@ -210,82 +199,83 @@
 	return e
 }
 
+func (r *request) writeDirectly(hedgeDelay time.Duration) {
+	r.direct = r.begin(r.w.d.intake.batches)
+	if r.direct != nil {
+		r.hedge = time.After(hedgeDelay)
+	}
+}
+
+func (r *request) handOver() {
+	r.handed = r.begin(r.w.handover.batches)
+	r.handedIsLate = false
+}
+
 // race writes the record by the given way, and by the other one as well when the first fails or
 // doesn't answer in time. It returns the write that was acknowledged, or nil once both ways have
-// failed or are late. A late write goes on and may be acknowledged in a later round.
+// failed or are late. Late writes go on.
 func (r *request) race(ctx context.Context, way writepath.Way, hedgeDelay time.Duration) *pendingWrite {
-	t := round{request: r, hedgeDelay: hedgeDelay}
-	if way == writepath.HandOver || r.direct != nil {
-		t.handOver()
-	} else {
-		t.writeDirectly()
+	triesDirect, triesHandover := r.direct != nil, r.handed != nil
+	if !triesHandover && (way == writepath.HandOver || triesDirect) {
+		triesHandover = true
+		r.handOver()
+	} else if !triesDirect {
+		triesDirect = true
+		r.writeDirectly(hedgeDelay)
 	}
-	for t.hedge != nil || t.handed != nil {
-		e, ended := t.await(ctx)
-		if e != nil || ended {
+	for ctx.Err() == nil && (r.hedge != nil || r.handed != nil && !r.handedIsLate) {
+		if e := r.await(ctx, nil); e != nil {
 			return e
 		}
 		switch {
-		case !t.triedHandover:
-			t.handOver()
-		case t.handed == nil && r.direct == nil && !t.triedDirect:
-			t.writeDirectly()
+		case !triesHandover:
+			triesHandover = true
+			if r.direct != nil && r.direct.withdraw() { // it waits for an earlier append
+				r.direct, triesDirect = nil, false
+			}
+			r.handOver()
+		case !triesDirect && (r.handed == nil || r.handedIsLate):
+			triesDirect = true
+			r.writeDirectly(hedgeDelay)
 		}
 	}
 	return nil
 }
 
-// round is one round of a request.
-type round struct {
-	*request
-	hedgeDelay    time.Duration
-	hedge         <-chan time.Time // while the direct write isn't late; nil otherwise
-	handed        *pendingWrite    // write by an aggregator that is neither over nor late; nil without one
-	triedDirect   bool
-	triedHandover bool
-}
-
-func (t *round) writeDirectly() {
-	t.triedDirect = true
-	t.direct = t.begin(t.w.d.intake.batches)
-	if t.direct != nil {
-		t.hedge = time.After(t.hedgeDelay)
+// await waits until a write ends or is late, or a timer fires. It returns the write that was
+// acknowledged.
+func (r *request) await(ctx context.Context, timer <-chan time.Time) (acknowledged *pendingWrite) {
+	// Nil channels leave out the ways that aren't in use.
+	var directDone, handedDone <-chan error
+	if r.direct != nil {
+		directDone = r.direct.done
 	}
-}
-
-func (t *round) handOver() {
-	t.triedHandover = true
-	t.handed = t.begin(t.w.handover.batches)
-}
-
-// await waits until a write ends or is late. It returns the write that was acknowledged, and
-// true if the request has ended.
-func (t *round) await(ctx context.Context) (acknowledged *pendingWrite, ended bool) {
-	var handedDone <-chan error
-	if t.handed != nil {
-		handedDone = t.handed.done
+	if r.handed != nil {
+		handedDone = r.handed.done
 	}
 	select {
-	case e := <-t.acked:
-		return e, true
-	case err := <-t.directDone():
+	case e := <-r.acked:
+		return e
+	case err := <-directDone:
 		if err == nil {
-			return t.direct, true
-		}
-		t.direct, t.hedge, t.last = nil, nil, err
-	case <-t.hedge:
-		t.hedge = nil
-		t.w.overdue()
-		if !t.triedHandover && t.direct.withdraw() {
-			t.direct, t.triedDirect = nil, false // it waited for an earlier append
+			return r.direct
 		}
+		r.direct, r.hedge, r.last = nil, nil, err
+	case <-r.hedge:
+		r.hedge = nil
+		r.w.overdue()
 	case err := <-handedDone:
 		if err == nil {
-			return t.handed, true
+			return r.handed
 		}
-		t.handed, t.last = nil, err
+		r.last = err
+		if err == errLate {
+			r.handedIsLate = true
+		} else {
+			r.handed = nil
+		}
+	case <-timer:
 	case <-ctx.Done():
-		return nil, true
 	}
-	return nil, false
+	return nil
 }
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -18,6 +18,7 @@
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/progress"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/roster"
 	"github.com/dogwoodladder/dogwoodladder/writepath"
@@ -36,7 +37,7 @@
 	silent     bool            // appends are neither run nor answered
 	rejected   map[string]bool // instances whose appends are rejected
 	freeAt     map[string]time.Time
-	keys       map[string][]string // written keys by stream
+	records    []provider.KeyedRecord // of all streams
 }
 
 func (s *partitions) append(ctx context.Context, instance, stream string, records []provider.KeyedRecord) error {
@@ -59,9 +60,7 @@
 	time.AfterFunc(done, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		for _, r := range records {
-			s.keys[stream] = append(s.keys[stream], r.Key)
-		}
+		s.records = append(s.records, records...)
 		close(written)
 	})
 	select {
@@ -79,10 +78,17 @@
 	change(s)
 }
 
-func (s *partitions) has(id string) bool {
+// count returns how often a job is on record.
+func (s *partitions) count(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Contains(slices.Concat(s.keys[catalog.Accepts], s.keys[aggregated]), "a/"+id)
+	n := 0
+	for _, r := range s.records {
+		if r.Key == "a/"+id {
+			n++
+		}
+	}
+	return n
 }
 
 // storeOf is the store as one instance reaches it.
@@ -96,14 +102,13 @@
 	return s.append(ctx, s.instance, stream, records)
 }
 
-// mode is how an aggregator of the tests behaves.
+// mode is how an aggregator behaves.
 type mode int
 
 const (
 	works  mode = iota
 	dead        // connections are refused; unanswered calls break
 	frozen      // neither answers nor appends until it works again
-	cut         // connections aren't opened
 )
 
 // sink is an aggregator. Like the real one it appends all records that wait at once.
@@ -143,14 +148,9 @@
 	b := &handedBatch{records: records, result: make(chan aggregation.Result, 1)}
 	k.mu.Lock()
 	k.calls++
-	switch k.mode {
-	case dead:
+	if k.mode == dead {
 		k.mu.Unlock()
 		return aggregation.Result{Outcome: aggregation.NotWritten}
-	case cut:
-		k.mu.Unlock()
-		<-ctx.Done()
-		return aggregation.Result{Outcome: aggregation.NotWritten}
 	}
 	k.waiting = append(k.waiting, b)
 	if !k.isBusy {
@@ -215,11 +215,27 @@
 	sinks     map[string]*sink // of the members of the roster
 	order     []*sink          // in the order in which they are tried
 	logs      *observer.ObservedLogs
+
+	mu       sync.Mutex
+	isolated map[string]bool // instances that reach only each other
+}
+
+// link is the AggregationClient of one instance.
+type link struct {
+	*site
+	from string
 }
 
 // Write implements AggregationClient.
-func (s *site) Write(ctx context.Context, to roster.Member, records []provider.KeyedRecord) aggregation.Result {
-	return s.sinks[to.ID].Write(ctx, records)
+func (l link) Write(ctx context.Context, to roster.Member, records []provider.KeyedRecord) aggregation.Result {
+	l.mu.Lock()
+	apart := l.isolated[l.from] != l.isolated[to.ID]
+	l.mu.Unlock()
+	if apart {
+		<-ctx.Done() // no connection is opened
+		return aggregation.Result{Outcome: aggregation.NotWritten}
+	}
+	return l.sinks[to.ID].Write(ctx, records)
 }
 
 const (
@@ -234,9 +250,10 @@
 	is := is.New(t)
 	core, logs := observer.New(zap.InfoLevel)
 	s := &site{
-		store: &partitions{appendTime: 2 * time.Millisecond, rejected: map[string]bool{}, freeAt: map[string]time.Time{}, keys: map[string][]string{}},
-		sinks: make(map[string]*sink),
-		logs:  logs,
+		store:    &partitions{appendTime: 2 * time.Millisecond, rejected: map[string]bool{}, freeAt: map[string]time.Time{}},
+		sinks:    make(map[string]*sink),
+		isolated: make(map[string]bool),
+		logs:     logs,
 	}
 	var members []roster.Member
 	for i := range siteInstances {
@@ -247,7 +264,7 @@
 		}
 		opts := []Option{WithInstance(m.ID), WithPeers(m, nil), WithLogger(zap.New(core))}
 		if aggregates {
-			opts = append(opts, WithAggregation(s))
+			opts = append(opts, WithAggregation(link{s, m.ID}))
 		}
 		d := New(Platform{Store: storeOf{partitions: s.store, instance: m.ID}}, opts...)
 		if k := s.sinks[m.ID]; k != nil {
@@ -274,6 +291,15 @@
 	return s
 }
 
+// isolate lets instances reach only each other, or all others again.
+func (s *site) isolate(isolated bool, ids ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		s.isolated[id] = isolated
+	}
+}
+
 func (s *site) stop() {
 	for _, d := range s.instances {
 		d.tomb.Kill(nil)
@@ -371,6 +397,7 @@
 		slowed  time.Duration
 		longest time.Duration // that a caller waits
 	}{
+		{"20 times slower", quick, 40 * time.Millisecond, 400 * time.Millisecond},
 		{"48 times slower", quick, 96 * time.Millisecond, 400 * time.Millisecond},
 		{"94 times slower", quick, 188 * time.Millisecond, 600 * time.Millisecond},
 		{"slow from the start", 188 * time.Millisecond, 188 * time.Millisecond, 1200 * time.Millisecond},
@@ -418,3 +445,311 @@
 	}
 	return states
 }
+
+// check stops the site and compares what callers got with what is on record in the end.
+func (s *site) check(t *testing.T, outcomes []outcome) {
+	t.Helper()
+	for _, k := range s.sinks {
+		k.setMode(works) // a frozen one writes late
+	}
+	s.stop()
+	for _, o := range outcomes {
+		n := s.store.count(o.id)
+		switch {
+		case o.err == nil && n == 0:
+			t.Errorf("job %s was accepted and isn't on record", o.id)
+		case o.err != nil && !fault.Is(o.err, fault.MayHaveRun) && n > 0:
+			t.Errorf("job %s was rejected with %v and is on record", o.id, o.err)
+		}
+	}
+}
+
+// Guards against a second message for each record, and against waiting for it, while the store
+// works well.
+func TestQuickStoreIsWrittenDirectly(t *testing.T) {
+	var sums [2]summary
+	for i, aggregates := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, aggregates)
+			outcomes := s.load(rand.New(rand.NewPCG(1, 2)), "quick", 60, 20*time.Second)
+			sums[i] = summarize(t, fmt.Sprintf("aggregates %v", aggregates), outcomes)
+			is.Equal(sums[i].written, len(outcomes))
+			is.Equal(s.count(handedOver), int64(0))
+			is.Equal(s.count(func(w *writeCounters) int64 { return w.direct.Value() }), int64(len(outcomes)))
+			for _, k := range s.sinks {
+				is.Equal(k.calls, 0)
+			}
+			s.check(t, outcomes)
+		})
+	}
+	is := is.New(t)
+	is.Equal(sums[1], sums[0])
+}
+
+// third returns the IDs of every third instance, beginning with the owner.
+func third() []string {
+	var ids []string
+	for i := 0; i < siteInstances; i += 3 {
+		ids = append(ids, fmt.Sprintf("e%d", i))
+	}
+	return ids
+}
+
+// reject makes the store reject the appends of instances, or accept them again.
+func (s *site) reject(rejected bool, ids ...string) {
+	s.store.set(func(p *partitions) {
+		for _, id := range ids {
+			p.rejected[id] = rejected
+		}
+	})
+}
+
+func (s *site) setOwner(t *testing.T, id string) {
+	t.Helper()
+	is := is.New(t)
+	record, err := roster.HeartbeatRecord(roster.Heartbeat{Term: 2, Owner: id})
+	is.NoErr(err)
+	for _, d := range s.instances {
+		is.NoErr(d.standbys.roster.Apply(record))
+	}
+}
+
+// calls returns the number of batches that each candidate got.
+func (s *site) calls() []int {
+	var calls []int
+	for _, k := range s.order {
+		k.mu.Lock()
+		calls = append(calls, k.calls)
+		k.mu.Unlock()
+	}
+	return calls
+}
+
+func TestLostAggregators(t *testing.T) {
+	const slow = 188 * time.Millisecond
+	tests := []struct {
+		name  string // of the failure it guards against
+		fails func(t *testing.T, s *site)
+		most  int // index in the order of the candidate that gets most of the calls after it
+	}{
+		{"the aggregator dies with a batch unanswered", func(_ *testing.T, s *site) { s.order[0].setMode(dead) }, 1},
+		{"the aggregator freezes", func(_ *testing.T, s *site) { s.order[0].setMode(frozen) }, 1},
+		{"the aggregator is isolated", func(_ *testing.T, s *site) { s.isolate(true, s.order[0].instance) }, 1},
+		{"two aggregators freeze", func(_ *testing.T, s *site) {
+			s.order[0].setMode(frozen)
+			s.order[1].setMode(frozen)
+		}, 2},
+		{"the owner is lost and replaced", func(t *testing.T, s *site) {
+			s.order[0].setMode(dead)
+			time.Sleep(time.Second)
+			s.setOwner(t, s.order[2].instance)
+		}, 2},
+		{"the store rejects a third of the instances", func(_ *testing.T, s *site) { s.reject(true, third()...) }, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s, random := newSite(t, true), rand.New(rand.NewPCG(1, 2))
+				defer s.stop()
+				s.store.set(func(p *partitions) { p.appendTime = slow })
+				outcomes := s.load(random, "slow", 30, 10*time.Second)
+				go tt.fails(t, s)
+				outcomes = append(outcomes, s.load(random, "failing", 30, 5*time.Second)...)
+				before := s.calls()
+				outcomes = append(outcomes, s.load(random, "failed", 60, 10*time.Second)...)
+				sum := summarize(t, tt.name, outcomes)
+				calls := s.calls()
+				for i := range calls {
+					calls[i] -= before[i]
+				}
+				t.Log("calls", calls)
+				is.Equal(sum.written, len(outcomes))
+				is.True(sum.longest <= 2*time.Second)
+				is.Equal(slices.Index(calls, slices.Max(calls)), tt.most)
+				s.check(t, outcomes)
+			})
+		})
+	}
+}
+
+// Guards against a job that runs twice or changes its state because a frozen aggregator writes
+// its record again, long after another one did.
+func TestLateWriteChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, random := newSite(t, true), rand.New(rand.NewPCG(1, 2))
+		defer s.stop()
+		s.store.set(func(p *partitions) { p.appendTime = 188 * time.Millisecond })
+		outcomes := s.load(random, "slow", 30, 3*time.Second)
+		s.order[0].setMode(frozen)
+		outcomes = append(outcomes, s.load(random, "frozen", 30, 5*time.Second)...)
+		cancelled := outcomes[len(outcomes)-1].id
+		c := catalog.New()
+		is.NoErr(c.Accept(catalog.CancelRecord(cancelled)))
+		s.check(t, outcomes)
+		twice := 0
+		for _, o := range outcomes {
+			is.NoErr(o.err)
+			if s.store.count(o.id) > 1 {
+				twice++
+			}
+		}
+		t.Logf("%d of %d jobs were written twice", twice, len(outcomes))
+		is.True(twice > 0)
+		for _, r := range s.store.records {
+			is.NoErr(c.Accept(r))
+		}
+		is.Equal(c.Len(), len(outcomes))
+		state, _ := c.State(cancelled)
+		is.Equal(state, progress.Cancelled)
+	})
+}
+
+// Guards against callers that wait for their deadline, or get no certain answer, when neither
+// the store nor an aggregator writes.
+func TestNoWayToWrite(t *testing.T) {
+	all := func(s *site) []string {
+		var ids []string
+		for _, d := range s.instances {
+			ids = append(ids, d.instance)
+		}
+		return ids
+	}
+	tests := []struct {
+		name      string
+		fails     func(s *site, fails bool)
+		instance  int           // that is asked
+		first     time.Duration // longest time until its first answer
+		next      time.Duration // longest time of later answers
+		immediate float64       // share of later answers without any delay
+	}{
+		{"the store rejects all instances", func(s *site, fails bool) { s.reject(fails, all(s)...) }, 7, 100 * time.Millisecond, 100 * time.Millisecond, 0.9},
+		{"an availability zone is isolated", func(s *site, fails bool) {
+			s.reject(fails, third()...)
+			s.isolate(fails, third()...)
+		}, 9, 2100 * time.Millisecond, 800 * time.Millisecond, 0.9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(t, true)
+				defer s.stop()
+				outcomes := []outcome{s.submit(tt.instance, "before")}
+				is.NoErr(outcomes[0].err)
+				tt.fails(s, true)
+				first := s.submit(tt.instance, "first")
+				is.True(fault.Is(first.err, fault.Unavailable))
+				t.Log("first", first.took, first.err)
+				is.True(first.took <= tt.first)
+				var wg sync.WaitGroup
+				next := make([]outcome, 200)
+				for i := range next {
+					time.Sleep(20 * time.Millisecond)
+					wg.Go(func() { next[i] = s.submit(tt.instance, fmt.Sprintf("next-%d", i)) })
+				}
+				wg.Wait()
+				immediate := 0
+				for _, o := range next {
+					is.True(fault.Is(o.err, fault.Unavailable))
+					if o.took == 0 {
+						immediate++
+					}
+				}
+				sum := summarize(t, tt.name, next)
+				t.Logf("%d immediate", immediate)
+				is.True(sum.longest <= tt.next)
+				is.True(float64(immediate) >= tt.immediate*float64(len(next)))
+				tt.fails(s, false)
+				time.Sleep(3 * time.Second)
+				last := s.submit(tt.instance, "last")
+				is.NoErr(last.err)
+				s.check(t, append(append(outcomes, first, last), next...))
+			})
+		})
+	}
+}
+
+// Guards against callers that all get an unknown outcome while the store answers no instance, and
+// against an instance that doesn't notice its return.
+func TestSilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, random := newSite(t, true), rand.New(rand.NewPCG(1, 2))
+		defer s.stop()
+		outcomes := s.load(random, "before", 30, 3*time.Second)
+		s.store.set(func(p *partitions) { p.silent = true })
+		time.AfterFunc(8*time.Second, func() { s.store.set(func(p *partitions) { p.silent = false }) })
+		silent := s.load(random, "silent", 120, 8*time.Second)
+		sum := summarize(t, "silent", silent)
+		is.True(sum.rejected > sum.unknown)
+		after := s.load(random, "after", 120, 5*time.Second)
+		summarize(t, "after", after)
+		last := s.load(random, "last", 120, 5*time.Second)
+		is.Equal(summarize(t, "last", last).written, len(last))
+		s.check(t, slices.Concat(outcomes, silent, after, last))
+	})
+}
+
+// Guards against instances that return to direct writes all at once, as soon as the store has
+// recovered, and so overload it again.
+func TestReturnsAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, random := newSite(t, true), rand.New(rand.NewPCG(1, 2))
+		defer s.stop()
+		outcomes := s.load(random, "before", 30, 10*time.Second)
+		s.store.set(func(p *partitions) { p.appendTime = 96 * time.Millisecond })
+		outcomes = append(outcomes, s.load(random, "slow", 400, 5*time.Second)...)
+		is.Equal(s.states()[writepath.Diverted], siteInstances)
+		s.store.set(func(p *partitions) { p.appendTime = 2 * time.Millisecond })
+		recoveredAt := time.Now()
+		outcomes = append(outcomes, s.load(random, "recovered", 400, 3*time.Second)...)
+		is.Equal(summarize(t, "all", outcomes).written, len(outcomes))
+		is.Equal(s.states()[writepath.Direct], siteInstances)
+		perInterval := make([]int, 30)
+		for _, l := range s.logs.FilterMessage("write path").FilterField(zap.Stringer("state", writepath.Direct)).All() {
+			perInterval[l.Time.Sub(recoveredAt)/(100*time.Millisecond)]++
+		}
+		t.Log("returns in each 100 ms", perInterval)
+		is.Equal(perInterval[0]+perInterval[1]+perInterval[2], 0)
+		is.True(slices.Max(perInterval) <= siteInstances/2)
+		s.check(t, outcomes)
+	})
+}
+
+// Guards against a record that is sent after its caller was told that it never will be.
+func TestWithdrawnRecordIsNotSent(t *testing.T) {
+	tests := []struct {
+		name    string
+		end     func(e *pendingWrite)
+		certain bool // whether the record can't be on record
+	}{
+		{"waits", func(*pendingWrite) {}, true},
+		{"withdrawn", func(e *pendingWrite) { e.withdraw() }, true},
+		{"sent", func(e *pendingWrite) { markSent([]*pendingWrite{e}) }, false},
+		{"rejected", func(e *pendingWrite) {
+			markSent([]*pendingWrite{e})
+			e.finish(fault.New(fault.Unavailable, "rejected"))
+		}, true},
+		{"not answered", func(e *pendingWrite) {
+			markSent([]*pendingWrite{e})
+			e.finish(fault.New(fault.MayHaveRun, "no answer"))
+		}, false},
+		{"another error", func(e *pendingWrite) {
+			markSent([]*pendingWrite{e})
+			e.finish(fault.New(fault.Internal, "no answer"))
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newPendingWrite(provider.KeyedRecord{})
+			tt.end(e)
+			is.Equal(e.isCertain(), tt.certain)
+			is.Equal(len(markSent([]*pendingWrite{e})), 0) // neither now nor a second time
+		})
+	}
+}
--- a/writepath/writepath.go
+++ b/writepath/writepath.go
@@ -11,7 +11,7 @@
 // Usage, for each record:
 //
 //	p := writepath.New(rand.Float64, writepath.WithChanges(log))
-//	switch p.Next(now, outage > 0) {
+//	switch p.Next(now, writepath.Silence{Store: outage > 0}) {
 //	case writepath.WriteDirectly, writepath.Trial:
 //		// append; hand over as well after p.HedgeDelay() or a rejection
 //	case writepath.HandOver:
@@ -26,7 +26,7 @@
 //	p.Rejected(now)                // it rejected one
 //	p.Overdue(now)                 // a direct write has had no answer within HedgeDelay
 //	p.HandedOver(now, appendTime)  // an aggregator acknowledged records
-//	p.HandoverFailed(now)          // no candidate has acknowledged them
+//	p.HandoverFailed(now)          // all candidates failed or refused
 //
 // A Path isn't safe for concurrent use.
 package writepath
@@ -92,7 +92,7 @@
 	// doubles with each trial that fails and each return that doesn't last.
 	minTrialDelay = 500 * time.Millisecond
 	maxTrialDelay = 4 * time.Second
-	// failureTime is how long a failure of a way counts for the rejection of new records.
+	// failureTime is how long new records are rejected after a failure of both ways.
 	failureTime = 300 * time.Millisecond
 )
 
@@ -107,8 +107,11 @@
 
 	directFailing  bool // since the last direct append that was answered in time
 	directFailedAt time.Duration
-	handoverFails  bool // since the last acknowledgement by an aggregator
-	handoverFailed time.Duration
+
+	handoverFails    bool          // since the last acknowledgement by an aggregator
+	failingSince     time.Duration // time of the first failure since then
+	handoverFailedAt time.Duration // time of the last one
+	probedAt         time.Duration
 
 	quick          bool // whether the aggregators' last append was below the hedge delay
 	quickSince     time.Duration
@@ -151,14 +154,20 @@
 	return min(maxHedgeDelay, max(minHedgeDelay, hedgeFactor*sorted[len(sorted)/2]))
 }
 
-// Next returns how the next record is written. Unanswered reports whether an older direct
-// append has been unanswered for so long that the store counts as silent.
-func (p *Path) Next(now time.Duration, unanswered bool) Way {
+// Silence tells which ways are silent: an older write is in flight and has had no answer for so
+// long that new ones would have none either.
+type Silence struct {
+	Store       bool
+	Aggregators bool
+}
+
+// Next returns how the next record is written.
+func (p *Path) Next(now time.Duration, s Silence) Way {
 	p.expireTrial(now)
 	switch {
-	case p.rejects(now, unanswered):
+	case p.rejects(now, s):
 		return Reject
-	case p.state == Direct || p.handoverFails:
+	case p.state == Direct || p.handoverFails || s.Aggregators:
 		return WriteDirectly
 	case p.trialIsDue(now):
 		p.inTrial = true
@@ -168,18 +177,22 @@
 	return HandOver
 }
 
-// rejects reports whether neither way can write a record. Without recent failures the next
-// record probes both ways. A store that has been silent for long isn't probed while an older
-// append is in flight, since the outcome of each probe would be unknown.
-func (p *Path) rejects(now time.Duration, unanswered bool) bool {
-	if !p.handoverFails {
+// rejects reports whether neither way can write a record. One record after each failureTime
+// probes both ways, so that the others needn't wait until it has failed. A silent store isn't
+// probed, since the outcome of each probe would be unknown.
+func (p *Path) rejects(now time.Duration, s Silence) bool {
+	switch {
+	case !p.handoverFails && !s.Aggregators:
 		return false
+	case s.Store:
+		return true
+	case !p.handoverFails || !p.directFailing || p.directFailedAt < p.failingSince-failureTime:
+		return false // aggregators have failed since
+	case now-max(p.directFailedAt, p.handoverFailedAt, p.probedAt) < failureTime:
+		return true
 	}
-	return unanswered || p.directFails(now) && now-p.handoverFailed < failureTime
-}
-
-func (p *Path) directFails(now time.Duration) bool {
-	return p.directFailing && now-p.directFailedAt < failureTime
+	p.probedAt = now
+	return false
 }
 
 func (p *Path) trialIsDue(now time.Duration) bool {
@@ -267,10 +280,13 @@
 	p.quick = quick
 }
 
-// HandoverFailed records that all candidates failed, refused, or haven't answered in time.
+// HandoverFailed records that all candidates failed or refused.
 func (p *Path) HandoverFailed(now time.Duration) {
+	if !p.handoverFails {
+		p.failingSince = now
+	}
 	p.handoverFails = true
-	p.handoverFailed = now
+	p.handoverFailedAt = now
 }
 
 func (p *Path) change(now time.Duration, s State, r Reason) {
--- a/writepath/writepath_test.go
+++ b/writepath/writepath_test.go
@@ -14,7 +14,7 @@
 // event is something that happens to a Path.
 type event func(p *writepath.Path, now time.Duration)
 
-func next(p *writepath.Path, now time.Duration)           { p.Next(now, false) }
+func next(p *writepath.Path, now time.Duration)           { p.Next(now, writepath.Silence{}) }
 func rejected(p *writepath.Path, now time.Duration)       { p.Rejected(now) }
 func overdue(p *writepath.Path, now time.Duration)        { p.Overdue(now) }
 func handoverFailed(p *writepath.Path, now time.Duration) { p.HandoverFailed(now) }
@@ -49,39 +49,43 @@
 	quick := step{start + 10*ms, handedOver(2 * ms)} // a trial is due after 300 ms + 0.5 x 500 ms
 	const trialAt = start + 560*ms
 	tests := []struct {
-		name       string
-		steps      []step
-		at         time.Duration
-		unanswered bool
-		want       writepath.Way
+		name    string
+		steps   []step
+		at      time.Duration
+		silence writepath.Silence
+		want    writepath.Way
 	}{
-		{"first record", nil, 0, false, writepath.WriteDirectly},
-		{"after a quick append", []step{{start, appended(2 * ms)}}, start, false, writepath.WriteDirectly},
-		{"after a rejection", []step{{start, rejected}}, start, false, writepath.HandOver},
-		{"without an answer in time", []step{diverted}, start, false, writepath.HandOver},
-		{"after a slow append", []step{{start, appended(300 * ms)}}, start, false, writepath.HandOver},
-		{"aggregators are slow", []step{diverted, {start, handedOver(300 * ms)}}, start + time.Minute, false, writepath.HandOver},
-		{"quick for a short time", []step{diverted, quick}, trialAt - 1, false, writepath.HandOver},
-		{"quick for long enough", []step{diverted, quick}, trialAt, false, writepath.Trial},
-		{"only one trial at a time", []step{diverted, quick, {trialAt, next}}, trialAt + ms, false, writepath.HandOver},
-		{"trial succeeds", []step{diverted, quick, {trialAt, next}, {trialAt + 2*ms, appended(2 * ms)}}, trialAt + 2*ms, false, writepath.WriteDirectly},
-		{"trial is rejected", []step{diverted, quick, {trialAt, next}, {trialAt + ms, rejected}}, trialAt + 700*ms, false, writepath.HandOver},
-		{"second trial comes later", []step{diverted, quick, {trialAt, next}, {trialAt + ms, rejected}}, trialAt + 801*ms, false, writepath.Trial},
-		{"trial was given up", []step{diverted, quick, {trialAt, next}, {trialAt + time.Second, next}}, trialAt + 1800*ms, false, writepath.Trial},
-		{"slow again before the trial", []step{diverted, quick, {start + 500*ms, handedOver(300 * ms)}}, trialAt, false, writepath.HandOver},
-		{"slow and quick again", []step{diverted, quick, {start + 500*ms, handedOver(300 * ms)}, {start + 510*ms, handedOver(2 * ms)}}, trialAt, false, writepath.HandOver},
-		{"no aggregator, in state direct", []step{{start, handoverFailed}}, start, false, writepath.WriteDirectly},
-		{"no aggregator, after an old rejection", []step{diverted, {start + 400*ms, handoverFailed}}, start + 400*ms, false, writepath.WriteDirectly},
-		{"aggregators are back", []step{diverted, {start + 400*ms, handoverFailed}, {start + 500*ms, handedOver(96 * ms)}}, start + 500*ms, false, writepath.HandOver},
-		{"no way works", []step{diverted, {start + 100*ms, handoverFailed}}, start + 200*ms, false, writepath.Reject},
-		{"probe after a while", []step{diverted, {start + 100*ms, handoverFailed}}, start + 300*ms, false, writepath.WriteDirectly},
-		{"the store is silent", []step{diverted, {start + 100*ms, handoverFailed}}, start + time.Second, true, writepath.Reject},
-		{"the store is silent here only", []step{diverted, {start + 100*ms, handedOver(2 * ms)}}, start + 200*ms, true, writepath.HandOver},
-		{"direct again without aggregators", []step{diverted, {start + 400*ms, handoverFailed}, {start + 500*ms, appended(2 * ms)}, {start + 600*ms, handedOver(2 * ms)}}, start + 600*ms, false, writepath.WriteDirectly},
+		{"first record", nil, 0, writepath.Silence{}, writepath.WriteDirectly},
+		{"after a quick append", []step{{start, appended(2 * ms)}}, start, writepath.Silence{}, writepath.WriteDirectly},
+		{"after a rejection", []step{{start, rejected}}, start, writepath.Silence{}, writepath.HandOver},
+		{"without an answer in time", []step{diverted}, start, writepath.Silence{}, writepath.HandOver},
+		{"after a slow append", []step{{start, appended(300 * ms)}}, start, writepath.Silence{}, writepath.HandOver},
+		{"aggregators are slow", []step{diverted, {start, handedOver(300 * ms)}}, start + time.Minute, writepath.Silence{}, writepath.HandOver},
+		{"quick for a short time", []step{diverted, quick}, trialAt - 1, writepath.Silence{}, writepath.HandOver},
+		{"quick for long enough", []step{diverted, quick}, trialAt, writepath.Silence{}, writepath.Trial},
+		{"only one trial at a time", []step{diverted, quick, {trialAt, next}}, trialAt + ms, writepath.Silence{}, writepath.HandOver},
+		{"trial succeeds", []step{diverted, quick, {trialAt, next}, {trialAt + 2*ms, appended(2 * ms)}}, trialAt + 2*ms, writepath.Silence{}, writepath.WriteDirectly},
+		{"trial is rejected", []step{diverted, quick, {trialAt, next}, {trialAt + ms, rejected}}, trialAt + 700*ms, writepath.Silence{}, writepath.HandOver},
+		{"second trial comes later", []step{diverted, quick, {trialAt, next}, {trialAt + ms, rejected}}, trialAt + 801*ms, writepath.Silence{}, writepath.Trial},
+		{"trial was given up", []step{diverted, quick, {trialAt, next}, {trialAt + time.Second, next}}, trialAt + 1800*ms, writepath.Silence{}, writepath.Trial},
+		{"slow again before the trial", []step{diverted, quick, {start + 500*ms, handedOver(300 * ms)}}, trialAt, writepath.Silence{}, writepath.HandOver},
+		{"slow and quick again", []step{diverted, quick, {start + 500*ms, handedOver(300 * ms)}, {start + 510*ms, handedOver(2 * ms)}}, trialAt, writepath.Silence{}, writepath.HandOver},
+		{"no aggregator, in state direct", []step{{start, handoverFailed}}, start, writepath.Silence{}, writepath.WriteDirectly},
+		{"no aggregator, after an old rejection", []step{diverted, {start + 400*ms, handoverFailed}}, start + 400*ms, writepath.Silence{}, writepath.WriteDirectly},
+		{"aggregators are back", []step{diverted, {start + 400*ms, handoverFailed}, {start + 500*ms, handedOver(96 * ms)}}, start + 500*ms, writepath.Silence{}, writepath.HandOver},
+		{"no way works", []step{diverted, {start + 100*ms, handoverFailed}}, start + 200*ms, writepath.Silence{}, writepath.Reject},
+		{"probe after a while", []step{diverted, {start + 100*ms, handoverFailed}}, start + 400*ms, writepath.Silence{}, writepath.WriteDirectly},
+		{"one probe at a time", []step{diverted, {start + 100*ms, handoverFailed}, {start + 400*ms, next}}, start + 500*ms, writepath.Silence{}, writepath.Reject},
+		{"next probe", []step{diverted, {start + 100*ms, handoverFailed}, {start + 400*ms, next}}, start + 700*ms, writepath.Silence{}, writepath.WriteDirectly},
+		{"the store is silent", []step{diverted, {start + 100*ms, handoverFailed}}, start + time.Second, writepath.Silence{Store: true}, writepath.Reject},
+		{"the store is silent here only", []step{diverted, {start + 100*ms, handedOver(2 * ms)}}, start + 200*ms, writepath.Silence{Store: true}, writepath.HandOver},
+		{"both are silent", []step{diverted}, start + 2*time.Second, writepath.Silence{Store: true, Aggregators: true}, writepath.Reject},
+		{"aggregators are silent", []step{diverted}, start + 2*time.Second, writepath.Silence{Aggregators: true}, writepath.WriteDirectly},
+		{"direct again without aggregators", []step{diverted, {start + 400*ms, handoverFailed}, {start + 500*ms, appended(2 * ms)}, {start + 600*ms, handedOver(2 * ms)}}, start + 600*ms, writepath.Silence{}, writepath.WriteDirectly},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			is.New(t).Equal(play(tt.steps).Next(tt.at, tt.unanswered), tt.want)
+			is.New(t).Equal(play(tt.steps).Next(tt.at, tt.silence), tt.want)
 		})
 	}
 }
@@ -133,7 +137,7 @@
 				p.Overdue(now)
 				p.HandedOver(now, 2*ms)
 				startedAt := now
-				for p.Next(now, false) != writepath.Trial {
+				for p.Next(now, writepath.Silence{}) != writepath.Trial {
 					now += 10 * ms
 				}
 				is.Equal(now-startedAt, want)
