--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -141,7 +141,7 @@
 	answers    chan answer
 	asked      int
 	answered   int
-	late       <-chan time.Time // gets a value when the last candidate that was asked is late
+	late       <-chan time.Time // gets a value when the next candidate is to be asked
 }
 
 // answer is a candidate's answer to a batch.
@@ -151,26 +151,32 @@
 }
 
 // run asks the candidates and returns nil once one has written the batch. It calls onLate when
-// all of them are late.
+// none is left to ask and those that haven't answered are late.
 func (c *handoverCall) run(ctx context.Context, onLate func()) error {
-	unknown := false
-	for c.answered < len(c.candidates) {
-		if c.asked == c.answered {
+	unknown, reported := false, false
+	advance := func() {
+		switch {
+		case c.asked < len(c.candidates):
 			c.askNext(ctx)
+		case !reported:
+			reported = true
+			onLate()
 		}
+	}
+	c.late = time.After(0) // for the first candidate
+	for c.answered < len(c.candidates) {
 		select {
 		case a := <-c.answers:
 			if c.accept(a) {
 				return nil
 			}
 			unknown = unknown || a.result.Outcome == aggregation.Unknown
+			if a.candidate == c.asked-1 && c.answered < len(c.candidates) {
+				advance()
+			}
 		case <-c.late:
 			c.late = nil
-			if c.asked < len(c.candidates) {
-				c.askNext(ctx)
-			} else {
-				onLate()
-			}
+			advance()
 		}
 	}
 	if unknown {
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -408,6 +408,7 @@
 				is := is.New(t)
 				s, random := newSite(t, true), rand.New(rand.NewPCG(1, 2))
 				defer s.stop()
+				var all []outcome
 				for _, phase := range []struct {
 					name       string
 					appendTime time.Duration
@@ -424,12 +425,14 @@
 					s.store.set(func(p *partitions) { p.appendTime = phase.appendTime })
 					diverted, handed := s.count(diversions), s.count(handedOver)
 					outcomes := s.load(random, phase.name, phase.perSecond, phase.length)
+					all = append(all, outcomes...)
 					sum := summarize(t, phase.name, outcomes)
 					t.Logf("%d handed over, %d diversions, states %v", s.count(handedOver)-handed, s.count(diversions)-diverted, s.states())
 					is.Equal(sum.written, len(outcomes))
 					is.True(sum.longest <= tt.longest)
 				}
 				is.Equal(s.states()[writepath.Direct], siteInstances)
+				s.check(t, all)
 			})
 		})
 	}
@@ -446,13 +449,27 @@
 	return states
 }
 
-// check stops the site and compares what callers got with what is on record in the end.
+// check stops the site and compares what callers got with what is on record in the end, and with
+// the metrics and log lines.
 func (s *site) check(t *testing.T, outcomes []outcome) {
 	t.Helper()
 	for _, k := range s.sinks {
 		k.setMode(works) // a frozen one writes late
 	}
 	s.stop()
+	var writes, diversionLines int64
+	for _, d := range s.instances {
+		w := &d.counters.writes
+		writes += w.direct.Value() + w.handedOver.Value() + w.rejected.Value() + w.unknown.Value()
+	}
+	for _, l := range s.logs.FilterMessage("write path").All() {
+		if l.ContextMap()["state"] == writepath.Diverted.String() {
+			diversionLines++
+		}
+	}
+	is := is.New(t)
+	is.Equal(writes, int64(len(outcomes)))
+	is.Equal(diversionLines, s.count(diversions))
 	for _, o := range outcomes {
 		n := s.store.count(o.id)
 		switch {
@@ -540,6 +557,10 @@
 			s.order[0].setMode(frozen)
 			s.order[1].setMode(frozen)
 		}, 2},
+		{"the aggregator freezes and the store rejects the next one", func(_ *testing.T, s *site) {
+			s.order[0].setMode(frozen)
+			s.reject(true, s.order[1].instance)
+		}, 2},
 		{"the owner is lost and replaced", func(t *testing.T, s *site) {
 			s.order[0].setMode(dead)
 			time.Sleep(time.Second)
@@ -700,7 +721,7 @@
 		is := is.New(t)
 		s, random := newSite(t, true), rand.New(rand.NewPCG(1, 2))
 		defer s.stop()
-		outcomes := s.load(random, "before", 30, 10*time.Second)
+		outcomes := s.load(random, "before", 100, 10*time.Second) // all know how quick the store is
 		s.store.set(func(p *partitions) { p.appendTime = 96 * time.Millisecond })
 		outcomes = append(outcomes, s.load(random, "slow", 400, 5*time.Second)...)
 		is.Equal(s.states()[writepath.Diverted], siteInstances)
