--- a/dispatcher/recordwriter.go
+++ b/dispatcher/recordwriter.go
@@ -59,13 +59,17 @@
 	return w.path.Next(w.d.clock(), silence), w.path.HedgeDelay()
 }
 
-// appended reports the end of a direct append to the path. One without an answer was reported
-// as overdue.
+// appended reports the end of a direct append to the path. One that had no answer within the hedge
+// delay was reported as overdue then, and tells nothing about the store now.
 func (w *recordWriter) appended(took time.Duration, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.handover == nil || fault.Is(err, fault.MayHaveRun):
+	case w.handover == nil:
+	case fault.Is(err, fault.MayHaveRun):
+		if took < w.path.HedgeDelay() { // the connection broke
+			w.path.Overdue(w.d.clock())
+		}
 	case err != nil:
 		w.path.Rejected(w.d.clock())
 	default:
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -774,3 +774,28 @@
 		})
 	}
 }
+
+// Guards against broken connections that don't divert an instance, as an answer arrives before the
+// hedge delay, and against an append from before a recovery that diverts it again.
+func TestDirectAppendsMoveThePath(t *testing.T) {
+	unknown, rejected := fault.New(fault.MayHaveRun, "no answer"), fault.New(fault.Unavailable, "rejected")
+	tests := []struct {
+		name string
+		took time.Duration
+		err  error
+		want writepath.State
+	}{
+		{"acknowledged", 2 * time.Millisecond, nil, writepath.Direct},
+		{"acknowledged late", 300 * time.Millisecond, nil, writepath.Diverted},
+		{"rejected", 2 * time.Millisecond, rejected, writepath.Diverted},
+		{"connection broke", 2 * time.Millisecond, unknown, writepath.Diverted},
+		{"timed out", intakeTimeout, unknown, writepath.Direct},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := New(Platform{Store: emptyStore{}}, WithAggregation(link{}))
+			d.recordWriter.appended(tt.took, tt.err)
+			is.New(t).Equal(d.recordWriter.path.State(), tt.want)
+		})
+	}
+}
