--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,18 +1,20 @@
-// Package catalog folds two keyed streams into the state of all jobs. Any instance
-// writes accepted and cancelled jobs to stream Accepts; the owner of the cell writes
-// their progress to stream Progress.
+// Package catalog folds keyed streams into the state of all jobs. Any instance writes
+// accepted and cancelled jobs to stream Accepts, or has an aggregator write them to stream
+// Aggregated; the owner of the cell writes their progress to stream Progress.
 //
 // Usage:
 //
 //	c := catalog.New()
-//	c.Accept(record)    // of stream catalog.Accepts
-//	c.Progress(record)  // of stream catalog.Progress
+//	c.Accept(record)           // of stream catalog.Accepts
+//	c.AcceptAggregated(record) // of stream catalog.Aggregated
+//	c.Progress(record)         // of stream catalog.Progress
 //	state, known := c.State(id)
 //
-// The two kinds of record have different keys. So the result doesn't depend on the
+// Jobs and their progress have different keys. So the result doesn't depend on the
 // order in which the streams are read, and an accept that is written twice, or late,
-// never replaces the progress of a job that has run since. A Catalog is safe for
-// concurrent use.
+// never replaces the progress of a job that has run since. Accepts and Aggregated have
+// the same keys: a job or a cancellation exists while its key is in either of them. A
+// Catalog is safe for concurrent use.
 package catalog
 
 import (
@@ -33,8 +35,17 @@
 
 // Streams that are folded.
 const (
-	Accepts  = "jobs"     // jobs and cancellations, written by any instance
-	Progress = "progress" // written by the owner alone, fenced
+	Accepts    = "jobs"       // jobs and cancellations, written by any instance
+	Aggregated = "aggregated" // jobs and cancellations, written by aggregators for other instances
+	Progress   = "progress"   // written by the owner alone, fenced
+)
+
+// sources is a set of the streams that have a key.
+type sources uint8
+
+const (
+	inAccepts sources = 1 << iota
+	inAggregated
 )
 
 // Prefixes of keys.
@@ -55,6 +66,9 @@
 	Job       *job.Job
 	Cancelled bool
 	Progress  *progress.Progress
+
+	jobIn    sources // streams that have the job
+	cancelIn sources // streams that have the cancellation
 }
 
 // TermSpacing is the distance between the terms of successive owners. An owner uses the
@@ -261,13 +275,22 @@
 
 // Accept folds a record of stream Accepts. The first accept of a job wins.
 func (c *Catalog) Accept(r provider.KeyedRecord) error {
+	return c.acceptFrom(inAccepts, r)
+}
+
+// AcceptAggregated is Accept for a record of stream Aggregated.
+func (c *Catalog) AcceptAggregated(r provider.KeyedRecord) error {
+	return c.acceptFrom(inAggregated, r)
+}
+
+func (c *Catalog) acceptFrom(source sources, r provider.KeyedRecord) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case strings.HasPrefix(r.Key, acceptKey):
-		return c.accept(r.Key[len(acceptKey):], r.Value)
+		return c.accept(source, r.Key[len(acceptKey):], r.Value)
 	case strings.HasPrefix(r.Key, cancelKey):
-		c.cancel(r.Key[len(cancelKey):], len(r.Value) > 0)
+		c.cancel(source, r.Key[len(cancelKey):], len(r.Value) > 0)
 		return nil
 	}
 	return fault.New(fault.Invalid, "unknown key %q", r.Key)
@@ -287,12 +310,15 @@
 	return nil
 }
 
-func (c *Catalog) accept(id string, value []byte) error {
+func (c *Catalog) accept(source sources, id string, value []byte) error {
 	if len(value) == 0 {
-		delete(c.entries, id)
+		if e := c.entries[id]; e != nil {
+			c.dropJob(source, id, e)
+		}
 		return nil
 	}
 	if e := c.entries[id]; e != nil && e.Job != nil {
+		e.jobIn |= source
 		return nil
 	}
 	j := &job.Job{}
@@ -304,6 +330,7 @@
 	}
 	e := c.entry(id)
 	e.Job = j
+	e.jobIn |= source
 	if e.Progress != nil {
 		e.Progress.Bind(j)
 	}
@@ -311,17 +338,42 @@
 	return nil
 }
 
-func (c *Catalog) cancel(id string, set bool) {
+// dropJob drops a job that was deleted in a stream, with its progress, unless the other
+// stream has it.
+func (c *Catalog) dropJob(source sources, id string, e *Entry) {
+	e.jobIn &^= source
+	if e.jobIn != 0 {
+		return
+	}
+	e.Job = nil
+	e.Progress = nil
+	c.dropCancellation(0, id, e)
+}
+
+func (c *Catalog) cancel(source sources, id string, set bool) {
 	if !set {
+		if e := c.entries[id]; e != nil {
+			c.dropCancellation(source, id, e)
+		}
 		return
 	}
 	e := c.entry(id)
+	e.cancelIn |= source
 	if !e.Cancelled {
 		e.Cancelled = true
 		c.changed = append(c.changed, id)
 	}
 }
 
+// dropCancellation drops a cancellation that was deleted in a stream, unless the other stream
+// has it. That of a job on record stays in effect: a job is deleted in one stream after the
+// other, and a cancelled job must not run in between.
+func (c *Catalog) dropCancellation(source sources, id string, e *Entry) {
+	e.cancelIn &^= source
+	e.Cancelled = e.Cancelled && (e.cancelIn != 0 || e.Job != nil)
+	c.deleteIfEmpty(id, e)
+}
+
 func (c *Catalog) entry(id string) *Entry {
 	e := c.entries[id]
 	if e == nil {
@@ -403,22 +455,46 @@
 }
 
 // RetainAccepts drops the jobs and cancellations whose keys aren't among the records, which
-// are the newest of all keys of stream Accepts. A reader that was away for longer than
-// the stream retains would otherwise keep jobs that were deleted meanwhile, and an owner
-// would run them again.
+// are the newest of all keys of stream Accepts, unless stream Aggregated has them. A reader
+// that was away for longer than the stream retains would otherwise keep jobs that were deleted
+// meanwhile, and an owner would run them again.
 func (c *Catalog) RetainAccepts(records []provider.KeyedRecord) {
+	c.retain(inAccepts, records)
+}
+
+// RetainAggregated is RetainAccepts for stream Aggregated.
+func (c *Catalog) RetainAggregated(records []provider.KeyedRecord) {
+	c.retain(inAggregated, records)
+}
+
+func (c *Catalog) retain(source sources, records []provider.KeyedRecord) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	keys := keysOf(records)
 	for id, e := range c.entries {
 		if !keys[acceptKey+id] {
+			e.jobIn &^= source
+		}
+		if e.jobIn == 0 {
 			e.Job = nil
 		}
-		e.Cancelled = e.Cancelled && keys[cancelKey+id]
+		if !keys[cancelKey+id] {
+			e.cancelIn &^= source
+		}
+		e.Cancelled = e.Cancelled && (e.cancelIn != 0 || e.Job != nil)
 		c.deleteIfEmpty(id, e)
 	}
 }
 
+// IsAggregated reports whether stream Aggregated has a job or its cancellation, as far as it
+// was read.
+func (c *Catalog) IsAggregated(id string) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	e := c.entries[id]
+	return e != nil && (e.jobIn|e.cancelIn)&inAggregated != 0
+}
+
 // RetainProgress is RetainAccepts for stream Progress.
 func (c *Catalog) RetainProgress(records []provider.KeyedRecord) {
 	c.mu.Lock()
@@ -543,7 +619,7 @@
 }
 
 // Orphans returns the jobs that have progress on record but no accept record: an owner
-// crashed between the two deletions. For a reader of both streams there is no other
+// crashed between the deletions. For a reader of all streams there is no other
 // cause, since a job's progress is written after the job.
 func (c *Catalog) Orphans() []string {
 	c.mu.RLock()
