--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// canClaim reports whether the stream of accepted jobs is readable. A new owner has to
-// read it before its first heartbeat. An instance that claimed the cell while the stream
+// canClaim reports whether the streams of accepted jobs are readable. A new owner has to
+// read them before its first heartbeat. An instance that claimed the cell while one of them
 // fails, say for five seconds, would send no heartbeat and lose the cell to the next
 // claim, possibly by a smaller instance with thousands of tasks waiting. The log then has
 // two claims, the first without a line "owner". Waiting costs nothing, since no instance
@@ -99,7 +99,7 @@
 	return !d.accepts.Failing() && d.knowsOperators()
 }
 
-// streamsLoaded reports whether both streams were read to their ends at least once.
+// streamsLoaded reports whether all streams were read to their ends at least once.
 func (d *Dispatcher) streamsLoaded() bool {
 	return d.accepts.IsLoaded() && d.progress.IsLoaded()
 }
@@ -182,7 +182,7 @@
 const sequenceRange = 1 << 48
 
 // tryClaim writes the owner's record under a new term, provided that nothing was
-// written since this instance's last read, and reads both streams to their ends.
+// written since this instance's last read, and reads all streams to their ends.
 func (d *Dispatcher) tryClaim(ctx context.Context, owner catalog.Owner, next uint64) error {
 	record, err := catalog.OwnerRecord(owner)
 	if err != nil {
@@ -195,7 +195,7 @@
 	return d.readToEnd(ctx)
 }
 
-// readToEnd reads both streams to their ends and the list of workers beside them.
+// readToEnd reads all streams to their ends and the list of workers beside them.
 // Once the term is set, the previous owner is fenced, so that the new one sees its last
 // writes. The new owner must also know every job that has progress, since it
 // deletes progress without a job as orphaned.
@@ -206,7 +206,7 @@
 		return fault.Wrap(fault.MayHaveRun, err, "read stream %s after the claim", catalog.Progress)
 	}
 	if err := d.accepts.Refresh(ctx); err != nil {
-		return fault.Wrap(fault.MayHaveRun, err, "read stream %s after the claim", catalog.Accepts)
+		return fault.Wrap(fault.MayHaveRun, err, "read the accepted jobs after the claim")
 	}
 	return nil
 }
--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -58,10 +58,14 @@
 	savesFailed     expvar.Int
 	jobs            expvar.Int
 	rejected        expvar.Int
-	listAsOf        atomic.Int64 // AsOf of the newest list of workers, nanoseconds on the dispatcher's clock
-	startLatency    *Latency
-	saveLatency     *Latency
-	acceptLatency   *Latency
+
+	recordsAggregated expvar.Int // written as aggregator
+	aggregatedAppends expvar.Int
+	aggregatedRefused expvar.Int   // records
+	listAsOf          atomic.Int64 // AsOf of the newest list of workers, nanoseconds on the dispatcher's clock
+	startLatency      *Latency
+	saveLatency       *Latency
+	acceptLatency     *Latency
 }
 
 func newCounters(clock func() time.Duration) *Counters {
@@ -69,6 +73,7 @@
 	for name, v := range map[string]expvar.Var{
 		"owned": &c.owned, "starts": &c.starts, "stops": &c.stops, "holds": &c.holds, "holds_unanswered": &c.holdsUnanswered,
 		"saves": &c.saves, "saves_failed": &c.savesFailed, "jobs_accepted": &c.jobs, "jobs_rejected": &c.rejected,
+		"records_aggregated": &c.recordsAggregated, "aggregated_appends": &c.aggregatedAppends, "aggregated_refused": &c.aggregatedRefused,
 		"list_age_ms": expvar.Func(func() any { return c.listAge(clock()).Milliseconds() }),
 		"start_us":    quantilesVar(c.startLatency), "save_us": quantilesVar(c.saveLatency), "accept_us": quantilesVar(c.acceptLatency),
 	} {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -10,7 +10,7 @@
 //	err := d.Submit(ctx, j)
 //	state, err := d.State(ctx, j.ID)
 //
-// All instances run the same components. Each reads the two streams of package
+// All instances run the same components. Each reads the streams of package
 // catalog, which hold the accepted, cancelled and ended jobs, so that any instance can
 // serve any request and become the owner.
 package dispatcher
@@ -71,9 +71,10 @@
 	tomb           tomb.Tomb
 	catalog        *catalog.Catalog
 	standbys       *standbys
-	accepts        *tail.Tail
+	accepts        *jobTails
 	progress       *tail.Tail
 	intake         *intake
+	aggregator     *aggregator
 	table          atomic.Pointer[queue.Table]
 	inputs         chan cell.Input
 	updated        chan struct{}
@@ -87,6 +88,8 @@
 	returnBound    time.Duration
 	counters       *Counters
 
+	followsAggregated bool // whether stream catalog.Aggregated is followed and written
+
 	// Owned by the control goroutine.
 	election        *election.Election
 	cell            *cell.Cell
@@ -190,9 +193,10 @@
 	}
 	d.counters = newCounters(d.clock)
 	d.election = election.New(d.instance, d.nonce, d.processors, election.DefaultTiming(), rand.Float64)
-	d.accepts = d.newTail(catalog.Accepts, d.foldInto(catalog.Accepts, d.catalog.Accept, d.catalog.RetainAccepts), tail.WithSpacing(acceptsSpacing))
+	d.accepts = d.newJobTails()
 	d.progress = d.newTail(catalog.Progress, d.foldInto(catalog.Progress, d.catalog.Progress, d.catalog.RetainProgress), tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
 	d.intake = newIntake(d)
+	d.aggregator = newAggregator(d)
 	d.standbys.init()
 	return d
 }
@@ -235,9 +239,14 @@
 func (d *Dispatcher) Run(ctx context.Context) error {
 	d.tomb.Go(func() error {
 		inner := d.tomb.Context(context.Background())
-		d.tomb.Go(func() error { return d.accepts.Run(inner) })
+		for _, t := range d.accepts.all() {
+			d.tomb.Go(func() error { return t.Run(inner) })
+		}
 		d.tomb.Go(func() error { return d.progress.Run(inner) })
 		d.tomb.Go(func() error { return d.intake.run(inner) })
+		if d.followsAggregated {
+			d.tomb.Go(func() error { return d.aggregator.run(inner) })
+		}
 		d.standbys.run(inner)
 		d.tomb.Go(d.control)
 		select {
@@ -330,5 +339,5 @@
 	if !d.standbys.isCurrent() {
 		return d.standbys.rosterLog.Age() < maxReadyRosterAge && !d.standbys.rosterLog.Failing()
 	}
-	return d.accepts.Age() < maxReadyAge && d.progress.Age() < maxReadyAge
+	return d.accepts.isAnswered() && d.progress.Age() < maxReadyAge
 }
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -160,14 +160,25 @@
 	}
 }
 
-// deleteJobs deletes the accept and cancel records of jobs.
+// deleteJobs deletes the accept and cancel records of jobs in all streams. After an error the
+// cell repeats it and keeps the progress, so that no stream still has a job without progress.
 func (d *Dispatcher) deleteJobs(ctx context.Context, a cell.Forget) cell.Input {
+	err := d.deleteIn(ctx, catalog.Accepts, a.IDs)
+	if err == nil {
+		err = d.deleteIn(ctx, catalog.Aggregated, d.possiblyAggregated(a.IDs))
+	}
+	return cell.ForgetReply{IDs: a.IDs, Err: err}
+}
+
+func (d *Dispatcher) deleteIn(ctx context.Context, stream string, ids []string) error {
+	if len(ids) == 0 {
+		return nil
+	}
 	var records []provider.KeyedRecord
-	for _, id := range a.IDs {
+	for _, id := range ids {
 		records = append(records, catalog.DropRecords(id)...)
 	}
-	err := d.platform.Store.Append(ctx, catalog.Accepts, nil, records)
-	return cell.ForgetReply{IDs: a.IDs, Err: err}
+	return d.platform.Store.Append(ctx, stream, nil, records)
 }
 
 // logEvent writes a decision of the cell to the log.
--- a/dispatcher/standby.go
+++ b/dispatcher/standby.go
@@ -127,7 +127,7 @@
 	}
 	s.following.Store(follows)
 	s.d.logger.Info("standby", zap.Bool("following", follows), zap.Bool("named", s.roster.Names(s.self.ID)))
-	for _, t := range []*tail.Tail{s.d.accepts, s.d.progress} {
+	for _, t := range append(s.d.accepts.all(), s.d.progress) {
 		if !follows {
 			t.Reset()
 		}
@@ -135,6 +135,7 @@
 	}
 	if !follows {
 		s.d.catalog.RetainAccepts(nil)
+		s.d.catalog.RetainAggregated(nil)
 		s.d.catalog.RetainProgress(nil)
 	}
 }
