--- a/dispatcher/aggregator.go
+++ b/dispatcher/aggregator.go
@@ -22,9 +22,6 @@
 	// aggregatedSamples is the number of appends after which the number in flight is adjusted.
 	// A slow store answers few of them in a second.
 	aggregatedSamples = 4
-	// rejectedAppendTime is the time as which a rejected append counts. The store rejects an
-	// append that would wait for longer than this for others.
-	rejectedAppendTime    = 2 * time.Second
 	aggregatedLogInterval = time.Second
 	// maxIdleAggregatedLag is the greatest lag of the tail of an idle stream whose reads are
 	// answered: the read in flight and the one before it wait for records.
@@ -69,12 +66,12 @@
 }
 
 func newAggregator(d *Dispatcher) *aggregator {
-	return &aggregator{
-		d:       d,
-		changed: make(chan struct{}, 1),
-		appendLimit: limit.New(limit.WithAlgorithm(limit.AIMD), limit.WithMin(1), limit.WithInitial(1), limit.WithMax(maxAggregatedAppends),
-			limit.WithSamples(aggregatedSamples)),
-	}
+	return &aggregator{d: d, changed: make(chan struct{}, 1), appendLimit: newAppendLimit()}
+}
+
+func newAppendLimit() *limit.Limit {
+	return limit.New(limit.WithAlgorithm(limit.AIMD), limit.WithMin(1), limit.WithInitial(1), limit.WithMax(maxAggregatedAppends),
+		limit.WithSamples(aggregatedSamples))
 }
 
 // Aggregator returns the Sink that writes records on behalf of other instances. It refuses all
@@ -268,7 +265,8 @@
 }
 
 // finish adjusts the number of appends in flight to an append that has ended. After a rejection
-// it refuses the writes that wait.
+// only one append may be in flight, and the writes that wait are refused. The time of a rejected
+// append isn't observed: rejections are quick and would raise the limit.
 func (a *aggregator) finish(batch []*aggregatedWrite, records int, took time.Duration, outcome aggregation.Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -276,17 +274,16 @@
 	if len(a.waiting) == 0 {
 		inFlight-- // no write waits for the limit to grow
 	}
-	observed := took
-	if outcome == aggregation.NotWritten {
-		observed = max(took, rejectedAppendTime)
-	}
-	a.appendLimit.Observe(time.Now(), inFlight, observed, outcome != aggregation.Unknown)
 	a.summary.inFlight = max(a.summary.inFlight, a.inFlight)
 	a.inFlight--
 	a.summary.appends++
 	a.summary.appendTime += took
+	if outcome != aggregation.NotWritten {
+		a.appendLimit.Observe(time.Now(), inFlight, took, outcome == aggregation.Written)
+	}
 	switch outcome {
 	case aggregation.NotWritten:
+		a.appendLimit = newAppendLimit()
 		a.rejectedAt = time.Now()
 		a.refuseWaiting()
 	case aggregation.Written:
--- a/dispatcher/standby_test.go
+++ b/dispatcher/standby_test.go
@@ -97,8 +97,13 @@
 
 // newFleet starts n instances in one availability zone.
 func newFleet(ctx context.Context, n int) *fleet {
+	return newFleetOn(ctx, newSlowStore(2*time.Millisecond), n)
+}
+
+// newFleetOn is newFleet on a store, with further options of the instances.
+func newFleetOn(ctx context.Context, store *slowStore, n int, opts ...dispatcher.Option) *fleet {
 	f := &fleet{
-		store:     newSlowStore(2 * time.Millisecond),
+		store:     store,
 		instances: make(map[string]*dispatcher.Dispatcher),
 		stop:      make(map[string]context.CancelFunc),
 		cut:       make(map[string]bool),
@@ -109,8 +114,8 @@
 		id := fmt.Sprintf("e%d", i)
 		member := roster.Member{ID: id, Address: id + ":1", AvailabilityZone: "a"}
 		candidates = append(candidates, selection.Candidate{Member: member, Processors: 1})
-		d := dispatcher.New(dispatcher.Platform{Store: instanceStore{f.store, f, id}, Executor: noWorkers{}},
-			dispatcher.WithInstance(id), dispatcher.WithProcessors(1), dispatcher.WithPeers(member, asker{f, id}))
+		own := []dispatcher.Option{dispatcher.WithInstance(id), dispatcher.WithProcessors(1), dispatcher.WithPeers(member, asker{f, id})}
+		d := dispatcher.New(dispatcher.Platform{Store: instanceStore{f.store, f, id}, Executor: noWorkers{}}, append(own, opts...)...)
 		d.Configure(queue.New(1, queue.Limits{}, nil, nil))
 		f.instances[id] = d
 	}
