--- a/dispatcher/aggregator.go
+++ b/dispatcher/aggregator.go
@@ -21,7 +21,7 @@
 	maxAggregatedWaiting = 4096 // records
 	// aggregatedSamples is the number of appends after which the number in flight is adjusted.
 	// A slow store answers few of them in a second.
-	aggregatedSamples = 4
+	aggregatedSamples     = 4
 	aggregatedLogInterval = time.Second
 	// maxIdleAggregatedLag is the greatest lag of the tail of an idle stream whose reads are
 	// answered: the read in flight and the one before it wait for records.
--- a/dispatcher/aggregator_test.go
+++ b/dispatcher/aggregator_test.go
@@ -256,6 +256,7 @@
 		startedAt := time.Now()
 		for n := range cap(results) {
 			go func() { results <- aggregate(ctx, d, n, 3*time.Second) }()
+			synctest.Wait() // the first append has begun
 		}
 		for range cap(results) {
 			is.Equal((<-results).Outcome, aggregation.NotWritten)
@@ -302,11 +303,39 @@
 				}
 				wg.Wait()
 				is.True(store.maxInFlight >= tt.minimum && store.maxInFlight <= tt.maximum)
+				store.set(func() { store.rejects = true })
+				time.Sleep(time.Second)
+				is.Equal(aggregate(ctx, d, 8000, time.Second).Outcome, aggregation.NotWritten)
+				store.set(func() { store.rejects, store.maxInFlight = false, 0 })
+				time.Sleep(time.Second)
+				for n := range 20 {
+					go aggregate(ctx, d, 8001+n, time.Second)
+					time.Sleep(time.Millisecond)
+				}
+				is.Equal(store.maxInFlight, 1) // just after a rejection
 			})
 		})
 	}
 }
 
+// lateTimer is a context whose deadline is over although its timer hasn't fired.
+type lateTimer struct{ context.Context }
+
+func (lateTimer) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+
+// Guards against a process that is resumed and writes records whose callers' time is over.
+func TestNoAppendBeforeTheTimerFires(t *testing.T) {
+	inSynctest(t, func(ctx context.Context, is *is.I) {
+		d, store := startAggregator(ctx, newSlowStore(2*time.Millisecond), "e1")
+		time.Sleep(2 * time.Second)
+		late, fire := context.WithTimeout(ctx, time.Second)
+		defer fire()
+		is.Equal(d.Aggregator().Write(lateTimer{late}, []provider.KeyedRecord{acceptRecord(1)}).Outcome, aggregation.NotWritten)
+		appends, _ := store.counts()
+		is.Equal(appends, 0)
+	})
+}
+
 // Guards against a record that is written after its caller was told that it never will be.
 func TestNoAppendAfterTheDeadline(t *testing.T) {
 	inSynctest(t, func(ctx context.Context, is *is.I) {
@@ -379,17 +408,14 @@
 		store, workers, clock := newSlowStore(2*time.Millisecond), &unresponsiveWorkers{}, newClock()
 		d := dispatcher.New(dispatcher.Platform{Store: store, Executor: workers}, dispatcher.WithClock(clock), dispatcher.WithAggregatedStream())
 		d.Configure(onePool())
-		go sendListPeriodically(ctx, d, clock, provider.Host{ID: "w1", Service: "pool"})
+		go sendListPeriodically(ctx, d, clock, provider.Host{ID: "w1", Service: "pool"}, provider.Host{ID: "w2", Service: "pool"}, provider.Host{ID: "w3", Service: "pool"})
 		go func() { _ = d.Run(ctx) }()
 		time.Sleep(5 * time.Second)
-		is.NoErr(store.Append(ctx, catalog.Aggregated, nil, []provider.KeyedRecord{acceptRecord(1)}))
-		time.Sleep(50 * time.Millisecond)
-		is.Equal(workers.started(), 1)
-		is.NoErr(store.Append(ctx, catalog.Aggregated, nil, []provider.KeyedRecord{acceptRecord(2)}))
-		time.Sleep(50 * time.Millisecond)
-		pending, err := d.Pending(ctx, "q")
-		is.NoErr(err)
-		is.Equal(pending, 1) // the worker has one slot
+		for n := 1; n <= 3; n++ {
+			is.NoErr(store.Append(ctx, catalog.Aggregated, nil, []provider.KeyedRecord{acceptRecord(n)}))
+			time.Sleep(50 * time.Millisecond)
+			is.Equal(workers.started(), n)
+		}
 	})
 }
 
