--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -10,7 +10,7 @@
 //	err := d.Submit(ctx, j)
 //	state, err := d.State(ctx, j.ID)
 //
-// All instances run the same components. Each reads the two streams of package
+// All instances run the same components. Each reads the streams of package
 // catalog, which hold the accepted, cancelled and ended jobs, so that any instance can
 // serve any request and become the owner.
 package dispatcher
@@ -72,11 +72,12 @@
 	tomb           tomb.Tomb
 	catalog        *catalog.Catalog
 	standbys       *standbys
-	accepts        *tail.Tail
+	accepts        *jobTails
 	progress       *tail.Tail
 	intake         *intake
 	recordWriter   *recordWriter
-	aggregator     aggregation.Sink // of this instance; nil without one
+	aggregator     *aggregator
+	localSink      aggregation.Sink // where this instance writes as aggregator; nil without aggregation
 	table          atomic.Pointer[queue.Table]
 	inputs         chan cell.Input
 	updated        chan struct{}
@@ -90,6 +91,8 @@
 	returnBound    time.Duration
 	counters       *Counters
 
+	followsAggregated bool // whether stream catalog.Aggregated is followed and written
+
 	// Owned by the control goroutine.
 	election        *election.Election
 	cell            *cell.Cell
@@ -194,9 +197,13 @@
 	}
 	d.counters = newCounters(d.clock)
 	d.election = election.New(d.instance, d.nonce, d.processors, election.DefaultTiming(), rand.Float64)
-	d.accepts = d.newTail(catalog.Accepts, d.foldInto(catalog.Accepts, d.catalog.Accept, d.catalog.RetainAccepts), tail.WithSpacing(acceptsSpacing))
+	d.accepts = d.newJobTails()
 	d.progress = d.newTail(catalog.Progress, d.foldInto(catalog.Progress, d.catalog.Progress, d.catalog.RetainProgress), tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
 	d.intake = newIntake(d)
+	d.aggregator = newAggregator(d)
+	if d.followsAggregated {
+		d.localSink = d.aggregator
+	}
 	d.recordWriter.init()
 	d.standbys.init()
 	return d
@@ -240,9 +247,14 @@
 func (d *Dispatcher) Run(ctx context.Context) error {
 	d.tomb.Go(func() error {
 		inner := d.tomb.Context(context.Background())
-		d.tomb.Go(func() error { return d.accepts.Run(inner) })
+		for _, t := range d.accepts.all() {
+			d.tomb.Go(func() error { return t.Run(inner) })
+		}
 		d.tomb.Go(func() error { return d.progress.Run(inner) })
 		d.tomb.Go(func() error { return d.intake.batches.run(inner) })
+		if d.followsAggregated {
+			d.tomb.Go(func() error { return d.aggregator.run(inner) })
+		}
 		d.recordWriter.run(inner)
 		d.standbys.run(inner)
 		d.tomb.Go(d.control)
@@ -336,5 +348,5 @@
 	if !d.standbys.isCurrent() {
 		return d.standbys.rosterLog.Age() < maxReadyRosterAge && !d.standbys.rosterLog.Failing()
 	}
-	return d.accepts.Age() < maxReadyAge && d.progress.Age() < maxReadyAge
+	return d.accepts.isAnswered() && d.progress.Age() < maxReadyAge
 }
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -69,7 +69,7 @@
 func (h *handover) candidates() []roster.Member {
 	s := h.d.standbys
 	members := s.roster.Members()
-	if h.d.aggregator == nil {
+	if h.d.localSink == nil {
 		members = without(members, h.d.instance)
 	}
 	return h.router.Order(h.d.clock(), members, s.roster.Heartbeat().Owner)
@@ -104,7 +104,7 @@
 // ask hands a batch over to one candidate.
 func (h *handover) ask(ctx context.Context, to roster.Member, records []provider.KeyedRecord) aggregation.Result {
 	if to.ID == h.d.instance {
-		return h.d.aggregator.Write(ctx, records)
+		return h.d.localSink.Write(ctx, records)
 	}
 	return h.client.Write(ctx, to, records)
 }
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -268,7 +268,7 @@
 		}
 		d := New(Platform{Store: storeOf{partitions: s.store, instance: m.ID}}, opts...)
 		if k := s.sinks[m.ID]; k != nil {
-			d.aggregator = k
+			d.localSink = k
 		}
 		s.instances = append(s.instances, d)
 	}
