--- a/dispatcher/aggregator.go
+++ b/dispatcher/aggregator.go
@@ -19,6 +19,9 @@
 const (
 	maxAggregatedAppends = 4    // in flight
 	maxAggregatedWaiting = 4096 // records
+	// maxAggregatedBytes bounds the size of the records that wait. 4,096 large records would not
+	// fit into the memory of a small instance.
+	maxAggregatedBytes = 8 * aggregation.MaxBytes
 	// aggregatedSamples is the number of appends after which the number in flight is adjusted.
 	// A slow store answers few of them in a second.
 	aggregatedSamples     = 4
@@ -42,6 +45,7 @@
 	isStopped      bool
 	waiting        []*aggregatedWrite
 	waitingRecords int
+	waitingBytes   int
 	inFlight       int // appends
 	appendLimit    *limit.Limit
 	rejectedAt     time.Time // of the last rejected append, zero before the first
@@ -52,6 +56,7 @@
 type aggregatedWrite struct {
 	ctx     context.Context
 	records []provider.KeyedRecord
+	size    int // bytes
 	isSent  bool
 	result  chan aggregation.Result // with room for the result
 }
@@ -82,7 +87,7 @@
 
 // Write implements aggregation.Sink.
 func (a *aggregator) Write(ctx context.Context, records []provider.KeyedRecord) aggregation.Result {
-	w := &aggregatedWrite{ctx: ctx, records: records, result: make(chan aggregation.Result, 1)}
+	w := &aggregatedWrite{ctx: ctx, records: records, size: aggregation.Size(records), result: make(chan aggregation.Result, 1)}
 	if reason := a.enqueue(w); reason != "" {
 		a.d.counters.aggregatedRefused.Add(int64(len(records)))
 		a.d.logger.Debug("records refused", zap.String("reason", reason), zap.String("from", aggregation.Caller(ctx)))
@@ -110,11 +115,12 @@
 		return "the store rejects writes"
 	case a.outage.duration() > 0:
 		return "the store doesn't answer writes"
-	case a.waitingRecords+len(w.records) > maxAggregatedWaiting:
+	case a.waitingRecords+len(w.records) > maxAggregatedWaiting || a.waitingBytes+w.size > maxAggregatedBytes:
 		return "too many records wait"
 	}
 	a.waiting = append(a.waiting, w)
 	a.waitingRecords += len(w.records)
+	a.waitingBytes += w.size
 	a.notify()
 	return ""
 }
@@ -147,6 +153,7 @@
 	if i := slices.Index(a.waiting, w); i >= 0 {
 		a.waiting = slices.Delete(a.waiting, i, i+1)
 		a.waitingRecords -= len(w.records)
+		a.waitingBytes -= w.size
 	}
 	return aggregation.Result{Outcome: aggregation.NotWritten}
 }
@@ -189,7 +196,7 @@
 		w := a.waiting[0]
 		if !isOver(w.ctx) {
 			records += len(w.records)
-			size += aggregation.Size(w.records)
+			size += w.size
 			if records > aggregation.MaxRecords || size > aggregation.MaxBytes {
 				break
 			}
@@ -198,6 +205,7 @@
 		}
 		a.waiting = a.waiting[1:]
 		a.waitingRecords -= len(w.records)
+		a.waitingBytes -= w.size
 	}
 	if len(batch) > 0 {
 		a.inFlight++
@@ -305,6 +313,7 @@
 	}
 	a.waiting = nil
 	a.waitingRecords = 0
+	a.waitingBytes = 0
 }
 
 // stop refuses all further writes.
--- a/dispatcher/aggregator_test.go
+++ b/dispatcher/aggregator_test.go
@@ -40,6 +40,16 @@
 	change()
 }
 
+// unfreeze lets frozen appends go on.
+func (s *aggregatedStore) unfreeze() {
+	s.set(func() {
+		if s.frozen != nil {
+			close(s.frozen)
+			s.frozen = nil
+		}
+	})
+}
+
 func (s *aggregatedStore) counts() (appends, reads int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,10 +120,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { // also after a failure, which would otherwise show as a deadlock
+			cancel()
+			synctest.Wait()
+			time.Sleep(3 * time.Second) // for the reads in flight
+		}()
 		test(ctx, is.New(t))
-		cancel()
-		synctest.Wait()
-		time.Sleep(3 * time.Second) // for the reads in flight
 	})
 }
 
@@ -161,13 +173,12 @@
 				second, _ := startAggregator(ctx, shared, "e2")
 				time.Sleep(2 * time.Second)
 				store.set(func() { tt.fault(store) })
+				defer store.unfreeze()
 				is.Equal(aggregate(ctx, first, 1, 500*time.Millisecond).Outcome, aggregation.Unknown)
 				is.Equal(shared.newest(catalog.Aggregated, "a/"+newJob(1).ID) != nil, !tt.late)
 				is.Equal(aggregate(ctx, second, 1, 500*time.Millisecond).Outcome, aggregation.Written)
 				is.NoErr(second.Cancel(ctx, newJob(1).ID))
-				if tt.late {
-					close(store.frozen)
-				}
+				store.unfreeze()
 				time.Sleep(3 * time.Second)
 				for _, d := range []*dispatcher.Dispatcher{first, second} {
 					pending, err := d.Pending(ctx, "q")
@@ -208,6 +219,17 @@
 				time.Sleep(time.Millisecond)
 			}
 		}},
+		{"too many bytes wait", func(ctx context.Context, _ *is.I, d *dispatcher.Dispatcher, s *aggregatedStore) {
+			s.set(func() { s.frozen = make(chan struct{}) })
+			large := []provider.KeyedRecord{{Key: "c/1", Value: make([]byte, aggregation.MaxBytes-100)}}
+			for range 9 { // one of them is in flight
+				go d.Aggregator().Write(ctx, large)
+				time.Sleep(time.Millisecond)
+			}
+			fill := []provider.KeyedRecord{{Key: "c/1", Value: make([]byte, 690)}}
+			go d.Aggregator().Write(ctx, fill)
+			time.Sleep(time.Millisecond)
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -215,6 +237,7 @@
 				d, store := startAggregator(ctx, newSlowStore(2*time.Millisecond), "e1")
 				time.Sleep(2 * time.Second)
 				is.Equal(aggregate(ctx, d, 0, time.Second).Outcome, aggregation.Written)
+				defer store.unfreeze()
 				tt.prepare(ctx, is, d, store)
 				before, _ := store.counts()
 				startedAt := time.Now()
@@ -222,9 +245,6 @@
 				is.Equal(time.Since(startedAt), time.Duration(0))
 				after, _ := store.counts()
 				is.Equal(before, after)
-				if store.frozen != nil {
-					close(store.frozen)
-				}
 			})
 		})
 	}
