--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -151,16 +151,17 @@
 		return err
 	}
 	startedAt := time.Now()
+	var stream string
 	err = d.admit(ctx, j)
 	if err == nil {
-		err = d.recordWriter.write(ctx, record)
+		stream, err = d.recordWriter.write(ctx, record)
 	}
 	d.counters.recordAccept(time.Since(startedAt), err)
 	d.logger.Info("accept", append(outcomeFields(err), zap.String("job", j.ID), zap.String("queue", j.Queue), zap.Duration("took", time.Since(startedAt)), zap.Error(err))...)
 	if err != nil {
 		return err
 	}
-	return d.applyRecord(record)
+	return d.applyRecord(stream, record)
 }
 
 // admit sheds load. It rejects a job that an overloaded owner couldn't start in time,
@@ -213,13 +214,16 @@
 // leads to rejections. It is above the interval between two reads.
 const maxBacklogAge = time.Second
 
-// applyRecord applies a record that was just written to the catalog, so that this instance
+// applyRecord applies a record that was just written to a stream to the catalog, so that this instance
 // knows it before its next read. An instance that doesn't follow the stream keeps nothing.
-func (d *Dispatcher) applyRecord(r provider.KeyedRecord) error {
+func (d *Dispatcher) applyRecord(stream string, r provider.KeyedRecord) error {
 	if !d.standbys.isCurrent() {
 		return nil
 	}
 	defer d.notifyUpdate()
+	if stream == catalog.Aggregated {
+		return d.catalog.AcceptAggregated(r)
+	}
 	return d.catalog.Accept(r)
 }
 
@@ -283,12 +287,12 @@
 		return err
 	}
 	record := catalog.CancelRecord(id)
-	err = d.recordWriter.write(ctx, record)
+	stream, err := d.recordWriter.write(ctx, record)
 	d.logger.Info("cancel", zap.String("job", id), zap.String("state", s.String()), zap.Error(err))
 	if err != nil {
 		return err
 	}
-	return d.applyRecord(record)
+	return d.applyRecord(stream, record)
 }
 
 // Pending returns the number of a queue's jobs that haven't started. It returns
--- a/dispatcher/recordwriter.go
+++ b/dispatcher/recordwriter.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/writepath"
@@ -95,25 +96,24 @@
 	w.path.HandoverFailed(w.d.clock())
 }
 
-// write writes one record. After an error of kind fault.Unavailable or fault.Overloaded the
-// record is certain not to be written, also not later.
-func (w *recordWriter) write(ctx context.Context, record provider.KeyedRecord) error {
-	var err error
+// write writes one record and returns the stream that has it. After an error of kind
+// fault.Unavailable or fault.Overloaded the record is certain not to be written, also not later.
+func (w *recordWriter) write(ctx context.Context, record provider.KeyedRecord) (stream string, err error) {
 	if w.handover == nil || len(w.handover.candidates()) == 0 {
 		err = w.d.intake.write(ctx, record)
 		w.count(&w.d.counters.writes.direct, err)
-		return err
+		return catalog.Accepts, err
 	}
 	ctx, cancel := withAnswerReserve(ctx)
 	defer cancel()
 	r := &request{w: w, record: record, acked: make(chan *pendingWrite, 1)}
 	e, err := r.run(ctx)
-	written := &w.d.counters.writes.direct
 	if e != nil && e.handedOver {
-		written = &w.d.counters.writes.handedOver
+		w.count(&w.d.counters.writes.handedOver, err)
+		return catalog.Aggregated, err
 	}
-	w.count(written, err)
-	return err
+	w.count(&w.d.counters.writes.direct, err)
+	return catalog.Accepts, err
 }
 
 func (w *recordWriter) count(written *expvar.Int, err error) {
