--- a/dispatcher/jobtails.go
+++ b/dispatcher/jobtails.go
@@ -21,11 +21,12 @@
 // Either all instances of a cell have this option or none. An owner without it doesn't know
 // the jobs that only stream catalog.Aggregated has: it starts none of their tasks, answers
 // that there are no such jobs, stops their runs, and deletes their progress as that of deleted
-// jobs. So before operators switch it off, they first stop the writes to that stream (no
-// instance diverts records, as counter records_aggregated shows at every instance), and then
-// wait until all jobs that were accepted until then have been forgotten (cell.Timing,
-// JobRetention, after a job's end). When the option is switched on, jobs that are accepted
-// through an aggregator start once an instance with the option owns the cell.
+// jobs. So operators switch it off only while that stream has no jobs: counter
+// records_aggregated hasn't grown at any instance since before the oldest job that isn't
+// forgotten yet was submitted (jobs are forgotten cell.Timing.JobRetention after their end).
+// Instances write to the stream only while the store is slow or rejects them. While the option
+// is being switched on, jobs that are accepted through an aggregator start once an instance with
+// the option owns the cell.
 func WithAggregatedStream() Option {
 	return func(d *Dispatcher) { d.followsAggregated = true }
 }
