--- a/cell/action.go
+++ b/cell/action.go
@@ -5,7 +5,8 @@
 )
 
 // Action is something that the caller of Step has to carry out. Its outcome comes back as
-// an input, for example HoldReply for Hold. LogEvent, Deposed and ReportWave have no outcome.
+// an input, for example HoldReply for Hold. LogEvent, CopyEnded, Deposed and ReportWave have
+// no outcome.
 type Action interface{ action() }
 
 // Hold asks a worker for its runs, their progress and their ends, and renews its lease.
@@ -16,6 +17,13 @@
 // Start starts a task.
 type Start struct {
 	Order provider.StartOrder
+	Copy  bool // it is the second run of its task
+}
+
+// CopyEnded reports the outcome of a second run.
+type CopyEnded struct {
+	Won         bool    // its task was completed by it, or left to it
+	CoreSeconds float64 // duplicate work that wasn't used
 }
 
 // Stop stops a run.
@@ -84,4 +92,5 @@
 func (ReportWave) action()   {}
 func (Forget) action()       {}
 func (ListMachines) action() {}
+func (CopyEnded) action()    {}
 func (LogEvent) action()     {}
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -54,13 +54,21 @@
 // ticket. Allowed workers are asked about again when their tickets have expired; a refused
 // worker stays refused.
 func (c *Cell) requestAdvice(s *stepState) {
-	if s.job.terms.Advice == nil || c.adviceInFlight || c.now < c.adviceRetryAt || len(s.ready) == 0 {
+	if len(s.ready) > 0 {
+		c.askAdviser(s.ready[0])
+	}
+}
+
+// askAdviser asks the adviser which workers may run the task.
+func (c *Cell) askAdviser(t *task) {
+	s := t.step
+	if s.job.terms.Advice == nil || c.adviceInFlight || c.now < c.adviceRetryAt {
 		return
 	}
 	if s.advice == nil {
 		s.advice = &advice{allowed: make(map[*worker]bool), tickets: make(map[*worker]ticket)}
 	}
-	hosts := c.hostsToAsk(s)
+	hosts := c.hostsToAsk(t)
 	if len(hosts) == 0 {
 		return
 	}
@@ -70,11 +78,12 @@
 
 // hostsToAsk returns the workers to ask about: those with free capacity for the step that
 // are allowed, or weren't asked about yet.
-func (c *Cell) hostsToAsk(s *stepState) []string {
+func (c *Cell) hostsToAsk(t *task) []string {
+	s := t.step
 	var hosts []string
 	for _, w := range c.usableWorkers(s.job.terms.Service) {
 		allowed, asked := s.advice.allowed[w]
-		if asked && !allowed || c.ticket(s, w) != "" || !c.fitsWithoutTicket(s, w) || !s.ready[0].mayRunOn(w, c.now) {
+		if asked && !allowed || c.ticket(s, w) != "" || !c.fitsWithoutTicket(s, w) || !t.mayRunOn(w, c.now) {
 			continue
 		}
 		hosts = append(hosts, w.host.ID)
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -99,12 +99,22 @@
 	heartbeats          uint64
 	lastLoadLogAt       time.Duration // when the load was last logged
 	lastCheckAt         time.Duration // when the workers were last checked
+	copies              copyState
 	actions             []Action
 }
 
+// Option configures a Cell.
+type Option func(*Cell)
+
+// WithCopies sets whether tasks of steps that allow it may get a second run; by default they
+// don't.
+func WithCopies(enabled bool) Option {
+	return func(c *Cell) { c.copies.enabled = enabled }
+}
+
 // New returns the Cell of a new owner. The catalog has to hold all jobs; it is read after
 // the owner's term was set.
-func New(self Self, timing Timing, recorded *catalog.Catalog, now time.Duration, wall time.Time) (*Cell, error) {
+func New(self Self, timing Timing, recorded *catalog.Catalog, now time.Duration, wall time.Time, opts ...Option) (*Cell, error) {
 	c := &Cell{
 		self:             self,
 		timing:           timing,
@@ -127,6 +137,9 @@
 		hosts:            hostList{stale: true},
 		startLimiter:     newStartLimiter(),
 	}
+	for _, opt := range opts {
+		opt(c)
+	}
 	entries, err := recorded.Entries()
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/cell/copies.go
@@ -0,0 +1,436 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/resource"
+	"github.com/dogwoodladder/dogwoodladder/speculation"
+)
+
+// A task of a step with AllowsCopies may have a second run on another worker. Package
+// speculation decides which tasks get one; this file places it. task.run and task.copy are
+// the two runs, and task.copy is nil while task.run is. The first run that ends done
+// completes the task, and the other one is stopped. A run that ends otherwise leaves the
+// task to the other run. Only the workers know which runs there are; a new owner adopts up
+// to two runs of such a task, and stops any further one.
+
+// copyInterval is the time between two looks for tasks that need a copy. It is short
+// compared with what a copy saves at least.
+const copyInterval = 100 * time.Millisecond
+
+// sharedRackWeight is the weight, in a copy's placement, of each label that may stand for a
+// rack and that the worker shares with that of the task's other run. A slow or lost worker
+// may have its cause in the rack. The weight outweighs any load.
+const sharedRackWeight = 1.0
+
+// copyState is the state of speculative copies.
+type copyState struct {
+	enabled bool
+	steps   []*stepState // open steps whose tasks may have copies
+	history speculation.History
+	lastAt  time.Duration // when tasks that need a copy were last looked for
+}
+
+// pair is an original and its copy while both are known.
+type pair struct {
+	original    *run
+	copy        *run
+	winner      *run          // the run that completed the task, nil while none has
+	saved       time.Duration // estimated time that the copy saved, if it won
+	expectedEnd time.Duration // of the original, as estimated when the copy was started; zero if unknown
+}
+
+// allowsCopies reports whether the step's tasks may have a second run.
+func (c *Cell) allowsCopies(s *stepState) bool {
+	return c.copies.enabled && s.spec.AllowsCopies && !s.spec.Gang && !s.spec.Lasting && !s.spec.Fills
+}
+
+// wants reports whether another run of the task is needed, or allowed as its copy.
+func (c *Cell) wants(t *task) bool {
+	if t.done || t.step.job.final() {
+		return false
+	}
+	return t.run == nil || t.copy == nil && c.allowsCopies(t.step)
+}
+
+// attach makes a run one of the task's runs. The run with the higher attempt is the copy.
+func (t *task) attach(r *run) {
+	if t.run == nil {
+		t.run = r
+		return
+	}
+	t.copy = r
+	if t.copy.attempt < t.run.attempt {
+		t.run, t.copy = t.copy, t.run
+	}
+	p := &pair{original: t.run, copy: t.copy}
+	t.run.pair, t.copy.pair = p, p
+}
+
+// detach removes a run from the task's runs.
+func (t *task) detach(r *run) {
+	switch r {
+	case t.run:
+		t.run, t.copy = t.copy, nil
+	case t.copy:
+		t.copy = nil
+	}
+}
+
+// stopTask stops the runs of a task.
+func (c *Cell) stopTask(t *task, reason string) {
+	if t.run != nil {
+		c.stopRun(t.run, reason)
+	}
+	if t.copy != nil {
+		c.stopRun(t.copy, reason)
+	}
+}
+
+// recordProgress records a report of the run's progress. The progress of a run that resumed
+// from a checkpoint, or that an earlier owner started, counts from the first report on.
+func (r *run) recordProgress(percent int, reportedAt time.Duration) {
+	if !r.fromKnown {
+		r.fromKnown = true
+		r.from, r.fromAt = percent, reportedAt
+	}
+	r.reportedAt = max(r.reportedAt, reportedAt)
+}
+
+// recordRunTime records how long a run took that did all of its task's work.
+func (c *Cell) recordRunTime(r *run) {
+	s := r.task.step
+	if !c.copies.enabled || !r.complete || r.task.done || s.spec.Gang || s.spec.Fills {
+		return
+	}
+	took := c.now - r.orderedAt
+	c.copies.history.Record(s.kind(), took)
+	if c.allowsCopies(s) {
+		at, _ := slices.BinarySearch(s.ended, took)
+		s.ended = slices.Insert(s.ended, at, took)
+	}
+}
+
+func (s *stepState) kind() speculation.Kind {
+	return speculation.Kind{Queue: s.job.job.Queue, Image: s.spec.Image}
+}
+
+// acceptCheckpoint keeps a checkpoint of a run for the next start. Of two runs, the
+// checkpoint of the one that is further on is kept.
+func (c *Cell) acceptCheckpoint(t *task, checkpoint string, percent int) {
+	if checkpoint == "" || t.done {
+		return
+	}
+	if c.allowsCopies(t.step) && t.checkpoint != "" && percent < t.checkpointPercent {
+		return
+	}
+	t.checkpoint, t.checkpointPercent = checkpoint, percent
+}
+
+// untrackedPercent returns the progress to assume for a checkpoint of a run that this owner
+// doesn't track. It may be older than that of a run that it tracks.
+func (t *task) untrackedPercent() int {
+	if t.run != nil {
+		return -1
+	}
+	return t.checkpointPercent
+}
+
+// startCopies starts copies of tasks whose runs are slow or at risk. It is called after the
+// waiting tasks have been started.
+func (c *Cell) startCopies() {
+	k := &c.copies
+	if !k.enabled || c.now-k.lastAt < copyInterval {
+		return
+	}
+	k.lastAt = c.now
+	k.steps = slices.DeleteFunc(k.steps, (*stepState).isOver)
+	pools := c.copyPools()
+	for _, choice := range c.chooseCopies(pools) {
+		if c.startLimiter.full() || c.passes.checks >= maxChecksPerPass {
+			return
+		}
+		t := choice.task
+		p := pools[t.step.job.terms.Service]
+		if !p.Admits(t.step.need.Processors) {
+			continue
+		}
+		w := c.copyTarget(t)
+		if w == nil {
+			c.askAdviser(t)
+			continue
+		}
+		p.Copying += t.step.need.Processors
+		p.Free -= t.step.need.Processors
+		c.startCopy(t, w, &choice.Decision)
+	}
+}
+
+// isOver reports whether the step needs no copies any more, and none of its runs counts
+// against the budget.
+func (s *stepState) isOver() bool {
+	return (s.job.final() || s.tasksLeft == 0) && !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.run != nil })
+}
+
+// copyPools returns the state of the pools of all steps that may have copies.
+func (c *Cell) copyPools() map[string]*speculation.Pool {
+	pools := make(map[string]*speculation.Pool)
+	for _, s := range c.copies.steps {
+		service := s.job.terms.Service
+		p := pools[service]
+		if p == nil {
+			p = c.copyPool(service)
+			pools[service] = p
+		}
+		p.Copying += s.need.Processors * int64(s.copyCount())
+	}
+	return pools
+}
+
+func (c *Cell) copyPool(service string) *speculation.Pool {
+	p := &speculation.Pool{}
+	for _, w := range c.usableWorkers(service) {
+		p.Total += w.host.Capacity.Processors
+		p.Free += max(0, w.host.Capacity.Processors-w.used.Processors)
+	}
+	p.Waiting = slices.ContainsFunc(c.waitingSteps, func(s *stepState) bool {
+		return len(s.ready) > 0 && s.job.terms.Service == service
+	})
+	return p
+}
+
+// copyCount returns how many of the step's runs are second runs, or are still being stopped
+// after their task was completed.
+func (s *stepState) copyCount() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.copy != nil || t.done && t.run != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// copyChoice is a task that should get a copy.
+type copyChoice struct {
+	speculation.Decision
+	task *task
+}
+
+// chooseCopies returns the tasks that should get a copy, the most urgent first.
+func (c *Cell) chooseCopies(pools map[string]*speculation.Pool) []copyChoice {
+	var choices []copyChoice
+	for _, s := range c.copies.steps {
+		if s.job.final() || !c.canStart(s.job) || c.isClaimPending(s.job) {
+			continue
+		}
+		var tasks []*task
+		var runs []speculation.Run
+		for _, t := range s.tasks {
+			if c.mayGetCopy(t) {
+				tasks = append(tasks, t)
+				runs = append(runs, c.observe(t))
+			}
+		}
+		step := speculation.Step{Tasks: s.spec.Count, Ended: s.ended, Similar: c.copies.history.Median(s.kind()), Estimate: s.spec.Estimate}
+		for _, d := range step.Decide(runs, *pools[s.job.terms.Service]) {
+			choices = append(choices, copyChoice{d, tasks[d.Run]})
+		}
+	}
+	slices.SortStableFunc(choices, func(a, b copyChoice) int { return speculation.Compare(a.Decision, b.Decision) })
+	return choices
+}
+
+// mayGetCopy reports whether a task has a single run of which a copy may be started now.
+// A task whose next failure would be the last one that its queue allows gets none, nor does
+// one whose starts have to be recorded. A run that is being stopped gets none, because the
+// task resumes from the checkpoint that the stop returns, unless its worker is silent.
+func (c *Cell) mayGetCopy(t *task) bool {
+	r := t.run
+	if t.done || r == nil || t.copy != nil || t.reservation != nil || c.needsRecordedStart(t) {
+		return false
+	}
+	if r.state == runStopping && c.workerReason(r.worker) != speculation.Silent {
+		return false
+	}
+	return t.step.job.progress.Failures(t.id)+1 < max(1, t.step.job.terms.Attempts)
+}
+
+// observe returns what is known of a task's single run.
+func (c *Cell) observe(t *task) speculation.Run {
+	r := t.run
+	return speculation.Run{
+		Elapsed:      c.now - r.orderedAt,
+		From:         r.from,
+		FromAt:       r.fromAt - r.orderedAt,
+		Percent:      r.percent,
+		ReportedAt:   r.reportedAt - r.orderedAt,
+		Checkpoint:   t.checkpointPercent,
+		Starts:       t.copyStarts,
+		WorkerReason: c.workerReason(r.worker),
+	}
+}
+
+// workerReason returns why a worker may be unable to finish its runs.
+func (c *Cell) workerReason(w *worker) speculation.Reason {
+	switch {
+	case w.missedHolds > 0 || w.lost:
+		return speculation.Silent
+	case !c.isListed(w):
+		return speculation.Isolated
+	case w.leaving || w.host.Draining:
+		return speculation.Leaving
+	}
+	return speculation.None
+}
+
+// copyTarget returns the worker for a copy of a task, nil if there is none.
+func (c *Cell) copyTarget(t *task) *worker {
+	s, other := t.step, t.run.worker
+	racks := c.racks(s.job.terms.Service)
+	rivals := c.rivals(s)
+	var best *worker
+	bestScore := 0.0
+	for _, w := range c.usableWorkers(s.job.terms.Service) {
+		c.passes.checks++
+		if w.host.ID == other.host.ID || w.onProbation || !c.fits(s, w) || !t.mayRunOn(w, c.now) {
+			continue
+		}
+		score := s.baseScore(w) + sharedRackWeight*float64(sharedLabels(w, other, racks))
+		if (best == nil || score < bestScore) && c.leavesRoom(w, rivals) {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// sharedLabels returns how many of the labels two workers have in common.
+func sharedLabels(a, b *worker, labels []string) int {
+	n := 0
+	for _, l := range labels {
+		if a.host.HasLabel(l) && b.host.HasLabel(l) {
+			n++
+		}
+	}
+	return n
+}
+
+// rivals returns the waiting steps that go before a copy of the step's tasks.
+func (c *Cell) rivals(s *stepState) []*stepState {
+	var rivals []*stepState
+	for _, other := range c.waitingSteps {
+		if len(other.ready) > 0 && other.job.terms.Service == s.job.terms.Service && other.job.terms.Priority <= s.job.terms.Priority {
+			rivals = append(rivals, other)
+		}
+	}
+	return rivals
+}
+
+// leavesRoom reports whether a copy on the worker takes no capacity that a waiting task
+// could be started on. A waiting step that fits on the worker, because its job's claim isn't
+// on record yet or it needs a ticket, has to fit on as many other workers as tasks wait.
+func (c *Cell) leavesRoom(w *worker, rivals []*stepState) bool {
+	waiting := 0
+	for _, s := range rivals {
+		waiting += len(s.ready)
+	}
+	for _, s := range rivals {
+		if c.fitsWithoutTicket(s, w) && c.countFitting(s, w, waiting) < waiting {
+			return false
+		}
+	}
+	return true
+}
+
+// countFitting returns on how many workers other than w the step's tasks fit, up to a limit.
+func (c *Cell) countFitting(s *stepState, w *worker, limit int) int {
+	n := 0
+	for _, other := range c.usableWorkers(s.job.terms.Service) {
+		if n >= limit || c.passes.checks >= maxChecksPerPass {
+			break
+		}
+		c.passes.checks++
+		if other != w && c.fitsWithoutTicket(s, other) {
+			n++
+		}
+	}
+	return n
+}
+
+// startCopy starts the second run of a task.
+func (c *Cell) startCopy(t *task, w *worker, d *speculation.Decision) {
+	t.copyStarts++
+	r := c.orderRun(t, w, c.nextAttempt(t))
+	r.pair.expectedEnd = c.now + d.Rest
+	c.logEvent("copy", "task", t.name, "attempt", r.attempt, "worker", w.host.ID, "rest", d.Rest, "fresh", d.Fresh, "reason", d.Reason.String())
+}
+
+// endPair accounts for the end of a run that has, or had, another run beside it. The cost of
+// a pair is known once the run that isn't used has ended.
+func (c *Cell) endPair(r *run, end provider.End) {
+	p := r.pair
+	if p == nil {
+		return
+	}
+	r.pair = nil
+	t := r.task
+	open := !t.done && !t.step.job.final()
+	if open && end == provider.EndDone {
+		p.winner = r
+		if r == p.copy {
+			p.saved = max(0, p.expectedEnd-c.now)
+		}
+		return
+	}
+	if p.winner == nil && open {
+		p.winner = p.other(r) // it continues alone
+		if r == p.original {
+			p.saved = c.now - p.copy.orderedAt // the head start over a new run
+		}
+	}
+	p.original.pair, p.copy.pair = nil, nil
+	lost := c.wasted(p, r, open)
+	c.emit(CopyEnded{Won: p.winner == p.copy, CoreSeconds: lost})
+	c.logEvent("copy ended", "task", t.name, "won", p.winnerName(), "saved", p.saved, "core_seconds_lost", lost)
+}
+
+// other returns the other run of the pair.
+func (p *pair) other(r *run) *run {
+	if r == p.copy {
+		return p.original
+	}
+	return p.copy
+}
+
+// winnerName returns which run won, for the log.
+func (p *pair) winnerName() string {
+	switch p.winner {
+	case nil:
+		return "none"
+	case p.copy:
+		return "copy"
+	}
+	return "original"
+}
+
+// wasted returns the core-seconds of a run that weren't used although its task had another
+// run. The work of an original that fails or is lost would be lost without a copy as well.
+// In a job that ends before its task does, the copy is what was wasted.
+func (c *Cell) wasted(p *pair, r *run, open bool) float64 {
+	if open && r == p.original {
+		return 0
+	}
+	if p.winner == nil {
+		r = p.copy
+	}
+	if r.startedClock == 0 {
+		return 0 // it isn't known to have begun
+	}
+	return coreSeconds(r.need, c.now-r.orderedAt)
+}
+
+func coreSeconds(need resource.Vector, span time.Duration) float64 {
+	return float64(need.Processors) / millicoresPerCore * span.Seconds()
+}
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -250,7 +250,7 @@
 // started there. A start that may never have begun doesn't count as a trial.
 func (c *Cell) countCrash(r *run, f workerFailure) {
 	t := r.task
-	if t == nil || t.step.job.final() || !r.justStarted() {
+	if t == nil || t.done || t.step.job.final() || !r.justStarted() {
 		return
 	}
 	h := t.step.job.progress.Crashes(t.id)
--- a/cell/delays.go
+++ b/cell/delays.go
@@ -33,10 +33,22 @@
 	return "urgent"
 }
 
-// recordDelays adds the time that an ended run cost its task to the task's delays.
+// recordDelays adds the time that an ended run cost its task to the task's delays. While a
+// task has two runs, the time counts once: as that of the run which completes the task,
+// from the start of the earlier run on, or else as that of the run that continues.
 func (c *Cell) recordDelays(r *run, end provider.End) {
+	if r.task.done {
+		return
+	}
 	d := &r.task.delays
 	ran := c.now - r.orderedAt
+	if other := r.task.run; other != nil {
+		if end == provider.EndDone {
+			ran = c.now - min(r.orderedAt, other.orderedAt)
+		} else {
+			ran = other.orderedAt - r.orderedAt
+		}
+	}
 	switch end {
 	case provider.EndDone:
 		r.timeLost += r.timeLostSincePace(c.now)
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -55,15 +55,20 @@
 	c.sortWaiting()
 	c.refreshUsable()
 	c.planColocation()
+	isComplete := true
 	for _, s := range c.waitingSteps {
 		if passes.checks >= maxChecksPerPass || c.startLimiter.full() {
 			c.needsDispatch = true
+			isComplete = false
 			break
 		}
 		c.dispatchStep(s)
 	}
 	c.overloadGauge.RecordPass(c.now, c.startLimiter.full())
 	c.dropEmptySteps()
+	if isComplete {
+		c.startCopies()
+	}
 	passes.totalChecks += uint64(passes.checks)
 	passes.minGap = max(minPassGap, time.Duration(passes.checks)*gapPerCheck)
 }
--- a/cell/end.go
+++ b/cell/end.go
@@ -36,7 +36,7 @@
 	case provider.EndFailed:
 		c.failTask(t, e.Attempt)
 	default:
-		c.saveCheckpoint(t, e.Checkpoint)
+		c.saveCheckpoint(t, e.Checkpoint, t.untrackedPercent())
 	}
 }
 
@@ -44,9 +44,7 @@
 // was started since is stopped.
 func (c *Cell) endUntracked(t *task) {
 	c.unqueue(t)
-	if t.run != nil {
-		c.stopRun(t.run, "task already completed")
-	}
+	c.stopTask(t, "task already completed")
 	c.completeTask(t)
 }
 
@@ -59,6 +57,7 @@
 	}
 	w := r.worker
 	c.logEvent("end", "task", r.name, "attempt", r.attempt, "worker", w.host.ID, "how", end.String(), "ran", c.now-r.orderedAt)
+	c.endPair(r, end)
 	s := t.step
 	if s.job.final() {
 		return
@@ -67,9 +66,10 @@
 	if end != provider.EndLost && end != provider.EndLapsed {
 		c.clearSuspicion(t, r.attempt) // the worker lists the end, so it didn't crash
 	}
-	c.saveCheckpoint(t, checkpoint)
+	c.saveCheckpoint(t, checkpoint, r.percent)
 	if end == provider.EndDone && !s.spec.Lasting {
 		c.recordSuccess(w)
+		c.recordRunTime(r)
 		c.completeRun(t)
 		return
 	}
@@ -87,9 +87,11 @@
 }
 
 // completeRun completes the task of a successful run. The members of a gang complete
-// together, so the first success completes all of them.
+// together, so the first success completes all of them. Otherwise the other run of the task,
+// if there is one, is stopped.
 func (c *Cell) completeRun(t *task) {
 	if !t.step.spec.Gang {
+		c.stopTask(t, "another run completed")
 		c.completeTask(t)
 		return
 	}
@@ -109,11 +111,9 @@
 }
 
 // saveCheckpoint records the checkpoint that an interrupted task resumes from.
-func (c *Cell) saveCheckpoint(t *task, checkpoint string) {
-	if checkpoint != "" {
-		t.checkpoint = checkpoint
-	}
-	if t.checkpoint != "" && t.step.job.progress.SetCheckpoint(t.id, t.checkpoint) {
+func (c *Cell) saveCheckpoint(t *task, checkpoint string, percent int) {
+	c.acceptCheckpoint(t, checkpoint, percent)
+	if t.checkpoint != "" && !t.done && t.step.job.progress.SetCheckpoint(t.id, t.checkpoint) {
 		c.writer.markDirty(t.step.job)
 	}
 }
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -70,6 +70,11 @@
 	failsTask           func(task string, attempt uint64) bool
 	isUnhealthy         func(*fakeWorker) bool // whether all tasks that end on a worker fail; nil for none
 	duration            func(task string) time.Duration
+	copies              bool           // owners may start second runs
+	copyStarts          map[string]int // starts of tasks that were running elsewhere, by task
+	copiesEnded         []cell.CopyEnded
+	slowdown            func(task string, w *fakeWorker) float64       // factor of a run's duration on a worker; nil for 1
+	checkpoint          func(task string, w *fakeWorker) string        // of a running task; nil for none
 	tail                func(task string, w *fakeWorker) time.Duration // tail latency of serving tasks; nil reports none
 }
 
@@ -118,6 +123,7 @@
 		crashCount:        make(map[string]int),
 		rackSize:          2,
 		startsBeyondLimit: make(map[string]int),
+		copyStarts:        make(map[string]int),
 		onUpkeep:          func(*fakeWorker) {},
 		failsTask: func(string, uint64) bool {
 			return false
@@ -243,7 +249,7 @@
 func (o *owner) takeOverWith(known *catalog.Catalog) error {
 	s := o.site
 	term := s.store.claim(o.name)
-	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1}, cell.DefaultTiming(), known, s.now, wall(s.now))
+	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1}, cell.DefaultTiming(), known, s.now, wall(s.now), cell.WithCopies(s.copies))
 	if err != nil {
 		return err
 	}
@@ -426,6 +432,8 @@
 			list := s.machineList()
 			s.after(hopDelay+s.machineListDelay, func() { o.step(list) })
 		})
+	case cell.CopyEnded:
+		s.copiesEnded = append(s.copiesEnded, a)
 	case cell.LogEvent:
 		if o.onLog != nil {
 			o.onLog(a.Event)
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -139,6 +139,7 @@
 		if refused && r.name == in.Task && r.attempt == in.Attempt {
 			c.unresolvedStarts[in.Host] = slices.Delete(c.unresolvedStarts[in.Host], i, i+1)
 			c.removeRun(r)
+			c.endPair(r, provider.EndStopped)
 			c.requeue(r.task)
 			return
 		}
--- a/cell/invariants_test.go
+++ b/cell/invariants_test.go
@@ -39,11 +39,7 @@
 	if s.checkRecords && s.store.readCatalog(s.t).Hosts()[w.host.ID].StartedAt != w.host.StartedAt {
 		s.recordViolation("record: %s on %s, of which this incarnation isn't on record", o.Task, w.host.ID)
 	}
-	for _, other := range s.workers {
-		if r := other.runs[o.Task]; other.up && r != nil {
-			s.recordViolation("twice: %s attempt %d on %s, attempt %d on %s", o.Task, o.Attempt, w.host.ID, r.attempt, other.host.ID)
-		}
-	}
+	s.checkOtherRuns(w, o)
 	id, err := job.ParseTask(o.Task)
 	if err != nil {
 		s.recordViolation("%v", err)
@@ -67,6 +63,31 @@
 	}
 }
 
+// checkOtherRuns checks that a started task doesn't run elsewhere, or only once if it may
+// have copies.
+func (s *site) checkOtherRuns(w *fakeWorker, o provider.StartOrder) {
+	others := 0
+	for _, other := range s.workers {
+		r := other.runs[o.Task]
+		if !other.up || r == nil {
+			continue
+		}
+		others++
+		if others > s.allowedCopies(o.Task) {
+			s.recordViolation("twice: %s attempt %d on %s, attempt %d on %s", o.Task, o.Attempt, w.host.ID, r.attempt, other.host.ID)
+		}
+	}
+	s.copyStarts[o.Task] += others
+}
+
+// allowedCopies returns how many runs a task may have beside another one.
+func (s *site) allowedCopies(task string) int {
+	if step := s.stepOf(task); s.copies && step.AllowsCopies && !step.Gang && !step.Lasting && !step.Fills {
+		return 1
+	}
+	return 0
+}
+
 // Limits for a task that crashes the workers that start it.
 const (
 	allowedCrashes  = 3 // workers that it may crash
--- a/cell/job.go
+++ b/cell/job.go
@@ -52,6 +52,7 @@
 	tasksLeft       int           // tasks that aren't done
 	need            resource.Vector
 	inheritedStarts []*task         // tasks with a recorded start by an earlier owner whose outcome is unknown
+	ended           []time.Duration // times of its runs that completed, ascending; only if its tasks may have copies
 	advice          *advice         // nil unless the queue requires advice
 	runsByWorker    map[*worker]int // number of runs by worker, for PerWorker
 	rank            ranking.Rank
@@ -59,22 +60,25 @@
 
 // task is one task of a step.
 type task struct {
-	id             job.Task
-	name           string
-	step           *stepState
-	run            *run // the current run, nil while there is none
-	done           bool
-	queued         bool // whether it is in step.ready
-	waitingSince   time.Duration
-	delays         delay.Account
-	startCount     uint64
-	attempt        uint64                    // highest attempt number seen or given out
-	checkpoint     string                    // newest checkpoint
-	suspect        bool                      // it may crash the worker that starts it
-	inheritedStart bool                      // a start by an earlier owner is on record without an outcome
-	startChange    uint64                    // number of the job's change that records its next start, zero if none does
-	reservation    *reservation              // capacity reserved for its next start, nil if none is
-	avoidUntil     map[*worker]time.Duration // workers on which it failed or hung, and until when they are avoided
+	id                job.Task
+	name              string
+	step              *stepState
+	run               *run // the current run, nil while there is none
+	copy              *run // the second run, nil while there is none
+	copyStarts        int  // second runs that this owner has started
+	done              bool
+	queued            bool // whether it is in step.ready
+	waitingSince      time.Duration
+	delays            delay.Account
+	startCount        uint64
+	attempt           uint64                    // highest attempt number seen or given out
+	checkpoint        string                    // newest checkpoint
+	checkpointPercent int                       // progress of the run that wrote it, as last reported; zero if unknown
+	suspect           bool                      // it may crash the worker that starts it
+	inheritedStart    bool                      // a start by an earlier owner is on record without an outcome
+	startChange       uint64                    // number of the job's change that records its next start, zero if none does
+	reservation       *reservation              // capacity reserved for its next start, nil if none is
+	avoidUntil        map[*worker]time.Duration // workers on which it failed or hung, and until when they are avoided
 }
 
 // final reports whether the job has reached a final state.
@@ -213,6 +217,9 @@
 		}
 	}
 	s.open = true
+	if c.allowsCopies(s) {
+		c.copies.steps = append(c.copies.steps, s)
+	}
 	for _, t := range s.tasks {
 		c.enqueue(t)
 	}
@@ -331,23 +338,22 @@
 	for _, r := range inOrder(j.rounds) {
 		for _, s := range r.steps {
 			for _, t := range s.tasks {
-				if t.run != nil {
-					c.stopRun(t.run, "job "+j.progress.State.String())
-				}
+				c.stopTask(t, "job "+j.progress.State.String())
 			}
 		}
 	}
 }
 
 // failTask counts a failed attempt, and fails the job when the attempts that its queue
-// allows are used up. Lasting tasks may fail any number of times.
+// allows are used up. Lasting tasks may fail any number of times, and the failure of a
+// second run doesn't matter once the task is done.
 func (c *Cell) failTask(t *task, attempt uint64) {
 	s := t.step
 	countedTask := t.id
 	if s.spec.Gang {
 		countedTask.Index = 0 // members that fail together count once
 	}
-	if s.spec.Lasting || !s.job.progress.RecordFailure(countedTask, attempt) {
+	if s.spec.Lasting || t.done || !s.job.progress.RecordFailure(countedTask, attempt) {
 		return
 	}
 	c.writer.markDirty(s.job)
--- a/cell/load.go
+++ b/cell/load.go
@@ -36,7 +36,11 @@
 			fillingWaiting += len(s.ready)
 		}
 	}
-	c.logEvent("load", "waiting", waiting, "filling_waiting", fillingWaiting, "checks", c.passes.totalChecks, "runs", runs, "listed", len(c.hosts.latest.Hosts), "workers", len(c.workers), "usable", usable, "serving", serving, "images", images, "over", overTarget,
+	copies := 0
+	for _, s := range c.copies.steps {
+		copies += s.copyCount()
+	}
+	c.logEvent("load", "waiting", waiting, "filling_waiting", fillingWaiting, "checks", c.passes.totalChecks, "runs", runs, "copies", copies, "listed", len(c.hosts.latest.Hosts), "workers", len(c.workers), "usable", usable, "serving", serving, "images", images, "over", overTarget,
 		"processors", percent(processors, wholeProcessors), "memory", percent(memory, wholeMemory), "filling", percent(filling, wholeProcessors),
 		"starts_unanswered", c.startLimiter.inFlight, "starts_bound", c.startLimiter.limit.Value(), "behind", c.backlogReported)
 }
--- a/cell/report.go
+++ b/cell/report.go
@@ -22,6 +22,7 @@
 		r.state = runRunning
 	}
 	r.recordListed(w.clock)
+	r.recordProgress(p.Percent, w.answeredAt)
 	c.checkTrial(r)
 	if p.Percent != r.percent {
 		r.percent = p.Percent
@@ -30,9 +31,7 @@
 	if r.task == nil {
 		return
 	}
-	if p.Checkpoint != "" {
-		r.task.checkpoint = p.Checkpoint
-	}
+	c.acceptCheckpoint(r.task, p.Checkpoint, p.Percent)
 	r.tail = p.TailLatency
 	r.processorsUsed = p.Processors
 }
@@ -44,8 +43,7 @@
 	if old := w.runs[p.Task]; old != nil {
 		c.removeRun(old) // a worker runs only one attempt of a task
 	}
-	wanted := t != nil && !t.done && t.run == nil && !t.step.job.final()
-	if !wanted {
+	if t == nil || !c.wants(t) {
 		return c.reject(w, p)
 	}
 	c.unqueue(t)
--- a/cell/run.go
+++ b/cell/run.go
@@ -47,16 +47,23 @@
 	c.depose("worker " + host + " has seen a higher term")
 }
 
-// startRun orders a worker to start a task.
+// startRun orders a worker to start a waiting task.
 func (c *Cell) startRun(t *task, w *worker, attempt uint64) {
+	t.delays.Add(delay.Room, c.now-t.waitingSince)
+	c.orderRun(t, w, attempt)
+}
+
+// orderRun orders a worker to start a run of a task.
+func (c *Cell) orderRun(t *task, w *worker, attempt uint64) *run {
 	r := c.addRun(t, t.name, w, attempt)
 	r.deadline = c.estimateClock(w) + c.timing.StartWindow.Milliseconds()
+	r.complete = t.checkpoint == ""
+	r.fromAt, r.fromKnown = c.now, r.complete
 	w.lastStartAt, w.lastStartJob = c.now, t.step.job
 	if t.suspect {
 		r.beginTrial()
 	}
 	t.attempt = max(t.attempt, attempt)
-	t.delays.Add(delay.Room, c.now-t.waitingSince)
 	c.markRunning(t.step.job)
 	w.leaseDeadline = max(w.leaseDeadline, r.deadline)
 	c.startLimiter.recordStart()
@@ -70,9 +77,10 @@
 		Deadline:   r.deadline,
 		Checkpoint: t.checkpoint,
 		Ticket:     c.ticket(t.step, w),
-	}})
+	}, Copy: t.copy == r})
 	c.logEvent("start", "task", t.name, "attempt", attempt, "worker", w.host.ID, "term", c.self.Term, "token", w.token,
 		"waited", c.now-t.step.job.acceptedAt, "resumes", t.checkpoint != "", "list_age", c.now-c.hosts.latest.AsOf)
+	return r
 }
 
 // markRunning sets a queued job's state to running, to be recorded with the next write.
@@ -99,7 +107,7 @@
 	r.exposure.changedAt = c.now
 	if t != nil {
 		r.need = t.step.need
-		t.run = r
+		t.attach(r)
 		t.queued = false
 		t.step.runsByWorker[w]++
 		if t.step.spec.Fills {
@@ -135,9 +143,7 @@
 	if t == nil {
 		return
 	}
-	if t.run == r {
-		t.run = nil
-	}
+	t.detach(r)
 	if t.step.runsByWorker[w]--; t.step.runsByWorker[w] <= 0 {
 		delete(t.step.runsByWorker, w)
 	}
@@ -196,6 +202,7 @@
 		return
 	}
 	c.removeRun(r)
+	c.endPair(r, provider.EndStopped)
 	switch reason {
 	case provider.RefusedTicket:
 		c.dropTicket(t.step, w)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -101,6 +101,12 @@
 	probe           bool          // started while its worker was on probation
 	trial           bool          // it shows whether its task crashes workers
 	lastListedClock int64         // worker's clock in the last report that lists it
+	pair            *pair         // it and the task's other run, nil if there never was one
+	complete        bool          // it was started by this owner and without a checkpoint
+	from            int           // percent at fromAt
+	fromAt          time.Duration // when its progress was first known
+	fromKnown       bool          // whether it is known
+	reportedAt      time.Duration // when the last report that lists it was made
 }
 
 func (c *Cell) addWorker(h provider.Host) *worker {
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -263,6 +263,9 @@
 		r := w.runs[name]
 		percent := int(100 * r.progress(w.site.now) / (r.duration + 1))
 		run := provider.Run{Task: name, Attempt: r.attempt, Percent: percent, Processors: w.site.processorsOf(name) * int64(r.pace) / 100}
+		if w.site.checkpoint != nil {
+			run.Checkpoint = w.site.checkpoint(name, w)
+		}
 		if w.site.tail != nil && w.site.isLasting(name) {
 			run.Percent = 100
 			run.TailLatency = w.site.tail(name, w)
@@ -314,7 +317,7 @@
 		return provider.RefusedTicket
 	}
 	s.checkStart(w, o)
-	r := &fakeRun{attempt: o.Attempt, duration: s.duration(o.Task), paceSince: s.now, pace: 100, need: s.needOf(o.Task)}
+	r := &fakeRun{attempt: o.Attempt, duration: s.durationOn(o.Task, w), paceSince: s.now, pace: 100, need: s.needOf(o.Task)}
 	w.runs[o.Task] = r
 	if s.crashesWorker != nil && s.crashesWorker(o.Task) {
 		s.after(crashDelay, func() { w.crashDuring(o.Task, r) })
@@ -324,6 +327,14 @@
 	return provider.Accepted
 }
 
+// durationOn returns how long a task runs on a worker at full speed.
+func (s *site) durationOn(task string, w *fakeWorker) time.Duration {
+	if s.slowdown == nil {
+		return s.duration(task)
+	}
+	return time.Duration(float64(s.duration(task)) * s.slowdown(task, w))
+}
+
 // crashDelay is how long a task that crashes its worker runs there.
 const crashDelay = 10 * time.Millisecond
 
--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/dogwoodladder/dogwoodladder/cell"
 )
 
 // Range of the latency histograms, in microseconds: a tenth of a millisecond to a minute.
@@ -58,6 +60,10 @@
 	savesFailed     expvar.Int
 	jobs            expvar.Int
 	rejected        expvar.Int
+	copies          expvar.Int
+	copiesWon       expvar.Int
+	copiesLost      expvar.Int
+	coreSecondsLost expvar.Float // by copies and by runs whose copy won
 	listAsOf        atomic.Int64 // AsOf of the newest list of workers, nanoseconds on the dispatcher's clock
 	startLatency    *Latency
 	saveLatency     *Latency
@@ -69,6 +75,7 @@
 	for name, v := range map[string]expvar.Var{
 		"owned": &c.owned, "starts": &c.starts, "stops": &c.stops, "holds": &c.holds, "holds_unanswered": &c.holdsUnanswered,
 		"saves": &c.saves, "saves_failed": &c.savesFailed, "jobs_accepted": &c.jobs, "jobs_rejected": &c.rejected,
+		"copies_started": &c.copies, "copies_won": &c.copiesWon, "copies_lost": &c.copiesLost, "copies_core_seconds_lost": &c.coreSecondsLost,
 		"list_age_ms": expvar.Func(func() any { return c.listAge(clock()).Milliseconds() }),
 		"start_us":    quantilesVar(c.startLatency), "save_us": quantilesVar(c.saveLatency), "accept_us": quantilesVar(c.acceptLatency),
 	} {
@@ -111,6 +118,22 @@
 	c.jobs.Add(1)
 }
 
+func (c *Counters) recordStart(a cell.Start) {
+	c.starts.Add(1)
+	if a.Copy {
+		c.copies.Add(1)
+	}
+}
+
+func (c *Counters) recordCopyEnded(a cell.CopyEnded) {
+	c.coreSecondsLost.Add(a.CoreSeconds)
+	if a.Won {
+		c.copiesWon.Add(1)
+	} else {
+		c.copiesLost.Add(1)
+	}
+}
+
 // Vars returns the metrics.
 func (d *Dispatcher) Vars() *expvar.Map {
 	return d.counters.vars
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,6 +65,7 @@
 	processors float64
 	nonce      uint64
 	timing     cell.Timing
+	copies     bool
 	logger     *zap.Logger
 	clock      func() time.Duration
 
@@ -128,6 +129,12 @@
 	return func(d *Dispatcher) { d.timing = t }
 }
 
+// WithCopies sets whether tasks of steps that allow it may get a second run; by default they
+// don't.
+func WithCopies(enabled bool) Option {
+	return func(d *Dispatcher) { d.copies = enabled }
+}
+
 // WithOwning sets a callback that gets true when this instance becomes the cell's owner
 // and false when it loses the ownership. Only the owner needs the list of workers.
 func WithOwning(f func(bool)) Option {
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -19,7 +19,7 @@
 	case cell.Hold:
 		d.runOrder(a.Order.Wait, func(ctx context.Context) cell.Input { return d.hold(ctx, a) })
 	case cell.Start:
-		d.counters.starts.Add(1)
+		d.counters.recordStart(a)
 		orderedAt := d.clock()
 		d.runOrder(0, func(ctx context.Context) cell.Input { return d.start(ctx, a, orderedAt) })
 	case cell.Stop:
@@ -41,6 +41,8 @@
 		d.tomb.Go(func() error { d.save(a); return nil })
 	case cell.Deposed:
 		d.relinquish(a.Reason)
+	case cell.CopyEnded:
+		d.counters.recordCopyEnded(a)
 	case cell.LogEvent:
 		d.logEvent(a)
 	}
