--- a/cell/advice_test.go
+++ b/cell/advice_test.go
@@ -16,9 +16,7 @@
 	is := is.New(t)
 	s := newSite(t, 1, 4, 2)
 	s.isAllowed = func(host string) bool { return host[:2] == "w1" || host[:2] == "w3" }
-	advised := terms
-	advised.Advice = &job.Advice{Decision: 10 * time.Millisecond, DecisionPerWorker: time.Millisecond, Valid: ticketTime}
-	s.table = queue.New(1, queue.Limits{}, []queue.Queue{{Name: "q", Terms: advised}}, []queue.Service{{Name: service}})
+	s.requireAdvice()
 	for i := range 6 {
 		s.after(time.Duration(i)*time.Second, func() {
 			s.submit(&job.Job{ID: jobID(i), Spec: "x", Steps: []job.Step{step(6, 2), step(2, 2, 0)}})
@@ -36,9 +34,7 @@
 	is := is.New(t)
 	s := newSite(t, 2, 4, 1)
 	s.isAllowed = func(string) bool { return true }
-	advised := terms
-	advised.Advice = &job.Advice{Decision: 10 * time.Millisecond, DecisionPerWorker: time.Millisecond, Valid: ticketTime}
-	s.table = queue.New(1, queue.Limits{}, []queue.Queue{{Name: "q", Terms: advised}}, []queue.Service{{Name: service}})
+	s.requireAdvice()
 	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(120, 2)}})
 	s.owners[0].takeOver()
 	for n := range 4 {
@@ -48,3 +44,10 @@
 	s.mustComplete(1)
 	is.Equal(s.ticketsRefused, 0)
 }
+
+// requireAdvice makes the queue require the adviser's tickets.
+func (s *site) requireAdvice() {
+	advised := terms
+	advised.Advice = &job.Advice{Decision: 10 * time.Millisecond, DecisionPerWorker: time.Millisecond, Valid: ticketTime}
+	s.table = queue.New(1, queue.Limits{}, []queue.Queue{{Name: "q", Terms: advised}}, []queue.Service{{Name: service}})
+}
--- a/cell/cordon_test.go
+++ b/cell/cordon_test.go
@@ -61,12 +61,17 @@
 	forEachSeed(t, scheduleSeeds/3, func(t *testing.T, seed uint64) {
 		s := newSite(t, 3100+seed, scheduleWorkers, 3)
 		s.failsTask = func(_ string, attempt uint64) bool { return attempt%5 == 4 }
-		for range 4 {
-			at := time.Duration(s.rng.Int64N(int64(scheduleLength)))
-			zones := [][]string{{"z0"}, {"z1"}, {"z0", "z1"}, nil}[s.rng.IntN(4)]
-			s.after(at, func() { s.cordoned = zones })
-		}
-		s.after(scheduleLength, func() { s.cordoned = nil })
+		s.scheduleCordons()
 		s.playSchedule()
 	})
 }
+
+// scheduleCordons cordons availability zones at random times.
+func (s *site) scheduleCordons() {
+	for range 4 {
+		at := time.Duration(s.rng.Int64N(int64(scheduleLength)))
+		zones := [][]string{{"z0"}, {"z1"}, {"z0", "z1"}, nil}[s.rng.IntN(4)]
+		s.after(at, func() { s.cordoned = zones })
+	}
+	s.after(scheduleLength, func() { s.cordoned = nil })
+}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -228,6 +228,7 @@
 	generation        int                      // incremented when it takes or loses the cell
 	adviceInFlight    int                      // requests to the adviser in flight
 	onLog             func(event string)       // called for each log line
+	onFields          func(cell.LogEvent)      // the same, with its fields
 	onHold            func(provider.HoldOrder) // called for each hold
 	onStart           func(provider.StartOrder)
 	startsInFlight    int // starts without an answer
@@ -438,6 +439,9 @@
 		if o.onLog != nil {
 			o.onLog(a.Event)
 		}
+		if o.onFields != nil {
+			o.onFields(a)
+		}
 	case cell.Deposed:
 		o.kill()
 	}
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -345,20 +345,25 @@
 func TestRandomSchedulesWithRestarts(t *testing.T) {
 	forEachSeed(t, 3*scheduleSeeds, func(t *testing.T, seed uint64) {
 		s := newSite(t, 2200+seed, scheduleWorkers, 3)
-		s.acksCoverLaterEnds = seed%2 == 0
-		s.entryDelay = time.Duration(seed%3) * 400 * time.Millisecond
-		s.machineListDelay = time.Duration(seed%4) * 150 * time.Millisecond
-		rng := rand.New(rand.NewPCG(2200+seed, 2))
-		for range 10 {
-			at := time.Duration(rng.Int64N(int64(scheduleLength)))
-			number, silent := rng.IntN(scheduleWorkers), rng.IntN(2) == 0
-			down := 300*time.Millisecond + time.Duration(rng.Int64N(int64(time.Second)))
-			s.after(at, func() { s.restartOne(number, down, silent) })
-		}
+		s.scheduleRestarts(seed)
 		s.playSchedule()
 	})
 }
 
+// scheduleRestarts restarts workers at random times.
+func (s *site) scheduleRestarts(seed uint64) {
+	s.acksCoverLaterEnds = seed%2 == 0
+	s.entryDelay = time.Duration(seed%3) * 400 * time.Millisecond
+	s.machineListDelay = time.Duration(seed%4) * 150 * time.Millisecond
+	rng := rand.New(rand.NewPCG(2200+seed, 2))
+	for range 10 {
+		at := time.Duration(rng.Int64N(int64(scheduleLength)))
+		number, silent := rng.IntN(scheduleWorkers), rng.IntN(2) == 0
+		down := 300*time.Millisecond + time.Duration(rng.Int64N(int64(time.Second)))
+		s.after(at, func() { s.restartOne(number, down, silent) })
+	}
+}
+
 // Guards against tasks of one service on a worker that is back in the pool of another.
 func TestRestartedWorkerIsInAnotherPool(t *testing.T) {
 	is := is.New(t)
--- a/cell/schedule_test.go
+++ b/cell/schedule_test.go
@@ -54,6 +54,9 @@
 		j := &job.Job{ID: jobID(i), Steps: []job.Step{step(1+s.rng.IntN(4), 1+s.rng.Int64N(4)), step(1+s.rng.IntN(3), 2, 0)}}
 		j.Steps[0].Gang = s.rng.IntN(6) == 0
 		j.Steps[0].Checkpoints = s.rng.IntN(2) == 0
+		if s.copies {
+			j.Steps[0].AllowsCopies, j.Steps[1].AllowsCopies = i%3 > 0, i%3 > 1
+		}
 		s.after(at, func() { s.submit(j) })
 		if s.rng.IntN(6) == 0 {
 			s.after(at+time.Duration(s.rng.Int64N(int64(3*time.Second))), func() { s.cancel(j.ID) })
