--- a/cell/copies.go
+++ b/cell/copies.go
@@ -246,18 +246,26 @@
 // mayGetCopy reports whether a task has a single run of which a copy may be started now.
 // A task whose next failure would be the last one that its queue allows gets none, nor does
 // one whose starts have to be recorded. A run that is being stopped gets none, because the
-// task resumes from the checkpoint that the stop returns, unless its worker is silent.
+// task resumes from the checkpoint that the stop returns, unless its worker is silent. A run
+// that may have silenced its worker gets none.
 func (c *Cell) mayGetCopy(t *task) bool {
 	r := t.run
 	if t.done || r == nil || t.copy != nil || t.reservation != nil || c.needsRecordedStart(t) {
 		return false
 	}
-	if r.state == runStopping && c.workerReason(r.worker) != speculation.Silent {
+	silent := c.workerReason(r.worker) == speculation.Silent
+	if r.state == runStopping && !silent || silent && c.mayHaveCrashed(r) {
 		return false
 	}
 	return t.step.job.progress.Failures(t.id)+1 < max(1, t.step.job.terms.Attempts)
 }
 
+// mayHaveCrashed reports whether a run on a silent worker may have crashed it, in which case
+// its copy would crash another one before the crash is counted.
+func (c *Cell) mayHaveCrashed(r *run) bool {
+	return r.justStarted() && !r.worker.machineUp
+}
+
 // observe returns what is known of a task's single run.
 func (c *Cell) observe(t *task) speculation.Run {
 	r := t.run
