--- a/cell/copies.go
+++ b/cell/copies.go
@@ -118,9 +118,10 @@
 }
 
 // acceptCheckpoint keeps a checkpoint of a run for the next start. Of two runs, the
-// checkpoint of the one that is further on is kept.
+// checkpoint of the one that is further on is kept. A worker repeats the newest checkpoint, so
+// only the report that first lists it tells how far the run was.
 func (c *Cell) acceptCheckpoint(t *task, checkpoint string, percent int) {
-	if checkpoint == "" || t.done {
+	if checkpoint == "" || checkpoint == t.checkpoint || t.done {
 		return
 	}
 	if c.allowsCopies(t.step) && t.checkpoint != "" && percent < t.checkpointPercent {
--- a/cell/job.go
+++ b/cell/job.go
@@ -73,7 +73,7 @@
 	startCount        uint64
 	attempt           uint64                    // highest attempt number seen or given out
 	checkpoint        string                    // newest checkpoint
-	checkpointPercent int                       // progress of the run that wrote it, as last reported; zero if unknown
+	checkpointPercent int                       // progress of the run that wrote it, when it was first reported; zero if unknown
 	suspect           bool                      // it may crash the worker that starts it
 	inheritedStart    bool                      // a start by an earlier owner is on record without an outcome
 	startChange       uint64                    // number of the job's change that records its next start, zero if none does
