--- a/cell/copies_test.go
+++ b/cell/copies_test.go
@@ -107,6 +107,7 @@
 // and within a second of that.
 const (
 	endWithCopy    = 11 * time.Second
+	endAtOnce      = 7 * time.Second // with a copy that waits for no sibling
 	endWithoutCopy = time.Second + copySlowdown*copyDuration
 )
 
@@ -279,7 +280,8 @@
 			s.owners[0].unreachable[s.first.number] = true
 			s.after(20*time.Second, func() { clear(s.owners[0].unreachable) })
 		}, endWithCopy},
-		{"leaving", 1500 * time.Millisecond, func(s *copySite) { s.first.announceLeave(3 * time.Second) }, endWithCopy},
+		{"leaving", 1500 * time.Millisecond, func(s *copySite) { s.first.announceLeave(3 * time.Second) }, endAtOnce},
+		{"off the list", 1500 * time.Millisecond, func(s *copySite) { s.first.corruptEntry(settleTime) }, endAtOnce},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
