--- a/cell/delays.go
+++ b/cell/delays.go
@@ -74,10 +74,22 @@
 	return float64(processors) / millicoresPerCore
 }
 
-// recordDelays adds the time that an ended run cost its task to the task's delays.
+// recordDelays adds the time that an ended run cost its task to the task's delays. While a
+// task has two runs, the time counts once: what passed before the copy that completes the task
+// was started counts as that of a run that was moved.
 func (c *Cell) recordDelays(r *run, end provider.End) {
+	if r.task.done {
+		return
+	}
 	d := &r.task.delays
 	ran := c.now - r.orderedAt
+	if other := r.task.run; other != nil {
+		if end == provider.EndDone {
+			d.Add(delay.Moved, r.orderedAt-other.orderedAt)
+		} else {
+			ran = other.orderedAt - r.orderedAt
+		}
+	}
 	switch end {
 	case provider.EndDone:
 		r.timeLost += r.timeLostSincePace(c.now)
