--- a/cell/job.go
+++ b/cell/job.go
@@ -239,23 +239,11 @@
 // a step.
 func (j *jobState) criticalPathFrom(step int) time.Duration {
 	if j.chains == nil {
-		j.chains = chainLengths(j.job.Steps)
+		j.chains = job.ChainLengths(j.job.Steps)
 	}
 	return j.chains[step]
 }
 
-// chainLengths returns the estimated length of the longest chain from each step on.
-func chainLengths(steps []job.Step) []time.Duration {
-	lengths := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		lengths[i] += steps[i].Estimate
-		for _, a := range steps[i].After {
-			lengths[a] = max(lengths[a], lengths[i])
-		}
-	}
-	return lengths
-}
-
 // enqueue queues a task for its start.
 func (c *Cell) enqueue(t *task) {
 	s := t.step
--- a/cell/urgency.go
+++ b/cell/urgency.go
@@ -86,5 +86,5 @@
 
 // objective returns how long a job may take, based on rough estimates.
 func (j *jobState) objective() time.Duration {
-	return time.Duration(max(j.terms.Stretch, 1)*float64(j.criticalPath())) + j.terms.Objective
+	return j.terms.ObjectiveFor(j.criticalPath())
 }
--- a/job/job.go
+++ b/job/job.go
@@ -40,10 +40,11 @@
 	Terms    Terms  `cbor:"3,keyasint"` // terms of the queue at that time
 	Spec     string `cbor:"4,keyasint,omitempty"`
 	Steps    []Step `cbor:"5,keyasint"`
-	First    int64  `cbor:"6,keyasint,omitempty"` // first occurrence, Unix milliseconds
-	Interval int64  `cbor:"7,keyasint,omitempty"` // between occurrences, milliseconds
-	Times    int    `cbor:"8,keyasint,omitempty"` // number of occurrences; zero runs the job once, immediately
-	Accepted int64  `cbor:"9,keyasint,omitempty"` // Unix milliseconds, on the clock of the instance that accepted it
+	First    int64  `cbor:"6,keyasint,omitempty"`  // first occurrence, Unix milliseconds
+	Interval int64  `cbor:"7,keyasint,omitempty"`  // between occurrences, milliseconds
+	Times    int    `cbor:"8,keyasint,omitempty"`  // number of occurrences; zero runs the job once, immediately
+	Accepted int64  `cbor:"9,keyasint,omitempty"`  // Unix milliseconds, on the clock of the instance that accepted it
+	Zone     string `cbor:"10,keyasint,omitempty"` // availability zone of that instance; empty if it has none
 }
 
 // Terms are the conditions under which a queue runs its jobs.
--- a/ranking/ranking.go
+++ b/ranking/ranking.go
@@ -36,13 +36,19 @@
 // caller any more.
 const lateFactor = 3
 
+// WorthlessAfter returns how long after it began to wait a job with an objective has no
+// value to its caller any more.
+func WorthlessAfter(objective time.Duration) time.Duration {
+	return lateFactor * objective
+}
+
 // StandingOf returns the standing of a job that began to wait at waitingSince and has to
 // continue by due to meet its objective.
 func StandingOf(now, waitingSince, due, objective time.Duration) Standing {
 	switch {
 	case now <= due:
 		return InTime
-	case now <= waitingSince+lateFactor*objective:
+	case now <= waitingSince+WorthlessAfter(objective):
 		return Late
 	}
 	return TooLate
