--- a/cell/backlog.go
+++ b/cell/backlog.go
@@ -9,14 +9,14 @@
 // no free capacity, nil if neither is the case.
 func (c *Cell) backlog() *overload.Backlog {
 	b := c.overloadGauge.Backlog(c.now)
-	full := c.fullPools()
-	if b == nil && len(full) == 0 {
+	full, pools := c.fullPools(), c.sharedPools()
+	if b == nil && len(full) == 0 && len(pools) == 0 {
 		return nil
 	}
 	if b == nil {
-		return &overload.Backlog{Full: full}
+		return &overload.Backlog{Full: full, Pools: pools}
 	}
-	b.Full = full
+	b.Full, b.Pools = full, pools
 	for _, s := range c.waitingSteps {
 		b.Add(s.job.terms.Priority, len(s.ready))
 	}
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -68,8 +68,10 @@
 	sortedAt            time.Duration   // when waitingSteps was last sorted
 	startLimiter        startLimiter
 	overloadGauge       overload.Gauge
-	needsDispatch       bool        // an input may have made a start possible
-	scheduledJobs       []*jobState // jobs with occurrences that aren't due yet
+	sharing             bool                      // whether full pools are shared
+	flows               map[string]*overload.Flow // starts by service; only with sharing
+	needsDispatch       bool                      // an input may have made a start possible
+	scheduledJobs       []*jobState               // jobs with occurrences that aren't due yet
 	writer              recordWriter
 	survey              survey
 	hosts               hostList
@@ -104,7 +106,7 @@
 
 // New returns the Cell of a new owner. The catalog has to hold all jobs; it is read after
 // the owner's term was set.
-func New(self Self, timing Timing, recorded *catalog.Catalog, now time.Duration, wall time.Time) (*Cell, error) {
+func New(self Self, timing Timing, recorded *catalog.Catalog, now time.Duration, wall time.Time, opts ...Option) (*Cell, error) {
 	c := &Cell{
 		self:             self,
 		timing:           timing,
@@ -126,6 +128,10 @@
 		writer:           newRecordWriter(now, self.Sequence+1),
 		hosts:            hostList{stale: true},
 		startLimiter:     newStartLimiter(),
+		flows:            make(map[string]*overload.Flow),
+	}
+	for _, opt := range opts {
+		opt(c)
 	}
 	entries, err := recorded.Entries()
 	if err != nil {
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -30,6 +30,7 @@
 	store          *logStore
 	workers        []*fakeWorker
 	owners         []*owner
+	options        []cell.Option // of the owners' cells
 	table          *queue.Table
 	violations     []string
 	paces          map[string]int           // last pace ordered, by task
@@ -243,7 +244,7 @@
 func (o *owner) takeOverWith(known *catalog.Catalog) error {
 	s := o.site
 	term := s.store.claim(o.name)
-	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1}, cell.DefaultTiming(), known, s.now, wall(s.now))
+	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1}, cell.DefaultTiming(), known, s.now, wall(s.now), s.options...)
 	if err != nil {
 		return err
 	}
--- a/cell/run.go
+++ b/cell/run.go
@@ -61,6 +61,7 @@
 	w.leaseDeadline = max(w.leaseDeadline, r.deadline)
 	c.startLimiter.recordStart()
 	c.overloadGauge.RecordStart()
+	c.recordFlow(r)
 	c.emit(Start{Order: provider.StartOrder{
 		Host:       w.host,
 		Token:      w.token,
--- a/cell/urgency.go
+++ b/cell/urgency.go
@@ -20,6 +20,7 @@
 	}
 	c.ranking = ranking.New(c.ranks())
 	slices.SortStableFunc(c.waitingSteps, func(a, b *stepState) int { return c.ranking.Compare(a.rank, b.rank) })
+	c.shareFullPools()
 }
 
 // ranks iterates over the ranks of the waiting steps.
@@ -76,12 +77,16 @@
 func (r *round) remainingWork() float64 {
 	work := 0.0
 	for _, s := range r.steps {
-		cores := float64(s.spec.Need.Processors) / millicoresPerCore
-		work += float64(s.tasksLeft) * cores * s.spec.Estimate.Seconds()
+		work += float64(s.tasksLeft) * s.taskWork()
 	}
 	return work
 }
 
+// taskWork returns the estimated work of one task, in core-seconds.
+func (s *stepState) taskWork() float64 {
+	return float64(s.spec.Need.Processors) / millicoresPerCore * s.spec.Estimate.Seconds()
+}
+
 const millicoresPerCore = 1000
 
 // objective returns how long a job may take, based on rough estimates.
--- a/contention/order_test.go
+++ b/contention/order_test.go
@@ -274,10 +274,14 @@
 func BenchmarkSorted(b *testing.B) {
 	for _, n := range []int{500, 5000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			steps := make([]contention.Step, n)
+			for i := range steps {
+				steps[i] = contention.Step{Queue: fmt.Sprint("q", i%10), Zone: fmt.Sprint("z", i%3), Demand: int64(i % 7), Waited: time.Duration(i), Objective: time.Duration(n - 10)}
+			}
 			for b.Loop() {
 				o := contention.NewOrder()
-				for i := range n {
-					o.Add(contention.Step{Queue: fmt.Sprint("q", i%10), Zone: fmt.Sprint("z", i%3), Demand: int64(i % 7), Waited: time.Duration(i), Objective: time.Duration(n - 10)})
+				for _, s := range steps {
+					o.Add(s)
 				}
 				o.Sorted()
 			}
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -228,7 +228,7 @@
 func (d *Dispatcher) becomeOwner(owner catalog.Owner) {
 	term := owner.Term
 	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term, Sequence: owner.Sequence}
-	c, err := cell.New(self, d.timing, d.catalog, d.clock(), time.Now())
+	c, err := cell.New(self, d.timing, d.catalog, d.clock(), time.Now(), cell.WithSharing(d.sharing))
 	if err != nil {
 		d.logger.Error("creating the cell's state failed", zap.Uint64("term", term), zap.Error(err))
 		d.election.DelayClaim(d.clock())
--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -58,6 +58,7 @@
 	savesFailed     expvar.Int
 	jobs            expvar.Int
 	rejected        expvar.Int
+	rejectedFor     *expvar.Map  // jobs rejected by admit, by reason
 	listAsOf        atomic.Int64 // AsOf of the newest list of workers, nanoseconds on the dispatcher's clock
 	startLatency    *Latency
 	saveLatency     *Latency
@@ -65,10 +66,10 @@
 }
 
 func newCounters(clock func() time.Duration) *Counters {
-	c := &Counters{vars: new(expvar.Map).Init(), startLatency: newLatency(), saveLatency: newLatency(), acceptLatency: newLatency()}
+	c := &Counters{vars: new(expvar.Map).Init(), rejectedFor: new(expvar.Map).Init(), startLatency: newLatency(), saveLatency: newLatency(), acceptLatency: newLatency()}
 	for name, v := range map[string]expvar.Var{
 		"owned": &c.owned, "starts": &c.starts, "stops": &c.stops, "holds": &c.holds, "holds_unanswered": &c.holdsUnanswered,
-		"saves": &c.saves, "saves_failed": &c.savesFailed, "jobs_accepted": &c.jobs, "jobs_rejected": &c.rejected,
+		"saves": &c.saves, "saves_failed": &c.savesFailed, "jobs_accepted": &c.jobs, "jobs_rejected": &c.rejected, "jobs_rejected_for": c.rejectedFor,
 		"list_age_ms": expvar.Func(func() any { return c.listAge(clock()).Milliseconds() }),
 		"start_us":    quantilesVar(c.startLatency), "save_us": quantilesVar(c.saveLatency), "accept_us": quantilesVar(c.acceptLatency),
 	} {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -85,6 +85,7 @@
 	readList       func(context.Context) error
 	knowsOperators func() bool
 	returnBound    time.Duration
+	sharing        bool
 	counters       *Counters
 
 	// Owned by the control goroutine.
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -256,15 +254,12 @@
 	return d.applyRecord(record)
 }
 
-// admit sheds load. It rejects a job that an overloaded owner couldn't start in time,
-// and a lasting job that would take capacity for which urgent ones wait. A job
-// that is on record already is never rejected, since its caller may have lost the first
-// answer; nor is a scheduled job, as it doesn't start now.
+// admit sheds load by rejecting the jobs that reject tells. A job that is on record already
+// is never rejected, since its caller may have lost the first answer; nor is a scheduled
+// job, as it doesn't start now.
 func (d *Dispatcher) admit(ctx context.Context, j *job.Job) error {
-	b := d.backlog()
-	lag := b.Lag(j.Terms.Priority)
-	reason := rejectionReason(b, lag, j)
-	if reason == "" {
+	r := d.reject(j)
+	if r.cause == admitted {
 		return nil
 	}
 	_, err := d.State(ctx, j.ID)
@@ -274,20 +269,8 @@
 	if !fault.Is(err, fault.NotFound) {
 		return nil
 	}
-	return fault.New(fault.Overloaded, "%s", reason).After(overload.RetryAfter(lag, rand.Float64()))
-}
-
-// rejectionReason returns the reason for which a job is rejected, empty if it is admitted.
-func rejectionReason(b *overload.Backlog, lag time.Duration, j *job.Job) string {
-	switch {
-	case j.Scheduled():
-		return ""
-	case overload.Rejects(lag, j.TaskCount(), rand.Float64()):
-		return fmt.Sprintf("the backlog of accepted jobs takes %v to start", lag)
-	case j.Lasting() && !b.Admits(j.Terms.Service, j.Terms.Priority):
-		return fmt.Sprintf("urgent jobs wait for free capacity in pool %s", j.Terms.Service)
-	}
-	return ""
+	d.counters.rejectedFor.Add(r.cause.String(), 1)
+	return fault.New(fault.Overloaded, "%s", r.reason).After(r.retryAfter)
 }
 
 // backlog returns the owner's backlog of starts and its full pools. It is nil if the
--- /dev/null
+++ b/dispatcher/rejection.go
@@ -0,0 +1,63 @@
+package dispatcher
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodladder/dogwoodladder/contention"
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/overload"
+)
+
+//go:generate go tool stringer -type=rejectionCause -linecomment
+
+// rejectionCause tells why a job is rejected on arrival.
+type rejectionCause uint8
+
+// Causes of rejections.
+const (
+	admitted    rejectionCause = iota // admitted
+	ownerLags                         // owner lags
+	urgentWaits                       // urgent jobs wait
+	worthless                         // too late to be worth anything
+)
+
+// rejection is the decision on a job that is submitted.
+type rejection struct {
+	cause      rejectionCause
+	reason     string // for the caller
+	retryAfter time.Duration
+}
+
+// WithSharing sets whether full pools are shared among queues and availability zones: the
+// owner starts their tasks in a fair order and publishes their figures, by which jobs are
+// rejected that would end too late to be worth anything. It is off by default.
+func WithSharing(on bool) Option {
+	return func(d *Dispatcher) { d.sharing = on }
+}
+
+// reject decides whether to reject a job: an overloaded owner couldn't start it in time, it
+// is a lasting one and would take capacity for which urgent ones wait, or it would be worth
+// nothing to its caller once its pool has started it.
+func (d *Dispatcher) reject(j *job.Job) rejection {
+	b := d.backlog()
+	if b == nil || j.Scheduled() {
+		return rejection{}
+	}
+	lag := b.Lag(j.Terms.Priority)
+	if overload.Rejects(lag, j.TaskCount(), rand.Float64()) {
+		return rejection{ownerLags, fmt.Sprintf("the backlog of accepted jobs takes %v to start", lag), overload.RetryAfter(lag, rand.Float64())}
+	}
+	if j.Lasting() && !b.Admits(j.Terms.Service, j.Terms.Priority) {
+		return rejection{urgentWaits, fmt.Sprintf("urgent jobs wait for free capacity in pool %s", j.Terms.Service), overload.RetryAfter(lag, rand.Float64())}
+	}
+	if !d.sharing {
+		return rejection{}
+	}
+	if a := contention.Judge(b.Pools[j.Terms.Service], j, rand.Float64()); a.Worthless {
+		reason := fmt.Sprintf("pool %s is full: the job would end after %v", j.Terms.Service, a.End.Round(time.Millisecond))
+		return rejection{worthless, reason, a.RetryAfter}
+	}
+	return rejection{}
+}
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -141,6 +141,9 @@
 	// Full maps the services whose pools are full to the priority of the urgent tasks
 	// that wait for capacity there.
 	Full map[string]int `cbor:"3,keyasint,omitempty"`
+	// Pools holds the figures of the pools that are shared because some of their work finds
+	// no free capacity, by service.
+	Pools map[string]*Pool `cbor:"4,keyasint,omitempty"`
 }
 
 // IsFull reports whether a pool is full, and the priority from which on lasting jobs are
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -12,9 +13,14 @@
 	flowWindow = 4 * time.Second
 	// flowBuckets is the number of parts in which the window slides.
 	flowBuckets = 8
+	// minNotFull is how long a pool has free capacity until it isn't full any more. Under a
+	// load near its capacity, it has some and none several times a second.
+	minNotFull = time.Second
+	// maxPools bounds the pools on record.
+	maxPools = 8
 	// maxLines bounds the lines of one pool. The rest is summed up by priority. A line
 	// takes 60 to 80 bytes, and each instance reads the record twice a second.
-	maxLines = 24
+	maxLines = 16
 )
 
 // Pool holds the figures of a pool without free capacity for some of its waiting steps.
@@ -60,6 +66,7 @@
 	buckets   [flowBuckets]map[Origin]float64
 	current   int64         // number of the newest bucket, counted from time zero
 	fullSince time.Duration // when the pool became full
+	lastFull  time.Duration // when it was last without free capacity
 	full      bool
 }
 
@@ -82,14 +89,18 @@
 	f.current = max(f.current, number)
 }
 
-// SetFull records whether the pool is full now. It reports whether that has changed.
-func (f *Flow) SetFull(now time.Duration, full bool) bool {
-	if f.full == full {
-		return false
+// SetFull records whether the pool lacks free capacity for some work now. It reports whether
+// the pool has become full or stopped being so, which takes minNotFull.
+func (f *Flow) SetFull(now time.Duration, lacks bool) bool {
+	if lacks {
+		f.lastFull = now
 	}
-	f.full = full
-	f.fullSince = now
-	return true
+	if full := lacks || f.full && now-f.lastFull < minNotFull; full != f.full {
+		f.full = full
+		f.fullSince = now
+		return true
+	}
+	return false
 }
 
 // Full reports whether the pool is full, as last recorded.
@@ -97,14 +108,19 @@
 	return f.full
 }
 
-// Pool returns the figures with the core-seconds that wait. It is nil unless the pool has
-// been full for the whole window: otherwise the rate tells of the demand, and not of the
-// capacity.
+// Pool returns the figures for the other instances, with the core-seconds that wait. It is
+// nil unless the pool has been full for the whole window: otherwise the rate tells of the
+// demand, and not of the capacity.
 func (f *Flow) Pool(now time.Duration, waiting map[Origin]float64) *Pool {
-	f.slide(now)
 	if !f.full || now-f.fullSince < flowWindow {
 		return nil
 	}
+	return f.Measure(now, waiting)
+}
+
+// Measure returns the figures as measured so far.
+func (f *Flow) Measure(now time.Duration, waiting map[Origin]float64) *Pool {
+	f.slide(now)
 	lines := make(map[Origin]Line)
 	for o, work := range waiting {
 		lines[o] = Line{Origin: o, Waiting: work}
@@ -120,6 +136,21 @@
 	return &Pool{Lines: bounded(lines)}
 }
 
+// LargestPools returns those of the pools with the most waiting work, at most maxPools.
+func LargestPools(pools map[string]*Pool) map[string]*Pool {
+	if len(pools) <= maxPools {
+		return pools
+	}
+	names := slices.SortedFunc(maps.Keys(pools), func(a, b string) int {
+		return cmp.Or(cmp.Compare(pools[b].Waiting(), pools[a].Waiting()), cmp.Compare(a, b))
+	})
+	largest := make(map[string]*Pool)
+	for _, name := range names[:maxPools] {
+		largest[name] = pools[name]
+	}
+	return largest
+}
+
 // bounded returns the lines with the most waiting work, and sums of the rest.
 func bounded(lines map[Origin]Line) []Line {
 	all := make([]Line, 0, len(lines))
--- a/overload/pool_test.go
+++ b/overload/pool_test.go
@@ -32,8 +32,10 @@
 	p = f.Pool(second(13), waiting)
 	is.Equal(p, &overload.Pool{Lines: []overload.Line{{Origin: o, Waiting: 30, Rate: 3}}})
 	is.Equal(f.Pool(second(60), nil).Rate(), 0.0) // after a long pause
-	is.True(f.SetFull(second(60), false))
-	is.Equal(f.Pool(second(61), waiting), nil)
+	is.True(!f.SetFull(second(60)+1, true))
+	is.True(!f.SetFull(second(60)+2, false)) // has free capacity for a moment only
+	is.True(f.SetFull(second(61)+2, false))
+	is.Equal(f.Pool(second(62), waiting), nil)
 }
 
 // Guards against a record that grows with the number of queues.
@@ -48,7 +50,7 @@
 		f.RecordStart(9*time.Second, o, 4)
 	}
 	p := f.Pool(10*time.Second, waiting)
-	is.True(len(p.Lines) <= 30)
+	is.True(len(p.Lines) <= 20)
 	is.Equal(p.Lines[0].Queue, "q0")
 	is.Equal(p.Waiting(), 500500.0)
 	is.Equal(p.Rate(), 1000.0)
