--- a/cell/sharing.go
+++ b/cell/sharing.go
@@ -86,17 +86,19 @@
 // detectFullPools determines which pools are full: those with waiting steps that found no
 // worker.
 func (c *Cell) detectFullPools() {
-	full := make(map[string]bool)
+	lacking := make(map[string]map[int]bool) // priorities by service
 	for _, s := range c.waitingSteps {
 		if !s.spec.Lasting && s.lastFailedPass > 0 && len(s.ready) > 0 && c.now-s.ready[0].waitingSince >= minFullWait {
-			full[s.job.terms.Service] = true
+			service := s.job.terms.Service
+			if lacking[service] == nil {
+				lacking[service] = make(map[int]bool)
+				c.flow(service) // exists for each full pool
+			}
+			lacking[service][s.job.terms.Priority] = true
 		}
 	}
-	for service := range full {
-		c.flow(service) // exists for each full pool
-	}
 	for service, f := range inOrder(c.flows) {
-		if f.SetFull(c.now, full[service]) {
+		if f.SetFull(c.now, lacking[service]) {
 			p := f.Measure(c.now, c.waitingWork()[service])
 			c.logEvent("sharing", "pool", service, "full", f.Full(), "waiting_core_seconds", int64(p.Waiting()), "core_seconds_a_second", int64(p.Rate()))
 		}
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -13,9 +13,14 @@
 	flowWindow = 4 * time.Second
 	// flowBuckets is the number of parts in which the window slides.
 	flowBuckets = 8
+	// bucketLength is the time that a bucket covers.
+	bucketLength = flowWindow / flowBuckets
 	// minNotFull is how long a pool has free capacity until it isn't full any more. Under a
 	// load near its capacity, it has some and none several times a second.
 	minNotFull = time.Second
+	// maxGap is the time without a scheduling pass after which the measurement starts anew:
+	// an owner that may not start anything tells nothing of the capacity.
+	maxGap = time.Second
 	// maxPools bounds the pools on record.
 	maxPools = 8
 	// maxLines bounds the lines of one pool. The rest is summed up by priority. A line
@@ -63,11 +68,15 @@
 // Flow measures the core-seconds that are started in a pool, over a sliding window. The
 // zero Flow is ready to use.
 type Flow struct {
-	buckets   [flowBuckets]map[Origin]float64
-	current   int64         // number of the newest bucket, counted from time zero
-	fullSince time.Duration // when the pool became full
-	lastFull  time.Duration // when it was last without free capacity
-	full      bool
+	buckets  [flowBuckets]map[Origin]float64
+	current  int64 // number of the newest bucket, counted from time zero
+	lacks    map[int]lack
+	lastPass time.Duration // when SetFull was last called
+}
+
+// lack tells of a priority whose work finds no free capacity.
+type lack struct {
+	since, last time.Duration // when that was first and last so
 }
 
 // RecordStart counts the start of some work, in core-seconds.
@@ -82,45 +91,66 @@
 
 // slide drops the buckets that have left the window.
 func (f *Flow) slide(now time.Duration) {
-	number := int64(now / (flowWindow / flowBuckets))
+	number := int64(now / bucketLength)
 	for n := max(f.current+1, number-flowBuckets+1); n <= number; n++ {
 		clear(f.buckets[n%flowBuckets])
 	}
 	f.current = max(f.current, number)
 }
 
-// SetFull records whether the pool lacks free capacity for some work now. It reports whether
-// the pool has become full or stopped being so, which takes minNotFull.
-func (f *Flow) SetFull(now time.Duration, lacks bool) bool {
-	if lacks {
-		f.lastFull = now
+// SetFull records, once in each scheduling pass, of which priorities some work found no free
+// capacity. It reports whether the pool has become full or stopped being so. A priority
+// lacks capacity until none of its work was without for minNotFull.
+func (f *Flow) SetFull(now time.Duration, priorities map[int]bool) bool {
+	wasFull := f.Full()
+	if now-f.lastPass > maxGap {
+		f.lacks = nil
 	}
-	if full := lacks || f.full && now-f.lastFull < minNotFull; full != f.full {
-		f.full = full
-		f.fullSince = now
-		return true
+	f.lastPass = now
+	if f.lacks == nil {
+		f.lacks = make(map[int]lack)
 	}
-	return false
+	for p := range priorities {
+		l, lacked := f.lacks[p]
+		if !lacked {
+			l.since = now
+		}
+		l.last = now
+		f.lacks[p] = l
+	}
+	maps.DeleteFunc(f.lacks, func(_ int, l lack) bool { return now-l.last >= minNotFull })
+	return f.Full() != wasFull
 }
 
 // Full reports whether the pool is full, as last recorded.
 func (f *Flow) Full() bool {
-	return f.full
+	return len(f.lacks) > 0
 }
 
-// Pool returns the figures for the other instances, with the core-seconds that wait. It is
-// nil unless the pool has been full for the whole window: otherwise the rate tells of the
-// demand, and not of the capacity.
+// Pool returns the figures for the other instances, with the core-seconds that wait. It
+// counts the waiting work only of priorities that lacked capacity for the whole window:
+// otherwise their rate tells of the demand, and not of the capacity. It is nil if there are
+// none.
 func (f *Flow) Pool(now time.Duration, waiting map[Origin]float64) *Pool {
-	if !f.full || now-f.fullSince < flowWindow {
+	if now-f.lastPass > maxGap {
+		return nil
+	}
+	measured := make(map[Origin]float64)
+	for o, work := range waiting {
+		if l, lacks := f.lacks[o.Priority]; lacks && now-l.since >= flowWindow {
+			measured[o] = work
+		}
+	}
+	if len(measured) == 0 {
 		return nil
 	}
-	return f.Measure(now, waiting)
+	return f.Measure(now, measured)
 }
 
 // Measure returns the figures as measured so far.
 func (f *Flow) Measure(now time.Duration, waiting map[Origin]float64) *Pool {
 	f.slide(now)
+	measured := flowWindow - bucketLength + now%bucketLength
 	lines := make(map[Origin]Line)
 	for o, work := range waiting {
 		lines[o] = Line{Origin: o, Waiting: work}
@@ -129,10 +159,14 @@
 		for o, work := range f.buckets[i] {
 			l := lines[o]
 			l.Origin = o
-			l.Rate += work / flowWindow.Seconds()
+			l.Rate += work
 			lines[o] = l
 		}
 	}
+	for o, l := range lines {
+		l.Rate /= measured.Seconds()
+		lines[o] = l
+	}
 	return &Pool{Lines: bounded(lines)}
 }
 
