--- a/overload/overload.go
+++ b/overload/overload.go
@@ -12,6 +12,12 @@
 //	priority, full := overload.IsFull(lateDemand, capacity) // for each pool; into Backlog.Full
 //	// write the Backlog for the other instances
 //
+// for each pool, where full ones are shared by package contention:
+//
+//	f.RecordStart(now, origin, work)           // for each start, in core-seconds
+//	changed := f.SetFull(now, lacking)         // after each scheduling pass
+//	backlog.Pools[service] = f.Pool(now, work) // nil unless full
+//
 // and where jobs are submitted:
 //
 //	lag := b.Lag(priority)
