--- a/contention/load_test.go
+++ b/contention/load_test.go
@@ -91,6 +91,7 @@
 	queue, zone string
 	share       float64 // of the whole load
 	tasks       int     // of a step
+	terms       job.Terms
 }
 
 func (c class) name() string { return c.queue + "/" + c.zone }
@@ -104,7 +105,7 @@
 		steps[i] = job.Step{Count: c.tasks, Estimate: time.Duration((0.7 + 0.6*m.rng.Float64()) * float64(length))}
 	}
 	steps[1].After = []int{0}
-	s.Job = &job.Job{Queue: c.queue, Zone: c.zone, Steps: steps, Terms: job.Terms{Priority: 2, Stretch: 2, Objective: time.Second}}
+	s.Job = &job.Job{Queue: c.queue, Zone: c.zone, Steps: steps, Terms: c.terms}
 	m.all = append(m.all, s)
 	if m.sharing && contention.Judge(m.published, s.Job, m.rng.Float64()).Worthless {
 		s.rejected = true
@@ -270,19 +271,22 @@
 // Guards against a full pool in which one queue's callers get what others are due, and
 // against accepted jobs that are never done.
 func TestLoads(t *testing.T) {
+	filling := job.Terms{Priority: 2, Stretch: 2, Objective: time.Second}
+	urgent := job.Terms{Stretch: 1.5, Objective: 300 * time.Millisecond}
 	classes := []class{
-		{"heavy", "a", 0.5, 20}, {"heavy", "b", 0.2, 20},
-		{"light", "a", 0.1, 20}, {"light", "b", 0.1, 20},
-		{"large", "a", 0.1, 60},
+		{"urgent", "a", 0.06, 10, urgent},
+		{"heavy", "a", 0.5, 20, filling}, {"heavy", "b", 0.2, 20, filling},
+		{"light", "a", 0.1, 20, filling}, {"light", "b", 0.1, 20, filling},
+		{"large", "a", 0.04, 60, filling},
 	}
 	tests := []struct {
 		load     float64
 		minWorth map[string]float64 // mean worth of a job by class
 	}{
-		{1, map[string]float64{"heavy/a": 0.95, "heavy/b": 0.95, "light/a": 0.95, "light/b": 0.95, "large/a": 0.95}},
+		{1, map[string]float64{"urgent/a": 0.95, "heavy/a": 0.95, "heavy/b": 0.95, "light/a": 0.95, "light/b": 0.95, "large/a": 0.95}},
 		// The three queues are due a third each, which light and large don't use up.
-		{1.5, map[string]float64{"heavy/a": 0.2, "heavy/b": 0.7, "light/a": 0.95, "light/b": 0.95, "large/a": 0.95}},
-		{2.5, map[string]float64{"heavy/a": 0.05, "heavy/b": 0.15, "light/a": 0.6, "light/b": 0.6, "large/a": 0.95}},
+		{1.5, map[string]float64{"urgent/a": 0.95, "heavy/a": 0.2, "heavy/b": 0.7, "light/a": 0.95, "light/b": 0.95, "large/a": 0.95}},
+		{2.5, map[string]float64{"urgent/a": 0.95, "heavy/a": 0.05, "heavy/b": 0.15, "light/a": 0.6, "light/b": 0.6, "large/a": 0.95}},
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt.load), func(t *testing.T) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -35,6 +35,20 @@
 	is.True(r.Names("e3"))
 }
 
+// Guards against figures of a full pool that other instances read differently.
+func TestBacklogIsReadAsWritten(t *testing.T) {
+	is := is.New(t)
+	written := &overload.Backlog{Full: map[string]int{"pool": 0}, Pools: map[string]*overload.Pool{"pool": {Lines: []overload.Line{
+		{Origin: overload.Origin{Queue: "q", Zone: "x", Priority: 2}, Waiting: 30.5, Rate: 8},
+		{Origin: overload.Origin{Priority: 1}, Rate: 2},
+	}}}}
+	record, err := roster.HeartbeatRecord(roster.Heartbeat{Term: 1, Backlog: written})
+	is.NoErr(err)
+	r := roster.New()
+	is.NoErr(r.Apply(record))
+	is.Equal(r.Heartbeat().Backlog, written)
+}
+
 func TestMalformedRecords(t *testing.T) {
 	tests := []provider.KeyedRecord{
 		{Key: "heartbeat", Value: []byte("{")},
