--- a/cell/cell.go
+++ b/cell/cell.go
@@ -69,8 +69,10 @@
 	sortedAt            time.Duration   // when waitingSteps was last sorted
 	startLimiter        startLimiter
 	overloadGauge       overload.Gauge
-	needsDispatch       bool        // an input may have made a start possible
-	scheduledJobs       []*jobState // jobs with occurrences that aren't due yet
+	sharing             bool                      // whether full pools are shared
+	flows               map[string]*overload.Flow // starts by service; only with sharing
+	needsDispatch       bool                      // an input may have made a start possible
+	scheduledJobs       []*jobState               // jobs with occurrences that aren't due yet
 	writer              recordWriter
 	survey              survey
 	hosts               hostList
@@ -139,6 +141,10 @@
 		writer:           newRecordWriter(now, self.Sequence+1),
 		hosts:            hostList{stale: true},
 		startLimiter:     newStartLimiter(),
+		flows:            make(map[string]*overload.Flow),
+	}
+	for _, opt := range opts {
+		opt(c)
 	}
 	for _, opt := range opts {
 		opt(c)
--- a/cell/delays.go
+++ b/cell/delays.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/delay"
@@ -15,7 +16,7 @@
 // find out later why it was late.
 func (c *Cell) logJobEnd(j *jobState) {
 	fields := []any{"job", j.job.ID, "state", j.progress.State.String(), "after", c.now - j.acceptedAt, "kind", kindOf(j.job),
-		"objective", j.objective(), "stretch", j.stretch(), "fixed", j.terms.Objective}
+		"objective", j.objective(), "stretch", j.terms.StretchFactor(), "fixed", j.terms.Objective}
 	if j.progress.State == progress.Completed && j.workChain > 0 && !j.inherited {
 		fields = append(fields, "chain", j.workChain)
 	}
@@ -152,10 +153,6 @@
 			return 0
 		}
 	}
-	longest := time.Duration(0)
 	steps := r.steps[0].job.job.Steps
-	for _, length := range chainLengths(steps, func(step int) time.Duration { return r.steps[step].longestWork }) {
-		longest = max(longest, length)
-	}
-	return longest
+	return slices.Max(job.ChainLengths(steps, func(step int) time.Duration { return r.steps[step].longestWork }))
 }
--- a/cell/job.go
+++ b/cell/job.go
@@ -248,24 +248,11 @@
 // a step.
 func (j *jobState) criticalPathFrom(step int) time.Duration {
 	if j.chains == nil {
-		j.chains = chainLengths(j.job.Steps, func(step int) time.Duration { return j.job.Steps[step].Estimate })
+		j.chains = job.ChainLengths(j.job.Steps, job.EstimateOf(j.job.Steps))
 	}
 	return j.chains[step]
 }
 
-// chainLengths returns the length of the longest chain from each step on, given the length
-// of each step.
-func chainLengths(steps []job.Step, length func(step int) time.Duration) []time.Duration {
-	lengths := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		lengths[i] += length(i)
-		for _, a := range steps[i].After {
-			lengths[a] = max(lengths[a], lengths[i])
-		}
-	}
-	return lengths
-}
-
 // enqueue queues a task for its start.
 func (c *Cell) enqueue(t *task) {
 	s := t.step
--- a/cell/run.go
+++ b/cell/run.go
@@ -68,6 +68,7 @@
 	w.leaseDeadline = max(w.leaseDeadline, r.deadline)
 	c.startLimiter.recordStart()
 	c.overloadGauge.RecordStart()
+	c.recordFlow(r)
 	c.emit(Start{Order: provider.StartOrder{
 		Host:       w.host,
 		Token:      w.token,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -90,6 +90,7 @@
 	readList       func(context.Context) error
 	knowsOperators func() bool
 	returnBound    time.Duration
+	sharing        bool
 	counters       *Counters
 
 	followsAggregated bool // whether stream catalog.Aggregated is followed and written
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -164,15 +163,12 @@
 	return d.applyRecord(stream, record)
 }
 
-// admit sheds load. It rejects a job that an overloaded owner couldn't start in time,
-// and a lasting job that would take capacity for which urgent ones wait. A job
-// that is on record already is never rejected, since its caller may have lost the first
-// answer; nor is a scheduled job, as it doesn't start now.
+// admit sheds load by rejecting the jobs that reject tells. A job that is on record already
+// is never rejected, since its caller may have lost the first answer; nor is a scheduled
+// job, as it doesn't start now.
 func (d *Dispatcher) admit(ctx context.Context, j *job.Job) error {
-	b := d.backlog()
-	lag := b.Lag(j.Terms.Priority)
-	reason := rejectionReason(b, lag, j)
-	if reason == nil {
+	r := d.reject(j)
+	if r.cause == admitted {
 		return nil
 	}
 	_, err := d.State(ctx, j.ID)
@@ -182,20 +178,8 @@
 	if !fault.Is(err, fault.NotFound) {
 		return nil
 	}
-	return reason.After(overload.RetryAfter(lag, rand.Float64()))
-}
-
-// rejectionReason returns the error with which a job is rejected, nil if it is admitted.
-func rejectionReason(b *overload.Backlog, lag time.Duration, j *job.Job) *fault.Error {
-	switch {
-	case j.Scheduled():
-		return nil
-	case overload.Rejects(lag, j.TaskCount(), rand.Float64()):
-		return fault.New(fault.Overloaded, "the backlog of accepted jobs takes %v to start", lag).Because(fault.Overload)
-	case j.Lasting() && !b.Admits(j.Terms.Service, j.Terms.Priority):
-		return fault.New(fault.Overloaded, "urgent jobs wait for free capacity in pool %s", j.Terms.Service).Because(fault.PoolFull)
-	}
-	return nil
+	d.counters.rejectedFor.Add(r.cause.String(), 1)
+	return fault.New(fault.Overloaded, "%s", r.reason).After(r.retryAfter).Because(r.cause.reason())
 }
 
 // backlog returns the owner's backlog of starts and its full pools. It is nil if the
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -12,6 +12,12 @@
 //	priority, full := overload.IsFull(lateDemand, capacity) // for each pool; into Backlog.Full
 //	// write the Backlog for the other instances
 //
+// for each pool, where full ones are shared by package contention:
+//
+//	f.RecordStart(now, origin, work)           // for each start, in core-seconds
+//	changed := f.SetFull(now, lacking)         // after each scheduling pass
+//	backlog.Pools[service] = f.Pool(now, work) // nil unless full
+//
 // and where jobs are submitted:
 //
 //	lag := b.Lag(priority)
@@ -141,6 +147,9 @@
 	// Full maps the services whose pools are full to the priority of the urgent tasks
 	// that wait for capacity there.
 	Full map[string]int `cbor:"3,keyasint,omitempty"`
+	// Pools holds the figures of the pools that are shared because some of their work finds
+	// no free capacity, by service.
+	Pools map[string]*Pool `cbor:"4,keyasint,omitempty"`
 }
 
 // IsFull reports whether a pool is full, and the priority from which on lasting jobs are
