--- a/cell/sharing.go
+++ b/cell/sharing.go
@@ -83,7 +83,7 @@
 // detectFullPools determines which pools are full: those with waiting steps that found no
 // worker.
 func (c *Cell) detectFullPools() {
-	lacking := make(map[string]map[int]bool) // priorities by service
+	lacking := make(map[string]map[int]bool) // by service and priority: whether unconstrained steps are among them
 	for _, s := range c.waitingSteps {
 		if !s.spec.Lasting && s.lastFailedPass > 0 && len(s.ready) > 0 && c.now-s.ready[0].waitingSince >= minFullWait {
 			service := s.job.terms.Service
@@ -91,7 +91,8 @@
 				lacking[service] = make(map[int]bool)
 				c.flow(service) // exists for each full pool
 			}
-			lacking[service][s.job.terms.Priority] = true
+			priority := s.job.terms.Priority
+			lacking[service][priority] = lacking[service][priority] || s.isUnconstrained()
 		}
 	}
 	for service, f := range inOrder(c.flows) {
@@ -128,12 +129,19 @@
 	return overload.Origin{Queue: j.job.Queue, Zone: j.job.Zone, Priority: j.terms.Priority}
 }
 
-// waitingWork returns the core-seconds that wait in each pool, by origin. Steps that need
-// a label don't count: what they wait for may be a single worker.
+// isUnconstrained reports whether each worker of the pool could run the step's tasks. What
+// other steps wait for may be a single worker, a rack or an accelerator, so their waiting
+// doesn't show that the pool has no free capacity for others.
+func (s *stepState) isUnconstrained() bool {
+	return s.spec.Label == "" && s.spec.Need.Accelerators == 0 && s.spec.PerWorker == 0 && !s.spec.Gang && !s.spec.SameRack
+}
+
+// waitingWork returns the core-seconds of unconstrained steps that wait in each pool, by
+// origin.
 func (c *Cell) waitingWork() map[string]map[overload.Origin]float64 {
 	work := make(map[string]map[overload.Origin]float64)
 	for _, s := range c.waitingSteps {
-		if s.spec.Lasting || s.spec.Label != "" || len(s.ready) == 0 {
+		if s.spec.Lasting || !s.isUnconstrained() || len(s.ready) == 0 {
 			continue
 		}
 		service := s.job.terms.Service
--- a/cell/sharing_test.go
+++ b/cell/sharing_test.go
@@ -97,6 +97,49 @@
 	is.Equal(s.violations, nil)
 }
 
+// Guards against rejections because of a step that waits for few of the workers, while others
+// have free capacity for the jobs that are rejected.
+func TestNoFiguresOfConstrainedSteps(t *testing.T) {
+	tests := []struct {
+		name      string
+		constrain func(*job.Step)
+		published bool
+	}{
+		{"none", func(*job.Step) {}, true},
+		{"label", func(s *job.Step) { s.Label = "r1" }, false},
+		{"accelerators", func(s *job.Step) { s.Need.Accelerators = 1 }, false},
+		{"most tasks on a worker", func(s *job.Step) { s.PerWorker = 1 }, false},
+		{"same rack", func(s *job.Step) { s.SameRack = true }, false},
+		{"gang", func(s *job.Step) { s.Gang = true }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, 1, 2, 1)
+			s.options = []cell.Option{cell.WithSharing(true)}
+			s.duration = func(string) time.Duration { return time.Hour }
+			s.owners[0].takeOver()
+			s.after(3*time.Second, func() {
+				large := step(100, 2)
+				tt.constrain(&large)
+				s.submit(&job.Job{ID: jobID(1), Spec: "x", Steps: []job.Step{large}})
+			})
+			published := false
+			for at := 4 * time.Second; at < 14*time.Second; at += 100 * time.Millisecond {
+				s.after(at, func() {
+					if at == 10*time.Second {
+						s.submit(&job.Job{ID: jobID(2), Spec: "x", Steps: []job.Step{step(20, 1)}})
+					}
+					b := s.store.readCatalog(t).Backlog()
+					published = published || b != nil && b.Pools[service] != nil
+				})
+			}
+			s.run(14 * time.Second)
+			is.Equal(published, tt.published)
+		})
+	}
+}
+
 // TestRandomSchedulesWithSharing is TestRandomSchedules with sharing.
 func TestRandomSchedulesWithSharing(t *testing.T) {
 	forEachSeed(t, scheduleSeeds/4, func(t *testing.T, seed uint64) {
--- a/overload/pool.go
+++ b/overload/pool.go
@@ -69,8 +69,9 @@
 // zero Flow is ready to use.
 type Flow struct {
 	buckets  [flowBuckets]map[Origin]float64
-	current  int64 // number of the newest bucket, counted from time zero
-	lacks    map[int]lack
+	current  int64         // number of the newest bucket, counted from time zero
+	lacks    map[int]lack  // priorities of which some work finds no free capacity
+	measured map[int]lack  // those of which unconstrained work finds none
 	lastPass time.Duration // when SetFull was last called
 }
 
@@ -99,45 +100,53 @@
 }
 
 // SetFull records, once in each scheduling pass, of which priorities some work found no free
-// capacity. It reports whether the pool has become full or stopped being so. A priority
-// lacks capacity until none of its work was without for minNotFull.
+// capacity. The value of a priority tells whether some of that work is unconstrained, that is,
+// could run on any worker. SetFull reports whether the pool has become full or stopped being
+// so. A priority lacks capacity until none of its work was without for minNotFull.
 func (f *Flow) SetFull(now time.Duration, priorities map[int]bool) bool {
 	wasFull := f.Full()
-	if now-f.lastPass > maxGap {
-		f.lacks = nil
+	if now-f.lastPass > maxGap || f.lacks == nil {
+		f.lacks, f.measured = make(map[int]lack), make(map[int]lack)
 	}
 	f.lastPass = now
-	if f.lacks == nil {
-		f.lacks = make(map[int]lack)
-	}
-	for p := range priorities {
-		l, lacked := f.lacks[p]
-		if !lacked {
-			l.since = now
+	for p, unconstrained := range priorities {
+		extend(f.lacks, p, now)
+		if unconstrained {
+			extend(f.measured, p, now)
 		}
-		l.last = now
-		f.lacks[p] = l
 	}
-	maps.DeleteFunc(f.lacks, func(_ int, l lack) bool { return now-l.last >= minNotFull })
+	hasCapacity := func(_ int, l lack) bool { return now-l.last >= minNotFull }
+	maps.DeleteFunc(f.lacks, hasCapacity)
+	maps.DeleteFunc(f.measured, hasCapacity)
 	return f.Full() != wasFull
 }
 
+// extend records that a priority lacks capacity now.
+func extend(lacks map[int]lack, priority int, now time.Duration) {
+	l, lacked := lacks[priority]
+	if !lacked {
+		l.since = now
+	}
+	l.last = now
+	lacks[priority] = l
+}
+
 // Full reports whether the pool is full, as last recorded.
 func (f *Flow) Full() bool {
 	return len(f.lacks) > 0
 }
 
 // Pool returns the figures for the other instances, with the core-seconds that wait. It
-// counts the waiting work only of priorities that lacked capacity for the whole window:
-// otherwise their rate tells of the demand, and not of the capacity. It is nil if there are
-// none.
+// counts the waiting work only of priorities whose unconstrained work lacked capacity for the
+// whole window: otherwise their rate tells of the demand, and not of the capacity. It is nil
+// if there are none.
 func (f *Flow) Pool(now time.Duration, waiting map[Origin]float64) *Pool {
 	if now-f.lastPass > maxGap {
 		return nil
 	}
 	measured := make(map[Origin]float64)
 	for o, work := range waiting {
-		if l, lacks := f.lacks[o.Priority]; lacks && now-l.since >= flowWindow {
+		if l, lacks := f.measured[o.Priority]; lacks && now-l.since >= flowWindow {
 			measured[o] = work
 		}
 	}
--- a/overload/pool_test.go
+++ b/overload/pool_test.go
@@ -34,6 +34,10 @@
 		events []event
 	}{
 		{"not full", []event{{10 * time.Second, nil, false, nil}}},
+		{"constrained work lacks capacity", []event{
+			{10 * time.Second, map[int]bool{2: false}, true, nil},
+			{11 * time.Second, lacks(2), true, nil}, // for less than the window
+			{15 * time.Second, lacks(2), true, []overload.Line{{Origin: o, Waiting: 30, Rate: 8}}}}},
 		{"full for less than the window", []event{{10 * time.Second, nil, false, nil}, {13500 * time.Millisecond, lacks(2), true, nil}}},
 		{"full", []event{{10 * time.Second, nil, false, nil}, {15 * time.Second, lacks(2), true, []overload.Line{{Origin: o, Waiting: 30, Rate: 8}}}}},
 		{"urgent work lacks capacity since a moment", []event{
