--- a/cell/job.go
+++ b/cell/job.go
@@ -58,6 +58,7 @@
 	advice          *advice         // nil unless the queue requires advice
 	runsByWorker    map[*worker]int // number of runs by worker, for PerWorker
 	rank            ranking.Rank
+	promoted        bool // overdue and first of its queue, by the last sort
 }
 
 // task is one task of a step.
--- a/cell/sharing.go
+++ b/cell/sharing.go
@@ -30,6 +30,7 @@
 	c.detectFullPools()
 	places := make(map[string][]int)
 	for i, s := range c.waitingSteps {
+		s.promoted = false
 		if service := s.job.terms.Service; !s.spec.Lasting && c.isShared(service) {
 			places[service] = append(places[service], i)
 		}
@@ -46,7 +47,7 @@
 		for _, r := range w.runs {
 			if r.task != nil && !r.task.step.spec.Lasting {
 				s := r.task.step
-				o.AddUse(s.job.job.Queue, s.job.job.Zone, s.spec.Need.Processors, r.overdue)
+				o.AddUse(s.job.job.Queue, s.job.job.Zone, s.spec.Need.Processors, r.promoted)
 			}
 		}
 	}
@@ -57,6 +58,7 @@
 		o.Add(c.contending(s))
 	}
 	for i, next := range o.Sorted() {
+		steps[next].promoted = o.IsPromoted(next)
 		c.waitingSteps[places[i]] = steps[next]
 	}
 }
@@ -118,8 +120,7 @@
 	if !c.sharing || s.spec.Lasting {
 		return
 	}
-	contending := c.contending(s)
-	r.overdue = contending.Overdue()
+	r.promoted = s.promoted
 	c.flow(s.job.terms.Service).RecordStart(c.now, s.origin(), s.taskWork())
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -99,7 +99,7 @@
 	timeLost        time.Duration // lost to throttling before paceSetAt
 	slowSince       time.Duration // since when its pace has been below minPace, zero if it isn't
 	probe           bool          // started while its worker was on probation
-	overdue         bool          // its step had waited as long as the objective when it was started
+	promoted        bool          // its step was promoted when it was started
 	trial           bool          // it shows whether its task crashes workers
 	lastListedClock int64         // worker's clock in the last report that lists it
 	pair            *pair         // it and the task's other run, nil if there never was one
--- a/contention/contention.go
+++ b/contention/contention.go
@@ -11,12 +11,12 @@
 // and by the owner, while the pool is full:
 //
 //	o := contention.NewOrder()
-//	o.AddUse(queue, zone, processors, overdue) // for each task that runs in the pool
+//	o.AddUse(queue, zone, processors, promoted) // for each task that runs in the pool
 //	for _, s := range steps {                  // in the order of package ranking
 //		o.Add(contention.Step{Queue: s.queue, Zone: s.zone, Rank: s.rank, ...})
 //	}
 //	for _, i := range o.Sorted() {
-//		start(steps[i])
+//		start(steps[i]) // promoted if o.IsPromoted(i)
 //	}
 //
 // It is made for a demand of one and a half to two and a half times the capacity that lasts
--- a/contention/load_test.go
+++ b/contention/load_test.go
@@ -34,6 +34,7 @@
 	step     int             // current one
 	ready    int             // its waiting tasks
 	running  int             // its running tasks
+	promoted bool
 	rejected bool
 	endedAt  time.Duration
 }
@@ -67,9 +68,9 @@
 
 // run is a task that runs in the model.
 type run struct {
-	s       *submission
-	endsAt  time.Duration
-	overdue bool
+	s        *submission
+	endsAt   time.Duration
+	promoted bool
 }
 
 // model is a pool of processors without workers.
@@ -156,6 +157,7 @@
 			return true
 		}
 		s.step++
+		s.promoted = false
 		if s.step == len(s.Steps) {
 			s.endedAt = m.now
 		} else {
@@ -166,10 +168,6 @@
 	})
 }
 
-func (m *model) overdue(s *submission) bool {
-	return m.now-s.arrived >= s.Terms.ObjectiveFor(job.CriticalPath(s.Steps))
-}
-
 func (m *model) sort() {
 	ranks := make(map[*submission]ranking.Rank)
 	for _, s := range m.waiting {
@@ -188,7 +186,7 @@
 	}
 	o := contention.NewOrder()
 	for _, r := range m.runs {
-		o.AddUse(r.s.Queue, r.s.Zone, taskCores, r.overdue)
+		o.AddUse(r.s.Queue, r.s.Zone, taskCores, r.promoted)
 	}
 	for _, s := range m.waiting {
 		o.Add(contention.Step{Queue: s.Queue, Zone: s.Zone, Rank: ranks[s], Demand: int64(s.ready) * taskCores,
@@ -196,6 +194,7 @@
 	}
 	sorted := make([]*submission, 0, len(m.waiting))
 	for _, i := range o.Sorted() {
+		m.waiting[i].promoted = o.IsPromoted(i)
 		sorted = append(sorted, m.waiting[i])
 	}
 	m.waiting = sorted
@@ -207,7 +206,7 @@
 			m.free -= taskCores
 			s.ready--
 			s.running++
-			m.runs = append(m.runs, run{s: s, endsAt: m.now + s.length[s.step], overdue: m.overdue(s)})
+			m.runs = append(m.runs, run{s: s, endsAt: m.now + s.length[s.step], promoted: s.promoted})
 			m.flow.RecordStart(m.now, s.origin(), taskCores/1000*s.Steps[s.step].Estimate.Seconds())
 		}
 	}
--- a/contention/order.go
+++ b/contention/order.go
@@ -9,10 +9,10 @@
 	"github.com/dogwoodladder/dogwoodladder/ranking"
 )
 
-// overdueShare is the share of the processors in use up to which overdue steps go first. What
+// promotedShare is the share of the processors in use up to which overdue steps go first. What
 // they use is lost to jobs that can still be in time; one of them at a time is enough for
-// none to wait for ever.
-const overdueShare = 0.02
+// none to starve.
+const promotedShare = 0.02
 
 // Step is a waiting step.
 type Step struct {
@@ -37,10 +37,11 @@
 
 // Order sorts the waiting steps of a full pool. It is used for one sort.
 type Order struct {
-	steps      []Step
-	queues     map[string]*queue
-	use        int64
-	overdueUse int64 // part of use by steps that were overdue when they were started
+	steps       []Step
+	queues      map[string]*queue
+	use         int64
+	promotedUse int64 // part of use by steps that were promoted when they were started
+	promoted    []bool
 }
 
 // NewOrder returns an Order of no steps.
@@ -49,14 +50,15 @@
 }
 
 // AddUse adds the processors that a task of a queue and an availability zone uses, in
-// thousandths of a core. Overdue is that of its step when it was started.
-func (o *Order) AddUse(queue, zone string, processors int64, overdue bool) {
+// thousandths of a core. Promoted is what IsPromoted returned for its step when it was started:
+// an overdue step that was started in its regular turn doesn't hold up the promotion of others.
+func (o *Order) AddUse(queue, zone string, processors int64, promoted bool) {
 	q := o.queue(queue)
 	q.use += processors
 	q.zone(zone).use += processors
 	o.use += processors
-	if overdue {
-		o.overdueUse += processors
+	if promoted {
+		o.promotedUse += processors
 	}
 }
 
@@ -78,8 +80,9 @@
 // Sorted returns the indexes of the steps in the order in which they are to be started, in
 // O(n log n). The priorities keep their order; among the steps of a priority, the order is
 // that of their standing, then that of fair shares. The overdue steps that have waited
-// longest, up to overdueShare, count as in time and first of their queue.
+// longest, up to promotedShare, are promoted: they count as in time and first of their queue.
 func (o *Order) Sorted() []int {
+	o.promoted = make([]bool, len(o.steps))
 	order := make([]int, 0, len(o.steps))
 	for start := 0; start < len(o.steps); {
 		end := start + 1
@@ -92,6 +95,11 @@
 	return order
 }
 
+// IsPromoted reports whether Sorted promoted the step with an index.
+func (o *Order) IsPromoted(index int) bool {
+	return o.promoted[index]
+}
+
 // appendPriority appends the steps of one priority, which are those from start to end.
 func (o *Order) appendPriority(order []int, start, end int) []int {
 	var turns turnHeap[*queue]
@@ -102,13 +110,12 @@
 		}
 		q.add(i, &o.steps[i], promoted)
 	}
-	promoted := o.promoted(start, end)
-	for _, i := range promoted {
+	for _, i := range o.overdueToPromote(start, end) {
+		o.promoted[i] = true
 		add(i, true)
 	}
-	slices.Sort(promoted)
 	for i := start; i < end; i++ {
-		if _, found := slices.BinarySearch(promoted, i); !found {
+		if !o.promoted[i] {
 			add(i, false)
 		}
 	}
@@ -132,10 +139,10 @@
 	return order
 }
 
-// promoted returns the overdue steps of one priority that go first, the longest wait first.
-// A step that needs more than is left of overdueShare goes first once no other does, so
-// that smaller ones can't keep it waiting.
-func (o *Order) promoted(start, end int) []int {
+// overdueToPromote returns the overdue steps of one priority that go first, the longest wait
+// first. A step that needs more than is left of promotedShare goes first once no other does,
+// so that smaller ones can't keep it waiting.
+func (o *Order) overdueToPromote(start, end int) []int {
 	var overdue []int
 	for i := start; i < end; i++ {
 		if o.steps[i].Overdue() {
@@ -145,10 +152,10 @@
 	slices.SortStableFunc(overdue, func(a, b int) int { return cmp.Compare(o.steps[b].Waited, o.steps[a].Waited) })
 	for n, i := range overdue {
 		demand := o.steps[i].demand()
-		if o.overdueUse > 0 && float64(o.overdueUse+demand) > overdueShare*float64(o.use) {
+		if o.promotedUse > 0 && float64(o.promotedUse+demand) > promotedShare*float64(o.use) {
 			return overdue[:n]
 		}
-		o.overdueUse += demand
+		o.promotedUse += demand
 	}
 	return overdue
 }
--- a/contention/order_test.go
+++ b/contention/order_test.go
@@ -68,7 +68,7 @@
 type work struct {
 	source
 	waitsSince, ready, running int
-	overdue                    bool
+	promoted                   bool
 }
 
 // closed is a pool of units, each of which runs one task for some turns.
@@ -116,7 +116,7 @@
 		}
 	}
 	for w, n := range running {
-		o.AddUse(w.queue, w.zone, int64(n), w.overdue)
+		o.AddUse(w.queue, w.zone, int64(n), w.promoted)
 	}
 	// Smaller steps rank before larger ones, as under package ranking.
 	slices.SortStableFunc(c.waiting, func(a, b *work) int { return a.size - b.size })
@@ -125,10 +125,10 @@
 	}
 	for _, i := range o.Sorted() {
 		w := c.waiting[i]
+		w.promoted = o.IsPromoted(i)
 		for ; w.ready > 0 && c.used[""] < c.capacity; w.ready-- {
 			c.use(w, 1)
 			c.longestWait = max(c.longestWait, c.now-w.waitsSince)
-			w.overdue = c.now-w.waitsSince >= c.objective
 			at := c.now + length()
 			c.ends[at] = append(c.ends[at], w)
 		}
@@ -231,6 +231,25 @@
 	})
 }
 
+// Guards against a large step that waits for as long as smaller ones of its queue and
+// availability zone arrive, where all of them are overdue when they start.
+func TestLargeOverdueStepStarts(t *testing.T) {
+	const objective = 20
+	c := newClosed(4, objective, []source{
+		{queue: "q", zone: "z", size: 1, steps: 100}, // each starts after 75 turns
+		{queue: "q", zone: "z", size: 6, steps: 1},
+	})
+	started := 0
+	for range 400 {
+		c.step(func() int { started++; return 2 + started%3 }) // tasks don't all end together
+		for _, w := range c.waiting {
+			if waited := c.now - w.waitsSince; w.size > 1 && w.ready == w.size && waited > 100 {
+				t.Fatalf("a step of %d tasks has waited for %d turns", w.size, waited)
+			}
+		}
+	}
+}
+
 // TestOrderIsComplete checks that each step is in the order once, and that the priorities
 // keep theirs.
 func TestOrderIsComplete(t *testing.T) {
@@ -250,7 +269,7 @@
 		for _, s := range steps {
 			o.Add(s)
 		}
-		o.AddUse("a", "x", rapid.Int64Range(0, 500).Draw(t, "use"), rapid.Bool().Draw(t, "overdue"))
+		o.AddUse("a", "x", rapid.Int64Range(0, 500).Draw(t, "use"), rapid.Bool().Draw(t, "promoted"))
 		order := o.Sorted()
 		for k := 1; k < len(order); k++ {
 			if steps[order[k]].Rank.Priority < steps[order[k-1]].Rank.Priority {
