--- a/cell/delays.go
+++ b/cell/delays.go
@@ -118,9 +118,9 @@
 			Took:     took,
 			Slowdown: c.slowdownOf(r),
 			Last:     s.tasksLeft == 1 || s.spec.Gang,
-			Partial:  t.checkpoint != "" && t.startCount > 1,
+			Partial:  !r.complete,
 		})
-		s.longestWork = max(s.longestWork, parts.Work)
+		s.longestWork = max(s.longestWork, r.wholeWork(parts.Work))
 	}
 	beyond := parts.Beyond(s.spec.Estimate)
 	t.delays.Add(delay.Interference, beyond.Interference)
@@ -128,6 +128,18 @@
 	t.delays.Add(delay.Work, beyond.Work)
 }
 
+// wholeWork returns the work of a run's task, given that of the run: one that resumed from a
+// checkpoint did a part of it. It is zero if that part isn't known.
+func (r *run) wholeWork(work time.Duration) time.Duration {
+	switch {
+	case r.complete:
+		return work
+	case !r.fromKnown || r.from >= 100:
+		return 0
+	}
+	return work * 100 / time.Duration(100-r.from)
+}
+
 // slowdownOf returns the part of a run's time that the filling tasks beside it cost it, by
 // what runs there at its end. A filling run's own share of the idle processors isn't
 // interference.
--- a/cell/delays_test.go
+++ b/cell/delays_test.go
@@ -62,6 +62,41 @@
 	is.Equal(e["interference"], nil)
 }
 
+// Guards against a chain, and so an objective, that is too short because a run resumed from a
+// checkpoint and did only a part of its task's work.
+func TestChainOfResumedRun(t *testing.T) {
+	is := is.New(t)
+	const length = 8 * time.Second
+	s := newSite(t, 1, 2, 1)
+	s.duration = func(string) time.Duration { return length }
+	s.checkpoint = func(task string, w *fakeWorker) string { return w.runs[task].progress(s.now).String() }
+	s.resume = func(checkpoint string) time.Duration {
+		done, err := time.ParseDuration(checkpoint)
+		is.NoErr(err)
+		return done
+	}
+	ended := s.lines("job ended")
+	s.owners[0].takeOver()
+	s.after(3*time.Second, func() {
+		long := step(1, 1)
+		long.Checkpoints = true
+		s.submit(&job.Job{ID: jobID(1), Queue: "q", Spec: "x", Steps: []job.Step{long}})
+	})
+	s.after(7*time.Second, func() {
+		for _, w := range s.workers {
+			if len(w.runs) > 0 {
+				w.crash(5*time.Second, 1)
+				return
+			}
+		}
+	})
+	s.run(30 * time.Second)
+	is.Equal(len(*ended), 1)
+	chain, _ := (*ended)[0]["chain"].(time.Duration)
+	is.True(chain > length*9/10 && chain < length*11/10)
+	is.True((*ended)[0]["after"].(time.Duration) < 2*length-time.Second) // it resumed
+}
+
 // Guards against the time that a slow worker costs being counted as the work of its tasks.
 func TestEndHasTimeOfSlowWorker(t *testing.T) {
 	is := is.New(t)
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -76,6 +76,7 @@
 	copiesEnded         []cell.CopyEnded
 	slowdown            func(task string, w *fakeWorker) float64       // factor of a run's duration on a worker; nil for 1
 	checkpoint          func(task string, w *fakeWorker) string        // of a running task; nil for none
+	resume              func(checkpoint string) time.Duration          // work that is done in a checkpoint; nil for none
 	tail                func(task string, w *fakeWorker) time.Duration // tail latency of serving tasks; nil reports none
 }
 
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -318,6 +318,9 @@
 	}
 	s.checkStart(w, o)
 	r := &fakeRun{attempt: o.Attempt, duration: s.durationOn(o.Task, w), paceSince: s.now, pace: 100, need: s.needOf(o.Task)}
+	if s.resume != nil && o.Checkpoint != "" {
+		r.doneBefore = s.resume(o.Checkpoint)
+	}
 	w.runs[o.Task] = r
 	if s.crashesWorker != nil && s.crashesWorker(o.Task) {
 		s.after(crashDelay, func() { w.crashDuring(o.Task, r) })
