--- a/cell/delays.go
+++ b/cell/delays.go
@@ -15,7 +15,11 @@
 // logJobEnd logs the end of a job with the causes of its delays, so that an operator can
 // find out later why it was late.
 func (c *Cell) logJobEnd(j *jobState) {
-	fields := []any{"job", j.job.ID, "state", j.progress.State.String(), "after", c.now - j.acceptedAt, "kind", kindOf(j.job),
+	after := c.now - j.acceptedAt
+	if j.job.Scheduled() {
+		after = j.longestRound // the objective is that of an occurrence
+	}
+	fields := []any{"job", j.job.ID, "state", j.progress.State.String(), "after", after, "kind", kindOf(j.job),
 		"objective", j.objective(), "stretch", j.terms.StretchFactor(), "fixed", j.terms.Objective}
 	if j.progress.State == progress.Completed && j.workChain > 0 && !j.inherited {
 		fields = append(fields, "chain", j.workChain)
--- a/cell/delays_test.go
+++ b/cell/delays_test.go
@@ -97,6 +97,22 @@
 	is.True((*ended)[0]["after"].(time.Duration) < 2*length-time.Second) // it resumed
 }
 
+// Guards against scheduled jobs that count as late because they wait for their occurrences.
+func TestEndOfScheduledJob(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1, 2, 1)
+	s.duration = func(string) time.Duration { return time.Second }
+	ended := s.lines("job ended")
+	s.owners[0].takeOver()
+	s.after(3*time.Second, func() {
+		first := wall(s.now + 10*time.Second).UnixMilli()
+		s.submit(&job.Job{ID: jobID(1), Queue: "q", Spec: "x", Steps: []job.Step{step(1, 1)}, First: first, Interval: 5000, Times: 2})
+	})
+	s.run(30 * time.Second)
+	is.Equal(len(*ended), 1)
+	is.True(isAbout((*ended)[0]["after"], time.Second))
+}
+
 // Guards against the time that a slow worker costs being counted as the work of its tasks.
 func TestEndHasTimeOfSlowWorker(t *testing.T) {
 	is := is.New(t)
--- a/cell/job.go
+++ b/cell/job.go
@@ -21,6 +21,7 @@
 	chains          []time.Duration // longest chain of estimates from each step on
 	openedCount     int             // occurrences opened so far
 	delays          delay.Account   // delays of the last task of each step
+	longestRound    time.Duration   // longest time from the opening of an occurrence to its end
 	workChain       time.Duration   // longest chain of work that an occurrence took, zero if it isn't known
 	claimRecorded   bool            // it is on record that tasks may have been started
 	inherited       bool            // an earlier owner may have started tasks
@@ -297,6 +298,7 @@
 		return
 	}
 	delete(j.rounds, r.number)
+	j.longestRound = max(j.longestRound, c.now-r.openedAt)
 	j.workChain = max(j.workChain, r.workChain())
 	j.progress.Close(r.number)
 	c.writer.markDirty(j)
--- a/loss/answers.go
+++ b/loss/answers.go
@@ -58,10 +58,10 @@
 		cause = fault.OtherReason.String()
 	}
 	one := &answers{byCause: map[string]int{cause: 1}}
-	if outcome == "unknown" {
-		one.unknown = 1
-	} else {
+	if outcome == "rejected" || outcome == "" {
 		one.rejected = 1
+	} else { // also a value that was cut off
+		one.unknown = 1
 	}
 	return one
 }
--- a/loss/loss.go
+++ b/loss/loss.go
@@ -65,7 +65,9 @@
 	case "accept":
 		t.addAnswer(e)
 	case "process start":
-		t.zones[e.Instance] = e.Field("zone")
+		if zone := e.Field("zone"); zone != "" { // older versions don't log it
+			t.zones[e.Instance] = zone
+		}
 	case "load":
 		t.overTargetSeconds += number(e, "over") // older versions don't log it
 	case timeline.OmittedMessage:
