--- a/contention/admission.go
+++ b/contention/admission.go
@@ -21,13 +21,13 @@
 type Admission struct {
 	Start      time.Duration // expected time until its first step starts
 	End        time.Duration // expected time until its end
-	Worthless  bool          // it would end too late to be worth anything
-	RetryAfter time.Duration // when to submit it again; zero unless it is worthless
+	TooLate    bool          // it would end later than ranking.TooLateAfter
+	RetryAfter time.Duration // when to submit it again; zero unless it is too late
 }
 
 // Judge returns the expected course of a job in a pool, nil for one that isn't full. Random
 // is from 0 to 1. Jobs without an objective, lasting jobs and scheduled ones are never
-// worthless. Estimates are rough, and later steps may wait as well: End is a lower bound.
+// too late. Estimates are rough, and later steps may wait as well: End is a lower bound.
 func Judge(p *overload.Pool, j *job.Job, random float64) Admission {
 	length := job.CriticalPath(j.Steps)
 	objective := j.Terms.ObjectiveFor(length)
@@ -39,8 +39,8 @@
 	if objective <= 0 || j.Lasting() || j.Scheduled() || ranking.StandingOf(a.End, 0, objective, objective) != ranking.TooLate {
 		return a
 	}
-	a.Worthless = true
-	latestStart := ranking.WorthlessAfter(objective) - length
+	a.TooLate = true
+	latestStart := ranking.TooLateAfter(objective) - length
 	rest := max(minRetryAfter, a.Start-latestStart)
 	a.RetryAfter = rest + time.Duration(retrySpread*random*float64(rest))
 	return a
--- a/contention/admission_test.go
+++ b/contention/admission_test.go
@@ -17,7 +17,7 @@
 	}
 	pool := func(lines ...overload.Line) *overload.Pool { return &overload.Pool{Lines: lines} }
 	two := []job.Step{{Count: 1, Estimate: 2 * time.Second}, {Count: 1, Estimate: 2 * time.Second, After: []int{0}}}
-	// Its objective is 2 x 4 s + 1 s, so it is worth nothing after 27 s, 23 s from its start.
+	// Its objective is 2 x 4 s + 1 s, so it is too late after 27 s, 23 s from its start.
 	terms := job.Terms{Priority: 2, Stretch: 2, Objective: time.Second}
 	filling := job.Job{Queue: "q", Zone: "x", Terms: terms, Steps: two}
 	scheduled, lasting, unbounded := filling, filling, filling
@@ -35,8 +35,8 @@
 		{"nothing waits", pool(line("q", "x", 2, 0, 100)), filling, 0, 0},
 		{"in time", pool(line("q", "x", 2, 400, 100)), filling, 4 * time.Second, 0},
 		{"only late", pool(line("q", "x", 2, 2300, 100)), filling, 23 * time.Second, 0},
-		{"worthless", pool(line("q", "x", 2, 3300, 100)), filling, 33 * time.Second, 15 * time.Second},
-		{"worthless by little", pool(line("q", "x", 2, 2301, 100)), filling, 23010 * time.Millisecond, 1500 * time.Millisecond},
+		{"too late", pool(line("q", "x", 2, 3300, 100)), filling, 33 * time.Second, 15 * time.Second},
+		{"too late by little", pool(line("q", "x", 2, 2301, 100)), filling, 23010 * time.Millisecond, 1500 * time.Millisecond},
 		{"scheduled", pool(line("q", "x", 2, 3300, 100)), scheduled, 33 * time.Second, 0},
 		{"lasting", pool(line("q", "x", 2, 3300, 100)), lasting, 33 * time.Second, 0},
 		{"without an objective", pool(line("q", "x", 2, 3300, 100)), unbounded, 33 * time.Second, 0},
@@ -56,9 +56,9 @@
 			a := contention.Judge(tt.pool, &tt.job, 1)
 			is.Equal(a.Start, tt.start)
 			is.Equal(a.End, a.Start+job.CriticalPath(tt.job.Steps))
-			is.Equal(a.Worthless, tt.retryAfter > 0)
+			is.Equal(a.TooLate, tt.retryAfter > 0)
 			is.Equal(a.RetryAfter, tt.retryAfter)
-			if a.Worthless {
+			if a.TooLate {
 				is.Equal(contention.Judge(tt.pool, &tt.job, 0).RetryAfter, tt.retryAfter*2/3) // the random part is up to half of the rest
 			}
 		})
--- a/contention/contention.go
+++ b/contention/contention.go
@@ -4,7 +4,7 @@
 // Usage, where jobs are submitted:
 //
 //	a := contention.Judge(pool, j, rand.Float64()) // pool as its owner published it
-//	if a.Worthless {
+//	if a.TooLate {
 //		return fault.New(fault.Overloaded, "...").After(a.RetryAfter)
 //	}
 //
@@ -21,7 +21,7 @@
 //
 // It is made for a demand of one and a half to two and a half times the capacity that lasts
 // for longer than the objectives. Without admission control, the backlog grows until each
-// job ends too late to be worth anything, and the workers do nothing but worthless work.
+// job ends later than three times its objective, when its caller has given it up.
 // With package ranking alone, the queue whose jobs come in first or have the least work gets
 // the whole pool, and a large job waits for as long as smaller ones arrive.
 //
--- a/contention/load_test.go
+++ b/contention/load_test.go
@@ -108,7 +108,7 @@
 	steps[1].After = []int{0}
 	s.Job = &job.Job{Queue: c.queue, Zone: c.zone, Steps: steps, Terms: c.terms}
 	m.all = append(m.all, s)
-	if m.sharing && contention.Judge(m.published, s.Job, m.rng.Float64()).Worthless {
+	if m.sharing && contention.Judge(m.published, s.Job, m.rng.Float64()).TooLate {
 		s.rejected = true
 		return
 	}
@@ -226,9 +226,9 @@
 
 // result is what the callers of a class got.
 type result struct {
-	jobs, inTime, late, rejected, worthless, unfinished int
-	worth                                               float64 // mean
-	work, useful                                        int     // tasks of all jobs, and of those in time
+	jobs, inTime, late, rejected, tooLate, unfinished int
+	worth                                             float64 // mean
+	work, useful                                      int     // tasks of all jobs, and of those in time
 }
 
 func (m *model) results() map[string]result {
@@ -251,7 +251,7 @@
 			case worth > 0:
 				r.late++
 			case s.endedAt > 0:
-				r.worthless++
+				r.tooLate++
 			default:
 				r.unfinished++
 			}
@@ -303,7 +303,7 @@
 			if tt.load == 1 {
 				is.Equal(all.rejected, 0)
 			} else {
-				is.True(all.worthless+all.unfinished < allBefore.worthless+allBefore.unfinished) // rejected on arrival instead
+				is.True(all.tooLate+all.unfinished < allBefore.tooLate+allBefore.unfinished) // rejected on arrival instead
 			}
 		})
 	}
--- a/dispatcher/rejection.go
+++ b/dispatcher/rejection.go
@@ -21,7 +21,7 @@
 	admitted    rejectionCause = iota // admitted
 	ownerLags                         // owner lags
 	urgentWaits                       // urgent jobs wait
-	worthless                         // too late to be worth anything
+	tooLate                           // too late
 )
 
 // reason returns the reason for the account of rejections.
@@ -41,14 +41,14 @@
 
 // WithSharing sets whether full pools are shared among queues and availability zones: the
 // owner starts their tasks in a fair order and publishes their figures, by which jobs are
-// rejected that would end too late to be worth anything. It is off by default.
+// rejected that would end too late (ranking.TooLateAfter). It is off by default.
 func WithSharing(on bool) Option {
 	return func(d *Dispatcher) { d.sharing = on }
 }
 
 // reject decides whether to reject a job: an overloaded owner couldn't start it in time, it
-// is a lasting one and would take capacity for which urgent ones wait, or it would be worth
-// nothing to its caller once its pool has started it.
+// is a lasting one and would take capacity for which urgent ones wait, or it would end too
+// late for its caller.
 func (d *Dispatcher) reject(j *job.Job) rejection {
 	b := d.backlog()
 	if b == nil || j.Scheduled() {
@@ -64,9 +64,9 @@
 	if !d.sharing {
 		return rejection{}
 	}
-	if a := contention.Judge(b.Pools[j.Terms.Service], j, rand.Float64()); a.Worthless {
+	if a := contention.Judge(b.Pools[j.Terms.Service], j, rand.Float64()); a.TooLate {
 		reason := fmt.Sprintf("pool %s is full: the job would end after %v", j.Terms.Service, a.End.Round(time.Millisecond))
-		return rejection{worthless, reason, a.RetryAfter}
+		return rejection{tooLate, reason, a.RetryAfter}
 	}
 	return rejection{}
 }
--- a/dispatcher/rejection_test.go
+++ b/dispatcher/rejection_test.go
@@ -18,10 +18,10 @@
 	"github.com/dogwoodladder/dogwoodladder/queue"
 )
 
-// Guards against jobs that are accepted although they would be worth nothing, and against
+// Guards against jobs that are accepted although they would end too late, and against
 // rejections by figures of another owner, by old ones, or of jobs that are on record.
 func TestFullPool(t *testing.T) {
-	filling := job.Terms{Service: "pool", Priority: 2, Objective: time.Second} // worthless 3 s after it was submitted
+	filling := job.Terms{Service: "pool", Priority: 2, Objective: time.Second} // too late 3 s after it was submitted
 	full := func(queue string, waiting float64) *overload.Backlog {
 		line := overload.Line{Origin: overload.Origin{Queue: queue, Priority: 2}, Waiting: waiting, Rate: 100}
 		return &overload.Backlog{Pools: map[string]*overload.Pool{"pool": {Lines: []overload.Line{line}}}}
@@ -43,7 +43,7 @@
 		job      *job.Job
 		accepted bool
 	}{
-		{"worthless", full("q", 1300), true, false, false, inPool(newJob(1), "pool"), false},
+		{"too late", full("q", 1300), true, false, false, inPool(newJob(1), "pool"), false},
 		{"only late", full("q", 200), true, false, false, inPool(newJob(1), "pool"), true},
 		{"another pool", full("q", 1300), true, false, false, inPool(newJob(1), "other"), true},
 		{"without sharing", full("q", 1300), false, false, false, inPool(newJob(1), "pool"), true},
@@ -93,7 +93,7 @@
 					var e *fault.Error
 					is.True(errors.As(err, &e))
 					is.True(e.RetryAfter >= 10*time.Second && e.RetryAfter <= 15*time.Second) // 13 s of backlog, 3 s may be left
-					is.Equal(rejections, `{"too late to be worth anything": 1}`)
+					is.Equal(rejections, `{"too late": 1}`)
 				}
 				cancel()
 				synctest.Wait()
--- a/dispatcher/rejectioncause_string.go
+++ b/dispatcher/rejectioncause_string.go
@@ -11,12 +11,12 @@
 	_ = x[admitted-0]
 	_ = x[ownerLags-1]
 	_ = x[urgentWaits-2]
-	_ = x[worthless-3]
+	_ = x[tooLate-3]
 }
 
-const _rejectionCause_name = "admittedowner lagsurgent jobs waittoo late to be worth anything"
+const _rejectionCause_name = "admittedowner lagsurgent jobs waittoo late"
 
-var _rejectionCause_index = [...]uint8{0, 8, 18, 34, 63}
+var _rejectionCause_index = [...]uint8{0, 8, 18, 34, 42}
 
 func (i rejectionCause) String() string {
 	idx := int(i) - 0
--- a/ranking/ranking.go
+++ b/ranking/ranking.go
@@ -36,9 +36,9 @@
 // caller any more.
 const lateFactor = 3
 
-// WorthlessAfter returns how long after it began to wait a job with an objective has no
+// TooLateAfter returns how long after it began to wait a job with an objective has no
 // value to its caller any more.
-func WorthlessAfter(objective time.Duration) time.Duration {
+func TooLateAfter(objective time.Duration) time.Duration {
 	return lateFactor * objective
 }
 
@@ -48,7 +48,7 @@
 	switch {
 	case now <= due:
 		return InTime
-	case now <= waitingSince+WorthlessAfter(objective):
+	case now <= waitingSince+TooLateAfter(objective):
 		return Late
 	}
 	return TooLate
