--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -75,6 +75,7 @@
 	standbys       *standbys
 	accepts        *jobTails
 	progress       *tail.Tail
+	figures        figuresAge
 	intake         *intake
 	recordWriter   *recordWriter
 	aggregator     *aggregator
@@ -206,7 +207,7 @@
 	d.counters = newCounters(d.clock)
 	d.election = election.New(d.instance, d.nonce, d.processors, election.DefaultTiming(), rand.Float64)
 	d.accepts = d.newJobTails()
-	d.progress = d.newTail(catalog.Progress, d.foldInto(catalog.Progress, d.catalog.Progress, d.catalog.RetainProgress), tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
+	d.progress = d.newTail(catalog.Progress, d.recordFigures(d.foldInto(catalog.Progress, d.catalog.Progress, d.catalog.RetainProgress)), tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
 	d.intake = newIntake(d)
 	d.aggregator = newAggregator(d)
 	if d.followsAggregated {
--- a/dispatcher/rejection.go
+++ b/dispatcher/rejection.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/contention"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/overload"
+	"github.com/dogwoodladder/dogwoodladder/tail"
 )
 
 //go:generate go tool stringer -type=rejectionCause -linecomment
@@ -46,6 +48,41 @@
 	return func(d *Dispatcher) { d.sharing = on }
 }
 
+// figuresAge tells how old the figures of full pools are that this instance reads from the
+// owner's backlog records. While the owner is lost, the store still answers reads.
+type figuresAge struct {
+	mu     sync.Mutex
+	newest *overload.Backlog
+	readAt time.Duration // when newest was first read, on the dispatcher's clock
+}
+
+func (f *figuresAge) record(b *overload.Backlog, now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.newest != b {
+		f.newest, f.readAt = b, now
+	}
+}
+
+// age returns the time since a backlog was read, zero for one of another source: that of the
+// roster is only used while it is new.
+func (f *figuresAge) age(b *overload.Backlog, now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.newest != b {
+		return 0
+	}
+	return now - f.readAt
+}
+
+// recordFigures returns an apply function that also records when figures were read.
+func (d *Dispatcher) recordFigures(apply tail.Apply) tail.Apply {
+	return func(b tail.Batch) {
+		apply(b)
+		d.figures.record(d.catalog.Backlog(), d.clock())
+	}
+}
+
 // reject decides whether to reject a job: an overloaded owner couldn't start it in time, it
 // is a lasting one and would take capacity for which urgent ones wait, or it would end too
 // late for its caller.
@@ -61,7 +98,7 @@
 	if j.Lasting() && !b.Admits(j.Terms.Service, j.Terms.Priority) {
 		return rejection{urgentWaits, fmt.Sprintf("urgent jobs wait for free capacity in pool %s", j.Terms.Service), overload.RetryAfter(lag, rand.Float64())}
 	}
-	if !d.sharing {
+	if !d.sharing || d.figures.age(b, d.clock()) > maxBacklogAge {
 		return rejection{}
 	}
 	if a := contention.Judge(b.Pools[j.Terms.Service], j, rand.Float64()); a.TooLate {
--- a/dispatcher/rejection_test.go
+++ b/dispatcher/rejection_test.go
@@ -40,17 +40,19 @@
 		sharing  bool
 		newOwner bool // another owner has taken the cell since
 		silent   bool // the store hasn't answered reads for a while
+		stale    bool // the owner hasn't written for a while
 		job      *job.Job
 		accepted bool
 	}{
-		{"too late", full("q", 1300), true, false, false, inPool(newJob(1), "pool"), false},
-		{"only late", full("q", 200), true, false, false, inPool(newJob(1), "pool"), true},
-		{"another pool", full("q", 1300), true, false, false, inPool(newJob(1), "other"), true},
-		{"without sharing", full("q", 1300), false, false, false, inPool(newJob(1), "pool"), true},
-		{"scheduled", full("q", 1300), true, false, false, scheduled, true},
-		{"on record already", full("q", 1300), true, false, false, recorded, true},
-		{"the owner is lost", full("q", 1300), true, true, false, inPool(newJob(1), "pool"), true},
-		{"the figures are old", full("q", 1300), true, false, true, inPool(newJob(1), "pool"), true},
+		{"too late", full("q", 1300), true, false, false, false, inPool(newJob(1), "pool"), false},
+		{"only late", full("q", 200), true, false, false, false, inPool(newJob(1), "pool"), true},
+		{"another pool", full("q", 1300), true, false, false, false, inPool(newJob(1), "other"), true},
+		{"without sharing", full("q", 1300), false, false, false, false, inPool(newJob(1), "pool"), true},
+		{"scheduled", full("q", 1300), true, false, false, false, scheduled, true},
+		{"on record already", full("q", 1300), true, false, false, false, recorded, true},
+		{"the owner is lost", full("q", 1300), true, true, false, false, inPool(newJob(1), "pool"), true},
+		{"the store is silent", full("q", 1300), true, false, true, false, inPool(newJob(1), "pool"), true},
+		{"the figures are old", full("q", 1300), true, false, false, true, inPool(newJob(1), "pool"), true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -82,6 +84,9 @@
 					store.setUnreadable(catalog.Progress)
 					time.Sleep(1500 * time.Millisecond)
 				}
+				if tt.stale {
+					time.Sleep(500 * time.Millisecond) // before this instance claims the cell
+				}
 				err = d.Submit(ctx, tt.job)
 				is.Equal(err == nil, tt.accepted)
 				is.Equal(store.newest(catalog.Accepts, "a/"+tt.job.ID) != nil, tt.accepted)
