--- a/cell/delays.go
+++ b/cell/delays.go
@@ -15,7 +15,11 @@
 // logJobEnd logs the end of a job with the causes of its delays, so that an operator can
 // find out later why it was late.
 func (c *Cell) logJobEnd(j *jobState) {
-	fields := []any{"job", j.job.ID, "state", j.progress.State.String(), "after", c.now - j.acceptedAt, "kind", kindOf(j.job),
+	after := c.now - j.acceptedAt
+	if j.job.Scheduled() {
+		after = j.longestRound // the objective is that of an occurrence
+	}
+	fields := []any{"job", j.job.ID, "state", j.progress.State.String(), "after", after, "kind", kindOf(j.job),
 		"objective", j.objective(), "stretch", j.terms.StretchFactor(), "fixed", j.terms.Objective}
 	if j.progress.State == progress.Completed && j.workChain > 0 && !j.inherited {
 		fields = append(fields, "chain", j.workChain)
@@ -118,9 +122,9 @@
 			Took:     took,
 			Slowdown: c.slowdownOf(r),
 			Last:     s.tasksLeft == 1 || s.spec.Gang,
-			Partial:  t.checkpoint != "" && t.startCount > 1,
+			Partial:  !r.complete,
 		})
-		s.longestWork = max(s.longestWork, parts.Work)
+		s.longestWork = max(s.longestWork, r.wholeWork(parts.Work))
 	}
 	beyond := parts.Beyond(s.spec.Estimate)
 	t.delays.Add(delay.Interference, beyond.Interference)
@@ -128,6 +132,18 @@
 	t.delays.Add(delay.Work, beyond.Work)
 }
 
+// wholeWork returns the work of a run's task, given that of the run: one that resumed from a
+// checkpoint did a part of it. It is zero if that part isn't known.
+func (r *run) wholeWork(work time.Duration) time.Duration {
+	switch {
+	case r.complete:
+		return work
+	case !r.fromKnown || r.from >= 100:
+		return 0
+	}
+	return work * 100 / time.Duration(100-r.from)
+}
+
 // slowdownOf returns the part of a run's time that the filling tasks beside it cost it, by
 // what runs there at its end. A filling run's own share of the idle processors isn't
 // interference.
--- a/cell/sharing.go
+++ b/cell/sharing.go
@@ -30,6 +30,7 @@
 	c.detectFullPools()
 	places := make(map[string][]int)
 	for i, s := range c.waitingSteps {
+		s.promoted = false
 		if service := s.job.terms.Service; !s.spec.Lasting && c.isShared(service) {
 			places[service] = append(places[service], i)
 		}
@@ -46,7 +47,7 @@
 		for _, r := range w.runs {
 			if r.task != nil && !r.task.step.spec.Lasting {
 				s := r.task.step
-				o.AddUse(s.job.job.Queue, s.job.job.Zone, s.spec.Need.Processors, r.overdue)
+				o.AddUse(s.job.job.Queue, s.job.job.Zone, s.spec.Need.Processors, r.promoted)
 			}
 		}
 	}
@@ -57,6 +58,7 @@
 		o.Add(c.contending(s))
 	}
 	for i, next := range o.Sorted() {
+		steps[next].promoted = o.IsPromoted(next)
 		c.waitingSteps[places[i]] = steps[next]
 	}
 }
@@ -83,7 +85,7 @@
 // detectFullPools determines which pools are full: those with waiting steps that found no
 // worker.
 func (c *Cell) detectFullPools() {
-	lacking := make(map[string]map[int]bool) // priorities by service
+	lacking := make(map[string]map[int]bool) // by service and priority: whether unconstrained steps are among them
 	for _, s := range c.waitingSteps {
 		if !s.spec.Lasting && s.lastFailedPass > 0 && len(s.ready) > 0 && c.now-s.ready[0].waitingSince >= minFullWait {
 			service := s.job.terms.Service
@@ -91,7 +93,8 @@
 				lacking[service] = make(map[int]bool)
 				c.flow(service) // exists for each full pool
 			}
-			lacking[service][s.job.terms.Priority] = true
+			priority := s.job.terms.Priority
+			lacking[service][priority] = lacking[service][priority] || s.isUnconstrained()
 		}
 	}
 	for service, f := range inOrder(c.flows) {
@@ -117,8 +120,7 @@
 	if !c.sharing || s.spec.Lasting {
 		return
 	}
-	contending := c.contending(s)
-	r.overdue = contending.Overdue()
+	r.promoted = s.promoted
 	c.flow(s.job.terms.Service).RecordStart(c.now, s.origin(), s.taskWork())
 }
 
@@ -128,12 +130,19 @@
 	return overload.Origin{Queue: j.job.Queue, Zone: j.job.Zone, Priority: j.terms.Priority}
 }
 
-// waitingWork returns the core-seconds that wait in each pool, by origin. Steps that need
-// a label don't count: what they wait for may be a single worker.
+// isUnconstrained reports whether each worker of the pool could run the step's tasks. What
+// other steps wait for may be a single worker, a rack or an accelerator, so their waiting
+// doesn't show that the pool has no free capacity for others.
+func (s *stepState) isUnconstrained() bool {
+	return s.spec.Label == "" && s.spec.Need.Accelerators == 0 && s.spec.PerWorker == 0 && !s.spec.Gang && !s.spec.SameRack
+}
+
+// waitingWork returns the core-seconds of unconstrained steps that wait in each pool, by
+// origin.
 func (c *Cell) waitingWork() map[string]map[overload.Origin]float64 {
 	work := make(map[string]map[overload.Origin]float64)
 	for _, s := range c.waitingSteps {
-		if s.spec.Lasting || s.spec.Label != "" || len(s.ready) == 0 {
+		if s.spec.Lasting || !s.isUnconstrained() || len(s.ready) == 0 {
 			continue
 		}
 		service := s.job.terms.Service
--- a/contention/contention.go
+++ b/contention/contention.go
@@ -4,24 +4,24 @@
 // Usage, where jobs are submitted:
 //
 //	a := contention.Judge(pool, j, rand.Float64()) // pool as its owner published it
-//	if a.Worthless {
+//	if a.TooLate {
 //		return fault.New(fault.Overloaded, "...").After(a.RetryAfter)
 //	}
 //
 // and by the owner, while the pool is full:
 //
 //	o := contention.NewOrder()
-//	o.AddUse(queue, zone, processors, overdue) // for each task that runs in the pool
+//	o.AddUse(queue, zone, processors, promoted) // for each task that runs in the pool
 //	for _, s := range steps {                  // in the order of package ranking
 //		o.Add(contention.Step{Queue: s.queue, Zone: s.zone, Rank: s.rank, ...})
 //	}
 //	for _, i := range o.Sorted() {
-//		start(steps[i])
+//		start(steps[i]) // promoted if o.IsPromoted(i)
 //	}
 //
 // It is made for a demand of one and a half to two and a half times the capacity that lasts
 // for longer than the objectives. Without admission control, the backlog grows until each
-// job ends too late to be worth anything, and the workers do nothing but worthless work.
+// job ends later than three times its objective, when its caller has given it up.
 // With package ranking alone, the queue whose jobs come in first or have the least work gets
 // the whole pool, and a large job waits for as long as smaller ones arrive.
 //
