--- a/dispatcher/batcher.go
+++ b/dispatcher/batcher.go
@@ -143,6 +143,10 @@
 	return e.state.CompareAndSwap(writeWaiting, writeWithdrawn)
 }
 
+func (e *pendingWrite) isWithdrawn() bool {
+	return e.state.Load() == writeWithdrawn
+}
+
 // isCertain withdraws the record if it waits, and reports whether it is certain that the
 // record neither is nor will be written by this write.
 func (e *pendingWrite) isCertain() bool {
--- a/dispatcher/recordwriter.go
+++ b/dispatcher/recordwriter.go
@@ -145,7 +145,7 @@
 // is near, or the record is certain not to be written and neither way works. It returns the
 // write that was acknowledged.
 func (r *request) run(ctx context.Context) (*pendingWrite, error) {
-	defer r.withdraw()
+	defer r.withdrawWaiting()
 	for round := 1; ctx.Err() == nil; round++ {
 		way, hedgeDelay := r.w.next()
 		if way == writepath.Reject && r.withdraw() {
@@ -180,13 +180,32 @@
 	return fault.Wrap(fault.Unavailable, r.last, "not written").After(after)
 }
 
-// withdraw withdraws the writes that haven't been sent, and reports whether the record is
-// certain not to be written by the others.
+// withdraw reports whether the record is certain not to be written, and withdraws the writes that
+// haven't been sent for that. It leaves them in their queues if another write may be on record:
+// the request goes on then, and needs each of them.
 func (r *request) withdraw() (certain bool) {
+	for _, e := range r.writes {
+		if e.state.Load() == writeSent {
+			return false
+		}
+	}
+	return r.withdrawWaiting()
+}
+
+// withdrawWaiting withdraws the writes that haven't been sent. It reports whether the record is
+// certain not to be written by the others.
+func (r *request) withdrawWaiting() (certain bool) {
 	certain = true
 	for _, e := range r.writes {
 		certain = e.isCertain() && certain
 	}
+	// A withdrawn write gets no result. Its way can be begun again.
+	if r.direct != nil && r.direct.isWithdrawn() {
+		r.direct, r.hedge = nil, nil
+	}
+	if r.handed != nil && r.handed.isWithdrawn() {
+		r.handed = nil
+	}
 	return certain
 }
 
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -775,6 +775,37 @@
 	}
 }
 
+// Guards against a record that a late aggregator may still write, and whose direct write is
+// withdrawn from the queue: the request would wait for the result of that write until its deadline,
+// although the store answers again.
+func TestDirectWriteStaysQueuedBesideLateHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &partitions{appendTime: 2 * time.Millisecond, freeAt: map[string]time.Time{}}
+		d := New(Platform{Store: storeOf{partitions: store}}, WithAggregation(link{}))
+		defer d.tomb.Kill(nil) // also after a failure, which would otherwise show as a deadlock
+		d.recordWriter.handover.batches.write = func(ctx context.Context, batch []*pendingWrite) {
+			for _, e := range batch {
+				e.done <- errLate
+			}
+			<-ctx.Done()
+		}
+		d.tomb.Go(func() error {
+			ctx := d.tomb.Context(context.Background())
+			d.recordWriter.run(ctx)
+			time.Sleep(time.Second) // earlier direct writes are in flight
+			return d.intake.batches.run(ctx)
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), requestTime)
+		defer cancel()
+		r := &request{w: d.recordWriter, record: provider.KeyedRecord{Key: "a/1"}, acked: make(chan *pendingWrite, 1)}
+		startedAt := time.Now()
+		_, err := r.run(ctx)
+		is.NoErr(err)
+		is.True(time.Since(startedAt) < 1100*time.Millisecond)
+	})
+}
+
 // Guards against broken connections that don't divert an instance, as an answer arrives before the
 // hedge delay, and against an append from before a recovery that diverts it again.
 func TestDirectAppendsMoveThePath(t *testing.T) {
