--- a/dispatcher/batcher.go
+++ b/dispatcher/batcher.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dogwoodladder/dogwoodladder/aggregation"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
@@ -25,6 +26,7 @@
 	pending  chan *pendingWrite
 	done     chan struct{} // gets a value for each finished write
 	inFlight int           // number of writes in flight; used by run only
+	next     *pendingWrite // first of the next batch, as it didn't fit into the last one; nil for none; used by run only
 	max      int           // maximum of inFlight
 	spacing  time.Duration // time without a finished write after which a concurrent one may begin
 	write    func(ctx context.Context, batch []*pendingWrite)
@@ -53,22 +55,32 @@
 
 func (b *batcher) run(ctx context.Context) error {
 	for {
-		select {
-		case <-ctx.Done():
+		first := b.first(ctx)
+		if first == nil || !b.awaitSlot(ctx) {
 			return nil
-		case first := <-b.pending:
-			if !b.awaitSlot(ctx) {
-				return nil
-			}
-			batch := b.collect(ctx, first)
-			b.d.tomb.Go(func() error {
-				if sent := markSent(batch); len(sent) > 0 {
-					b.write(ctx, sent)
-				}
-				b.done <- struct{}{}
-				return nil
-			})
 		}
+		batch := b.collect(ctx, first)
+		b.d.tomb.Go(func() error {
+			if sent := markSent(batch); len(sent) > 0 {
+				b.write(ctx, sent)
+			}
+			b.done <- struct{}{}
+			return nil
+		})
+	}
+}
+
+// first waits for the first record of the next batch. It returns nil once ctx is done.
+func (b *batcher) first(ctx context.Context) *pendingWrite {
+	if e := b.next; e != nil {
+		b.next = nil
+		return e
+	}
+	select {
+	case e := <-b.pending:
+		return e
+	case <-ctx.Done():
+		return nil
 	}
 }
 
@@ -96,13 +108,21 @@
 	}
 }
 
+// collect adds the records that arrive within intakeWindow to a batch. Its size is at most what an
+// aggregator takes, which also is less than the store takes in one call.
 func (b *batcher) collect(ctx context.Context, first *pendingWrite) []*pendingWrite {
 	batch := []*pendingWrite{first}
+	size := first.size()
 	window := time.NewTimer(intakeWindow)
 	defer window.Stop()
 	for len(batch) < maxIntakeBatch {
 		select {
 		case e := <-b.pending:
+			size += e.size()
+			if size > aggregation.MaxBytes {
+				b.next = e
+				return batch
+			}
 			batch = append(batch, e)
 		case <-window.C:
 			return batch
@@ -138,6 +158,10 @@
 	return &pendingWrite{record: record, done: make(chan error, 2)}
 }
 
+func (e *pendingWrite) size() int {
+	return aggregation.Size([]provider.KeyedRecord{e.record})
+}
+
 // withdraw takes a record back. It returns false if the record was sent already.
 func (e *pendingWrite) withdraw() bool {
 	return e.state.CompareAndSwap(writeWaiting, writeWithdrawn)
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -806,6 +806,27 @@
 	})
 }
 
+// Guards against a batch of large records that every aggregator refuses, as it takes at most
+// aggregation.MaxBytes.
+func TestBatchFitsIntoOneWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := New(Platform{Store: emptyStore{}})
+		defer d.tomb.Kill(nil)
+		var sizes, counts []int
+		b := newBatcher(d, 1, time.Second, func(_ context.Context, batch []*pendingWrite) {
+			sizes, counts = append(sizes, aggregation.Size(recordsOf(batch))), append(counts, len(batch))
+		})
+		for n := range 10 {
+			is.True(b.add(newPendingWrite(provider.KeyedRecord{Key: fmt.Sprintf("a/%d", n), Value: make([]byte, 200_000)})))
+		}
+		d.tomb.Go(func() error { return b.run(d.tomb.Context(context.Background())) })
+		time.Sleep(time.Second)
+		is.Equal(counts, []int{5, 5})
+		is.True(slices.Max(sizes) <= aggregation.MaxBytes)
+	})
+}
+
 // Guards against broken connections that don't divert an instance, as an answer arrives before the
 // hedge delay, and against an append from before a recovery that diverts it again.
 func TestDirectAppendsMoveThePath(t *testing.T) {
