--- a/dispatcher/aggregator.go
+++ b/dispatcher/aggregator.go
@@ -80,7 +80,7 @@
 }
 
 // Aggregator returns the Sink that writes records on behalf of other instances. It refuses all
-// records without the option WithAggregatedStream.
+// records without the option WithAggregator.
 func (d *Dispatcher) Aggregator() aggregation.Sink {
 	return d.aggregator
 }
@@ -109,7 +109,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case !a.d.followsAggregated || a.isStopped || a.d.isLeaving():
+	case !a.d.isAggregator || a.isStopped || a.d.isLeaving():
 		return "not an aggregator"
 	case a.isRejected():
 		return "the store rejects writes"
--- a/dispatcher/aggregator_test.go
+++ b/dispatcher/aggregator_test.go
@@ -100,7 +100,7 @@
 // startAggregator starts an instance on a store, and returns what it reaches of the store.
 func startAggregator(ctx context.Context, store *slowStore, name string, opts ...dispatcher.Option) (*dispatcher.Dispatcher, *aggregatedStore) {
 	own := &aggregatedStore{slowStore: store}
-	opts = append([]dispatcher.Option{dispatcher.WithInstance(name), dispatcher.WithAggregatedStream()}, opts...)
+	opts = append([]dispatcher.Option{dispatcher.WithInstance(name), dispatcher.WithAggregator()}, opts...)
 	d := dispatcher.New(dispatcher.Platform{Store: own, Executor: noWorkers{}}, opts...)
 	d.Configure(queue.New(1, queue.Limits{}, nil, nil))
 	go func() { _ = d.Run(ctx) }()
@@ -428,12 +428,37 @@
 	})
 }
 
+// Guards against an instance with aggregation switched off that loses the jobs that others write
+// through aggregators, leaves them on record when they are forgotten, or writes for others.
+func TestFollowerOfAggregatedStreamIsNoAggregator(t *testing.T) {
+	inSynctest(t, func(ctx context.Context, is *is.I) {
+		timing := cell.DefaultTiming()
+		timing.JobRetention = time.Second
+		store := &aggregatedStore{slowStore: newSlowStore(2 * time.Millisecond)}
+		d := dispatcher.New(dispatcher.Platform{Store: store, Executor: noWorkers{}}, dispatcher.WithInstance("e1"),
+			dispatcher.WithTiming(timing), dispatcher.WithAggregatedStream())
+		d.Configure(queue.New(1, queue.Limits{}, nil, nil))
+		go func() { _ = d.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		is.Equal(aggregate(ctx, d, 1, time.Second).Outcome, aggregation.NotWritten)
+		appends, _ := store.counts()
+		is.Equal(appends, 0)
+		is.NoErr(store.slowStore.Append(ctx, catalog.Aggregated, nil, []provider.KeyedRecord{acceptRecord(2)}))
+		state, err := d.State(ctx, newJob(2).ID)
+		is.NoErr(err)
+		is.Equal(state, progress.Queued)
+		is.NoErr(d.Cancel(ctx, newJob(2).ID))
+		time.Sleep(40 * time.Second)
+		is.Equal(len(store.newest(catalog.Aggregated, "a/"+newJob(2).ID)), 0)
+	})
+}
+
 // Guards against an owner that starts the tasks of aggregated jobs late, because it reads their
 // stream rarely.
 func TestOwnerStartsAggregatedJobsAtOnce(t *testing.T) {
 	inSynctest(t, func(ctx context.Context, is *is.I) {
 		store, workers, clock := newSlowStore(2*time.Millisecond), &unresponsiveWorkers{}, newClock()
-		d := dispatcher.New(dispatcher.Platform{Store: store, Executor: workers}, dispatcher.WithClock(clock), dispatcher.WithAggregatedStream())
+		d := dispatcher.New(dispatcher.Platform{Store: store, Executor: workers}, dispatcher.WithClock(clock), dispatcher.WithAggregator())
 		d.Configure(onePool())
 		go sendListPeriodically(ctx, d, clock, provider.Host{ID: "w1", Service: "pool"}, provider.Host{ID: "w2", Service: "pool"}, provider.Host{ID: "w3", Service: "pool"})
 		go func() { _ = d.Run(ctx) }()
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -78,7 +78,7 @@
 	intake         *intake
 	recordWriter   *recordWriter
 	aggregator     *aggregator
-	localSink      aggregation.Sink // where this instance writes as aggregator; nil without aggregation
+	localSink      aggregation.Sink // where this instance writes as aggregator; nil if it is none
 	table          atomic.Pointer[queue.Table]
 	inputs         chan cell.Input
 	updated        chan struct{}
@@ -93,7 +93,8 @@
 	sharing        bool
 	counters       *Counters
 
-	followsAggregated bool // whether stream catalog.Aggregated is followed and written
+	followsAggregated bool // whether stream catalog.Aggregated is followed
+	isAggregator      bool // whether it is written on behalf of other instances
 
 	// Owned by the control goroutine.
 	election        *election.Election
@@ -209,7 +210,7 @@
 	d.progress = d.newTail(catalog.Progress, d.foldInto(catalog.Progress, d.catalog.Progress, d.catalog.RetainProgress), tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
 	d.intake = newIntake(d)
 	d.aggregator = newAggregator(d)
-	if d.followsAggregated {
+	if d.isAggregator {
 		d.localSink = d.aggregator
 	}
 	d.recordWriter.init()
@@ -260,7 +261,7 @@
 		}
 		d.tomb.Go(func() error { return d.progress.Run(inner) })
 		d.tomb.Go(func() error { return d.intake.batches.run(inner) })
-		if d.followsAggregated {
+		if d.isAggregator {
 			d.tomb.Go(func() error { return d.aggregator.run(inner) })
 		}
 		d.recordWriter.run(inner)
--- a/dispatcher/jobtails.go
+++ b/dispatcher/jobtails.go
@@ -16,21 +16,30 @@
 const maxReadyAggregatedAge = aggregatedWait + time.Second
 
 // WithAggregatedStream makes the dispatcher follow stream catalog.Aggregated beside
-// catalog.Accepts, and write to it on behalf of other instances: see Aggregator.
+// catalog.Accepts.
 //
 // Either all instances of a cell have this option or none. An owner without it doesn't know
 // the jobs that only stream catalog.Aggregated has: it starts none of their tasks, answers
 // that there are no such jobs, stops their runs, and deletes their progress as that of deleted
-// jobs. So operators switch it off only while that stream has no jobs: counter
+// jobs. So an instance has it wherever another one may write to that stream, whether or not it
+// writes there itself. It is removed from a cell only while the stream has no jobs: counter
 // records_aggregated hasn't grown at any instance since before the oldest job that isn't
 // forgotten yet was submitted (jobs are forgotten cell.Timing.JobRetention after their end).
-// Instances write to the stream only while the store is slow or rejects them. While the option
-// is being switched on, jobs that are accepted through an aggregator start once an instance with
-// the option owns the cell.
+// While the option is being added to a cell, jobs that are accepted through an aggregator start
+// once an instance with the option owns the cell.
 func WithAggregatedStream() Option {
 	return func(d *Dispatcher) { d.followsAggregated = true }
 }
 
+// WithAggregator makes the dispatcher follow stream catalog.Aggregated, as WithAggregatedStream
+// does, and write to it on behalf of other instances: see Aggregator.
+func WithAggregator() Option {
+	return func(d *Dispatcher) {
+		d.followsAggregated = true
+		d.isAggregator = true
+	}
+}
+
 // jobTails follow the streams of accepted and cancelled jobs as if they were one.
 type jobTails struct {
 	accepts    *tail.Tail
