--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -822,6 +822,7 @@
 		}
 		d.tomb.Go(func() error { return b.run(d.tomb.Context(context.Background())) })
 		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(counts, []int{5, 5})
 		is.True(slices.Max(sizes) <= aggregation.MaxBytes)
 	})
