--- a/dispatcher/recordwriter.go
+++ b/dispatcher/recordwriter.go
@@ -251,6 +251,7 @@
 			return e
 		}
 		switch {
+		case ctx.Err() != nil:
 		case !triesHandover:
 			triesHandover = true
 			if r.direct != nil && r.direct.withdraw() { // it waits for an earlier append
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -806,6 +806,21 @@
 	})
 }
 
+// Guards against a write that is begun once the time of its request is over. If it were sent before
+// it can be withdrawn, a caller would be told that the outcome is unknown, instead of 503.
+func TestNoWriteIsBegunAfterTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := New(Platform{Store: emptyStore{}}, WithAggregation(link{}))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		r := &request{w: d.recordWriter, acked: make(chan *pendingWrite, 1)}
+		is.True(r.race(ctx, writepath.WriteDirectly, 2*time.Second) == nil)
+		is.Equal(len(r.writes), 1)
+		is.True(r.withdraw())
+	})
+}
+
 // Guards against a batch of large records that every aggregator refuses, as it takes at most
 // aggregation.MaxBytes.
 func TestBatchFitsIntoOneWrite(t *testing.T) {
