--- a/dispatcher/recordwriter.go
+++ b/dispatcher/recordwriter.go
@@ -173,11 +173,16 @@
 
 // rejection returns the error for a record that is certain not to be written.
 func (r *request) rejection() error {
-	after := retryAfter(r.w.d.intake.outage.duration())
-	if r.last == nil {
-		return fault.New(fault.Unavailable, "neither the store nor an aggregator writes").After(after)
+	silence := r.w.d.intake.outage.duration()
+	after := retryAfter(silence)
+	if r.last != nil {
+		return fault.Wrap(fault.Unavailable, r.last, "not written").After(after)
 	}
-	return fault.Wrap(fault.Unavailable, r.last, "not written").After(after)
+	err := fault.New(fault.Unavailable, "neither the store nor an aggregator writes").After(after)
+	if silence > 0 || len(r.writes) > 0 { // the writes waited for earlier ones in vain
+		err = err.Because(fault.StoreSilent)
+	}
+	return err
 }
 
 // withdraw reports whether the record is certain not to be written, and withdraws the writes that
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -806,6 +806,40 @@
 	})
 }
 
+// Guards against jobs that are counted as rejected by the store while it doesn't answer.
+func TestReasonOfRejections(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(d *Dispatcher)
+		want    fault.Reason
+	}{
+		{"older writes aren't answered", func(d *Dispatcher) {
+			d.intake.outage.beginWrite()
+			d.recordWriter.handover.outage.beginWrite()
+			time.Sleep(unansweredTimeout)
+		}, fault.StoreSilent},
+		{"the record waits for earlier writes", func(*Dispatcher) {}, fault.StoreSilent},
+		{"both ways were rejected", func(d *Dispatcher) {
+			d.recordWriter.handoverFailed()
+			d.recordWriter.appended(time.Millisecond, fault.New(fault.Unavailable, "status 503"))
+		}, fault.StoreRejects},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), 2*requestTime)
+				defer cancel()
+				d := New(Platform{Store: emptyStore{}}, WithAggregation(link{}))
+				tt.prepare(d)
+				_, err := (&request{w: d.recordWriter, acked: make(chan *pendingWrite, 1)}).run(ctx)
+				is.True(fault.Is(err, fault.Unavailable))
+				is.Equal(fault.ReasonOf(err), tt.want)
+			})
+		})
+	}
+}
+
 // Guards against a write that is begun once the time of its request is over. If it were sent before
 // it can be withdrawn, a caller would be told that the outcome is unknown, instead of 503.
 func TestNoWriteIsBegunAfterTheDeadline(t *testing.T) {
