--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -75,6 +75,12 @@
 	return h.router.Order(h.d.clock(), members, s.roster.Heartbeat().Owner)
 }
 
+// takes reports whether a record can be handed over: an aggregator is known, and the record isn't
+// larger than what each of them takes.
+func (h *handover) takes(record provider.KeyedRecord) bool {
+	return len(h.candidates()) > 0 && aggregation.Check([]provider.KeyedRecord{record}) == nil
+}
+
 func without(members []roster.Member, id string) []roster.Member {
 	var others []roster.Member
 	for _, m := range members {
--- a/dispatcher/recordwriter.go
+++ b/dispatcher/recordwriter.go
@@ -99,7 +99,7 @@
 // write writes one record and returns the stream that has it. After an error of kind
 // fault.Unavailable or fault.Overloaded the record is certain not to be written, also not later.
 func (w *recordWriter) write(ctx context.Context, record provider.KeyedRecord) (stream string, err error) {
-	if w.handover == nil || len(w.handover.candidates()) == 0 {
+	if w.handover == nil || !w.handover.takes(record) {
 		err = w.d.intake.write(ctx, record)
 		w.count(&w.d.counters.writes.direct, err)
 		return catalog.Accepts, err
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -806,6 +806,26 @@
 	})
 }
 
+// Guards against a record that is too large for aggregators and handed over: all of them would refuse
+// it, and count as failed for the instance's other records.
+func TestLargeRecordIsWrittenDirectly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, true)
+		defer s.stop()
+		w := s.instances[siteMembers].recordWriter
+		w.overdue()
+		is.Equal(w.path.State(), writepath.Diverted)
+		ctx, cancel := context.WithTimeout(t.Context(), requestTime)
+		defer cancel()
+		for size, want := range map[int]string{1: catalog.Aggregated, aggregation.MaxBytes: catalog.Accepts} {
+			stream, err := w.write(ctx, provider.KeyedRecord{Key: "a/1", Value: make([]byte, size)})
+			is.NoErr(err)
+			is.Equal(stream, want)
+		}
+	})
+}
+
 // Guards against jobs that are counted as rejected by the store while it doesn't answer.
 func TestReasonOfRejections(t *testing.T) {
 	tests := []struct {
