--- a/aggregation/client.go
+++ b/aggregation/client.go
@@ -18,6 +18,8 @@
 
 // Bounds of a client's calls.
 const (
+	// dialTimeout is below the time after which the next candidate is asked, 400 ms: an
+	// unreachable candidate is certain not to have the records by then.
 	dialTimeout  = 250 * time.Millisecond
 	idleTimeout  = 30 * time.Second
 	maxIdleConns = 4       // to one aggregator
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -36,7 +36,7 @@
 	// maxHandovers is the maximum number of batches in flight. At handoverSpacing it suffices
 	// for batches that are answered by the second candidate.
 	maxHandovers = 16
-	// handoverTimeout is how long a batch waits for an answer. After a batch that wasn't written
+	// handoverTimeout is how long a batch waits for an answer. Callers usually have 3 s. After a batch that wasn't written
 	// the next one waits less, so that an instance that reaches no candidate rejects its callers
 	// while they can still try another one.
 	handoverTimeout        = 2 * time.Second
