--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -36,7 +36,7 @@
 	// maxHandovers is the maximum number of batches in flight. At handoverSpacing it suffices
 	// for batches that are answered by the second candidate.
 	maxHandovers = 16
-	// handoverTimeout is how long a batch waits for an answer. After a batch that wasn't written
+	// handoverTimeout is how long a batch waits for an answer. Callers usually have 3 s. After a batch that wasn't written
 	// the next one waits less, so that an instance that reaches no candidate rejects its callers
 	// while they can still try another one.
 	handoverTimeout        = 2 * time.Second
@@ -75,6 +75,12 @@
 	return h.router.Order(h.d.clock(), members, s.roster.Heartbeat().Owner)
 }
 
+// takes reports whether a record can be handed over: an aggregator is known, and the record isn't
+// larger than what each of them takes.
+func (h *handover) takes(record provider.KeyedRecord) bool {
+	return len(h.candidates()) > 0 && aggregation.Check([]provider.KeyedRecord{record}) == nil
+}
+
 func without(members []roster.Member, id string) []roster.Member {
 	var others []roster.Member
 	for _, m := range members {
--- a/dispatcher/recordwriter.go
+++ b/dispatcher/recordwriter.go
@@ -99,7 +99,7 @@
 // write writes one record and returns the stream that has it. After an error of kind
 // fault.Unavailable or fault.Overloaded the record is certain not to be written, also not later.
 func (w *recordWriter) write(ctx context.Context, record provider.KeyedRecord) (stream string, err error) {
-	if w.handover == nil || len(w.handover.candidates()) == 0 {
+	if w.handover == nil || !w.handover.takes(record) {
 		err = w.d.intake.write(ctx, record)
 		w.count(&w.d.counters.writes.direct, err)
 		return catalog.Accepts, err
@@ -145,7 +145,7 @@
 // is near, or the record is certain not to be written and neither way works. It returns the
 // write that was acknowledged.
 func (r *request) run(ctx context.Context) (*pendingWrite, error) {
-	defer r.withdraw()
+	defer r.withdrawWaiting()
 	for round := 1; ctx.Err() == nil; round++ {
 		way, hedgeDelay := r.w.next()
 		if way == writepath.Reject && r.withdraw() {
@@ -173,20 +173,44 @@
 
 // rejection returns the error for a record that is certain not to be written.
 func (r *request) rejection() error {
-	after := retryAfter(r.w.d.intake.outage.duration())
-	if r.last == nil {
-		return fault.New(fault.Unavailable, "neither the store nor an aggregator writes").After(after)
+	silence := r.w.d.intake.outage.duration()
+	after := retryAfter(silence)
+	if r.last != nil {
+		return fault.Wrap(fault.Unavailable, r.last, "not written").After(after)
 	}
-	return fault.Wrap(fault.Unavailable, r.last, "not written").After(after)
+	err := fault.New(fault.Unavailable, "neither the store nor an aggregator writes").After(after)
+	if silence > 0 || len(r.writes) > 0 { // the writes waited for earlier ones in vain
+		err = err.Because(fault.StoreSilent)
+	}
+	return err
 }
 
-// withdraw withdraws the writes that haven't been sent, and reports whether the record is
-// certain not to be written by the others.
+// withdraw reports whether the record is certain not to be written, and withdraws the writes that
+// haven't been sent for that. It leaves them in their queues if another write may be on record:
+// the request goes on then, and needs each of them.
 func (r *request) withdraw() (certain bool) {
+	for _, e := range r.writes {
+		if e.state.Load() == writeSent {
+			return false
+		}
+	}
+	return r.withdrawWaiting()
+}
+
+// withdrawWaiting withdraws the writes that haven't been sent. It reports whether the record is
+// certain not to be written by the others.
+func (r *request) withdrawWaiting() (certain bool) {
 	certain = true
 	for _, e := range r.writes {
 		certain = e.isCertain() && certain
 	}
+	// A withdrawn write gets no result. Its way can be begun again.
+	if r.direct != nil && r.direct.isWithdrawn() {
+		r.direct, r.hedge = nil, nil
+	}
+	if r.handed != nil && r.handed.isWithdrawn() {
+		r.handed = nil
+	}
 	return certain
 }
 
@@ -232,6 +256,7 @@
 			return e
 		}
 		switch {
+		case ctx.Err() != nil:
 		case !triesHandover:
 			triesHandover = true
 			if r.direct != nil && r.direct.withdraw() { // it waits for an earlier append
--- a/dispatcher/recordwriter_test.go
+++ b/dispatcher/recordwriter_test.go
@@ -775,6 +775,128 @@
 	}
 }
 
+// Guards against a record that a late aggregator may still write, and whose direct write is
+// withdrawn from the queue: the request would wait for the result of that write until its deadline,
+// although the store answers again.
+func TestDirectWriteStaysQueuedBesideLateHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &partitions{appendTime: 2 * time.Millisecond, freeAt: map[string]time.Time{}}
+		d := New(Platform{Store: storeOf{partitions: store}}, WithAggregation(link{}))
+		defer d.tomb.Kill(nil) // also after a failure, which would otherwise show as a deadlock
+		d.recordWriter.handover.batches.write = func(ctx context.Context, batch []*pendingWrite) {
+			for _, e := range batch {
+				e.done <- errLate
+			}
+			<-ctx.Done()
+		}
+		d.tomb.Go(func() error {
+			ctx := d.tomb.Context(context.Background())
+			d.recordWriter.run(ctx)
+			time.Sleep(time.Second) // earlier direct writes are in flight
+			return d.intake.batches.run(ctx)
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), requestTime)
+		defer cancel()
+		r := &request{w: d.recordWriter, record: provider.KeyedRecord{Key: "a/1"}, acked: make(chan *pendingWrite, 1)}
+		startedAt := time.Now()
+		_, err := r.run(ctx)
+		is.NoErr(err)
+		is.True(time.Since(startedAt) < 1100*time.Millisecond)
+	})
+}
+
+// Guards against a record that is too large for aggregators and handed over: all of them would refuse
+// it, and count as failed for the instance's other records.
+func TestLargeRecordIsWrittenDirectly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t, true)
+		defer s.stop()
+		w := s.instances[siteMembers].recordWriter
+		w.overdue()
+		is.Equal(w.path.State(), writepath.Diverted)
+		ctx, cancel := context.WithTimeout(t.Context(), requestTime)
+		defer cancel()
+		for size, want := range map[int]string{1: catalog.Aggregated, aggregation.MaxBytes: catalog.Accepts} {
+			stream, err := w.write(ctx, provider.KeyedRecord{Key: "a/1", Value: make([]byte, size)})
+			is.NoErr(err)
+			is.Equal(stream, want)
+		}
+	})
+}
+
+// Guards against jobs that are counted as rejected by the store while it doesn't answer.
+func TestReasonOfRejections(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(d *Dispatcher)
+		want    fault.Reason
+	}{
+		{"older writes aren't answered", func(d *Dispatcher) {
+			d.intake.outage.beginWrite()
+			d.recordWriter.handover.outage.beginWrite()
+			time.Sleep(unansweredTimeout)
+		}, fault.StoreSilent},
+		{"the record waits for earlier writes", func(*Dispatcher) {}, fault.StoreSilent},
+		{"both ways were rejected", func(d *Dispatcher) {
+			d.recordWriter.handoverFailed()
+			d.recordWriter.appended(time.Millisecond, fault.New(fault.Unavailable, "status 503"))
+		}, fault.StoreRejects},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), 2*requestTime)
+				defer cancel()
+				d := New(Platform{Store: emptyStore{}}, WithAggregation(link{}))
+				tt.prepare(d)
+				_, err := (&request{w: d.recordWriter, acked: make(chan *pendingWrite, 1)}).run(ctx)
+				is.True(fault.Is(err, fault.Unavailable))
+				is.Equal(fault.ReasonOf(err), tt.want)
+			})
+		})
+	}
+}
+
+// Guards against a write that is begun once the time of its request is over. If it were sent before
+// it can be withdrawn, a caller would be told that the outcome is unknown, instead of 503.
+func TestNoWriteIsBegunAfterTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := New(Platform{Store: emptyStore{}}, WithAggregation(link{}))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		r := &request{w: d.recordWriter, acked: make(chan *pendingWrite, 1)}
+		is.True(r.race(ctx, writepath.WriteDirectly, 2*time.Second) == nil)
+		is.Equal(len(r.writes), 1)
+		is.True(r.withdraw())
+	})
+}
+
+// Guards against a batch of large records that every aggregator refuses, as it takes at most
+// aggregation.MaxBytes.
+func TestBatchFitsIntoOneWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := New(Platform{Store: emptyStore{}})
+		defer d.tomb.Kill(nil)
+		var sizes, counts []int
+		b := newBatcher(d, 1, time.Second, func(_ context.Context, batch []*pendingWrite) {
+			sizes, counts = append(sizes, aggregation.Size(recordsOf(batch))), append(counts, len(batch))
+		})
+		for n := range 10 {
+			is.True(b.add(newPendingWrite(provider.KeyedRecord{Key: fmt.Sprintf("a/%d", n), Value: make([]byte, 200_000)})))
+		}
+		d.tomb.Go(func() error { return b.run(d.tomb.Context(context.Background())) })
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(counts, []int{5, 5})
+		is.True(slices.Max(sizes) <= aggregation.MaxBytes)
+	})
+}
+
 // Guards against broken connections that don't divert an instance, as an answer arrives before the
 // hedge delay, and against an append from before a recovery that diverts it again.
 func TestDirectAppendsMoveThePath(t *testing.T) {
