--- a/cell/bench_test.go
+++ b/cell/bench_test.go
@@ -1,7 +1,9 @@
 package cell_test
 
 import (
+	"cmp"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,27 +13,69 @@
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
-// BenchmarkOwner simulates 10 s of a site of 490 workers with a thousand starts a second,
-// and reports the owner's time per start.
+// BenchmarkOwner simulates 10 s of a site with a thousand starts a second, and reports the
+// owner's time per start, that of the harness included. With copies, every other job allows
+// them, and a tenth of its tasks is slow on the worker where it starts first. In a crowded
+// site, 2,000 waiting steps fit on no worker, and copies on none but that of their original.
 func BenchmarkOwner(b *testing.B) {
-	for range b.N {
-		s := newSite(&testing.T{}, 1, 490, 1)
-		s.duration = func(string) time.Duration { return 1700 * time.Millisecond }
-		n := 0
-		var arrive func()
-		arrive = func() {
-			j := &job.Job{ID: jobID(n), Spec: "x", Steps: []job.Step{step(20, 1)}}
-			j.Steps[0].Fills = n%2 == 0
-			j.Steps[0].Image = "f"
-			n++
-			s.submit(j)
-			s.after(20*time.Millisecond, arrive)
+	for _, workers := range []int{490, 6000} {
+		for _, load := range []string{"plain", "copies", "crowded", "crowded-copies"} {
+			b.Run(fmt.Sprintf("%d-%s", workers, load), func(b *testing.B) {
+				for range b.N {
+					completed := playOwner(workers, strings.HasSuffix(load, "copies"), strings.HasPrefix(load, "crowded"))
+					b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(completed+1), "ns/start")
+				}
+			})
+		}
+	}
+}
+
+// playOwner plays the load of BenchmarkOwner and returns how many tasks were completed.
+func playOwner(workers int, copies, crowded bool) int {
+	s := newSite(&testing.T{}, 1, workers, 1)
+	s.copies = copies
+	s.duration = func(string) time.Duration { return 1700 * time.Millisecond }
+	first := make(map[string]*fakeWorker)
+	s.slowdown = func(task string, w *fakeWorker) float64 {
+		if !copies || !strings.HasSuffix(task, "7") {
+			return 1
+		}
+		first[task] = cmp.Or(first[task], w)
+		if first[task] == w {
+			return copySlowdown
+		}
+		return 1
+	}
+	n := 0
+	var arrive func()
+	arrive = func() {
+		j := &job.Job{ID: jobID(n), Spec: "x", Steps: []job.Step{step(20, 1)}}
+		j.Steps[0].Fills = n%2 == 0
+		j.Steps[0].AllowsCopies = n%2 == 1
+		j.Steps[0].Image = "f"
+		if crowded && n%2 == 1 {
+			j.Steps[0].Label = fmt.Sprint("l", n%workers)
+		}
+		n++
+		s.submit(j)
+		s.after(20*time.Millisecond, arrive)
+	}
+	if crowded {
+		for i, w := range s.workers {
+			w.host.Labels = []string{fmt.Sprint("l", i)}
+			w.host.Capacity.Processors *= 4
+		}
+		for i := range 2000 {
+			wide := step(1, 1)
+			wide.AllowsCopies = true
+			wide.Need.Processors = 1 << 20
+			s.submit(&job.Job{ID: jobID(100_000 + i), Spec: "x", Steps: []job.Step{wide}})
 		}
-		s.after(0, arrive)
-		s.owners[0].takeOver()
-		s.run(10 * time.Second)
-		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(len(s.completed)+1), "ns/start")
 	}
+	s.after(0, arrive)
+	s.owners[0].takeOver()
+	s.run(10 * time.Second)
+	return len(s.completed)
 }
 
 // BenchmarkList measures the owner's time for an unchanged list of workers, of which it
--- a/speculation/history.go
+++ b/speculation/history.go
@@ -15,10 +15,13 @@
 const (
 	maxKinds       = 256
 	samplesPerKind = 31 // odd, so that the median is one of them
+	// minSamples is how many times a median needs. A step of ten tasks with a straggler
+	// gives nine, so that the median covers several steps.
+	minSamples = 10
 )
 
 // History holds the times of the latest completed runs by kind. It serves steps of which
-// no run has ended yet. The zero value is empty.
+// too few runs have ended. The zero value is empty.
 type History struct {
 	samples map[Kind]*samples
 	kinds   []Kind // in the order in which they were first recorded
@@ -26,8 +29,9 @@
 
 // samples is a ring of run times.
 type samples struct {
-	times []time.Duration
-	next  int
+	times  []time.Duration
+	next   int
+	median time.Duration // of times, zero if they have changed since it was computed
 }
 
 // Record adds the time of a completed run. The kind that was recorded first is dropped if
@@ -37,6 +41,7 @@
 	if s == nil {
 		s = h.add(k)
 	}
+	s.median = 0
 	if len(s.times) < samplesPerKind {
 		s.times = append(s.times, took)
 		return
@@ -59,12 +64,15 @@
 	return s
 }
 
-// Median returns the median time of the latest runs of a kind, zero if there are none.
+// Median returns the median time of the latest runs of a kind, zero if fewer than minSamples
+// are known.
 func (h *History) Median(k Kind) time.Duration {
 	s := h.samples[k]
-	if s == nil {
+	if s == nil || len(s.times) < minSamples {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(s.times))
-	return sorted[len(sorted)/2]
+	if s.median == 0 {
+		s.median = slices.Sorted(slices.Values(s.times))[len(s.times)/2]
+	}
+	return s.median
 }
--- a/speculation/reason_string.go
+++ b/speculation/reason_string.go
@@ -13,11 +13,12 @@
 	_ = x[Silent-2]
 	_ = x[Isolated-3]
 	_ = x[Leaving-4]
+	_ = x[SlowEarly-5]
 }
 
-const _Reason_name = "noneslowsilentisolatedleaving"
+const _Reason_name = "noneslowsilentisolatedleavingslow-early"
 
-var _Reason_index = [...]uint8{0, 4, 8, 14, 22, 29}
+var _Reason_index = [...]uint8{0, 4, 8, 14, 22, 29, 39}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/speculation/speculation.go
+++ b/speculation/speculation.go
@@ -19,8 +19,9 @@
 // copy: its copy would be as slow.
 //
 // Duplicate work that isn't used is paid for. So a copy needs evidence from siblings that
-// ended, it has to save a noticeable time, and copies together may take only a small part
-// of the processors that are free.
+// ended, or from runs of the same kind and the run's own progress; it has to save a
+// noticeable time, and copies together may take only a small part of the processors that
+// are free.
 package speculation
 
 import (
@@ -34,22 +35,24 @@
 // Reason is why a task gets a copy.
 type Reason uint8
 
-// Reasons. Their names are written to logs. All except None and Slow say that the worker
+// Reasons. Their names are written to logs. Silent, Isolated and Leaving say that the worker
 // of the run may not be able to finish it.
 const (
-	None     Reason = iota // none
-	Slow                   // slow
-	Silent                 // silent
-	Isolated               // isolated
-	Leaving                // leaving
+	None      Reason = iota // none
+	Slow                    // slow
+	Silent                  // silent
+	Isolated                // isolated
+	Leaving                 // leaving
+	SlowEarly               // slow-early
 )
 
 // Meaning of the names:
 //
-//	slow      the run takes much longer than a new one would
-//	silent    the worker missed a hold
-//	isolated  the worker has disappeared from the platform's list
-//	leaving   the worker is draining, or its machine is about to go down
+//	slow        the run takes much longer than a new one would, by its siblings
+//	silent      the worker missed a hold
+//	isolated    the worker has disappeared from the platform's list
+//	leaving     the worker is draining, or its machine is about to go down
+//	slow-early  the same as slow, by other steps' runs of the same kind
 
 const (
 	// slowRatio is the minimum ratio of the remaining time of a run to the time of a new
@@ -59,6 +62,10 @@
 	// slowRatioSmallStep is the same for small steps in a pool that is mostly idle, where a
 	// copy takes nothing from others.
 	slowRatioSmallStep = 1.2
+	// slowRatioEarly is the same while too few siblings have ended, where the time of a new
+	// run is the median of other steps' runs. The margin is wider because their tasks may be
+	// smaller than those of this step.
+	slowRatioEarly = 2
 	// smallStep is the maximum number of tasks of a small step.
 	smallStep = 10
 	// minSaving is the minimum time that a copy has to save. It is the constant part of the
@@ -92,11 +99,16 @@
 	WorkerReason Reason        // Silent, Isolated or Leaving, None for a healthy worker
 }
 
+// isAtRisk reports whether the reason is the run's worker, and not the time of the run.
+func (r Reason) isAtRisk() bool {
+	return r == Silent || r == Isolated || r == Leaving
+}
+
 // Step is what is known of a step whose tasks may have copies.
 type Step struct {
 	Tasks    int
 	Ended    []time.Duration // times of the step's runs that completed, ascending
-	Similar  time.Duration   // median time of runs of the same queue and image, zero if unknown
+	Similar  time.Duration   // History.Median of the step's kind, zero if unknown
 	Estimate time.Duration
 }
 
@@ -124,11 +136,11 @@
 // Compare orders decisions: those about workers that may not finish their runs first, then
 // by the time that is saved.
 func Compare(a, b Decision) int {
-	if (a.Reason == Slow) != (b.Reason == Slow) {
-		if a.Reason == Slow {
-			return 1
+	if a.Reason.isAtRisk() != b.Reason.isAtRisk() {
+		if a.Reason.isAtRisk() {
+			return -1
 		}
-		return -1
+		return 1
 	}
 	return cmp.Compare(b.Saving(), a.Saving())
 }
@@ -158,12 +170,27 @@
 	case r.Starts >= maxStarts:
 	case r.WorkerReason != None:
 		d.Reason = r.WorkerReason
-	case len(s.Ended) >= s.minEnded() && d.Saving() >= minSaving && float64(d.Rest) > s.slowRatio(p)*float64(d.Fresh):
-		d.Reason = Slow
+	case d.Saving() < minSaving:
+	case s.hasEvidence():
+		if d.isSlower(s.slowRatio(p)) {
+			d.Reason = Slow
+		}
+	case s.Similar > 0 && r.reportsProgress() && d.isSlower(slowRatioEarly):
+		d.Reason = SlowEarly
 	}
 	return d
 }
 
+// isSlower reports whether the run's remaining time is longer than a new run, by a ratio.
+func (d *Decision) isSlower(ratio float64) bool {
+	return float64(d.Rest) > ratio*float64(d.Fresh)
+}
+
+// hasEvidence reports whether enough of the step's runs have ended for a decision.
+func (s *Step) hasEvidence() bool {
+	return len(s.Ended) >= s.minEnded()
+}
+
 // minEnded returns how many of the step's runs have to have ended.
 func (s *Step) minEnded() int {
 	if s.Tasks < smallestFullStep {
@@ -190,21 +217,28 @@
 	return typical*time.Duration(100-min(r.Checkpoint, 100))/100 + restoreTime
 }
 
-// typical returns the expected time of a run that begins without a checkpoint.
+// typical returns the expected time of a run that begins without a checkpoint. The first few
+// of a step's runs to end are its fastest, so they count less than the runs of the same kind.
 func (s *Step) typical() time.Duration {
-	if n := len(s.Ended); n > 0 {
+	n := len(s.Ended)
+	if n > 0 && (s.hasEvidence() || s.Similar == 0) {
 		return s.Ended[n/2]
 	}
 	return cmp.Or(s.Similar, s.Estimate)
 }
 
+// reportsProgress reports whether the run has advanced since its progress was first known.
+func (r *Run) reportsProgress() bool {
+	return r.Percent > r.From && r.ReportedAt > r.FromAt
+}
+
 // rest returns the expected remaining time of a run. Progress is reported in whole percent,
 // so the run may be one percent further on than its last report says.
 func (s *Step) rest(r *Run) time.Duration {
-	gained, span := r.Percent-r.From, r.ReportedAt-r.FromAt
-	if gained <= 0 || span <= 0 {
+	if !r.reportsProgress() {
 		return s.restBySiblings(r)
 	}
+	gained, span := r.Percent-r.From, r.ReportedAt-r.FromAt
 	left := max(0, 100-r.Percent-1)
 	return max(0, span*time.Duration(left)/time.Duration(gained+1)-(r.Elapsed-r.ReportedAt))
 }
--- a/speculation/speculation_test.go
+++ b/speculation/speculation_test.go
@@ -57,6 +57,15 @@
 		{"no progress reported, siblings took as long", speculation.Step{Tasks: 10, Ended: []time.Duration{time.Second, time.Second, time.Second, 2200 * ms}}, speculation.Run{Elapsed: 2 * time.Second}, busy, speculation.None},
 		{"most of the work is in a checkpoint", speculation.Step{Tasks: 10, Ended: seconds(9)}, speculation.Run{Elapsed: 3 * time.Second, From: 60, Percent: 70, ReportedAt: 3 * time.Second, Checkpoint: 70}, busy, speculation.Slow},
 		{"progress since a checkpoint only", speculation.Step{Tasks: 10, Ended: seconds(9)}, speculation.Run{Elapsed: 300 * ms, From: 60, Percent: 89, ReportedAt: 300 * ms}, busy, speculation.None},
+		{"early, by runs of the same kind", speculation.Step{Tasks: 10, Similar: time.Second}, percentAt(300*ms, 4), busy, speculation.SlowEarly},
+		{"early, two siblings ended", speculation.Step{Tasks: 10, Ended: seconds(2), Similar: time.Second}, percentAt(1100*ms, 15), busy, speculation.SlowEarly},
+		{"early, the two that ended were faster than others of the kind", speculation.Step{Tasks: 10, Ended: []time.Duration{100 * ms, 100 * ms}, Similar: time.Second}, percentAt(1000*ms, 40), idle, speculation.None},
+		{"early, a remaining time of 1.9 times", speculation.Step{Tasks: 10, Similar: time.Second}, percentAt(1000*ms, 33), idle, speculation.None},
+		{"early, at full speed", speculation.Step{Tasks: 10, Similar: time.Second}, percentAt(300*ms, 30), busy, speculation.None},
+		{"early, no progress reported", speculation.Step{Tasks: 10, Similar: time.Second}, speculation.Run{Elapsed: 3 * time.Second}, busy, speculation.None},
+		{"early, the saving is too small", speculation.Step{Tasks: 10, Similar: 200 * ms}, percentAt(200*ms, 30), busy, speculation.None},
+		{"early, by an estimate only", speculation.Step{Tasks: 10, Estimate: time.Second}, percentAt(300*ms, 4), busy, speculation.None},
+		{"enough siblings ended, and are slower than others of the kind", speculation.Step{Tasks: 10, Ended: slices.Repeat([]time.Duration{5 * time.Second}, 3), Similar: time.Second}, percentAt(1100*ms, 20), idle, speculation.None},
 		{"a worker that is silent", speculation.Step{Tasks: 10, Estimate: time.Second}, speculation.Run{Elapsed: 10 * ms, WorkerReason: speculation.Silent}, busy, speculation.Silent},
 		{"a worker that leaves", speculation.Step{Tasks: 1, Estimate: time.Second}, speculation.Run{WorkerReason: speculation.Leaving}, busy, speculation.Leaving},
 		{"two copies were started", speculation.Step{Tasks: 10, Ended: seconds(9)}, speculation.Run{Elapsed: 5 * time.Second, Starts: 2, WorkerReason: speculation.Silent}, busy, speculation.None},
@@ -83,6 +92,8 @@
 		{"the step's own runs", speculation.Step{Ended: []time.Duration{ms, 3 * ms, 9 * ms}, Similar: 5 * ms, Estimate: 7 * ms}, 0, 3 * ms},
 		{"runs of the same kind", speculation.Step{Similar: 5 * ms, Estimate: 7 * ms}, 0, 5 * ms},
 		{"the estimate", speculation.Step{Estimate: 7 * ms}, 0, 7 * ms},
+		{"too few of the step's own runs", speculation.Step{Tasks: 10, Ended: []time.Duration{ms}, Similar: 5 * ms}, 0, 5 * ms},
+		{"the step's only run, none of the same kind", speculation.Step{Tasks: 10, Ended: []time.Duration{ms}, Estimate: 7 * ms}, 0, ms},
 		{"half of the work is saved", speculation.Step{Estimate: time.Second}, 50, 700 * ms},
 	}
 	for _, tt := range tests {
@@ -106,6 +117,9 @@
 		order = append(order, d.Run)
 	}
 	is.Equal(order, []int{2, 1, 0})
+	early := speculation.Decision{Rest: 9 * time.Second, Reason: speculation.SlowEarly}
+	atRisk := speculation.Decision{Rest: time.Second, Reason: speculation.Silent}
+	is.True(speculation.Compare(atRisk, early) < 0)
 }
 
 func TestHistoryIsBounded(t *testing.T) {
@@ -113,7 +127,13 @@
 	var h speculation.History
 	first := speculation.Kind{Queue: "q", Image: "first"}
 	is.Equal(h.Median(first), time.Duration(0))
-	for range 100 {
+	for range 9 {
+		h.Record(first, 9*time.Second)
+	}
+	is.Equal(h.Median(first), time.Duration(0)) // too few for a median
+	h.Record(first, 9*time.Second)
+	is.Equal(h.Median(first), 9*time.Second)
+	for range 90 {
 		h.Record(first, 9*time.Second)
 	}
 	for range 100 {
@@ -158,6 +178,9 @@
 			if d.Reason == speculation.Slow && (d.Saving() < 300*ms || len(ended) == 0) {
 				t.Fatalf("%+v", d)
 			}
+			if d.Reason == speculation.SlowEarly && (d.Saving() < 300*ms || d.Rest <= 2*d.Fresh || step.Similar == 0 || len(ended) >= 3 || run.Percent <= run.From) {
+				t.Fatalf("%+v", d)
+			}
 		}
 		processors := rapid.Int64Range(1, 8_000).Draw(t, "processors")
 		free := pool.Free
@@ -230,3 +253,57 @@
 		})
 	}
 }
+
+// shortTask returns how long a task of a step of ten tasks takes on a healthy worker: 0.85 s
+// to 1 s.
+func shortTask(index int) time.Duration {
+	return 850*ms + time.Duration(index)*150*ms/(loadTasks-1)
+}
+
+// playShortTasks simulates a job of one step of ten short tasks, of which the last is a
+// straggler. Its worker reports at the given interval. It returns when the job ends.
+func playShortTasks(copies bool, similar, report time.Duration) time.Duration {
+	const tick = 50 * ms // between two decisions
+	step := speculation.Step{Tasks: loadTasks, Similar: similar, Estimate: time.Second}
+	fresh := shortTask(loadTasks - 1)
+	slow := loadSlowdown * fresh
+	end, copied := slow, false
+	for now := tick; now < end; now += tick {
+		step.Ended = nil
+		for i := range loadTasks - 1 {
+			if shortTask(i) <= now {
+				step.Ended = append(step.Ended, shortTask(i))
+			}
+		}
+		reported := now.Truncate(report)
+		run := speculation.Run{Elapsed: now, Percent: int(100 * reported / slow), ReportedAt: reported}
+		if copies && !copied && len(step.Decide([]speculation.Run{run}, idle)) > 0 {
+			copied = true
+			end = min(end, now+fresh)
+		}
+	}
+	return end
+}
+
+// Guards against a job of short tasks that waits for its siblings' ends although the history
+// of its kind and its progress show earlier that a run is slow.
+func TestStragglerOfShortTasks(t *testing.T) {
+	const similar = 930 * ms
+	tests := []struct {
+		name    string
+		copies  bool
+		similar time.Duration
+		report  time.Duration
+		want    time.Duration
+	}{
+		{"without copies", false, similar, 250 * ms, 7 * time.Second},
+		{"by siblings", true, 0, 250 * ms, 1900 * ms},
+		{"by the history of the kind", true, similar, 250 * ms, 1250 * ms},
+		{"by the history, reports of an idle worker", true, similar, time.Second, 2 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is.New(t).Equal(playShortTasks(tt.copies, tt.similar, tt.report), tt.want)
+		})
+	}
+}
