--- a/cell/advice.go
+++ b/cell/advice.go
@@ -108,6 +108,7 @@
 		return
 	}
 	s.lastFailedPass = 0
+	s.noTargetUntil = 0
 	for _, h := range in.Hosts {
 		if w := c.workerSince(h, in.Sent); w != nil {
 			s.advice.allowed[w] = false
--- a/cell/copies.go
+++ b/cell/copies.go
@@ -20,6 +20,19 @@
 // of each copy, and the objective of an urgent job leaves 300 ms beyond its work.
 const copyInterval = 50 * time.Millisecond
 
+// Bounds on the cost of a look, which is part of a dispatch pass: the pause after the pass
+// grows with all of its checks.
+const (
+	// maxRunsPerLook is how many runs a look compares. The next look continues with the
+	// steps that this one didn't reach. It is half of maxChecksPerPass, so that as many
+	// checks are left to place copies.
+	maxRunsPerLook = maxChecksPerPass / 2
+	// noTargetPause is how long no worker is looked for after a look found none for a copy
+	// of the step. Without it, steps whose copies fit nowhere would use up the checks of
+	// each look. It is well below the 300 ms that a copy has to save.
+	noTargetPause = 200 * time.Millisecond
+)
+
 // sharedRackWeight is the weight, in a copy's placement, of each label that may stand for a
 // rack and that the worker shares with that of the task's other run. A slow or lost worker
 // may have its cause in the rack. The weight outweighs any load.
@@ -28,7 +41,7 @@
 // copyState is the state of speculative copies.
 type copyState struct {
 	enabled bool
-	steps   []*stepState // open steps whose tasks may have copies
+	steps   []*stepState // open steps whose tasks may have copies, the next one to look at first
 	history speculation.History
 	lastAt  time.Duration // when tasks that need a copy were last looked for
 }
@@ -148,31 +161,51 @@
 	}
 	k.lastAt = c.now
 	k.steps = slices.DeleteFunc(k.steps, (*stepState).isOver)
-	pools := c.copyPools()
-	for _, choice := range c.chooseCopies(pools) {
+	look := copyLook{pools: c.copyPools(), racks: make(map[string][]string), rivals: make(map[rivalKey][]*stepState)}
+	for _, choice := range c.chooseCopies(look.pools) {
 		if c.startLimiter.full() || c.passes.checks >= maxChecksPerPass {
 			return
 		}
-		t := choice.task
-		p := pools[t.step.job.terms.Service]
-		if !p.Admits(t.step.need.Processors) {
-			continue
-		}
-		w := c.copyTarget(t)
-		if w == nil {
-			c.askAdviser(t)
-			continue
-		}
-		p.Copying += t.step.need.Processors
-		p.Free -= t.step.need.Processors
-		c.startCopy(t, w, &choice.Decision)
+		c.placeCopy(&look, &choice)
 	}
 }
 
+// copyLook is one look for tasks that need a copy, with what is the same for many of them.
+type copyLook struct {
+	pools  map[string]*speculation.Pool
+	racks  map[string][]string // labels that stand for racks, by service
+	rivals map[rivalKey][]*stepState
+}
+
+// rivalKey identifies the steps whose copies have the same rivals.
+type rivalKey struct {
+	service  string
+	priority int
+}
+
+// placeCopy starts a copy if the budget admits it and a worker is found.
+func (c *Cell) placeCopy(look *copyLook, choice *copyChoice) {
+	t := choice.task
+	s := t.step
+	p := look.pools[s.job.terms.Service]
+	if !p.Admits(s.need.Processors) || c.now < s.noTargetUntil {
+		return
+	}
+	w := c.copyTarget(look, t)
+	if w == nil {
+		s.noTargetUntil = c.now + noTargetPause
+		c.askAdviser(t)
+		return
+	}
+	p.Copying += s.need.Processors
+	p.Free -= s.need.Processors
+	c.startCopy(t, w, &choice.Decision)
+}
+
 // isOver reports whether the step needs no copies any more, and none of its runs counts
 // against the budget.
 func (s *stepState) isOver() bool {
-	return (s.job.final() || s.tasksLeft == 0) && !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.run != nil })
+	return (s.job.final() || s.tasksLeft == 0) && len(s.runsByWorker) == 0
 }
 
 // copyPools returns the state of the pools of all steps that may have copies.
@@ -206,6 +239,9 @@
 // after their task was completed.
 func (s *stepState) copyCount() int {
 	n := 0
+	if len(s.runsByWorker) == 0 {
+		return n
+	}
 	for _, t := range s.tasks {
 		if t.copy != nil || t.done && t.run != nil {
 			n++
@@ -220,33 +256,50 @@
 	task *task
 }
 
-// chooseCopies returns the tasks that should get a copy, the most urgent first.
+// chooseCopies returns the tasks that should get a copy, the most urgent first, of as many
+// steps as a look may compare.
 func (c *Cell) chooseCopies(pools map[string]*speculation.Pool) []copyChoice {
+	k := &c.copies
 	var choices []copyChoice
-	for _, s := range c.copies.steps {
-		if s.job.final() || !c.canStart(s.job) || c.isClaimPending(s.job) {
-			continue
-		}
-		var tasks []*task
-		var runs []speculation.Run
-		for _, t := range s.tasks {
-			if c.mayGetCopy(t) {
-				tasks = append(tasks, t)
-				runs = append(runs, c.observe(t))
-			}
-		}
-		step := speculation.Step{Tasks: s.spec.Count, Ended: s.ended, Estimate: s.spec.Estimate}
-		if len(s.ended) == 0 {
-			step.Similar = c.copies.history.Median(s.kind())
+	compared, reached := 0, 0
+	for _, s := range k.steps {
+		if compared >= maxRunsPerLook || c.passes.checks >= maxChecksPerPass {
+			break
 		}
-		for _, d := range step.Decide(runs, *pools[s.job.terms.Service]) {
-			choices = append(choices, copyChoice{d, tasks[d.Run]})
+		reached++
+		if len(s.runsByWorker) == 0 || s.job.final() || !c.canStart(s.job) || c.isClaimPending(s.job) {
+			continue
 		}
+		runs := 0
+		choices, runs = c.chooseInStep(s, pools[s.job.terms.Service], choices)
+		compared += runs
+		c.passes.checks += runs
+	}
+	if reached > 0 && reached < len(k.steps) {
+		k.steps = slices.Concat(k.steps[reached:], k.steps[:reached])
 	}
 	slices.SortStableFunc(choices, func(a, b copyChoice) int { return speculation.Compare(a.Decision, b.Decision) })
 	return choices
 }
 
+// chooseInStep appends the step's tasks that should get a copy to the choices. It also
+// returns the number of runs that were compared.
+func (c *Cell) chooseInStep(s *stepState, p *speculation.Pool, choices []copyChoice) ([]copyChoice, int) {
+	var tasks []*task
+	var runs []speculation.Run
+	for _, t := range s.tasks {
+		if c.mayGetCopy(t) {
+			tasks = append(tasks, t)
+			runs = append(runs, c.observe(t))
+		}
+	}
+	step := speculation.Step{Tasks: s.spec.Count, Ended: s.ended, Similar: c.copies.history.Median(s.kind()), Estimate: s.spec.Estimate}
+	for _, d := range step.Decide(runs, *p) {
+		choices = append(choices, copyChoice{d, tasks[d.Run]})
+	}
+	return choices, len(runs)
+}
+
 // mayGetCopy reports whether a task has a single run of which a copy may be started now.
 // A task whose next failure would be the last one that its queue allows gets none, nor does
 // one whose starts have to be recorded. A run that is being stopped gets none, because the
@@ -299,10 +352,10 @@
 }
 
 // copyTarget returns the worker for a copy of a task, nil if there is none.
-func (c *Cell) copyTarget(t *task) *worker {
+func (c *Cell) copyTarget(look *copyLook, t *task) *worker {
 	s, other := t.step, t.run.worker
-	racks := c.racks(s.job.terms.Service)
-	rivals := c.rivals(s)
+	racks := c.racksOf(look, s.job.terms.Service)
+	rivals := c.rivals(look, s)
 	var best *worker
 	bestScore := 0.0
 	for _, w := range c.usableWorkers(s.job.terms.Service) {
@@ -329,26 +382,46 @@
 	return n
 }
 
+// racksOf returns the labels that stand for racks among a service's workers.
+func (c *Cell) racksOf(look *copyLook, service string) []string {
+	racks, known := look.racks[service]
+	if !known {
+		racks = c.racks(service)
+		look.racks[service] = racks
+	}
+	return racks
+}
+
 // rivals returns the waiting steps that go before a copy of the step's tasks.
-func (c *Cell) rivals(s *stepState) []*stepState {
-	var rivals []*stepState
+func (c *Cell) rivals(look *copyLook, s *stepState) []*stepState {
+	key := rivalKey{s.job.terms.Service, s.job.terms.Priority}
+	rivals, known := look.rivals[key]
+	if known {
+		return rivals
+	}
 	for _, other := range c.waitingSteps {
-		if len(other.ready) > 0 && other.job.terms.Service == s.job.terms.Service && other.job.terms.Priority <= s.job.terms.Priority {
+		if len(other.ready) > 0 && other.job.terms.Service == key.service && other.job.terms.Priority <= key.priority {
 			rivals = append(rivals, other)
 		}
 	}
+	look.rivals[key] = rivals
 	return rivals
 }
 
 // leavesRoom reports whether a copy on the worker takes no capacity that a waiting task
 // could be started on. A waiting step that fits on the worker, because its job's claim isn't
-// on record yet or it needs a ticket, has to fit on as many other workers as tasks wait.
+// on record yet or it needs a ticket, has to fit on as many other workers as tasks wait. What
+// isn't checked because the pass has made too many checks counts as fitting.
 func (c *Cell) leavesRoom(w *worker, rivals []*stepState) bool {
 	waiting := 0
 	for _, s := range rivals {
 		waiting += len(s.ready)
 	}
 	for _, s := range rivals {
+		if c.passes.checks >= maxChecksPerPass {
+			return false
+		}
+		c.passes.checks++
 		if c.fitsWithoutTicket(s, w) && c.countFitting(s, w, waiting) < waiting {
 			return false
 		}
--- a/cell/copies_test.go
+++ b/cell/copies_test.go
@@ -173,6 +173,56 @@
 	}
 }
 
+// Guards against a search through all workers in each look for a copy that fits on none.
+func TestCopyThatFitsNowhereCostsLittle(t *testing.T) {
+	const (
+		from = 8 * time.Second // the siblings have ended
+		span = 10 * time.Second
+	)
+	is := is.New(t)
+	s := newCopySite(t, func(s *job.Step) { s.Label = "gpu" })
+	s.workers[3].host.Labels = []string{"gpu"}
+	s.workers[3].host.Capacity.Processors *= 2
+	s.run(from)
+	before := s.owners[0].cell.Checks()
+	s.run(from + span)
+	is.Equal(s.runsOf(), []*fakeWorker{s.first})
+	perSecond := (s.owners[0].cell.Checks() - before) / uint64(span/time.Second)
+	t.Logf("%d checks a second", perSecond)
+	is.True(perSecond < 10*copyWorkers) // 5 searches and 20 comparisons; 20 searches without a pause
+}
+
+// Guards against a look that compares all runs of a large site, and against steps that no
+// look reaches.
+func TestLooksAreBounded(t *testing.T) {
+	const (
+		jobs  = 12
+		tasks = 600
+	)
+	is := is.New(t)
+	s := newCopySite(t, func(s *job.Step) { s.Need.Processors, s.Need.Memory = 1, 1 })
+	s.duration = func(task string) time.Duration {
+		if task[:len(jobID(0))] == jobID(0) {
+			return copyDuration
+		}
+		return settleTime
+	}
+	for i := range jobs {
+		j := &job.Job{ID: jobID(i + 1), Spec: "x", Steps: []job.Step{step(tasks, 1)}}
+		j.Steps[0].AllowsCopies = true
+		j.Steps[0].Need.Processors, j.Steps[0].Need.Memory = 1, 1
+		s.submit(j)
+	}
+	s.run(15 * time.Second)
+	is.Equal(len(s.starts), 2)
+	before := s.owners[0].cell.Checks()
+	s.run(16 * time.Second)
+	perLook := (s.owners[0].cell.Checks() - before) / 20
+	t.Logf("%d checks a look, %d runs", perLook, jobs*tasks)
+	is.True(perLook > 0)
+	is.True(perLook < 5600) // maxRunsPerLook, and the rest of one step
+}
+
 // Guards against copies of a task that crashes its workers, before its crashes are counted.
 func TestTaskThatCrashesItsWorkerGetsNoCopy(t *testing.T) {
 	is := is.New(t)
--- a/cell/job.go
+++ b/cell/job.go
@@ -55,6 +55,7 @@
 	need            resource.Vector
 	inheritedStarts []*task         // tasks with a recorded start by an earlier owner whose outcome is unknown
 	ended           []time.Duration // times of its runs that completed, ascending; only if its tasks may have copies
+	noTargetUntil   time.Duration   // until when no worker is looked for that takes a copy
 	advice          *advice         // nil unless the queue requires advice
 	runsByWorker    map[*worker]int // number of runs by worker, for PerWorker
 	rank            ranking.Rank
