--- a/cell/copies.go
+++ b/cell/copies.go
@@ -130,9 +130,18 @@
 	return speculation.Kind{Queue: s.job.job.Queue, Image: s.spec.Image}
 }
 
+// recordCheckpoint records a checkpoint that a run's worker lists. A worker repeats the newest
+// checkpoint, so only the report that first lists it tells how far the run was.
+func (c *Cell) recordCheckpoint(r *run, checkpoint string, percent int) {
+	if checkpoint == r.checkpoint {
+		return
+	}
+	r.checkpoint = checkpoint
+	c.acceptCheckpoint(r.task, checkpoint, percent)
+}
+
 // acceptCheckpoint keeps a checkpoint of a run for the next start. Of two runs, the
-// checkpoint of the one that is further on is kept. A worker repeats the newest checkpoint, so
-// only the report that first lists it tells how far the run was.
+// checkpoint of the one that is further on is kept.
 func (c *Cell) acceptCheckpoint(t *task, checkpoint string, percent int) {
 	if checkpoint == "" || checkpoint == t.checkpoint || t.done {
 		return
--- a/cell/copies_test.go
+++ b/cell/copies_test.go
@@ -473,6 +473,39 @@
 	}
 }
 
+// Guards against an old checkpoint that a run repeats, while it advances, and that replaces a
+// newer one of the task's other run.
+func TestRepeatedCheckpointIsNotKept(t *testing.T) {
+	const atOriginal, atCopy = 10, 12 // percent at which the only checkpoint is written
+	is := is.New(t)
+	s := newCopySite(t, func(s *job.Step) { s.Checkpoints = true })
+	s.checkpoint = func(task string, w *fakeWorker) string {
+		at := atCopy
+		if w == s.first {
+			at = atOriginal
+		}
+		if task != slowTask || w.runs[task].progress(s.now) < w.runs[task].duration*time.Duration(at)/100 {
+			return ""
+		}
+		return fmt.Sprintf("%s/%d", w.host.ID, at)
+	}
+	s.slowdown = func(task string, w *fakeWorker) float64 {
+		if task != slowTask {
+			return 1
+		}
+		s.first = cmp.Or(s.first, w)
+		return copySlowdown
+	}
+	copied, original := s.runUntilCopied(), s.first
+	s.run(s.now + 8*time.Second)
+	copied.crash(5*time.Second, 1)
+	original.crash(5*time.Second, 1)
+	s.run(s.now + settleTime)
+	s.mustComplete(1)
+	is.True(len(s.checkpoints) >= 3)
+	is.Equal(s.checkpoints[2], fmt.Sprintf("%s/%d", copied.host.ID, atCopy))
+}
+
 // Guards against an account of delays that leaves out the time before the copy's start, or
 // counts the time of both runs.
 func TestDelaysWhenTheCopyWins(t *testing.T) {
--- a/cell/end.go
+++ b/cell/end.go
@@ -36,7 +36,8 @@
 	case provider.EndFailed:
 		c.failTask(t, e.Attempt)
 	default:
-		c.saveCheckpoint(t, e.Checkpoint, t.untrackedPercent())
+		c.acceptCheckpoint(t, e.Checkpoint, t.untrackedPercent())
+		c.saveCheckpoint(t)
 	}
 }
 
@@ -66,7 +67,8 @@
 	if end != provider.EndLost && end != provider.EndLapsed {
 		c.clearSuspicion(t, r.attempt) // the worker lists the end, so it didn't crash
 	}
-	c.saveCheckpoint(t, checkpoint, r.percent)
+	c.recordCheckpoint(r, checkpoint, r.percent)
+	c.saveCheckpoint(t)
 	if end == provider.EndDone && !s.spec.Lasting {
 		c.recordSuccess(w)
 		c.recordRunTime(r)
@@ -111,8 +113,7 @@
 }
 
 // saveCheckpoint records the checkpoint that an interrupted task resumes from.
-func (c *Cell) saveCheckpoint(t *task, checkpoint string, percent int) {
-	c.acceptCheckpoint(t, checkpoint, percent)
+func (c *Cell) saveCheckpoint(t *task) {
 	if t.checkpoint != "" && !t.done && t.step.job.progress.SetCheckpoint(t.id, t.checkpoint) {
 		c.writer.markDirty(t.step.job)
 	}
--- a/cell/report.go
+++ b/cell/report.go
@@ -31,7 +31,7 @@
 	if r.task == nil {
 		return
 	}
-	c.acceptCheckpoint(r.task, p.Checkpoint, p.Percent)
+	c.recordCheckpoint(r, p.Checkpoint, p.Percent)
 	r.tail = p.TailLatency
 	r.processorsUsed = p.Processors
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -103,6 +103,7 @@
 	trial           bool          // it shows whether its task crashes workers
 	lastListedClock int64         // worker's clock in the last report that lists it
 	pair            *pair         // it and the task's other run, nil if there never was one
+	checkpoint      string        // newest checkpoint that its worker listed
 	complete        bool          // it was started by this owner and without a checkpoint
 	from            int           // percent at fromAt
 	fromAt          time.Duration // when its progress was first known
