--- a/cell/end.go
+++ b/cell/end.go
@@ -39,6 +39,7 @@
 		c.acceptCheckpoint(t, e.Checkpoint, t.untrackedPercent())
 		c.saveCheckpoint(t)
 	}
+	c.requeue(t) // its start may have been tracked until the end was listed
 }
 
 // endUntracked completes a task whose run this owner didn't track. A run of the task that
--- a/cell/restart_test.go
+++ b/cell/restart_test.go
@@ -143,6 +143,31 @@
 	})
 }
 
+// Guards against a task that is never started again because its start reached the worker's next
+// incarnation, and failed there before that one was asked for the first time.
+func TestLateStartFailsOnTheNextIncarnation(t *testing.T) {
+	const down = 100 * time.Millisecond
+	is := is.New(t)
+	s := newSite(t, 1450, 2, 1)
+	s.duration = func(string) time.Duration { return 10 * time.Millisecond }
+	s.failsTask = func(_ string, attempt uint64) bool { return attempt == firstAttempt }
+	s.owners[0].onStart = func(o provider.StartOrder) {
+		s.owners[0].onStart = nil
+		w := s.workerAt(o.Host)
+		w.restart(down) // before the order arrives
+		s.after(down+time.Millisecond, func() {
+			next := s.workerAt(w.host)
+			next.offset = w.offset // the machine's clock
+			is.Equal(next.start(o), provider.Accepted)
+		})
+	}
+	s.after(time.Second, func() { s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(1, 1)}}) })
+	s.after(0, s.owners[0].takeOver)
+	s.run(settleTime)
+	is.Equal(s.violations, nil)
+	s.mustComplete(1)
+}
+
 // Guards against an answer of one incarnation that arrives after an answer of the next.
 func TestAnswersOfTheIncarnationBefore(t *testing.T) {
 	is := is.New(t)
