--- a/cell/copies.go
+++ b/cell/copies.go
@@ -16,20 +16,20 @@
 // task to the other run. Only the workers know which runs there are; a new owner adopts up
 // to two runs of such a task, and stops any further one.
 
-// copyInterval is the time between two looks for tasks that need a copy. It adds to the time
+// copyInterval is the time between two scans for tasks that need a copy. It adds to the time
 // of each copy, and the objective of an urgent job leaves 300 ms beyond its work.
 const copyInterval = 50 * time.Millisecond
 
-// Bounds on the cost of a look, which is part of a dispatch pass: the pause after the pass
+// Bounds on the cost of a scan, which is part of a dispatch pass: the pause after the pass
 // grows with all of its checks.
 const (
-	// maxRunsPerLook is how many runs a look compares. The next look continues with the
+	// maxRunsPerScan is how many runs a scan compares. The next scan continues with the
 	// steps that this one didn't reach. It is half of maxChecksPerPass, so that as many
 	// checks are left to place copies.
-	maxRunsPerLook = maxChecksPerPass / 2
-	// noTargetPause is how long no worker is looked for after a look found none for a copy
+	maxRunsPerScan = maxChecksPerPass / 2
+	// noTargetPause is how long no worker is looked for after a scan found none for a copy
 	// of the step. Without it, steps whose copies fit nowhere would use up the checks of
-	// each look. It is well below the 300 ms that a copy has to save.
+	// each scan. It is well below the 300 ms that a copy has to save.
 	noTargetPause = 200 * time.Millisecond
 )
 
@@ -41,7 +41,7 @@
 // copyState is the state of speculative copies.
 type copyState struct {
 	enabled bool
-	steps   []*stepState // open steps whose tasks may have copies, the next one to look at first
+	steps   []*stepState // open steps whose tasks may have copies, the next one to scan first
 	history speculation.History
 	lastAt  time.Duration // when tasks that need a copy were last looked for
 }
@@ -170,39 +170,41 @@
 	}
 	k.lastAt = c.now
 	k.steps = slices.DeleteFunc(k.steps, (*stepState).isOver)
-	look := copyLook{pools: c.copyPools(), racks: make(map[string][]string), rivals: make(map[rivalKey][]*stepState)}
-	for _, choice := range c.chooseCopies(look.pools) {
+	scan := copyScan{pools: c.copyPools(), racks: make(map[string][]string), preceding: make(map[poolPriority][]*stepState)}
+	for _, choice := range c.chooseCopies(scan.pools) {
 		if c.startLimiter.full() || c.passes.checks >= maxChecksPerPass {
 			return
 		}
-		c.placeCopy(&look, &choice)
+		c.placeCopy(&scan, &choice)
 	}
 }
 
-// copyLook is one look for tasks that need a copy, with what is the same for many of them.
-type copyLook struct {
-	pools  map[string]*speculation.Pool
-	racks  map[string][]string // labels that stand for racks, by service
-	rivals map[rivalKey][]*stepState
+// copyScan is the state of one scan for tasks that need a copy.
+type copyScan struct {
+	pools     map[string]*speculation.Pool
+	racks     map[string][]string // labels that stand for racks, by service
+	preceding map[poolPriority][]*stepState
 }
 
-// rivalKey identifies the steps whose copies have the same rivals.
-type rivalKey struct {
+// poolPriority identifies the steps whose copies have the same preceding steps.
+type poolPriority struct {
 	service  string
 	priority int
 }
 
 // placeCopy starts a copy if the budget admits it and a worker is found.
-func (c *Cell) placeCopy(look *copyLook, choice *copyChoice) {
+func (c *Cell) placeCopy(scan *copyScan, choice *copyChoice) {
 	t := choice.task
 	s := t.step
-	p := look.pools[s.job.terms.Service]
+	p := scan.pools[s.job.terms.Service]
 	if !p.Admits(s.need.Processors) || c.now < s.noTargetUntil {
 		return
 	}
-	w := c.copyTarget(look, t)
+	w := c.copyTarget(scan, t)
 	if w == nil {
-		s.noTargetUntil = c.now + noTargetPause
+		if c.passes.checks < maxChecksPerPass { // the search was complete
+			s.noTargetUntil = c.now + noTargetPause
+		}
 		c.askAdviser(t)
 		return
 	}
@@ -266,13 +268,13 @@
 }
 
 // chooseCopies returns the tasks that should get a copy, the most urgent first, of as many
-// steps as a look may compare.
+// steps as a scan may compare.
 func (c *Cell) chooseCopies(pools map[string]*speculation.Pool) []copyChoice {
 	k := &c.copies
 	var choices []copyChoice
 	compared, reached := 0, 0
 	for _, s := range k.steps {
-		if compared >= maxRunsPerLook || c.passes.checks >= maxChecksPerPass {
+		if compared >= maxRunsPerScan || c.passes.checks >= maxChecksPerPass {
 			break
 		}
 		reached++
@@ -361,10 +363,10 @@
 }
 
 // copyTarget returns the worker for a copy of a task, nil if there is none.
-func (c *Cell) copyTarget(look *copyLook, t *task) *worker {
+func (c *Cell) copyTarget(scan *copyScan, t *task) *worker {
 	s, other := t.step, t.run.worker
-	racks := c.racksOf(look, s.job.terms.Service)
-	rivals := c.rivals(look, s)
+	racks := c.racksOf(scan, s.job.terms.Service)
+	preceding := c.precedingSteps(scan, s)
 	var best *worker
 	bestScore := 0.0
 	for _, w := range c.usableWorkers(s.job.terms.Service) {
@@ -373,7 +375,7 @@
 			continue
 		}
 		score := s.baseScore(w) + sharedRackWeight*float64(sharedLabels(w, other, racks))
-		if (best == nil || score < bestScore) && c.leavesRoom(w, rivals) {
+		if (best == nil || score < bestScore) && c.leavesRoom(w, preceding) {
 			best, bestScore = w, score
 		}
 	}
@@ -392,41 +394,41 @@
 }
 
 // racksOf returns the labels that stand for racks among a service's workers.
-func (c *Cell) racksOf(look *copyLook, service string) []string {
-	racks, known := look.racks[service]
+func (c *Cell) racksOf(scan *copyScan, service string) []string {
+	racks, known := scan.racks[service]
 	if !known {
 		racks = c.racks(service)
-		look.racks[service] = racks
+		scan.racks[service] = racks
 	}
 	return racks
 }
 
-// rivals returns the waiting steps that go before a copy of the step's tasks.
-func (c *Cell) rivals(look *copyLook, s *stepState) []*stepState {
-	key := rivalKey{s.job.terms.Service, s.job.terms.Priority}
-	rivals, known := look.rivals[key]
+// precedingSteps returns the waiting steps that go before a copy of the step's tasks.
+func (c *Cell) precedingSteps(scan *copyScan, s *stepState) []*stepState {
+	key := poolPriority{s.job.terms.Service, s.job.terms.Priority}
+	preceding, known := scan.preceding[key]
 	if known {
-		return rivals
+		return preceding
 	}
 	for _, other := range c.waitingSteps {
 		if len(other.ready) > 0 && other.job.terms.Service == key.service && other.job.terms.Priority <= key.priority {
-			rivals = append(rivals, other)
+			preceding = append(preceding, other)
 		}
 	}
-	look.rivals[key] = rivals
-	return rivals
+	scan.preceding[key] = preceding
+	return preceding
 }
 
 // leavesRoom reports whether a copy on the worker takes no capacity that a waiting task
 // could be started on. A waiting step that fits on the worker, because its job's claim isn't
-// on record yet or it needs a ticket, has to fit on as many other workers as tasks wait. What
-// isn't checked because the pass has made too many checks counts as fitting.
-func (c *Cell) leavesRoom(w *worker, rivals []*stepState) bool {
+// on record yet or it needs a ticket, has to fit on as many other workers as tasks wait. Once
+// the pass has made too many checks, no copy is admitted.
+func (c *Cell) leavesRoom(w *worker, preceding []*stepState) bool {
 	waiting := 0
-	for _, s := range rivals {
+	for _, s := range preceding {
 		waiting += len(s.ready)
 	}
-	for _, s := range rivals {
+	for _, s := range preceding {
 		if c.passes.checks >= maxChecksPerPass {
 			return false
 		}
--- a/cell/copies_test.go
+++ b/cell/copies_test.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/speculation"
 )
 
 // The load of these tests: a step of ten tasks of which the first takes seven times as long
@@ -127,6 +128,25 @@
 	is.True(cost > copyDuration.Seconds() && cost < 3*copyDuration.Seconds()) // the original's run time on one core
 }
 
+// Guards against a slow run that gets no copy until its siblings have ended, although earlier
+// runs of the same queue and image show that it is slow.
+func TestCopyBeforeSiblingsEnd(t *testing.T) {
+	is := is.New(t)
+	s := newCopySite(t, unchanged)
+	s.submit(&job.Job{ID: jobID(1), Spec: "x", Steps: []job.Step{step(copyWorkers, 1)}}) // ends 1 s earlier
+	var reasons []any
+	s.owners[0].onLog = func(e cell.LogEvent) {
+		if e.Event == "copy" {
+			is.True(s.now < time.Second+copyDuration)
+			reasons = append(reasons, e.Fields[len(e.Fields)-1])
+		}
+	}
+	s.run(endWithCopy)
+	s.mustComplete(2)
+	is.Equal(reasons, []any{speculation.SlowEarly.String()})
+	is.Equal(len(s.starts), 2)
+}
+
 // Guards against a second run where none is allowed, or where none fits.
 func TestNoCopy(t *testing.T) {
 	tests := []struct {
@@ -173,7 +193,7 @@
 	}
 }
 
-// Guards against a search through all workers in each look for a copy that fits on none.
+// Guards against a search through all workers in each scan for a copy that fits on none.
 func TestCopyThatFitsNowhereCostsLittle(t *testing.T) {
 	const (
 		from = 8 * time.Second // the siblings have ended
@@ -192,9 +212,9 @@
 	is.True(perSecond < 10*copyWorkers) // 5 searches and 20 comparisons; 20 searches without a pause
 }
 
-// Guards against a look that compares all runs of a large site, and against steps that no
-// look reaches.
-func TestLooksAreBounded(t *testing.T) {
+// Guards against a scan that compares all runs of a large site, and against steps that no
+// scan reaches.
+func TestScansForCopiesAreBounded(t *testing.T) {
 	const (
 		jobs  = 12
 		tasks = 600
@@ -217,10 +237,10 @@
 	is.Equal(len(s.starts), 2)
 	before := s.owners[0].cell.Checks()
 	s.run(16 * time.Second)
-	perLook := (s.owners[0].cell.Checks() - before) / 20
-	t.Logf("%d checks a look, %d runs", perLook, jobs*tasks)
-	is.True(perLook > 0)
-	is.True(perLook < 5600) // maxRunsPerLook, and the rest of one step
+	perScan := (s.owners[0].cell.Checks() - before) / 20
+	t.Logf("%d checks a scan, %d runs", perScan, jobs*tasks)
+	is.True(perScan > 0)
+	is.True(perScan < 5600) // maxRunsPerScan, and the rest of one step
 }
 
 // Guards against copies of a task that crashes its workers, before its crashes are counted.
