--- a/cell/copies.go
+++ b/cell/copies.go
@@ -16,10 +16,23 @@
 // task to the other run. Only the workers know which runs there are; a new owner adopts up
 // to two runs of such a task, and stops any further one.
 
-// copyInterval is the time between two looks for tasks that need a copy. It adds to the time
+// copyInterval is the time between two scans for tasks that need a copy. It adds to the time
 // of each copy, and the objective of an urgent job leaves 300 ms beyond its work.
 const copyInterval = 50 * time.Millisecond
 
+// Bounds on the cost of a scan, which is part of a dispatch pass: the pause after the pass
+// grows with all of its checks.
+const (
+	// maxRunsPerScan is how many runs a scan compares. The next scan continues with the
+	// steps that this one didn't reach. It is half of maxChecksPerPass, so that as many
+	// checks are left to place copies.
+	maxRunsPerScan = maxChecksPerPass / 2
+	// noTargetPause is how long no worker is looked for after a scan found none for a copy
+	// of the step. Without it, steps whose copies fit nowhere would use up the checks of
+	// each scan. It is well below the 300 ms that a copy has to save.
+	noTargetPause = 200 * time.Millisecond
+)
+
 // sharedRackWeight is the weight, in a copy's placement, of each label that may stand for a
 // rack and that the worker shares with that of the task's other run. A slow or lost worker
 // may have its cause in the rack. The weight outweighs any load.
@@ -28,7 +41,7 @@
 // copyState is the state of speculative copies.
 type copyState struct {
 	enabled bool
-	steps   []*stepState // open steps whose tasks may have copies
+	steps   []*stepState // open steps whose tasks may have copies, the next one to scan first
 	history speculation.History
 	lastAt  time.Duration // when tasks that need a copy were last looked for
 }
@@ -117,9 +130,18 @@
 	return speculation.Kind{Queue: s.job.job.Queue, Image: s.spec.Image}
 }
 
+// recordCheckpoint records a checkpoint that a run's worker lists. A worker repeats the newest
+// checkpoint, so only the report that first lists it tells how far the run was.
+func (c *Cell) recordCheckpoint(r *run, checkpoint string, percent int) {
+	if checkpoint == r.checkpoint {
+		return
+	}
+	r.checkpoint = checkpoint
+	c.acceptCheckpoint(r.task, checkpoint, percent)
+}
+
 // acceptCheckpoint keeps a checkpoint of a run for the next start. Of two runs, the
-// checkpoint of the one that is further on is kept. A worker repeats the newest checkpoint, so
-// only the report that first lists it tells how far the run was.
+// checkpoint of the one that is further on is kept.
 func (c *Cell) acceptCheckpoint(t *task, checkpoint string, percent int) {
 	if checkpoint == "" || checkpoint == t.checkpoint || t.done {
 		return
@@ -148,31 +170,53 @@
 	}
 	k.lastAt = c.now
 	k.steps = slices.DeleteFunc(k.steps, (*stepState).isOver)
-	pools := c.copyPools()
-	for _, choice := range c.chooseCopies(pools) {
+	scan := copyScan{pools: c.copyPools(), racks: make(map[string][]string), preceding: make(map[poolPriority][]*stepState)}
+	for _, choice := range c.chooseCopies(scan.pools) {
 		if c.startLimiter.full() || c.passes.checks >= maxChecksPerPass {
 			return
 		}
-		t := choice.task
-		p := pools[t.step.job.terms.Service]
-		if !p.Admits(t.step.need.Processors) {
-			continue
-		}
-		w := c.copyTarget(t)
-		if w == nil {
-			c.askAdviser(t)
-			continue
+		c.placeCopy(&scan, &choice)
+	}
+}
+
+// copyScan is the state of one scan for tasks that need a copy.
+type copyScan struct {
+	pools     map[string]*speculation.Pool
+	racks     map[string][]string // labels that stand for racks, by service
+	preceding map[poolPriority][]*stepState
+}
+
+// poolPriority identifies the steps whose copies have the same preceding steps.
+type poolPriority struct {
+	service  string
+	priority int
+}
+
+// placeCopy starts a copy if the budget admits it and a worker is found.
+func (c *Cell) placeCopy(scan *copyScan, choice *copyChoice) {
+	t := choice.task
+	s := t.step
+	p := scan.pools[s.job.terms.Service]
+	if !p.Admits(s.need.Processors) || c.now < s.noTargetUntil {
+		return
+	}
+	w := c.copyTarget(scan, t)
+	if w == nil {
+		if c.passes.checks < maxChecksPerPass { // the search was complete
+			s.noTargetUntil = c.now + noTargetPause
 		}
-		p.Copying += t.step.need.Processors
-		p.Free -= t.step.need.Processors
-		c.startCopy(t, w, &choice.Decision)
+		c.askAdviser(t)
+		return
 	}
+	p.Copying += s.need.Processors
+	p.Free -= s.need.Processors
+	c.startCopy(t, w, &choice.Decision)
 }
 
 // isOver reports whether the step needs no copies any more, and none of its runs counts
 // against the budget.
 func (s *stepState) isOver() bool {
-	return (s.job.final() || s.tasksLeft == 0) && !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.run != nil })
+	return (s.job.final() || s.tasksLeft == 0) && len(s.runsByWorker) == 0
 }
 
 // copyPools returns the state of the pools of all steps that may have copies.
@@ -206,6 +250,9 @@
 // after their task was completed.
 func (s *stepState) copyCount() int {
 	n := 0
+	if len(s.runsByWorker) == 0 {
+		return n
+	}
 	for _, t := range s.tasks {
 		if t.copy != nil || t.done && t.run != nil {
 			n++
@@ -220,33 +267,50 @@
 	task *task
 }
 
-// chooseCopies returns the tasks that should get a copy, the most urgent first.
+// chooseCopies returns the tasks that should get a copy, the most urgent first, of as many
+// steps as a scan may compare.
 func (c *Cell) chooseCopies(pools map[string]*speculation.Pool) []copyChoice {
+	k := &c.copies
 	var choices []copyChoice
-	for _, s := range c.copies.steps {
-		if s.job.final() || !c.canStart(s.job) || c.isClaimPending(s.job) {
-			continue
-		}
-		var tasks []*task
-		var runs []speculation.Run
-		for _, t := range s.tasks {
-			if c.mayGetCopy(t) {
-				tasks = append(tasks, t)
-				runs = append(runs, c.observe(t))
-			}
-		}
-		step := speculation.Step{Tasks: s.spec.Count, Ended: s.ended, Estimate: s.spec.Estimate}
-		if len(s.ended) == 0 {
-			step.Similar = c.copies.history.Median(s.kind())
+	compared, reached := 0, 0
+	for _, s := range k.steps {
+		if compared >= maxRunsPerScan || c.passes.checks >= maxChecksPerPass {
+			break
 		}
-		for _, d := range step.Decide(runs, *pools[s.job.terms.Service]) {
-			choices = append(choices, copyChoice{d, tasks[d.Run]})
+		reached++
+		if len(s.runsByWorker) == 0 || s.job.final() || !c.canStart(s.job) || c.isClaimPending(s.job) {
+			continue
 		}
+		runs := 0
+		choices, runs = c.chooseInStep(s, pools[s.job.terms.Service], choices)
+		compared += runs
+		c.passes.checks += runs
+	}
+	if reached > 0 && reached < len(k.steps) {
+		k.steps = slices.Concat(k.steps[reached:], k.steps[:reached])
 	}
 	slices.SortStableFunc(choices, func(a, b copyChoice) int { return speculation.Compare(a.Decision, b.Decision) })
 	return choices
 }
 
+// chooseInStep appends the step's tasks that should get a copy to the choices. It also
+// returns the number of runs that were compared.
+func (c *Cell) chooseInStep(s *stepState, p *speculation.Pool, choices []copyChoice) ([]copyChoice, int) {
+	var tasks []*task
+	var runs []speculation.Run
+	for _, t := range s.tasks {
+		if c.mayGetCopy(t) {
+			tasks = append(tasks, t)
+			runs = append(runs, c.observe(t))
+		}
+	}
+	step := speculation.Step{Tasks: s.spec.Count, Ended: s.ended, Similar: c.copies.history.Median(s.kind()), Estimate: s.spec.Estimate}
+	for _, d := range step.Decide(runs, *p) {
+		choices = append(choices, copyChoice{d, tasks[d.Run]})
+	}
+	return choices, len(runs)
+}
+
 // mayGetCopy reports whether a task has a single run of which a copy may be started now.
 // A task whose next failure would be the last one that its queue allows gets none, nor does
 // one whose starts have to be recorded. A run that is being stopped gets none, because the
@@ -299,10 +363,10 @@
 }
 
 // copyTarget returns the worker for a copy of a task, nil if there is none.
-func (c *Cell) copyTarget(t *task) *worker {
+func (c *Cell) copyTarget(scan *copyScan, t *task) *worker {
 	s, other := t.step, t.run.worker
-	racks := c.racks(s.job.terms.Service)
-	rivals := c.rivals(s)
+	racks := c.racksOf(scan, s.job.terms.Service)
+	preceding := c.precedingSteps(scan, s)
 	var best *worker
 	bestScore := 0.0
 	for _, w := range c.usableWorkers(s.job.terms.Service) {
@@ -311,7 +375,7 @@
 			continue
 		}
 		score := s.baseScore(w) + sharedRackWeight*float64(sharedLabels(w, other, racks))
-		if (best == nil || score < bestScore) && c.leavesRoom(w, rivals) {
+		if (best == nil || score < bestScore) && c.leavesRoom(w, preceding) {
 			best, bestScore = w, score
 		}
 	}
@@ -329,26 +393,46 @@
 	return n
 }
 
-// rivals returns the waiting steps that go before a copy of the step's tasks.
-func (c *Cell) rivals(s *stepState) []*stepState {
-	var rivals []*stepState
+// racksOf returns the labels that stand for racks among a service's workers.
+func (c *Cell) racksOf(scan *copyScan, service string) []string {
+	racks, known := scan.racks[service]
+	if !known {
+		racks = c.racks(service)
+		scan.racks[service] = racks
+	}
+	return racks
+}
+
+// precedingSteps returns the waiting steps that go before a copy of the step's tasks.
+func (c *Cell) precedingSteps(scan *copyScan, s *stepState) []*stepState {
+	key := poolPriority{s.job.terms.Service, s.job.terms.Priority}
+	preceding, known := scan.preceding[key]
+	if known {
+		return preceding
+	}
 	for _, other := range c.waitingSteps {
-		if len(other.ready) > 0 && other.job.terms.Service == s.job.terms.Service && other.job.terms.Priority <= s.job.terms.Priority {
-			rivals = append(rivals, other)
+		if len(other.ready) > 0 && other.job.terms.Service == key.service && other.job.terms.Priority <= key.priority {
+			preceding = append(preceding, other)
 		}
 	}
-	return rivals
+	scan.preceding[key] = preceding
+	return preceding
 }
 
 // leavesRoom reports whether a copy on the worker takes no capacity that a waiting task
 // could be started on. A waiting step that fits on the worker, because its job's claim isn't
-// on record yet or it needs a ticket, has to fit on as many other workers as tasks wait.
-func (c *Cell) leavesRoom(w *worker, rivals []*stepState) bool {
+// on record yet or it needs a ticket, has to fit on as many other workers as tasks wait. Once
+// the pass has made too many checks, no copy is admitted.
+func (c *Cell) leavesRoom(w *worker, preceding []*stepState) bool {
 	waiting := 0
-	for _, s := range rivals {
+	for _, s := range preceding {
 		waiting += len(s.ready)
 	}
-	for _, s := range rivals {
+	for _, s := range preceding {
+		if c.passes.checks >= maxChecksPerPass {
+			return false
+		}
+		c.passes.checks++
 		if c.fitsWithoutTicket(s, w) && c.countFitting(s, w, waiting) < waiting {
 			return false
 		}
--- a/cell/copies_test.go
+++ b/cell/copies_test.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/speculation"
 )
 
 // The load of these tests: a step of ten tasks of which the first takes seven times as long
@@ -127,6 +128,25 @@
 	is.True(cost > copyDuration.Seconds() && cost < 3*copyDuration.Seconds()) // the original's run time on one core
 }
 
+// Guards against a slow run that gets no copy until its siblings have ended, although earlier
+// runs of the same queue and image show that it is slow.
+func TestCopyBeforeSiblingsEnd(t *testing.T) {
+	is := is.New(t)
+	s := newCopySite(t, unchanged)
+	s.submit(&job.Job{ID: jobID(1), Spec: "x", Steps: []job.Step{step(copyWorkers, 1)}}) // ends 1 s earlier
+	var reasons []any
+	s.owners[0].onLog = func(e cell.LogEvent) {
+		if e.Event == "copy" {
+			is.True(s.now < time.Second+copyDuration)
+			reasons = append(reasons, e.Fields[len(e.Fields)-1])
+		}
+	}
+	s.run(endWithCopy)
+	s.mustComplete(2)
+	is.Equal(reasons, []any{speculation.SlowEarly.String()})
+	is.Equal(len(s.starts), 2)
+}
+
 // Guards against a second run where none is allowed, or where none fits.
 func TestNoCopy(t *testing.T) {
 	tests := []struct {
@@ -173,6 +193,56 @@
 	}
 }
 
+// Guards against a search through all workers in each scan for a copy that fits on none.
+func TestCopyThatFitsNowhereCostsLittle(t *testing.T) {
+	const (
+		from = 8 * time.Second // the siblings have ended
+		span = 10 * time.Second
+	)
+	is := is.New(t)
+	s := newCopySite(t, func(s *job.Step) { s.Label = "gpu" })
+	s.workers[3].host.Labels = []string{"gpu"}
+	s.workers[3].host.Capacity.Processors *= 2
+	s.run(from)
+	before := s.owners[0].cell.Checks()
+	s.run(from + span)
+	is.Equal(s.runsOf(), []*fakeWorker{s.first})
+	perSecond := (s.owners[0].cell.Checks() - before) / uint64(span/time.Second)
+	t.Logf("%d checks a second", perSecond)
+	is.True(perSecond < 10*copyWorkers) // 5 searches and 20 comparisons; 20 searches without a pause
+}
+
+// Guards against a scan that compares all runs of a large site, and against steps that no
+// scan reaches.
+func TestScansForCopiesAreBounded(t *testing.T) {
+	const (
+		jobs  = 12
+		tasks = 600
+	)
+	is := is.New(t)
+	s := newCopySite(t, func(s *job.Step) { s.Need.Processors, s.Need.Memory = 1, 1 })
+	s.duration = func(task string) time.Duration {
+		if task[:len(jobID(0))] == jobID(0) {
+			return copyDuration
+		}
+		return settleTime
+	}
+	for i := range jobs {
+		j := &job.Job{ID: jobID(i + 1), Spec: "x", Steps: []job.Step{step(tasks, 1)}}
+		j.Steps[0].AllowsCopies = true
+		j.Steps[0].Need.Processors, j.Steps[0].Need.Memory = 1, 1
+		s.submit(j)
+	}
+	s.run(15 * time.Second)
+	is.Equal(len(s.starts), 2)
+	before := s.owners[0].cell.Checks()
+	s.run(16 * time.Second)
+	perScan := (s.owners[0].cell.Checks() - before) / 20
+	t.Logf("%d checks a scan, %d runs", perScan, jobs*tasks)
+	is.True(perScan > 0)
+	is.True(perScan < 5600) // maxRunsPerScan, and the rest of one step
+}
+
 // Guards against copies of a task that crashes its workers, before its crashes are counted.
 func TestTaskThatCrashesItsWorkerGetsNoCopy(t *testing.T) {
 	is := is.New(t)
@@ -423,6 +493,39 @@
 	}
 }
 
+// Guards against an old checkpoint that a run repeats, while it advances, and that replaces a
+// newer one of the task's other run.
+func TestRepeatedCheckpointIsNotKept(t *testing.T) {
+	const atOriginal, atCopy = 10, 12 // percent at which the only checkpoint is written
+	is := is.New(t)
+	s := newCopySite(t, func(s *job.Step) { s.Checkpoints = true })
+	s.checkpoint = func(task string, w *fakeWorker) string {
+		at := atCopy
+		if w == s.first {
+			at = atOriginal
+		}
+		if task != slowTask || w.runs[task].progress(s.now) < w.runs[task].duration*time.Duration(at)/100 {
+			return ""
+		}
+		return fmt.Sprintf("%s/%d", w.host.ID, at)
+	}
+	s.slowdown = func(task string, w *fakeWorker) float64 {
+		if task != slowTask {
+			return 1
+		}
+		s.first = cmp.Or(s.first, w)
+		return copySlowdown
+	}
+	copied, original := s.runUntilCopied(), s.first
+	s.run(s.now + 8*time.Second)
+	copied.crash(5*time.Second, 1)
+	original.crash(5*time.Second, 1)
+	s.run(s.now + settleTime)
+	s.mustComplete(1)
+	is.True(len(s.checkpoints) >= 3)
+	is.Equal(s.checkpoints[2], fmt.Sprintf("%s/%d", copied.host.ID, atCopy))
+}
+
 // Guards against an account of delays that leaves out the time before the copy's start, or
 // counts the time of both runs.
 func TestDelaysWhenTheCopyWins(t *testing.T) {
