--- a/cmd/dogwoodladder/entry.go
+++ b/cmd/dogwoodladder/entry.go
@@ -14,7 +14,7 @@
 type platformEntryCmd struct {
 	Aggregation string `enum:"auto,off" default:"auto" help:"Write records of jobs through aggregators while the store is slow (auto, off)."`
 	Copies      string `enum:"auto,off" default:"auto" help:"Run tasks a second time whose steps allow copies (auto, off)."`
-	Sharing     string `enum:"auto,off" default:"auto" help:"Share full pools by queue and availability zone (auto, off)."`
+	Sharing     string `enum:"auto,off" default:"off" help:"Share full pools by queue and availability zone (auto, off)."`
 }
 
 // flagAuto is the value of a flag that leaves the decision to the platform's settings and the
--- a/speculation/speculation.go
+++ b/speculation/speculation.go
@@ -12,9 +12,8 @@
 //		}
 //	}
 //
-// Without copies, a step waits for its slowest run. In 6 to 7% of the urgent steps with
-// five runs or more, one run takes over twice the step's median and up to 12 times as
-// long, because of its worker. The decision compares the expected remaining time of each
+// Without copies, a step waits for its slowest run, which may take several times as long as
+// the others because of its worker. The decision compares the expected remaining time of each
 // run with the expected time of a new run, so that a task which is merely large gets no
 // copy: its copy would be as slow.
 //
--- a/writepath/writepath.go
+++ b/writepath/writepath.go
@@ -4,7 +4,7 @@
 // It answers a store that is slow or rejects writes, while instances go on appending their
 // own few records each. A partition runs its appends one at a time and rejects them once
 // more than 2 s of work wait. With 33 to 42 instances and appends that take 96 or 188 ms
-// instead of 2 ms, 36 of 117 jobs are accepted. One append could carry the waiting records
+// instead of 2 ms, most jobs are rejected. One append could carry the waiting records
 // of all instances, which is what an aggregator does. A store that works costs no more
 // than before: records are then written directly, without a second message.
 //
