Review: a flapping worker makes the scheduler fail accepted jobs that never failed

Cause: package crash counts runs that are lost with their worker just after their start against their tasks (cell/crash.go). Three such losses, two of them in trials, end the job as failed, although no run has ended failed.

--- a/review/kit/ledger.go
+++ b/review/kit/ledger.go
@@ -23,6 +23,7 @@
 	running map[string]uint64 // attempt by worker
 	done    map[string]time.Time
 	noted   bool     // an end done was taken note of
+	failed  int      // ends failed
 	late    []string // starts after a run had ended done
 }
 
@@ -76,6 +77,7 @@
 		t.done[fmt.Sprintf("attempt %d on %s", attempt, w.ID)] = time.Now()
 	case "failed":
 		l.failed++
+		t.failed++
 	}
 	l.record.Printf("end %s attempt %d on %s: %s", name, attempt, w.ID, how)
 }
@@ -101,3 +103,16 @@
 	defer l.mu.Unlock()
 	return l.starts, l.dones, l.failed
 }
+
+// FailedRuns returns how many runs of a job's tasks have ended failed.
+func (l *Ledger) FailedRuns(job string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for name, t := range l.tasks {
+		if strings.HasPrefix(name, job+".") {
+			n += t.failed
+		}
+	}
+	return n
+}
