--- a/review/kit/instance.go
+++ b/review/kit/instance.go
@@ -190,6 +190,16 @@
 	return nil
 }
 
+// ByDoor returns the instance of an access to the store, nil if there is none.
+func (s *Site) ByDoor(d *Door) *Instance {
+	for _, in := range s.Instances {
+		if in.Door == d {
+			return in
+		}
+	}
+	return nil
+}
+
 // AwaitReady waits until all instances are ready.
 func (s *Site) AwaitReady(within time.Duration) bool {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -63,6 +63,14 @@
 	record *Record
 	mu     sync.Mutex
 	topics map[string]*topic
+	writer *Door // that last wrote under a condition
+}
+
+// LastWriter returns the access of the instance that last wrote under a condition.
+func (s *Store) LastWriter() *Door {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writer
 }
 
 // NewStore returns an empty Store.
@@ -149,7 +157,7 @@
 			http.Error(w, "read only", http.StatusForbidden)
 			return
 		}
-		status, answer = s.append(name, r, body)
+		status, answer = s.append(d, name, r, body)
 	case "GET /api/log-read":
 		status, answer = s.read(d, name, r)
 	case "GET /api/log-newest":
@@ -221,7 +229,7 @@
 	return records, true
 }
 
-func (s *Store) append(name string, r *http.Request, body []byte) (int, []byte) {
+func (s *Store) append(d *Door, name string, r *http.Request, body []byte) (int, []byte) {
 	records, ok := parseRecords(body)
 	if !ok || len(body) > 2<<20 {
 		return http.StatusBadRequest, []byte("{}")
@@ -258,6 +266,7 @@
 			t.recent = nil
 		}
 		t.epoch, t.seq = epoch, seq
+		s.writer = d
 	}
 	offset := len(t.records)
 	t.add(records)
--- a/review/manyends/main.go
+++ b/review/manyends/main.go
@@ -17,8 +17,8 @@
 const (
 	workerCount = 2
 	jobCount    = 4
-	jobWidth    = 2000
-	outageAt    = 5 * time.Second // after the jobs were handed in
+	jobWidth    = 2500
+	outageAt    = 4 * time.Second // after the jobs were handed in
 	outageTime  = 4500 * time.Millisecond
 	length      = 45 * time.Second
 )
@@ -29,7 +29,7 @@
 	program := flag.String("program", "", "the program under test")
 	dir := flag.String("dir", "", "temporary folder")
 	out := flag.String("record", "record.txt", "file for the record")
-	trouble := flag.String("trouble", "down", "down: the store is away for all instances; none")
+	trouble := flag.String("trouble", "down", "down: the store is away for all instances; kill: the owner is killed; none")
 	flag.Parse()
 	record, err := kit.NewRecord(*out)
 	if err != nil {
@@ -43,7 +43,7 @@
 	fleet.Outcome = func(task string, attempt uint64) kit.Outcome {
 		h := fnv.New32a()
 		fmt.Fprintf(h, "%s/%d", task, attempt)
-		return kit.Outcome{Length: 1500*time.Millisecond + time.Duration(h.Sum32()%1000)*time.Millisecond}
+		return kit.Outcome{Length: 1000*time.Millisecond + time.Duration(h.Sum32()%500)*time.Millisecond}
 	}
 	zones := []string{"za", "zb", "zc"}
 	for i := range workerCount {
@@ -71,11 +71,16 @@
 	var ids []string
 	for range jobCount {
 		id := kit.NewID()
-		if clients.Submit(id, []kit.Step{{Count: jobWidth, Processors: 100, Memory: 100, Estimate: 2000}}) {
+		if clients.Submit(id, []kit.Step{{Count: jobWidth, Processors: 100, Memory: 100, Estimate: 1250}}) {
 			ids = append(ids, id)
 		}
 	}
-	if *trouble != "none" {
+	if *trouble == "kill" {
+		time.Sleep(outageAt - time.Since(begun))
+		record.Printf("TROUBLE: the instance is killed that last wrote to the store under a condition")
+		site.ByDoor(store.LastWriter()).Kill()
+	}
+	if *trouble == "down" {
 		time.Sleep(outageAt - time.Since(begun))
 		record.Printf("TROUBLE: the store is down")
 		for _, in := range site.Instances {
