--- a/review/kit/instance.go
+++ b/review/kit/instance.go
@@ -147,7 +147,10 @@
 // Kill kills the process. It is started again half a second later.
 func (in *Instance) Kill() { in.signal(syscall.SIGKILL) }
 
-// Signal sends a signal to the process.
+// Term asks the process to stop, as before a planned restart. It is started again.
+func (in *Instance) Term() { in.signal(syscall.SIGTERM) }
+
+// signal sends a signal to the process.
 func (in *Instance) signal(s syscall.Signal) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/review/kit/ledger.go
+++ b/review/kit/ledger.go
@@ -11,6 +11,8 @@
 
 // Ledger knows all runs on all workers and checks rule TWICE.
 type Ledger struct {
+	OnEnd func(worker, task, how string) // called for each end; may be nil
+
 	record *Record
 	mu     sync.Mutex
 	tasks  map[string]*taskLedger
@@ -20,11 +22,20 @@
 }
 
 type taskLedger struct {
-	running map[string]uint64 // attempt by worker
-	done    map[string]time.Time
-	noted   bool     // an end done was taken note of
-	failed  int      // ends failed
-	late    []string // starts after a run had ended done
+	running map[string]uint64   // attempt by worker
+	done    map[string]*doneRun // by attempt and worker
+	failed  int                 // ends failed
+}
+
+// doneRun is a run that has ended done.
+type doneRun struct {
+	at    time.Time
+	noted bool     // that end was taken note of
+	late  []string // starts after it, while it isn't taken note of
+}
+
+func runName(attempt uint64, w *Worker) string {
+	return fmt.Sprintf("attempt %d on %s", attempt, w.ID)
 }
 
 // NewLedger returns an empty Ledger.
@@ -35,7 +46,7 @@
 func (l *Ledger) task(name string) *taskLedger {
 	t := l.tasks[name]
 	if t == nil {
-		t = &taskLedger{running: make(map[string]uint64), done: make(map[string]time.Time)}
+		t = &taskLedger{running: make(map[string]uint64), done: make(map[string]*doneRun)}
 		l.tasks[name] = t
 	}
 	return t
@@ -50,14 +61,12 @@
 	for other, a := range t.running {
 		l.record.Break("TWICE: %s attempt %d starts on %s while attempt %d runs on %s, which is up", name, attempt, w.ID, a, other)
 	}
-	if len(t.done) > 0 {
-		for run, at := range t.done {
-			line := fmt.Sprintf("TWICE: %s attempt %d starts on %s, %s had ended done %.1f s before, and that end is taken note of", name, attempt, w.ID, run, time.Since(at).Seconds())
-			if t.noted {
-				l.record.Break("%s", line)
-			} else {
-				t.late = append(t.late, line)
-			}
+	for run, d := range t.done {
+		line := fmt.Sprintf("TWICE: %s attempt %d starts on %s, %s had ended done %.1f s before, and that end is taken note of", name, attempt, w.ID, run, time.Since(d.at).Seconds())
+		if d.noted {
+			l.record.Break("%s", line)
+		} else {
+			d.late = append(d.late, line)
 		}
 	}
 	t.running[w.ID] = attempt
@@ -74,11 +83,14 @@
 	switch how {
 	case "done":
 		l.dones++
-		t.done[fmt.Sprintf("attempt %d on %s", attempt, w.ID)] = time.Now()
+		t.done[runName(attempt, w)] = &doneRun{at: time.Now()}
 	case "failed":
 		l.failed++
 		t.failed++
 	}
+	if l.OnEnd != nil {
+		l.OnEnd(w.ID, name, how)
+	}
 	l.record.Printf("end %s attempt %d on %s: %s", name, attempt, w.ID, how)
 }
 
@@ -86,15 +98,15 @@
 func (l *Ledger) noted(w *Worker, name string, attempt uint64, how string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.task(name)
-	if how != "done" {
+	d := l.task(name).done[runName(attempt, w)]
+	if how != "done" || d == nil {
 		return
 	}
-	t.noted = true
-	for _, line := range t.late {
+	d.noted = true
+	for _, line := range d.late {
 		l.record.Break("%s", line)
 	}
-	t.late = nil
+	d.late = nil
 }
 
 // Counts returns the number of starts and of ends done and failed.
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -36,8 +38,9 @@
 
 // Outcome is how a run goes.
 type Outcome struct {
-	Length time.Duration
-	Fails  bool
+	Length      time.Duration
+	Fails       bool
+	Checkpoints bool
 }
 
 // Fleet is the pool of workers of one service.
@@ -46,16 +49,20 @@
 	Machines []*Machine
 	Outcome  func(task string, attempt uint64) Outcome
 	OnStart  func(w *Worker, task string, attempt uint64) // called for each start with no lock held; may be nil
+	GangSize func(task string) int                        // number of members of the task's gang, zero if it is in none; may be nil
 
 	record *Record
 	ledger *Ledger
 	store  *Store
 	mu     sync.Mutex // guards the machines
+
+	gangMu sync.Mutex
+	gangs  map[string]*gang // by step and attempt
 }
 
 // NewFleet returns a Fleet without machines.
 func NewFleet(service string, s *Store, l *Ledger, r *Record) *Fleet {
-	return &Fleet{Service: service, store: s, ledger: l, record: r}
+	return &Fleet{Service: service, store: s, ledger: l, record: r, gangs: make(map[string]*gang)}
 }
 
 // Add adds a machine and starts its first worker.
@@ -113,6 +120,7 @@
 	n := len(w.runs)
 	for name, r := range w.runs {
 		f.ledger.ended(w, name, r.attempt, "gone with its worker")
+		go f.leaveGang(name, r.attempt)
 	}
 	w.runs = make(map[string]*run)
 	w.mu.Unlock()
@@ -133,6 +141,7 @@
 
 	mu          sync.Mutex
 	isUp        bool
+	cut         chan struct{} // closed when a cut ends; nil without one
 	seq         int
 	token       uint64
 	lease       time.Duration // end of the lease, on the worker's clock
@@ -146,9 +155,44 @@
 }
 
 type run struct {
-	attempt uint64
-	begun   time.Time
-	length  time.Duration
+	attempt     uint64
+	begun       time.Time
+	length      time.Duration // of the work that is left
+	before      time.Duration // work that the checkpoint carries
+	checkpoints bool
+}
+
+const (
+	checkpointTime = time.Second // of work between two checkpoints
+	restoreTime    = 250 * time.Millisecond
+)
+
+// saved returns the newest checkpoint. At a stop there is one of all work so far.
+func (r *run) saved(task string, atStop bool) string {
+	if !r.checkpoints {
+		return ""
+	}
+	work := min(time.Since(r.begun), r.length)
+	if !atStop {
+		work = work / checkpointTime * checkpointTime
+	}
+	if r.before > 0 {
+		work = max(0, work-restoreTime)
+	}
+	if work += r.before; work <= 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s/%d", task, work.Milliseconds())
+}
+
+// workOf returns the work that a checkpoint carries, and whether it is one of the task.
+func workOf(task, checkpoint string) (time.Duration, bool) {
+	at := strings.LastIndexByte(checkpoint, '/')
+	if at < 0 || checkpoint[:at] != task {
+		return 0, false
+	}
+	ms, err := strconv.Atoi(checkpoint[at+1:])
+	return time.Duration(ms) * time.Millisecond, err == nil
 }
 
 type end struct {
@@ -157,6 +201,7 @@
 	attempt uint64
 	how     string
 	at      time.Time
+	saved   string
 }
 
 func (w *Worker) clock() time.Duration { return time.Since(w.clockStart) }
@@ -188,12 +233,14 @@
 			"coldRemainingMs": 0, "machine": m.Name, "labels": m.Labels, "clockMs": w.clock().Milliseconds(), "seq": w.seq,
 			"capacity": map[string]any{"cpu": m.Cores, "memMb": m.Memory, "gpus": 0},
 		}
-		up := w.isUp
+		up, cut := w.isUp, w.cut != nil
 		w.mu.Unlock()
 		if !up {
 			return
 		}
-		m.fleet.store.PutJSON("keyed.servers", w.ID, entry)
+		if !cut {
+			m.fleet.store.PutJSON("keyed.servers", w.ID, entry)
+		}
 		select {
 		case <-time.After(HeartbeatInterval):
 		case <-w.stopped:
@@ -204,13 +251,14 @@
 
 // order has the fields of all orders.
 type order struct {
-	Task     string `json:"task"`
-	Attempt  uint64 `json:"attempt"`
-	Spec     string `json:"spec"`
-	Deadline int64  `json:"deadlineMs"`
-	Token    uint64 `json:"fencingToken"`
-	LastSeen uint64 `json:"lastSeen"`
-	Wait     int64  `json:"waitMs"`
+	Task       string `json:"task"`
+	Checkpoint string `json:"checkpoint"`
+	Attempt    uint64 `json:"attempt"`
+	Spec       string `json:"spec"`
+	Deadline   int64  `json:"deadlineMs"`
+	Token      uint64 `json:"fencingToken"`
+	LastSeen   uint64 `json:"lastSeen"`
+	Wait       int64  `json:"waitMs"`
 }
 
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
@@ -224,6 +272,15 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if cut := w.cut; cut != nil { // what arrives in a cut is lost
+		w.mu.Unlock()
+		select {
+		case <-cut:
+		case <-w.stopped:
+		}
+		w.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	if !w.isUp {
 		panic(http.ErrAbortHandler)
 	}
@@ -292,14 +349,26 @@
 	}
 	f := w.machine.fleet
 	outcome := f.Outcome(o.Task, o.Attempt)
-	r := &run{attempt: o.Attempt, begun: time.Now(), length: outcome.Length}
+	r := &run{attempt: o.Attempt, begun: time.Now(), length: outcome.Length, checkpoints: outcome.Checkpoints}
+	if o.Checkpoint != "" {
+		work, ok := workOf(o.Task, o.Checkpoint)
+		if !ok {
+			f.record.Break("UNASKED: %s starts with checkpoint %q, which isn't the task's", o.Task, o.Checkpoint)
+		}
+		r.before = work
+		r.length = max(0, outcome.Length-work) + restoreTime
+	}
 	w.runs[o.Task] = r
 	f.ledger.started(w, o.Task, o.Attempt, o.Spec)
+	if f.GangSize != nil && f.GangSize(o.Task) > 0 {
+		go f.joinGang(w, o.Task, r)
+		return ""
+	}
 	how := "done"
 	if outcome.Fails {
 		how = "failed"
 	}
-	time.AfterFunc(outcome.Length, func() {
+	time.AfterFunc(r.length, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.isUp && w.runs[o.Task] == r {
@@ -332,8 +401,11 @@
 	delete(w.runs, task)
 	w.maxFinished[task] = max(w.maxFinished[task], r.attempt)
 	w.endCount++
-	w.ends = append(w.ends, end{number: w.endCount, task: task, attempt: r.attempt, how: how, at: time.Now()})
+	w.ends = append(w.ends, end{number: w.endCount, task: task, attempt: r.attempt, how: how, at: time.Now(), saved: r.saved(task, how == "stopped")})
 	w.machine.fleet.ledger.ended(w, task, r.attempt, how)
+	if how != "done" {
+		go w.machine.fleet.leaveGang(task, r.attempt)
+	}
 	close(w.ended)
 	w.ended = make(chan struct{})
 }
@@ -359,13 +431,22 @@
 		case <-w.stopped:
 		}
 		w.mu.Lock()
+		if cut := w.cut; cut != nil {
+			w.mu.Unlock()
+			select {
+			case <-cut:
+			case <-w.stopped:
+			}
+			w.mu.Lock()
+			panic(http.ErrAbortHandler)
+		}
 		if !w.isUp {
 			panic(http.ErrAbortHandler)
 		}
 	}
 	running := [][]any{}
 	for name, run := range w.runs {
-		running = append(running, []any{name, run.attempt, "", min(99, int(100*time.Since(run.begun)/run.length)), 0})
+		running = append(running, []any{name, run.attempt, run.saved(name, false), min(99, int(100*time.Since(run.begun)/run.length)), 0})
 	}
 	finished := [][]any{}
 	for i := range w.ends {
@@ -373,10 +454,27 @@
 			break
 		}
 		e := &w.ends[i]
-		finished = append(finished, []any{e.number, e.task, e.attempt, e.how, ""})
+		finished = append(finished, []any{e.number, e.task, e.attempt, e.how, e.saved})
 	}
 	if len(w.ends) > maxListedEnds {
 		w.machine.fleet.record.Printf("worker %s lists %d of %d ends, %d running", w.ID, maxListedEnds, len(w.ends), len(running))
 	}
 	_ = json.NewEncoder(out).Encode(map[string]any{"clockMs": w.clock().Milliseconds(), "running": running, "finished": finished})
 }
+
+// Cut cuts the worker off from everything for a time. It runs on.
+func (w *Worker) Cut(d time.Duration) {
+	cut := make(chan struct{})
+	w.mu.Lock()
+	w.cut = cut
+	w.mu.Unlock()
+	w.machine.fleet.record.Printf("worker %s is cut off for %v", w.ID, d)
+	expire := time.AfterFunc(3*HeartbeatInterval, func() { w.machine.fleet.store.Put("keyed.servers", w.ID, nil) })
+	time.Sleep(d)
+	expire.Stop()
+	w.mu.Lock()
+	w.cut = nil
+	w.mu.Unlock()
+	close(cut)
+	w.machine.fleet.record.Printf("worker %s is reached again", w.ID)
+}
--- a/review/manyends/main.go
+++ b/review/manyends/main.go
@@ -29,7 +29,7 @@
 	program := flag.String("program", "", "the program under test")
 	dir := flag.String("dir", "", "temporary folder")
 	out := flag.String("record", "record.txt", "file for the record")
-	trouble := flag.String("trouble", "down", "down: the store is away for all instances; kill: the owner is killed; none")
+	trouble := flag.String("trouble", "down", "down: the store is away for all instances; kill: the owner is killed, with shorter tasks; calm: none, with shorter tasks; none")
 	flag.Parse()
 	record, err := kit.NewRecord(*out)
 	if err != nil {
@@ -43,6 +43,9 @@
 	fleet.Outcome = func(task string, attempt uint64) kit.Outcome {
 		h := fnv.New32a()
 		fmt.Fprintf(h, "%s/%d", task, attempt)
+		if *trouble == "kill" || *trouble == "calm" { // all that run end before another instance takes over
+			return kit.Outcome{Length: 500*time.Millisecond + time.Duration(h.Sum32()%300)*time.Millisecond}
+		}
 		return kit.Outcome{Length: 1000*time.Millisecond + time.Duration(h.Sum32()%500)*time.Millisecond}
 	}
 	zones := []string{"za", "zb", "zc"}
