--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -106,16 +106,7 @@
 
 // Submit hands a job in, with up to four retries. It reports whether the job was accepted.
 func (c *Clients) Submit(id string, steps []Step) bool {
-	return c.SubmitTimed(id, steps, 0, 0, 0)
-}
-
-// SubmitTimed is Submit for a job that runs several times.
-func (c *Clients) SubmitTimed(id string, steps []Step, startAt, interval int64, times int) bool {
-	job := map[string]any{"spec": "job " + id, "phases": steps}
-	if times > 0 {
-		job["startAtMs"], job["intervalMs"], job["repeatCount"] = startAt, interval, times
-	}
-	body, _ := json.Marshal(job)
+	body, _ := json.Marshal(map[string]any{"spec": "job " + id, "phases": steps})
 	for range 5 {
 		status, _, after := c.call(http.MethodPost, Prefix+id, body)
 		switch {
@@ -158,15 +149,3 @@
 	}
 	return len(c.accepted), states
 }
-
-// Cancel cancels a job, with up to four retries. It reports whether that was answered with 2xx or 410.
-func (c *Clients) Cancel(id string) bool {
-	for range 5 {
-		status, _, _ := c.call(http.MethodDelete, Prefix+id, nil)
-		if status >= 200 && status < 300 || status == http.StatusGone {
-			return true
-		}
-		time.Sleep(300 * time.Millisecond)
-	}
-	return false
-}
--- a/review/kit/instance.go
+++ b/review/kit/instance.go
@@ -147,9 +147,6 @@
 // Kill kills the process. It is started again half a second later.
 func (in *Instance) Kill() { in.signal(syscall.SIGKILL) }
 
-// Term asks the process to stop, as before a planned restart. It is started again.
-func (in *Instance) Term() { in.signal(syscall.SIGTERM) }
-
 // signal sends a signal to the process.
 func (in *Instance) signal(s syscall.Signal) {
 	in.mu.Lock()
@@ -158,13 +155,6 @@
 	_ = in.process.Process.Signal(s)
 }
 
-// Freeze stops the process and lets it go on after a time.
-func (in *Instance) Freeze(d time.Duration) {
-	in.signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	in.signal(syscall.SIGCONT)
-}
-
 // Ready reports whether the instance has answered its last readiness probe with 200.
 func (in *Instance) Ready() bool { return in.ready.Load() }
 
--- a/review/kit/ledger.go
+++ b/review/kit/ledger.go
@@ -24,7 +24,6 @@
 type taskLedger struct {
 	running map[string]uint64   // attempt by worker
 	done    map[string]*doneRun // by attempt and worker
-	failed  int                 // ends failed
 }
 
 // doneRun is a run that has ended done.
@@ -86,7 +85,6 @@
 		t.done[runName(attempt, w)] = &doneRun{at: time.Now()}
 	case "failed":
 		l.failed++
-		t.failed++
 	}
 	if l.OnEnd != nil {
 		l.OnEnd(w.ID, name, how)
@@ -115,16 +113,3 @@
 	defer l.mu.Unlock()
 	return l.starts, l.dones, l.failed
 }
-
-// FailedRuns returns how many runs of a job's tasks have ended failed.
-func (l *Ledger) FailedRuns(job string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for name, t := range l.tasks {
-		if strings.HasPrefix(name, job+".") {
-			n += t.failed
-		}
-	}
-	return n
-}
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -48,8 +48,7 @@
 	Service  string
 	Machines []*Machine
 	Outcome  func(task string, attempt uint64) Outcome
-	OnStart  func(w *Worker, task string, attempt uint64) // called for each start with no lock held; may be nil
-	GangSize func(task string) int                        // number of members of the task's gang, zero if it is in none; may be nil
+	GangSize func(task string) int // number of members of the task's gang, zero if it is in none; may be nil
 
 	record *Record
 	ledger *Ledger
@@ -141,7 +140,6 @@
 
 	mu          sync.Mutex
 	isUp        bool
-	cut         chan struct{} // closed when a cut ends; nil without one
 	seq         int
 	token       uint64
 	lease       time.Duration // end of the lease, on the worker's clock
@@ -150,7 +148,6 @@
 	maxFinished map[string]uint64 // highest attempt that was stopped or has ended, by task
 	ends        []end             // not forgotten yet
 	endCount    uint64
-	seen        uint64
 	ended       chan struct{} // closed at the next end
 }
 
@@ -206,16 +203,6 @@
 
 func (w *Worker) clock() time.Duration { return time.Since(w.clockStart) }
 
-// Machine returns the worker's machine.
-func (w *Worker) Machine() *Machine { return w.machine }
-
-// RunCount returns the number of tasks at work.
-func (w *Worker) RunCount() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.runs)
-}
-
 // Current returns the machine's worker, nil while it is down.
 func (m *Machine) Current() *Worker {
 	m.fleet.mu.Lock()
@@ -233,14 +220,12 @@
 			"coldRemainingMs": 0, "machine": m.Name, "labels": m.Labels, "clockMs": w.clock().Milliseconds(), "seq": w.seq,
 			"capacity": map[string]any{"cpu": m.Cores, "memMb": m.Memory, "gpus": 0},
 		}
-		up, cut := w.isUp, w.cut != nil
+		up := w.isUp
 		w.mu.Unlock()
 		if !up {
 			return
 		}
-		if !cut {
-			m.fleet.store.PutJSON("keyed.servers", w.ID, entry)
-		}
+		m.fleet.store.PutJSON("keyed.servers", w.ID, entry)
 		select {
 		case <-time.After(HeartbeatInterval):
 		case <-w.stopped:
@@ -272,15 +257,6 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if cut := w.cut; cut != nil { // what arrives in a cut is lost
-		w.mu.Unlock()
-		select {
-		case <-cut:
-		case <-w.stopped:
-		}
-		w.mu.Lock()
-		panic(http.ErrAbortHandler)
-	}
 	if !w.isUp {
 		panic(http.ErrAbortHandler)
 	}
@@ -375,9 +351,6 @@
 			w.end(o.Task, r, how)
 		}
 	})
-	if f.OnStart != nil {
-		go f.OnStart(w, o.Task, o.Attempt)
-	}
 	return ""
 }
 
@@ -431,15 +404,6 @@
 		case <-w.stopped:
 		}
 		w.mu.Lock()
-		if cut := w.cut; cut != nil {
-			w.mu.Unlock()
-			select {
-			case <-cut:
-			case <-w.stopped:
-			}
-			w.mu.Lock()
-			panic(http.ErrAbortHandler)
-		}
 		if !w.isUp {
 			panic(http.ErrAbortHandler)
 		}
@@ -461,20 +425,3 @@
 	}
 	_ = json.NewEncoder(out).Encode(map[string]any{"clockMs": w.clock().Milliseconds(), "running": running, "finished": finished})
 }
-
-// Cut cuts the worker off from everything for a time. It runs on.
-func (w *Worker) Cut(d time.Duration) {
-	cut := make(chan struct{})
-	w.mu.Lock()
-	w.cut = cut
-	w.mu.Unlock()
-	w.machine.fleet.record.Printf("worker %s is cut off for %v", w.ID, d)
-	expire := time.AfterFunc(3*HeartbeatInterval, func() { w.machine.fleet.store.Put("keyed.servers", w.ID, nil) })
-	time.Sleep(d)
-	expire.Stop()
-	w.mu.Lock()
-	w.cut = nil
-	w.mu.Unlock()
-	close(cut)
-	w.machine.fleet.record.Printf("worker %s is reached again", w.ID)
-}
