--- a/review/upkeep/main.go
+++ b/review/upkeep/main.go
@@ -17,7 +17,7 @@
 const (
 	machineCount = 8
 	taskLength   = 4 * time.Second
-	jobInterval  = 250 * time.Millisecond
+	jobInterval  = 150 * time.Millisecond
 	waveAt       = 10 * time.Second
 	lastJobAt    = 32 * time.Second
 	length       = 40 * time.Second
