A run that an answer leaves out hasn't ended until all ends are listed

Callers saw tasks run again that had ended well (TWICE): after an outage of the store, or the loss of an owner, with many small tasks on a worker.

Cause: an answer to a hold lists all runs that go on, but 500 ends at most. A run in neither list counted as gone without an end, and its task was started again. The end was listed and acknowledged later. What such an answer proves is only that the run doesn't go on.

The same conclusion was drawn of the starts in flight to a worker that restarted (resolveStarts, expireStarts), of the survey of a new owner (its first answer, and its deadline), and would be of answers through other instances. Answers now say whether they may leave out ends (HoldResult.MoreEnded, also in the protocol between instances, which has a new version). A run that isn't listed is kept with its capacity until the rest is listed, its worker is lost or its lease has expired; it isn't stopped and doesn't count as hanging. The survey waits for an answer that leaves out nothing.

Why it works: ends are listed in their order and stay listed until they are acknowledged, so an answer with fewer ends than the maximum shows the end of each run that ever ended there.

Ruled out: ends acknowledged unread (nothing was acknowledged in the outage) and expired leases (the workers recorded none). Evidence: the owner's "not running" lines name handled and recorded ends 500 apart, at the moment at which the worker leaves out the first 18 ends. The daemon's engine isn't affected, as a lease lists everything.

--- a/cell/copies.go
+++ b/cell/copies.go
@@ -314,7 +314,8 @@
 // mayGetCopy reports whether a task has a single run of which a copy may be started now.
 // A task whose next failure would be the last one that its queue allows gets none, nor does
 // one whose starts have to be recorded. A run that is being stopped gets none, because the
-// task resumes from the checkpoint that the stop returns, unless its worker is silent. A run
+// task resumes from the checkpoint that the stop returns, nor does one whose end isn't
+// listed yet, unless its worker is silent. A run
 // that may have silenced its worker gets none.
 func (c *Cell) mayGetCopy(t *task) bool {
 	r := t.run
@@ -322,7 +323,7 @@
 		return false
 	}
 	silent := c.workerReason(r.worker) == speculation.Silent
-	if r.state == runStopping && !silent || silent && c.mayHaveCrashed(r) {
+	if r.state.isEnding() && !silent || silent && c.mayHaveCrashed(r) {
 		return false
 	}
 	return t.step.job.progress.Failures(t.id)+1 < max(1, t.step.job.terms.Attempts)
--- a/cell/evacuate.go
+++ b/cell/evacuate.go
@@ -14,7 +14,7 @@
 // tasks are moved if they have checkpoints; the rest may finish in the time that is left.
 func (c *Cell) evacuate(w *worker) {
 	for _, r := range inOrder(w.runs) {
-		if r.task == nil || r.state == runStopping {
+		if r.task == nil || r.state.isEnding() {
 			continue
 		}
 		spec := r.task.step.spec
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -44,13 +44,15 @@
 	strayEntries   []provider.Host   // entries on the list without a worker
 	onUpkeep       func(*fakeWorker) // called for a worker whose machine goes down for upkeep
 
-	link               *link         // of the owners, nil for unlimited bandwidth
-	restartedAfterDone int           // starts of tasks that had completed
-	lateOrderRate      float64       // fraction of orders that are carried out 2 to 12 s late, without an answer
-	storeDelay         time.Duration // of each write, one way
-	entryDelay         time.Duration // from a worker's restart until its list entry shows it
-	machineListDelay   time.Duration // of an answer with the list of machines
-	lostSaveRate       float64       // fraction of writes whose answer is lost
+	link               *link                    // of the owners, nil for unlimited bandwidth
+	restartedAfterDone int                      // starts of tasks that had completed
+	lastRestart        map[string]time.Duration // when a task that had completed was last started, by task
+	maxListedEnds      int                      // ended runs that one answer of a worker lists
+	lateOrderRate      float64                  // fraction of orders that are carried out 2 to 12 s late, without an answer
+	storeDelay         time.Duration            // of each write, one way
+	entryDelay         time.Duration            // from a worker's restart until its list entry shows it
+	machineListDelay   time.Duration            // of an answer with the list of machines
+	lostSaveRate       float64                  // fraction of writes whose answer is lost
 	jobs               map[string]*job.Job
 	acknowledgedDone   map[string]bool // tasks whose success was acknowledged
 	completed          map[string]bool // tasks that completed
@@ -123,6 +125,8 @@
 		completed:         make(map[string]bool),
 		failures:          make(map[string]int),
 		crashCount:        make(map[string]int),
+		lastRestart:       make(map[string]time.Duration),
+		maxListedEnds:     500,
 		rackSize:          2,
 		startsBeyondLimit: make(map[string]int),
 		copyStarts:        make(map[string]int),
--- a/cell/hold.go
+++ b/cell/hold.go
@@ -72,18 +72,20 @@
 	}
 	first := !w.answered
 	c.recordContact(w, in)
+	c.resolveStarts(w, &in.Held)
 	if first {
-		c.resolveStarts(w, &in.Held)
 		c.assumeLease(w)
 	}
 	c.handleEnds(w, in.Held.Ended)
 	c.handleRuns(w, in.Held.Running)
-	c.endMissingRuns(w, in.Held)
+	c.endMissingRuns(w, &in.Held)
 	if first {
 		c.register(w)
-		c.markSurveyed(w)
 		c.evacuateIfLeaving(w)
 	}
+	if !w.moreEnded {
+		c.markSurveyed(w)
+	}
 	c.markChanged(w)
 	c.scheduleHold(w)
 }
@@ -96,6 +98,10 @@
 	}
 	w.updateAnsweredAt(c.now, in)
 	w.updateForgottenEnd(in.Held.Ended)
+	if in.Held.MoreEnded && !w.moreEnded {
+		c.logEvent("ends left out", "worker", w.host.ID, "listed", len(in.Held.Ended), "handled", w.handledEnd, "recorded", w.recordedEnd, "runs", len(w.runs))
+	}
+	w.moreEnded = in.Held.MoreEnded
 	w.missedHolds = 0
 	w.machineUp = false
 	w.lastContact = c.now
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -113,22 +113,33 @@
 }
 
 // resolveStarts resolves the starts in flight to earlier incarnations when a worker
-// answers for the first time. A start whose run the answer lists is dropped, as the run is
-// adopted; the others count as lost.
+// answers. A start whose run the answer lists is dropped, as the run is adopted; the others
+// count as lost once all ends are listed.
 func (c *Cell) resolveStarts(w *worker, held *provider.HoldResult) {
 	starts := c.unresolvedStarts[w.host.ID]
 	if len(starts) == 0 {
 		return
 	}
-	delete(c.unresolvedStarts, w.host.ID)
 	reported := reportedRuns(held)
+	var remaining []*run
 	for _, r := range starts {
-		if reported[runID{r.name, r.attempt}] {
+		switch {
+		case reported[runID{r.name, r.attempt}]:
 			c.removeRun(r)
-		} else {
+		case held.MoreEnded:
+			remaining = append(remaining, r)
+		default:
 			c.endRun(r, provider.EndLost, "")
 		}
 	}
+	c.setUnresolvedStarts(w.host.ID, remaining)
+}
+
+func (c *Cell) setUnresolvedStarts(id string, starts []*run) {
+	c.unresolvedStarts[id] = starts
+	if len(starts) == 0 {
+		delete(c.unresolvedStarts, id)
+	}
 }
 
 // resolveRefusedStart handles the outcome of a start whose worker is lost. Only a refusal
@@ -146,9 +157,13 @@
 	}
 }
 
-// expireStarts ends the unresolved starts that can't be carried out any more.
+// expireStarts ends the unresolved starts that can't be carried out any more, unless the
+// worker that may have carried them out still has ends to list.
 func (c *Cell) expireStarts() {
 	for id, starts := range inOrder(c.unresolvedStarts) {
+		if w := c.workers[id]; w != nil && w.moreEnded {
+			continue
+		}
 		var remaining []*run
 		for _, r := range starts {
 			if c.mayStillStart(r) {
@@ -157,10 +172,7 @@
 				c.endRun(r, provider.EndLost, "")
 			}
 		}
-		c.unresolvedStarts[id] = remaining
-		if len(remaining) == 0 {
-			delete(c.unresolvedStarts, id)
-		}
+		c.setUnresolvedStarts(id, remaining)
 	}
 }
 
--- a/cell/invariants_test.go
+++ b/cell/invariants_test.go
@@ -53,6 +53,7 @@
 	}
 	if s.completed[o.Task] && !s.isLasting(o.Task) {
 		s.restartedAfterDone++
+		s.lastRestart[o.Task] = s.now
 	}
 	if s.acknowledgedDone[o.Task] {
 		s.recordViolation("again: %s was done and acknowledged", o.Task)
@@ -163,11 +164,15 @@
 	}
 }
 
-// recordAcknowledged records an end that a worker may forget.
-func (s *site) recordAcknowledged(e provider.EndedRun) {
+// recordAcknowledged records an end that a worker may forget. endedAt is when the run ended,
+// and lapsedAt when the worker's lease last expired.
+func (s *site) recordAcknowledged(e provider.EndedRun, endedAt, lapsedAt time.Duration) {
 	switch e.End {
 	case provider.EndDone:
 		s.acknowledgedDone[e.Task] = !s.isLasting(e.Task)
+		if s.lastRestart[e.Task] > endedAt && lapsedAt < endedAt && !s.stepOf(e.Task).AllowsCopies {
+			s.recordViolation("twice: %s was started at %v, it had completed at %v", e.Task, s.lastRestart[e.Task], endedAt)
+		}
 	case provider.EndFailed:
 		s.failures[e.Task]++
 	}
--- a/cell/report.go
+++ b/cell/report.go
@@ -88,10 +88,11 @@
 	}
 }
 
-// endMissingRuns ends the runs that a worker's answer doesn't list. A start whose deadline
-// had passed when the answer was made can't happen any more. A run that was listed before
-// and no longer is has ended without a listed end.
-func (c *Cell) endMissingRuns(w *worker, held provider.HoldResult) {
+// endMissingRuns handles the runs that a worker's answer doesn't list. A start whose
+// deadline had passed when the answer was made can't happen any more, and a run that was
+// listed before has ended. If the answer lists all ends, neither will ever have one.
+// Otherwise the run may have ended in any way, so it waits for the rest of the ends.
+func (c *Cell) endMissingRuns(w *worker, held *provider.HoldResult) {
 	if len(w.runs) <= len(held.Running) {
 		return
 	}
@@ -103,10 +104,15 @@
 		if a, ok := listed[name]; ok && a == r.attempt {
 			continue
 		}
-		if held.Clock > r.deadline {
-			c.logEvent("not running", "task", name, "attempt", r.attempt, "worker", w.host.ID, "state", int(r.state),
-				"born", held.StartedAt, "ended", w.handledEnd, "seen", w.recordedEnd)
-			c.endRun(r, provider.EndLapsed, "")
+		if held.Clock <= r.deadline {
+			continue
+		}
+		if held.MoreEnded {
+			r.state = runEnded
+			continue
 		}
+		c.logEvent("not running", "task", name, "attempt", r.attempt, "worker", w.host.ID, "state", int(r.state),
+			"born", held.StartedAt, "listed", len(held.Ended), "ended", w.handledEnd, "seen", w.recordedEnd)
+		c.endRun(r, provider.EndLapsed, "")
 	}
 }
--- a/cell/run.go
+++ b/cell/run.go
@@ -238,7 +238,7 @@
 
 // stopRun orders a run to stop. Its capacity stays in use until its end is listed.
 func (c *Cell) stopRun(r *run, reason string) {
-	if r.state == runStopping || r.worker.lost {
+	if r.state.isEnding() || r.worker.lost {
 		return
 	}
 	c.logEvent("stop", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", reason,
--- a/cell/serving.go
+++ b/cell/serving.go
@@ -48,7 +48,7 @@
 			served = append(served, pressure.Served{Job: r.task.id.Job, Image: spec.Image, Target: spec.Target, Tail: r.tail})
 		case spec.Fills:
 			fills = append(fills, c.fillOf(r))
-			if r.state != runStopping {
+			if !r.state.isEnding() {
 				expected = append(expected, pressure.Fill{Image: spec.Image, Share: w.share(spec.Need.Processors)})
 			}
 		}
--- a/cell/survey.go
+++ b/cell/survey.go
@@ -76,7 +76,8 @@
 	s.done = len(s.pending) == 0
 }
 
-// markSurveyed removes a worker from the survey because its runs are known, or it is lost.
+// markSurveyed removes a worker from the survey because its runs and ends are known, or it
+// is lost.
 func (c *Cell) markSurveyed(w *worker) {
 	if _, ok := c.survey.pending[w]; !ok {
 		return
@@ -85,17 +86,27 @@
 	c.completeSurvey()
 }
 
-// expireSurvey gives up on workers that didn't answer once their leases have expired.
+// expireSurvey gives up on workers that didn't answer once their leases have expired. A
+// worker that has answered still has ends to list, or checkLease gives it up.
 func (c *Cell) expireSurvey() {
 	if c.survey.done || c.now < c.survey.deadline || c.writer.lastContact < c.survey.deadline {
 		return
 	}
 	for w := range c.survey.pending {
-		c.logEvent("lease ended", "worker", w.host.ID, "silent", c.now-w.lastContact)
+		if !w.answered {
+			c.logEvent("lease ended", "worker", w.host.ID, "silent", c.now-w.lastContact)
+			c.abandonSurvey(w)
+		}
+	}
+}
+
+// abandonSurvey removes a worker from the survey whose lease has expired before it listed
+// all of its ends.
+func (c *Cell) abandonSurvey(w *worker) {
+	if _, ok := c.survey.pending[w]; ok {
 		c.survey.recordCrash(w)
-		delete(c.survey.pending, w)
+		c.markSurveyed(w)
 	}
-	c.completeSurvey()
 }
 
 // completeSurvey completes the survey if no worker is pending.
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -18,7 +18,8 @@
 	listedUntil time.Duration // a worker off the list counts as listed until then
 	registered  bool          // on record, so that a successor asks it for its runs
 	leaving     bool          // its machine is about to go down; it gets no new tasks
-	answered    bool          // it has answered this owner, so its runs are known
+	answered    bool          // it has answered this owner, so the runs that go on are known
+	moreEnded   bool          // its last answer may have left out ended runs
 	startedAt   uint64        // start of the incarnation that answers, zero if it isn't known
 	lost        bool          // the incarnation is gone
 	token       uint64        // fencing token of orders to it; see nextToken
@@ -74,8 +75,14 @@
 	runStarting runState = iota // ordered; it isn't known whether it runs
 	runRunning
 	runStopping
+	runEnded // it doesn't run any more, and its end isn't listed yet
 )
 
+// isEnding reports whether there is nothing left to order to a run but to repeat its stop.
+func (s runState) isEnding() bool {
+	return s == runStopping || s == runEnded
+}
+
 // run is one attempt at a task on a worker. It holds its share of the worker's capacity
 // from the order to start until its end is known.
 type run struct {
@@ -283,6 +290,8 @@
 		}
 		c.needsDispatch = true
 	}
+	w.moreEnded = false
+	c.abandonSurvey(w)
 	if !w.listed && c.now-w.lastContact > forgetTimeout {
 		c.loseWorker(w, "unlisted and silent")
 	}
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -34,8 +34,10 @@
 	highestEnded       map[string]uint64 // highest attempt that ended or was stopped, by task
 	ended              []provider.EndedRun
 	endCount           uint64
-	acksToIgnore       int    // acknowledgements that it ignores
-	ackMark            uint64 // highest acknowledged end, if acksCoverLaterEnds
+	endTimes           map[uint64]time.Duration // by number of the end
+	lapsedAt           time.Duration            // when the lease last expired, zero if it never did
+	acksToIgnore       int                      // acknowledgements that it ignores
+	ackMark            uint64                   // highest acknowledged end, if acksCoverLaterEnds
 	waiters            []func()
 	onReset            []func() // called for the waiting holds when connections are reset
 	refusesConnections bool     // its process is down while the machine is up
@@ -80,6 +82,7 @@
 		},
 		runs:         make(map[string]*fakeRun),
 		highestEnded: make(map[string]uint64),
+		endTimes:     make(map[uint64]time.Duration),
 		offset:       time.Duration(s.rng.Int64N(int64(time.Hour))),
 		rate:         1 - 0.02*s.rng.Float64(),
 	}
@@ -224,6 +227,7 @@
 	if !w.up || w.clock() < w.deadline {
 		return
 	}
+	w.lapsedAt = w.site.now
 	for name := range w.runs {
 		w.end(name, provider.EndLapsed)
 	}
@@ -252,13 +256,19 @@
 		acked = w.ackMark
 	}
 	for len(w.ended) > 0 && w.ended[0].Number <= acked {
-		w.site.recordAcknowledged(w.ended[0])
+		w.site.recordAcknowledged(w.ended[0], w.endTimes[w.ended[0].Number], w.lapsedAt)
 		w.ended = w.ended[1:]
 	}
 }
 
 func (w *fakeWorker) held() provider.HoldResult {
-	held := provider.HoldResult{StartedAt: w.host.StartedAt, Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	listed := min(len(w.ended), w.site.maxListedEnds)
+	held := provider.HoldResult{
+		StartedAt: w.host.StartedAt,
+		Clock:     w.clock(),
+		Ended:     slices.Clone(w.ended[:listed]),
+		MoreEnded: listed == w.site.maxListedEnds,
+	}
 	for _, name := range sortedNames(w.runs) {
 		r := w.runs[name]
 		percent := int(100 * r.progress(w.site.now) / (r.duration + 1))
@@ -406,6 +416,7 @@
 	}
 	w.highestEnded[name] = max(w.highestEnded[name], r.attempt)
 	w.endCount++
+	w.endTimes[w.endCount] = w.site.now
 	w.ended = append(w.ended, provider.EndedRun{Number: w.endCount, Task: name, Attempt: r.attempt, End: end})
 	w.forget(0)
 	waiters := w.waiters
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -84,13 +84,15 @@
 	Checkpoint string
 }
 
-// HoldResult is a worker's answer to a HoldOrder: all running tasks, and all ended
-// runs that aren't acknowledged.
+// HoldResult is a worker's answer to a HoldOrder: all running tasks, and the ended runs
+// that aren't acknowledged, the oldest first. An answer with MoreEnded may leave out the
+// newest of these: a run that it doesn't list may have ended in any way.
 type HoldResult struct {
 	StartedAt uint64 // start of the incarnation that answers, as in Host
 	Clock     int64  // worker's monotonic clock, milliseconds
 	Running   []Run
 	Ended     []EndedRun
+	MoreEnded bool
 }
 
 // HoldOrder extends the lease of all tasks running on a worker, acknowledges
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -99,7 +99,7 @@
 	TTL      time.Duration   `json:"ttl"`
 	Capacity resource.Vector `json:"capacity"`
 	Slots    int             `json:"slots"`
-	Tasks    []TaskStatus    `json:"tasks"` // tasks on the worker
+	Tasks    []TaskStatus    `json:"tasks"` // all tasks on the worker, also those with a result that isn't acknowledged
 }
 
 // TaskKind distinguishes batch tasks from replicas of services.
--- a/relay/wire/lists.go
+++ b/relay/wire/lists.go
@@ -15,6 +15,7 @@
 	Added []Run   `cbor:"3,keyasint,omitempty"`
 	Ended []Ended `cbor:"4,keyasint,omitempty"`
 	Born  uint64  `cbor:"5,keyasint,omitempty"`
+	More  bool    `cbor:"6,keyasint,omitempty"` // it may leave out ended runs
 }
 
 // Kept is a run that was in the previous list.
@@ -72,7 +73,7 @@
 	for i := range previous {
 		index[key{previous[i].Task, previous[i].Attempt}] = i
 	}
-	h := &Held{Born: held.StartedAt, Clock: held.Clock}
+	h := &Held{Born: held.StartedAt, Clock: held.Clock, More: held.MoreEnded}
 	running := make([]provider.Run, 0, len(held.Running))
 	var added []provider.Run
 	for _, r := range held.Running {
@@ -101,7 +102,7 @@
 // closed.
 func (l *RunLists) Decode(host uint64, h *Held) (provider.HoldResult, error) {
 	previous := l.last[host]
-	held := provider.HoldResult{StartedAt: h.Born, Clock: h.Clock}
+	held := provider.HoldResult{StartedAt: h.Born, Clock: h.Clock, MoreEnded: h.More}
 	for _, k := range h.Kept {
 		if k.Index < 0 || k.Index >= len(previous) {
 			return held, fault.New(fault.Invalid, "reference to run %d of %d in the previous list", k.Index, len(previous))
--- a/relay/wire/lists_test.go
+++ b/relay/wire/lists_test.go
@@ -41,6 +41,7 @@
 	held := provider.HoldResult{
 		StartedAt: rapid.Uint64Range(0, 1<<41).Draw(t, "born"),
 		Clock:     rapid.Int64Range(0, 1<<40).Draw(t, "clock"),
+		MoreEnded: rapid.Bool().Draw(t, "more"),
 	}
 	for _, task := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 0, 5, rapid.ID).Draw(t, "tasks") {
 		held.Running = append(held.Running, provider.Run{
@@ -72,7 +73,7 @@
 			t.Fatalf("run %+v: %d", r, n)
 		}
 	}
-	if got.Clock != want.Clock || len(got.Ended) != len(want.Ended) {
+	if got.Clock != want.Clock || got.MoreEnded != want.MoreEnded || len(got.Ended) != len(want.Ended) {
 		t.Fatalf("%+v, want %+v", got, want)
 	}
 	for i := range got.Ended {
--- a/relay/wire/wire.go
+++ b/relay/wire/wire.go
@@ -23,7 +23,7 @@
 //go:generate go tool stringer -type=Kind,Outcome -output=strings.go
 
 // Path is the HTTP path of the connections; its number is the version of the protocol.
-const Path = "/relay/1"
+const Path = "/relay/2"
 
 // ToHeader is the request header with the ID of the instance that a connection is meant
 // for. Another instance may have taken over its address.
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -1,6 +1,7 @@
 package worker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -71,6 +72,27 @@
 	acquire(t, w, "e", time.Second, 0)
 }
 
+// Guards against results that a lease leaves out: their tasks would be taken for lost.
+func TestLeaseListsEveryResult(t *testing.T) {
+	const count = 1200
+	is := is.New(t)
+	c := newClock()
+	w := worker.New("w1", worker.WithClock(c.now))
+	lease := acquire(t, w, "a", time.Minute, time.Minute)
+	for i := range count {
+		task := batch(fmt.Sprint(i), 1, "sleep 1s")
+		task.Need = resource.Vector{}
+		is.NoErr(w.Start(lease.Epoch, task))
+	}
+	c.advance(2 * time.Second)
+	renewed, err := w.Renew(provider.LeaseRequest{Epoch: lease.Epoch, TTL: time.Minute})
+	is.NoErr(err)
+	is.Equal(len(renewed.Tasks), count)
+	for _, task := range renewed.Tasks {
+		is.Equal(task.State, provider.TaskDone)
+	}
+}
+
 // TestTaskLeaseEnds extends the task leases past the worker's lease and cuts off
 // the owner. It guards against tasks that outlive their own lease, and so run
 // beside their restart on another worker, and against tasks that are stopped with
