One member's good end completes its whole gang for every owner

Callers' jobs stayed "running" for good though their work was done, and one of their tasks was started again every three seconds and ended alone (GANG): the owner was lost, and a worker with a member of the gang crashed before the next owner had asked it.

Cause: the members of a gang end together, and one good end represents all of them. That held only for a run that the owner tracked. For one of an earlier owner, or one given up with an expired lease, the end completed just its own task (endUntracked). The member whose end couldn't be read was started again, alone, for ever.

completeRun now handles both. Runs of the gang that were started since are stopped for all members, not just for the one whose end was read, and a record with one member done, which older owners have written, restores the whole gang.

Why it works: a completed member implies that every member completed, so no set of lost ends leaves part of a gang to run, and the record can't say so either.

The daemon's engine has no gangs.

The cell's simulated gangs now wait for all members, and end alone or broken.

--- a/cell/end.go
+++ b/cell/end.go
@@ -31,7 +31,7 @@
 	switch e.End {
 	case provider.EndDone:
 		if !t.step.spec.Lasting {
-			c.endUntracked(t)
+			c.completeRun(t, e.Attempt)
 		}
 	case provider.EndFailed:
 		c.failTask(t, e.Attempt)
@@ -42,14 +42,6 @@
 	c.requeue(t) // its start may have been tracked until the end was listed
 }
 
-// endUntracked completes a task whose run this owner didn't track. A run of the task that
-// was started since is stopped.
-func (c *Cell) endUntracked(t *task) {
-	c.unqueue(t)
-	c.stopTask(t, "task already completed")
-	c.completeTask(t)
-}
-
 // endRun removes a run that has ended, and completes, fails or requeues its task.
 func (c *Cell) endRun(r *run, end provider.End, checkpoint string) {
 	c.removeRun(r)
@@ -73,7 +65,7 @@
 	if end == provider.EndDone && !s.spec.Lasting {
 		c.recordSuccess(w)
 		c.recordRunTime(r)
-		c.completeRun(t)
+		c.completeRun(t, r.attempt)
 		return
 	}
 	switch end {
@@ -89,16 +81,19 @@
 	c.requeue(t)
 }
 
-// completeRun completes the task of a successful run. The members of a gang complete
-// together, so the first success completes all of them. Otherwise the other run of the task,
-// if there is one, is stopped.
-func (c *Cell) completeRun(t *task) {
+// completeRun completes the task of a successful run, which this owner needn't have tracked.
+// The members of a gang complete together, so the first success completes all of them. Other
+// runs of these tasks are stopped, except those of the gang that is just ending.
+func (c *Cell) completeRun(t *task, attempt uint64) {
 	if !t.step.spec.Gang {
 		c.stopTask(t, "another run completed")
 		c.completeTask(t)
 		return
 	}
 	for _, m := range t.step.tasks {
+		if m.run != nil && m.run.attempt != attempt {
+			c.stopRun(m.run, "another run completed")
+		}
 		c.completeTask(m)
 	}
 }
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -46,6 +46,8 @@
 
 	link               *link                    // of the owners, nil for unlimited bandwidth
 	restartedAfterDone int                      // starts of tasks that had completed
+	gangs              map[string][]gangMember  // by step and attempt
+	endedAlone         int                      // members of gangs that waited in vain for the others
 	lastRestart        map[string]time.Duration // when a task that had completed was last started, by task
 	maxListedEnds      int                      // ended runs that one answer of a worker lists
 	lateOrderRate      float64                  // fraction of orders that are carried out 2 to 12 s late, without an answer
@@ -125,6 +127,7 @@
 		completed:         make(map[string]bool),
 		failures:          make(map[string]int),
 		crashCount:        make(map[string]int),
+		gangs:             make(map[string][]gangMember),
 		lastRestart:       make(map[string]time.Duration),
 		maxListedEnds:     500,
 		rackSize:          2,
--- a/cell/invariants_test.go
+++ b/cell/invariants_test.go
@@ -125,23 +125,6 @@
 	}
 }
 
-// endGang ends the other members of a gang when the first one completes.
-func (s *site) endGang(name string, attempt uint64) {
-	id, err := job.ParseTask(name)
-	if err != nil || !s.jobOf(id.Job).Steps[id.Step].Gang {
-		return
-	}
-	for i := range s.jobOf(id.Job).Steps[id.Step].Count {
-		id.Index = i
-		s.completed[id.String()] = true
-		for _, w := range s.workers {
-			if r := w.runs[id.String()]; r != nil && r.attempt == attempt {
-				w.end(id.String(), provider.EndDone)
-			}
-		}
-	}
-}
-
 func (s *site) isLasting(task string) bool {
 	id, err := job.ParseTask(task)
 	return err == nil && s.jobOf(id.Job).Steps[id.Step].Lasting
--- a/cell/job.go
+++ b/cell/job.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
@@ -196,12 +197,15 @@
 	return s
 }
 
-// restore restores a step's state from the record.
+// restore restores a step's state from the record. If a member of a gang is done, all are.
 func (c *Cell) restore(s *stepState) {
+	isDone := func(t *task) bool { return s.job.progress.IsDone(t.id) }
+	gangDone := s.spec.Gang && slices.ContainsFunc(s.tasks, isDone)
 	for _, t := range s.tasks {
 		t.checkpoint = s.job.progress.Checkpoint(t.id)
 		t.restoreCrashes()
-		if s.job.progress.IsDone(t.id) {
+		if gangDone || isDone(t) {
+			s.job.progress.RecordDone(t.id)
 			t.done = true
 			s.tasksLeft--
 		}
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -108,11 +108,7 @@
 func (w *fakeWorker) announceLeave(lingers time.Duration) {
 	w.leaving = true
 	w.leavingSince = w.site.now
-	w.site.after(lingers, func() {
-		w.up = false
-		w.downAt = w.site.now
-		clear(w.runs)
-	})
+	w.site.after(lingers, w.goDown)
 }
 
 // capacityChange is the capacity of a worker from a time on.
@@ -165,11 +161,20 @@
 	w.site.after(d, func() { w.entryCorrupt = false })
 }
 
-// crash ends the worker's incarnation; another one comes up after down.
-func (w *fakeWorker) crash(down time.Duration, incarnation int) {
+// goDown ends the worker and its runs.
+func (w *fakeWorker) goDown() {
 	w.up = false
 	w.downAt = w.site.now
-	clear(w.runs)
+	runs := w.runs
+	w.runs = make(map[string]*fakeRun)
+	for _, name := range sortedNames(runs) {
+		w.site.breakGang(name, runs[name].attempt)
+	}
+}
+
+// crash ends the worker's incarnation; another one comes up after down.
+func (w *fakeWorker) crash(down time.Duration, incarnation int) {
+	w.goDown()
 	w.site.after(down, func() {
 		next := newFakeWorker(w.site, w.number, incarnation)
 		for i, old := range w.site.workers {
@@ -336,6 +341,10 @@
 		s.after(crashDelay, func() { w.crashDuring(o.Task, r) })
 		return provider.Accepted
 	}
+	if s.stepOf(o.Task).Gang {
+		s.joinGang(w, o.Task, r)
+		return provider.Accepted
+	}
 	w.planEnd(o.Task, r)
 	return provider.Accepted
 }
@@ -413,6 +422,8 @@
 	if end == provider.EndDone {
 		w.site.completed[name] = true
 		w.site.endGang(name, r.attempt)
+	} else {
+		w.site.breakGang(name, r.attempt)
 	}
 	w.highestEnded[name] = max(w.highestEnded[name], r.attempt)
 	w.endCount++
