A confirmed upkeep doesn't prove that the worker went down

Cause: the platform also confirms an upkeep that was done before. The next owner, which doesn't know of the order, drains the machine's new worker and orders the upkeep again. On the confirmation it took that worker for lost, and started its tasks elsewhere while they went on.

Now the confirmation only puts the upkeep on record and has the list of machines asked for. The worker is lost if a list asked for after the confirmation says so; if it answers after the confirmation, it is used again. Why it works: both are evidence of the time after the confirmation, and an answer of the same incarnation can't come from a worker that has ended.

Ruled out: a second upkeep by two owners (the platform began one), and a mix-up of the machine's workers (the owner names the one that is listed and answers). Orders of moves between pools are confirmed alike, but nothing orders them; the daemon's engine knows no upkeep.

--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -36,6 +36,7 @@
 	paces          map[string]int           // last pace ordered, by task
 	waves          map[int]bool             // whether each wave was last reported as completed, by number
 	upkeepCount    map[string]int           // by machine
+	upkeepDone     map[string]bool          // by machine and wave
 	tickets        map[string]time.Duration // expiry by ticket
 	isAllowed      func(host string) bool   // the adviser's answer for a worker
 	ticketsRefused int
@@ -118,6 +119,7 @@
 		paces:             make(map[string]int),
 		waves:             make(map[int]bool),
 		upkeepCount:       make(map[string]int),
+		upkeepDone:        make(map[string]bool),
 		tickets:           make(map[string]time.Duration),
 		rng:               rand.New(rand.NewPCG(seed, 1)),
 		store:             &logStore{answers: make(map[uint64]error)},
--- a/cell/hold.go
+++ b/cell/hold.go
@@ -72,6 +72,7 @@
 	}
 	first := !w.answered
 	c.recordContact(w, in)
+	c.outliveUpkeep(w)
 	c.resolveStarts(w, &in.Held)
 	if first {
 		c.assumeLease(w)
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -36,9 +36,12 @@
 	return false
 }
 
-// needsMachineCheck reports whether a worker has been silent for long enough to ask about
-// its machine, and holds up runs or the survey.
+// needsMachineCheck reports whether an upkeep may have ended a worker, or it has been silent
+// for long enough to ask about its machine, and holds up runs or the survey.
 func (c *Cell) needsMachineCheck(w *worker) bool {
+	if w.upkeepAt > 0 {
+		return true
+	}
 	if w.missedHolds == 0 || c.now-w.lastContact < silenceBeforeQuery {
 		return false
 	}
@@ -49,6 +52,7 @@
 // handleListMachinesReply applies the platform's list of machines. The list is ignored for a
 // worker that answered after the request was sent: it may describe the previous
 // incarnation, and losing the worker for that would start its tasks again while they run.
+// It is also ignored if an upkeep of the machine was confirmed since.
 func (c *Cell) handleListMachinesReply(in ListMachinesReply) {
 	c.machineListInFlight = false
 	if in.Err != nil {
@@ -69,7 +73,7 @@
 	}
 	c.recordMachinesDown(in, byMachine)
 	for _, w := range c.everyWorker() {
-		if c.needsMachineCheck(w) && w.host.Machine != "" && w.lastContact < in.Sent {
+		if c.needsMachineCheck(w) && w.host.Machine != "" && w.lastContact < in.Sent && w.upkeepAt <= in.Sent {
 			c.checkMachine(w, cmp.Or(byMachine[w.host.Machine], byMachine[""]))
 		}
 	}
--- a/cell/services_test.go
+++ b/cell/services_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/cell"
+	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
@@ -52,26 +53,42 @@
 // upkeepTime is how long a machine is down for its upkeep.
 const upkeepTime = 2 * time.Second
 
-// upkeep takes a machine down, and starts another incarnation of its worker later.
+// upkeep orders the upkeep of a machine.
 func (o *owner) upkeep(a cell.Upkeep) {
 	s := o.site
 	generation := o.generation
 	s.after(hopDelay, func() {
-		for _, w := range s.workers {
-			if w.up && w.host.Machine == a.Order.Machine {
-				s.upkeepCount[a.Order.Machine]++
-				s.onUpkeep(w)
-				if s.keepIDs {
-					w.restart(upkeepTime)
-				} else {
-					w.crash(upkeepTime, s.upkeepCount[a.Order.Machine])
-				}
-			}
-		}
+		err := s.beginUpkeep(a.Order)
 		s.after(hopDelay, func() {
 			if o.generation == generation {
-				o.step(cell.UpkeepReply{Machine: a.Order.Machine, Wave: a.Order.Wave})
+				o.step(cell.UpkeepReply{Machine: a.Order.Machine, Wave: a.Order.Wave, Err: err})
 			}
 		})
 	})
 }
+
+// beginUpkeep takes a machine down, and starts another incarnation of its worker later. An
+// upkeep that the machine has had for the wave is confirmed without effect.
+func (s *site) beginUpkeep(o provider.MachineOrder) error {
+	wave := fmt.Sprintf("%s/%d", o.Machine, o.Wave)
+	for _, w := range s.workers {
+		if w.host.Machine != o.Machine {
+			continue
+		}
+		if !w.up {
+			return fault.New(fault.Conflict, "busy")
+		}
+		if s.upkeepDone[wave] {
+			return nil
+		}
+		s.upkeepDone[wave] = true
+		s.upkeepCount[o.Machine]++
+		s.onUpkeep(w)
+		if s.keepIDs {
+			w.restart(upkeepTime)
+		} else {
+			w.crash(upkeepTime, s.upkeepCount[o.Machine])
+		}
+	}
+	return nil
+}
--- a/cell/wave.go
+++ b/cell/wave.go
@@ -135,7 +135,7 @@
 		}
 	}
 	if slices.Contains(w.progress.Begun, machine) {
-		if back := c.workerOnMachine(machine); back != nil && back != u.worker && back.answered && back.listed {
+		if back := c.workerOnMachine(machine); back != nil && (back != u.worker || !back.leaving) && back.answered && back.listed {
 			delete(w.inUpkeep, machine)
 		} else if c.now-u.sentAt > c.timing.Lease {
 			delete(w.inUpkeep, machine) // it hasn't come back
@@ -177,9 +177,7 @@
 	switch {
 	case in.Err == nil:
 		c.recordUpkeepBegun(w, in.Machine)
-		if u.worker != nil {
-			c.loseWorker(u.worker, "machine went down for upkeep")
-		}
+		c.checkUpkeep(u)
 	case fault.Is(in.Err, fault.StaleEpoch):
 		c.depose("machine " + in.Machine + " has seen a higher term")
 	case fault.Is(in.Err, fault.Invalid):
@@ -188,6 +186,29 @@
 	}
 }
 
+// checkUpkeep finds out whether a confirmed upkeep has ended the worker on the machine. An
+// upkeep that was done before is confirmed as well, and ends nothing.
+func (c *Cell) checkUpkeep(u *upkeep) {
+	if u.worker == nil || u.worker.lost {
+		return
+	}
+	u.worker.upkeepAt = c.now
+	c.lastMachineListAt = 0
+	c.requestMachineList()
+}
+
+// outliveUpkeep returns a worker to use that answers after an upkeep of its machine was
+// confirmed: the upkeep had been done before.
+func (c *Cell) outliveUpkeep(w *worker) {
+	if w.upkeepAt == 0 || w.answeredAt < w.upkeepAt {
+		return
+	}
+	c.logEvent("upkeep was done before", "worker", w.host.ID, "machine", w.host.Machine)
+	w.upkeepAt = 0
+	w.leaving = false
+	c.markChanged(w)
+}
+
 func (c *Cell) recordUpkeepBegun(w *wave, machine string) {
 	if !slices.Contains(w.progress.Begun, machine) {
 		w.progress.Begun = append(w.progress.Begun, machine)
--- a/cell/wave_test.go
+++ b/cell/wave_test.go
@@ -132,3 +132,67 @@
 	is.True(s.waves[3])
 	is.Equal(runsAtUpkeep, 0)
 }
+
+// Guards against a worker that is up and counts as lost, because the upkeep of its machine is
+// confirmed that an earlier order had begun.
+func TestUpkeepDoneBefore(t *testing.T) {
+	tests := []struct {
+		name    string
+		disrupt func(s *site) // when the first machine goes down
+	}{
+		{"the owner is killed after the order", func(s *site) {
+			s.owners[0].kill()
+			s.after(time.Second, s.owners[1].takeOver)
+		}},
+		{"the owner is cut off from the store after the order", func(s *site) {
+			s.owners[0].noStore = true
+			s.after(1700*time.Millisecond, s.owners[1].takeOver)
+			s.after(5500*time.Millisecond, func() { s.owners[0].noStore = false })
+		}},
+		{"there is no list of machines", func(s *site) {
+			s.noMachineList = true
+			s.owners[0].kill()
+			s.after(time.Second, s.owners[1].takeOver)
+		}},
+		{"the list of machines comes late", func(s *site) {
+			s.machineListDelay = 2 * time.Second
+			s.owners[0].kill()
+			s.after(time.Second, s.owners[1].takeOver)
+		}},
+		{"its worker is back under its ID", func(s *site) {
+			s.keepIDs = true
+			s.owners[0].kill()
+			s.after(time.Second, s.owners[1].takeOver)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, 6000, 4, 2)
+			s.duration = func(string) time.Duration { return 4 * time.Second }
+			s.wantedWaves = []provider.Wave{{Number: 3, Machines: []string{"m0", "m1"}, MaxConcurrent: 1, CompleteWithin: time.Minute}}
+			const jobs, every = 50, 700 * time.Millisecond
+			for i := range jobs {
+				s.after(time.Duration(i)*every, func() { s.submit(&job.Job{ID: jobID(i), Spec: "x", Steps: []job.Step{step(3, 1)}}) })
+			}
+			s.owners[0].takeOver()
+			struck := false
+			s.onUpkeep = func(*fakeWorker) {
+				if !struck {
+					struck = true
+					s.after(0, func() { tt.disrupt(s) })
+				}
+			}
+			used := false
+			s.owners[1].onStart = func(o provider.StartOrder) {
+				used = used || o.Host.Machine == "m0" && s.upkeepCount["m1"] > 0
+			}
+			s.run(jobs*every + 2*settleTime)
+			is.True(struck)
+			s.mustComplete(jobs)
+			is.Equal(s.upkeepCount, map[string]int{"m0": 1, "m1": 1})
+			is.True(s.waves[3])
+			is.True(used) // the worker on the first machine gets tasks again
+		})
+	}
+}
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -18,6 +18,7 @@
 	listedUntil time.Duration // a worker off the list counts as listed until then
 	registered  bool          // on record, so that a successor asks it for its runs
 	leaving     bool          // its machine is about to go down; it gets no new tasks
+	upkeepAt    time.Duration // when an upkeep of its machine was confirmed, which may have ended it; zero if none was
 	answered    bool          // it has answered this owner, so the runs that go on are known
 	moreEnded   bool          // its last answer may have left out ended runs
 	startedAt   uint64        // start of the incarnation that answers, zero if it isn't known
