--- a/review/second/kit/worker.go
+++ b/review/second/kit/worker.go
@@ -19,13 +19,12 @@
 
 // Plan is what a run will do.
 type Plan struct {
-	Need     Need
-	Length   time.Duration // of its work; zero for a task that lasts until it is stopped
-	Outcome  string        // how it ends after Length; "done" if empty
-	Tail     int64         // fifth entry of its row
-	Saves    bool          // it writes checkpoints
-	AtWork   time.Duration // a task that lasts is at work that long after its start
-	GangSize int           // members of its gang, zero without one
+	Need    Need
+	Length  time.Duration // of its work; zero for a task that lasts until it is stopped
+	Outcome string        // how it ends after Length; "done" if empty
+	Tail    int64         // fifth entry of its row
+	Saves   bool          // it writes checkpoints
+	AtWork  time.Duration // a task that lasts is at work that long after its start
 }
 
 // Event is a start or an end of a run, as a worker sees it.
@@ -46,11 +45,9 @@
 	MaxHold, Stop, Save     time.Duration
 	Beat                    time.Duration
 	Plan                    func(task string, attempt uint64, spec, checkpoint string) Plan
-	Gangs                   *Gangs
 	Observe                 func(Event)
 	Row                     func(task, spec string, beside []string, tail int64) int64 // fifth entry of a row; nil for that of the plan
 	Label                   string                                                     // its kind; kind-a if empty
-	SeenToo                 bool                                                       // whether ends that are taken note of are observed, too
 }
 
 type run struct {
@@ -112,7 +109,7 @@
 // Close takes the worker away: all that it runs ends, and its entry is removed.
 func (w *Worker) Close() {
 	w.Crash()
-	w.store.Put("keyed.servers", "servers/"+w.o.ID, nil)
+	w.store.Put("keyed.servers", w.o.ID, nil)
 }
 
 // Crash takes the worker down: all that it runs ends. Its entry is removed after three
@@ -127,16 +124,11 @@
 	for _, r := range w.runs {
 		w.o.Observe(Event{At: time.Now(), Worker: w.o.ID, What: "end", Task: r.task, Attempt: r.attempt, How: "gone"})
 	}
-	for _, r := range w.runs {
-		if r.plan.GangSize > 0 {
-			go w.o.Gangs.leave(r)
-		}
-	}
 	w.runs = make(map[string]*run)
 	close(w.done)
 	w.mu.Unlock()
 	_ = w.server.Close()
-	time.AfterFunc(3*w.o.Beat, func() { w.store.Put("keyed.servers", "servers/"+w.o.ID, nil) })
+	time.AfterFunc(3*w.o.Beat, func() { w.store.Put("keyed.servers", w.o.ID, nil) })
 }
 
 // Drain announces that the worker leaves.
@@ -172,7 +164,7 @@
 		entry["remainingMs"] = 2000
 	}
 	data, _ := json.Marshal(entry)
-	w.store.Put("keyed.servers", "servers/"+w.o.ID, data)
+	w.store.Put("keyed.servers", w.o.ID, data)
 }
 
 func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() }
@@ -230,9 +222,6 @@
 	w.o.Observe(Event{At: time.Now(), Worker: w.o.ID, What: "end", Task: r.task, Attempt: r.attempt, How: how})
 	close(w.changed)
 	w.changed = make(chan struct{})
-	if r.plan.GangSize > 0 && how != "done" {
-		go w.o.Gangs.leave(r)
-	}
 }
 
 type order struct {
@@ -328,9 +317,7 @@
 		plan: w.o.Plan(o.Task, o.Attempt, o.Spec, o.Checkpoint)}
 	w.runs[o.Task] = r
 	w.o.Observe(Event{At: r.start, Worker: w.o.ID, What: "start", Task: o.Task, Attempt: o.Attempt, Token: o.Token})
-	if r.plan.GangSize > 0 {
-		go w.o.Gangs.join(w, r)
-	} else if r.plan.Length > 0 {
+	if r.plan.Length > 0 {
 		how := r.plan.Outcome
 		if how == "" {
 			how = "done"
@@ -376,10 +363,6 @@
 func (w *Worker) hold(out http.ResponseWriter, r *http.Request, o order) {
 	w.extend(o.Deadline)
 	for len(w.ends) > 0 && w.ends[0].n <= o.LastSeen {
-		if w.o.SeenToo {
-			e := w.ends[0]
-			w.o.Observe(Event{At: time.Now(), Worker: w.o.ID, What: "seen", Task: e.task, Attempt: e.attempt, How: e.how})
-		}
 		w.ends = w.ends[1:]
 	}
 	if o.Wait > 0 && len(w.ends) == 0 {
