--- a/review/second/giveup/main.go
+++ b/review/second/giveup/main.go
@@ -19,10 +19,10 @@
 	lateMin    = 1 * time.Second // as platform_lost late
 	lateMax    = 6 * time.Second // as platform_lost late
 	lostFor    = time.Second     // each time
-	rounds     = 6
+	rounds     = 8
 	pause      = 8 * time.Second        // from one time to the next
 	leaveShare = 0.4                    // of the clients, as give_up
-	leaveAfter = 120 * time.Millisecond // within half of the objective of 250 ms
+	leaveMost  = 125 * time.Millisecond // half of the objective of 250 ms, as give_up
 	cancelMs   = 3 * time.Second
 	contactMs  = 3 * time.Second
 	jobs       = 40 // each time
@@ -122,7 +122,8 @@
 		return cancelled{}, false
 	}
 	e := c.Entries[n%len(c.Entries)]
-	status, answer := kit.Call(e, "POST", path, job, leaveAfter)
+	patience := leaveMost/5 + time.Duration(rand.Int64N(int64(leaveMost*4/5)))
+	status, answer := kit.Call(e, "POST", path, job, patience)
 	c.Record.Printf("client POST %s at %s: %d %s", path, e.Name, status, answer)
 	for i := 0; i < 20; i++ {
 		e := c.Entries[(n+1+i)%len(c.Entries)]
