Review: a job is shown as failed after three crashes of a flapping worker

The owner takes a run for just started until a report lists it. The hold in flight to a worker that was idle waits up to 2 s and reports no start, so each crash in that time counts against the task, in a trial too. Three crashes of one worker end an accepted job of which no run ended failed.

--- a/review/second/kit/cloud.go
+++ b/review/second/kit/cloud.go
@@ -18,17 +18,23 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/machines", func(w http.ResponseWriter, _ *http.Request) {
 		machines := []map[string]any{}
+		at := map[string]int{} // index in machines by name
 		c.mu.Lock()
 		workers := append([]*Worker(nil), c.Workers...)
 		c.mu.Unlock()
 		for _, x := range workers {
 			x.mu.Lock()
-			m := map[string]any{"machine": "m-" + x.o.ID, "pool": x.o.Service, "state": "up", "zone": x.o.Zone, "labels": []string{x.o.Label, x.o.Rack},
+			m := map[string]any{"machine": x.machine(), "pool": x.o.Service, "state": "up", "zone": x.o.Zone, "labels": []string{x.o.Label, x.o.Rack},
 				"capacity": map[string]any{"cpu": x.o.CPU, "memMb": x.o.Mem, "gpus": 0}, "id": x.o.ID}
 			if x.isClosed {
 				m["state"], m["id"] = "down", ""
 			}
 			x.mu.Unlock()
+			if i, ok := at[x.machine()]; ok {
+				machines[i] = m // a later life
+				continue
+			}
+			at[x.machine()] = len(machines)
 			machines = append(machines, m)
 		}
 		_ = json.NewEncoder(w).Encode(map[string]any{"machines": machines, "nextToken": ""})
--- a/review/second/kit/worker.go
+++ b/review/second/kit/worker.go
@@ -3,6 +3,7 @@
 package kit
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -41,6 +42,7 @@
 // WorkerOptions configure a worker.
 type WorkerOptions struct {
 	ID, Service, Zone, Rack string
+	Machine                 string // that of its ID if empty
 	CPU, Mem                int64
 	MaxHold, Stop, Save     time.Duration
 	Beat                    time.Duration
@@ -158,7 +160,7 @@
 	}
 	w.seq++
 	entry := map[string]any{"service": w.o.Service, "address": w.Address, "zone": w.o.Zone, "version": "v1", "slots": 8,
-		"state": w.state, "coldRemainingMs": 0, "seq": w.seq, "machine": "m-" + w.o.ID,
+		"state": w.state, "coldRemainingMs": 0, "seq": w.seq, "machine": w.machine(),
 		"capacity": map[string]any{"cpu": w.o.CPU, "memMb": w.o.Mem, "gpus": 0}, "labels": []string{w.o.Label, w.o.Rack}, "clockMs": w.clock()}
 	if w.state == "draining" {
 		entry["remainingMs"] = 2000
@@ -452,5 +454,8 @@
 // JobOf returns the ID of a task's job.
 func JobOf(task string) string { return strings.SplitN(task, ".", 2)[0] }
 
+// machine returns the name of the worker's machine.
+func (w *Worker) machine() string { return cmp.Or(w.o.Machine, "m-"+w.o.ID) }
+
 // ID returns the worker's ID.
 func (w *Worker) ID() string { return w.o.ID }
