--- a/review/second/flap/main.go
+++ b/review/second/flap/main.go
@@ -15,7 +15,7 @@
 	label  = "kind-b"
 	period = 1400 * time.Millisecond // as srv_flap on mizani-dar-grown
 	flapS  = 6500 * time.Millisecond // as there
-	jobs   = 4
+	jobs   = 1
 	watch  = 25 * time.Second
 )
 
