--- a/review/second/probe/main.go
+++ b/review/second/probe/main.go
@@ -14,7 +14,7 @@
 const (
 	workers   = 6
 	cores     = 64000
-	quickJobs = 24 // before the job that can't be done: it is a twenty-fifth of the jobs
+	quickJobs = 24 // before the job that can't be done: it is one of 26 of its queue
 	longTasks = 12
 	longTime  = 70 * time.Second
 	finishS   = 14 * time.Second
@@ -47,7 +47,7 @@
 		go func() {
 			defer group.Done()
 			time.Sleep(time.Duration(i) * 200 * time.Millisecond)
-			submit(c, "/weigh/", "quick", 6, 1000)
+			submit(c, "/settle/", "quick", 6, 1000)
 		}()
 	}
 	group.Wait()
