--- a/review/second/fill/main.go
+++ b/review/second/fill/main.go
@@ -13,7 +13,7 @@
 const (
 	workers  = 4
 	cores    = 64000
-	fillCPU  = 14000 // the largest of tare-settle
+	fillCPU  = 14000 // the largest of settle
 	targetMs = 50
 	weight   = 0.5 // of the filling task: the slack that it would take if it used the whole worker
 	finishS  = 14 * time.Second
@@ -28,9 +28,9 @@
 		slack = 1.6
 	}
 	kit.Configure(c.Store, 3,
-		kit.Queue{Name: "grade-watch", Prefix: "/watch/", Service: "mizani-price", MaxAttempts: 3},
-		kit.Queue{Name: "tare-settle", Prefix: "/settle/", Service: "mizani-price", Priority: 2, MaxAttempts: 2})
-	c.AddWorkers(workers, kit.WorkerOptions{Service: "mizani-price", CPU: cores, Mem: 250000,
+		kit.Queue{Name: "watch", Prefix: "/watch/", Service: "price", MaxAttempts: 3},
+		kit.Queue{Name: "settle", Prefix: "/settle/", Service: "price", Priority: 2, MaxAttempts: 2})
+	c.AddWorkers(workers, kit.WorkerOptions{Service: "price", CPU: cores, Mem: 250000,
 		Plan: func(_ string, _ uint64, spec, _ string) kit.Plan {
 			if spec == "watch" {
 				return kit.Plan{Need: kit.Need{CPU: 13000, Mem: 26000}, AtWork: 500 * time.Millisecond}
@@ -51,10 +51,10 @@
 		}})
 	c.AddEntries(3)
 	submit(c, "/watch/", map[string]any{"spec": "watch", "phases": []map[string]any{{"count": workers, "cpu": 13000, "memMb": 26000,
-		"estimateMs": 500, "longRunning": true, "image": "grade-watch", "targetMs": targetMs, "mayMiss": 1, "antiAffinity": 1}}})
+		"estimateMs": 500, "longRunning": true, "image": "watch", "targetMs": targetMs, "mayMiss": 1, "antiAffinity": 1}}})
 	time.Sleep(8 * time.Second)
 	path := submit(c, "/settle/", map[string]any{"spec": "settle", "phases": []map[string]any{{"count": 1, "cpu": fillCPU, "memMb": 13000,
-		"estimateMs": 3000, "image": "tare-settle", "fills": true}}})
+		"estimateMs": 3000, "image": "settle", "fills": true}}})
 	id := path[len("/settle/"):]
 	traffic := time.Now() // its end
 	broken := false
--- a/review/second/flap/main.go
+++ b/review/second/flap/main.go
@@ -13,7 +13,7 @@
 const (
 	others = 9
 	label  = "kind-b"
-	period = 1400 * time.Millisecond // as srv_flap on mizani-dar-grown
+	period = 1400 * time.Millisecond // as srv_flap on the site of claim.txt
 	flapS  = 6500 * time.Millisecond // as there
 	jobs   = 1
 	watch  = 25 * time.Second
@@ -22,8 +22,8 @@
 func main() {
 	c := kit.NewCase()
 	need := kit.Need{CPU: 7000, Mem: 13000}
-	kit.Configure(c.Store, 3, kit.Queue{Name: "tare-settle", Prefix: "/settle/", Service: "mizani-price", Priority: 2, MaxAttempts: 2})
-	o := kit.WorkerOptions{Service: "mizani-price", CPU: 64000, Mem: 250000, Plan: func(string, uint64, string, string) kit.Plan {
+	kit.Configure(c.Store, 3, kit.Queue{Name: "settle", Prefix: "/settle/", Service: "price", Priority: 2, MaxAttempts: 2})
+	o := kit.WorkerOptions{Service: "price", CPU: 64000, Mem: 250000, Plan: func(string, uint64, string, string) kit.Plan {
 		return kit.Plan{Need: need, Tail: need.CPU, Length: 1700 * time.Millisecond}
 	}}
 	c.AddWorkers(others, o)
--- a/review/second/giveup/main.go
+++ b/review/second/giveup/main.go
@@ -36,8 +36,8 @@
 
 func main() {
 	c := kit.NewCase()
-	kit.Configure(c.Store, 3, kit.Queue{Name: "gross-weigh", Prefix: "/weigh/", Service: "mizani-price", MaxAttempts: 4})
-	c.AddWorkers(6, kit.WorkerOptions{Service: "mizani-price", CPU: 64000, Mem: 250000,
+	kit.Configure(c.Store, 3, kit.Queue{Name: "weigh", Prefix: "/weigh/", Service: "price", MaxAttempts: 4})
+	c.AddWorkers(6, kit.WorkerOptions{Service: "price", CPU: 64000, Mem: 250000,
 		Plan: func(string, uint64, string, string) kit.Plan {
 			return kit.Plan{Need: kit.Need{CPU: 1000, Mem: 500}, Tail: 1000, Length: 500 * time.Millisecond}
 		}})
--- a/review/second/kit/site.go
+++ b/review/second/kit/site.go
@@ -67,7 +67,7 @@
 	e.Ready = fmt.Sprintf("127.0.0.1:%d", freePort())
 	inner := freePort()
 	lines := []string{
-		"nodeName=" + name, "role=entry", "machineClass=edge", "serves=edge", "ip=127.0.0.1", "zone=" + zone, "region=pwani",
+		"nodeName=" + name, "role=entry", "machineClass=edge", "serves=edge", "ip=127.0.0.1", "zone=" + zone, "region=coast",
 		"listen.front=" + e.Front, "listen.ready=" + e.Ready, fmt.Sprintf("portRange=%d,%d", inner, inner),
 		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4100", "heartbeatMs=1100", "commandMode=rpc",
 		"bounds.contactMs=3000", "bounds.configApplyMs=2000", "bounds.drainMs=2000", "bounds.graceS=6", "bounds.maxHoldMs=10000",
--- a/review/second/lasting/main.go
+++ b/review/second/lasting/main.go
@@ -24,16 +24,16 @@
 func main() {
 	c := kit.NewCase()
 	need := kit.Need{CPU: 13000, Mem: 26000}
-	kit.Configure(c.Store, 3, kit.Queue{Name: "grade-watch", Prefix: "/titi322/", Service: "mizani-price", MaxAttempts: 3})
-	c.AddWorkers(workers, kit.WorkerOptions{Service: "mizani-price", CPU: 64000, Mem: 250000,
+	kit.Configure(c.Store, 3, kit.Queue{Name: "watch", Prefix: "/watch/", Service: "price", MaxAttempts: 3})
+	c.AddWorkers(workers, kit.WorkerOptions{Service: "price", CPU: 64000, Mem: 250000,
 		Plan: func(string, uint64, string, string) kit.Plan {
 			return kit.Plan{Need: need, Tail: 10, AtWork: 500 * time.Millisecond}
 		}})
 	c.AddEntries(3)
 	id := kit.ID()
 	job := map[string]any{"spec": "grade watch", "phases": []map[string]any{{"count": tasks, "cpu": need.CPU, "memMb": need.Mem,
-		"estimateMs": 500, "longRunning": true, "image": "grade-watch", "targetMs": 50, "mayMiss": 1}}}
-	if !kit.Submit(c.Record, c.Entries, "/titi322/"+id, job) {
+		"estimateMs": 500, "longRunning": true, "image": "watch", "targetMs": 50, "mayMiss": 1}}}
+	if !kit.Submit(c.Record, c.Entries, "/watch/"+id, job) {
 		c.Exit(2, "the job wasn't accepted")
 	}
 	for until := time.Now().Add(10 * time.Second); len(running(c)) < tasks; time.Sleep(50 * time.Millisecond) {
--- a/review/second/long/main.go
+++ b/review/second/long/main.go
@@ -26,8 +26,8 @@
 		length = 10 * time.Minute
 	}
 	need := kit.Need{CPU: 7000, Mem: 13000}
-	kit.Configure(c.Store, 3, kit.Queue{Name: "tare-settle", Prefix: "/settle/", Service: "mizani-price", Priority: 2, MaxAttempts: 2})
-	o := kit.WorkerOptions{Service: "mizani-price", CPU: cores, Mem: 250000, Plan: func(string, uint64, string, string) kit.Plan {
+	kit.Configure(c.Store, 3, kit.Queue{Name: "settle", Prefix: "/settle/", Service: "price", Priority: 2, MaxAttempts: 2})
+	o := kit.WorkerOptions{Service: "price", CPU: cores, Mem: 250000, Plan: func(string, uint64, string, string) kit.Plan {
 		return kit.Plan{Need: need, Tail: need.CPU, Length: length}
 	}}
 	c.AddWorkers(5, o)
--- a/review/second/probe/main.go
+++ b/review/second/probe/main.go
@@ -26,9 +26,9 @@
 func main() {
 	c := kit.NewCase()
 	kit.Configure(c.Store, 3,
-		kit.Queue{Name: "gross-weigh", Prefix: "/weigh/", Service: "mizani-price", MaxAttempts: 4},
-		kit.Queue{Name: "tare-settle", Prefix: "/settle/", Service: "mizani-price", Priority: 2, MaxAttempts: 2})
-	c.AddWorkers(workers, kit.WorkerOptions{Service: "mizani-price", CPU: cores, Mem: 250000,
+		kit.Queue{Name: "weigh", Prefix: "/weigh/", Service: "price", MaxAttempts: 4},
+		kit.Queue{Name: "settle", Prefix: "/settle/", Service: "price", Priority: 2, MaxAttempts: 2})
+	c.AddWorkers(workers, kit.WorkerOptions{Service: "price", CPU: cores, Mem: 250000,
 		Plan: func(_ string, _ uint64, spec, _ string) kit.Plan {
 			p := kit.Plan{Need: need, Tail: need.CPU, Length: time.Second}
 			switch spec {
--- a/review/second/trial/main.go
+++ b/review/second/trial/main.go
@@ -35,9 +35,9 @@
 	lastRun := make(map[string]time.Time)
 	where := make(map[string]string)
 	kit.Configure(c.Store, 3,
-		kit.Queue{Name: "corpus-watch", Prefix: "/watch/", Service: "stylebook", MaxAttempts: 3},
-		kit.Queue{Name: "style-check", Prefix: "/check/", Service: "stylebook", MaxAttempts: 4})
-	o := kit.WorkerOptions{Service: "stylebook", CPU: cores, Mem: 125000,
+		kit.Queue{Name: "watch", Prefix: "/watch/", Service: "text", MaxAttempts: 3},
+		kit.Queue{Name: "check", Prefix: "/check/", Service: "text", MaxAttempts: 4})
+	o := kit.WorkerOptions{Service: "text", CPU: cores, Mem: 125000,
 		Plan: func(_ string, _ uint64, spec, _ string) kit.Plan {
 			if spec == "watch" {
 				return kit.Plan{Need: kit.Need{CPU: 2000, Mem: 2000}, Tail: 10, AtWork: 300 * time.Millisecond}
@@ -91,7 +91,7 @@
 	lasting = id
 	mu.Unlock()
 	if !kit.Submit(c.Record, c.Entries, "/watch/"+id, map[string]any{"spec": "watch", "phases": []map[string]any{{"count": 1, "cpu": 2000, "memMb": 2000,
-		"estimateMs": 300, "longRunning": true, "image": "corpus-watch", "targetMs": 50, "mayMiss": 1}}}) {
+		"estimateMs": 300, "longRunning": true, "image": "watch", "targetMs": 50, "mayMiss": 1}}}) {
 		c.Exit(2, "the lasting job wasn't accepted")
 	}
 	for until := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
