--- a/review/second/fill/main.go
+++ b/review/second/fill/main.go
@@ -13,7 +13,7 @@
 const (
 	workers  = 4
 	cores    = 64000
-	fillCPU  = 14000 // the largest of settle
+	fillCPU  = 14000 // the largest filling task of the site
 	targetMs = 50
 	weight   = 0.5 // of the filling task: the slack that it would take if it used the whole worker
 	finishS  = 14 * time.Second
