Dispatcher: a job is cancelled before it is on record

What callers saw: a client leaves without an answer to its job and cancels the job at another instance, which answers 410.

Cause: Cancel took a job that isn't on record for one that never will be. A read to the stream's end proves that the job wasn't there when the read began. It doesn't prove that no write of it is under way, at another instance, at an aggregator, or in the store, which carries writes out seconds after their answers are given up.

Now the cancellation is written for such a job as well, and 410 is answered only then. It holds in whichever order and stream job and cancellation are read, after a takeover and after a full load. Instances that follow no streams learn from the standby whether it is on record already.

Bounded: a repeated cancellation isn't written again; from 8,192 of unknown jobs on, further ones are rejected with 503 and Retry-After, while jobs on record can always be cancelled; the owner deletes each after two minutes, and never the job. Deleting a job's progress no longer drops its cancellation from the catalog.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -102,11 +102,18 @@
 	crashed map[string]uint64 // terms by incarnations of workers; see CrashedRecord
 	waves   map[int]Wave
 	changed []string // jobs that were accepted or cancelled since the last TakeChanged
+	// unmatched is the set of cancelled jobs that aren't on record.
+	unmatched map[string]struct{}
 }
 
 // New returns an empty Catalog.
 func New() *Catalog {
-	return &Catalog{entries: make(map[string]*Entry), hosts: make(map[string]provider.Host), waves: make(map[int]Wave)}
+	return &Catalog{
+		entries:   make(map[string]*Entry),
+		hosts:     make(map[string]provider.Host),
+		waves:     make(map[int]Wave),
+		unmatched: make(map[string]struct{}),
+	}
 }
 
 // AcceptRecord returns the record of an accepted job.
@@ -137,7 +144,12 @@
 
 // DropRecords returns the records that delete a job and its cancellation.
 func DropRecords(id string) []provider.KeyedRecord {
-	return []provider.KeyedRecord{{Key: acceptKey + id}, {Key: cancelKey + id}}
+	return []provider.KeyedRecord{{Key: acceptKey + id}, CancelDeletion(id)}
+}
+
+// CancelDeletion returns the record that deletes the cancellation of a job.
+func CancelDeletion(id string) provider.KeyedRecord {
+	return provider.KeyedRecord{Key: cancelKey + id}
 }
 
 // HostRecord returns the record of a worker on which the owner may start tasks.
@@ -334,6 +346,7 @@
 	if e.Progress != nil {
 		e.Progress.Bind(j)
 	}
+	c.settle(id, e)
 	c.changed = append(c.changed, id)
 	return nil
 }
@@ -359,8 +372,12 @@
 	}
 	e := c.entry(id)
 	e.cancelIn |= source
-	if !e.Cancelled {
-		e.Cancelled = true
+	if e.Cancelled {
+		return
+	}
+	e.Cancelled = true
+	c.settle(id, e)
+	if e.Job != nil {
 		c.changed = append(c.changed, id)
 	}
 }
@@ -371,7 +388,7 @@
 func (c *Catalog) dropCancellation(source sources, id string, e *Entry) {
 	e.cancelIn &^= source
 	e.Cancelled = e.Cancelled && (e.cancelIn != 0 || e.Job != nil)
-	c.deleteIfEmpty(id, e)
+	c.settle(id, e)
 }
 
 func (c *Catalog) entry(id string) *Entry {
@@ -419,7 +436,8 @@
 func (c *Catalog) setProgress(id string, value []byte) error {
 	if len(value) == 0 {
 		if e := c.entries[id]; e != nil && e.Job == nil {
-			delete(c.entries, id)
+			e.Progress = nil
+			c.settle(id, e)
 		}
 		return nil
 	}
@@ -482,7 +500,7 @@
 			e.cancelIn &^= source
 		}
 		e.Cancelled = e.Cancelled && (e.cancelIn != 0 || e.Job != nil)
-		c.deleteIfEmpty(id, e)
+		c.settle(id, e)
 	}
 }
 
@@ -504,7 +522,7 @@
 		if !keys[progressKey+id] {
 			e.Progress = nil
 		}
-		c.deleteIfEmpty(id, e)
+		c.settle(id, e)
 	}
 	maps.DeleteFunc(c.hosts, func(id string, _ provider.Host) bool { return !keys[hostKey+id] })
 	maps.DeleteFunc(c.waves, func(n int, _ Wave) bool { return !keys[waveKey+strconv.Itoa(n)] })
@@ -518,12 +536,41 @@
 	return keys
 }
 
-func (c *Catalog) deleteIfEmpty(id string, e *Entry) {
+// settle updates the indexes after a change of an entry, and deletes an empty one.
+func (c *Catalog) settle(id string, e *Entry) {
+	if e.Job == nil && e.Cancelled {
+		c.unmatched[id] = struct{}{}
+	} else {
+		delete(c.unmatched, id)
+	}
 	if e.Job == nil && e.Progress == nil && !e.Cancelled {
 		delete(c.entries, id)
 	}
 }
 
+// IsCancelled reports whether the cancellation of a job is on record, whether or not the job is.
+func (c *Catalog) IsCancelled(id string) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	e := c.entries[id]
+	return e != nil && e.Cancelled
+}
+
+// Unmatched returns the jobs whose cancellation is on record without the job. The store may
+// still write such a job, which is cancelled then.
+func (c *Catalog) Unmatched() []string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Sorted(maps.Keys(c.unmatched))
+}
+
+// UnmatchedCount returns the number of jobs that Unmatched returns.
+func (c *Catalog) UnmatchedCount() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return len(c.unmatched)
+}
+
 // State returns the state of a job, and whether it was accepted. A job whose
 // cancellation is on record is cancelled, unless it had ended before.
 func (c *Catalog) State(id string) (progress.State, bool) {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -173,3 +174,53 @@
 	is.Equal(c.Len(), 1)
 	is.Equal(len(c.Hosts()), 1)
 }
+
+// Guards against a cancellation that is forgotten while its job may still come on record, and one
+// that is kept for good without a job.
+func TestUnmatched(t *testing.T) {
+	accept, cancel, drop := acceptRecord(t, "a"), catalog.CancelRecord("a"), catalog.DropRecords("a")
+	deletion := catalog.CancelDeletion("a")
+	tests := []struct {
+		name      string
+		fold      func(c *catalog.Catalog) error
+		unmatched []string
+	}{
+		{"no record", func(*catalog.Catalog) error { return nil }, nil},
+		{"cancelled", func(c *catalog.Catalog) error { return c.Accept(cancel) }, []string{"a"}},
+		{"accepted later", func(c *catalog.Catalog) error { return errors.Join(c.Accept(cancel), c.AcceptAggregated(accept)) }, nil},
+		{"job deleted first", func(c *catalog.Catalog) error {
+			return errors.Join(c.Accept(accept), c.Accept(cancel), c.Accept(drop[0]))
+		}, []string{"a"}},
+		{"cancelled after both were deleted", func(c *catalog.Catalog) error {
+			return errors.Join(c.Accept(accept), c.Accept(drop[0]), c.Accept(drop[1]), c.AcceptAggregated(cancel))
+		}, []string{"a"}},
+		{"deleted in one of two streams", func(c *catalog.Catalog) error {
+			return errors.Join(c.Accept(cancel), c.AcceptAggregated(cancel), c.Accept(deletion))
+		}, []string{"a"}},
+		{"deleted", func(c *catalog.Catalog) error { return errors.Join(c.Accept(cancel), c.Accept(deletion)) }, nil},
+		{"progress deleted", func(c *catalog.Catalog) error {
+			return errors.Join(c.Progress(progressRecord(t, "a", progress.Running)), c.Accept(cancel), c.Progress(catalog.ProgressDeletion("a")))
+		}, []string{"a"}},
+		{"read again without it", func(c *catalog.Catalog) error { err := c.Accept(cancel); c.RetainAccepts(nil); return err }, nil},
+		{"read again with it", func(c *catalog.Catalog) error {
+			err := c.Accept(cancel)
+			c.RetainAccepts([]provider.KeyedRecord{cancel})
+			return err
+		}, []string{"a"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := catalog.New()
+			is.NoErr(tt.fold(c))
+			is.Equal(c.Unmatched(), tt.unmatched)
+			is.Equal(c.UnmatchedCount(), len(tt.unmatched))
+			is.Equal(c.IsCancelled("a"), len(tt.unmatched) > 0 || tt.name == "accepted later")
+			if len(tt.unmatched) > 0 {
+				is.NoErr(c.Accept(accept))
+				state, _ := c.State("a")
+				is.Equal(state, progress.Cancelled)
+			}
+		})
+	}
+}
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -68,6 +68,9 @@
 	PaceDelay time.Duration
 	// JobRetention is how long a job is kept after its end.
 	JobRetention time.Duration
+	// CancellationRetention is how long the cancellation of a job that isn't on record is kept.
+	// It outlasts writes of the job that callers and instances have given up.
+	CancellationRetention time.Duration
 	// Margin is added to each wait for the end of a lease, to cover the time that an
 	// answer took.
 	Margin time.Duration
@@ -99,8 +102,11 @@
 		Quarantine:        2 * time.Second,
 		PaceDelay:         100 * time.Millisecond,
 		JobRetention:      10 * time.Minute,
-		Margin:            150 * time.Millisecond,
-		MaxClockDrift:     0.025,
+
+		CancellationRetention: 2 * time.Minute,
+
+		Margin:        150 * time.Millisecond,
+		MaxClockDrift: 0.025,
 	}
 }
 
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -72,6 +72,7 @@
 		}
 		d.standbys.keepRoster()
 		d.standbys.yieldIfRejected()
+		d.cancellations.deleteOld()
 		return
 	}
 	if d.isLeaving() || !d.standbys.following.Load() || !d.observeOwner() {
@@ -276,6 +277,7 @@
 	d.owning.Store(owning)
 	d.accepts.SetSpacing(spacing)
 	d.standbys.setOwning(owning)
+	d.cancellations.reset()
 	d.onOwning(owning)
 }
 
--- a/dispatcher/counters.go
+++ b/dispatcher/counters.go
@@ -61,6 +61,8 @@
 	jobs            expvar.Int
 	rejected        expvar.Int
 
+	cancelsUnmatched  expvar.Int // cancellations of jobs that weren't on record
+	cancelsRejected   expvar.Int // because too many of these were kept
 	aggregatedAppends expvar.Int
 	aggregatedRefused expvar.Int // records
 	writes            writeCounters
@@ -80,6 +82,7 @@
 	for name, v := range map[string]expvar.Var{
 		"owned": &c.owned, "starts": &c.starts, "stops": &c.stops, "holds": &c.holds, "holds_unanswered": &c.holdsUnanswered,
 		"saves": &c.saves, "saves_failed": &c.savesFailed, "jobs_accepted": &c.jobs, "jobs_rejected": &c.rejected, "jobs_rejected_for": c.rejectedFor,
+		"cancels_unmatched": &c.cancelsUnmatched, "cancels_rejected": &c.cancelsRejected,
 		"aggregated_appends": &c.aggregatedAppends, "aggregated_refused": &c.aggregatedRefused,
 		"copies_started": &c.copies, "copies_won": &c.copiesWon, "copies_lost": &c.copiesLost, "copies_core_seconds_lost": &c.coreSecondsLost,
 		"list_age_ms": expvar.Func(func() any { return c.listAge(clock()).Milliseconds() }),
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -77,6 +77,7 @@
 	progress       *tail.Tail
 	figures        figuresAge
 	intake         *intake
+	cancellations  *cancellations
 	recordWriter   *recordWriter
 	aggregator     *aggregator
 	localSink      aggregation.Sink // where this instance writes as aggregator; nil if it is none
@@ -210,6 +211,7 @@
 	d.accepts = d.newJobTails()
 	d.progress = d.newTail(catalog.Progress, d.recordFigures(d.foldInto(catalog.Progress, d.catalog.Progress, d.catalog.RetainProgress)), tail.WithSpacing(progressSpacing), tail.WithWait(progressWait))
 	d.intake = newIntake(d)
+	d.cancellations = &cancellations{d: d}
 	d.aggregator = newAggregator(d)
 	if d.isAggregator {
 		d.localSink = d.aggregator
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -211,13 +211,11 @@
 	return d.catalog.Accept(r)
 }
 
-// State returns the state of a job. It returns fault.NotFound for a job that was never
-// accepted, and fault.Unavailable if that can't be found out.
+// State returns the state of a job. It returns fault.NotFound for a job that isn't on record,
+// and fault.Unavailable if that can't be found out. A job that isn't on record may still come
+// there: the store may carry out a write seconds after its answer was given up.
 func (d *Dispatcher) State(ctx context.Context, id string) (progress.State, error) {
-	if d.standbys.isCurrent() {
-		return d.localState(ctx, id)
-	}
-	a, err := d.standbys.ask(ctx, inquiry.Question{Job: id})
+	a, err := d.lookUp(ctx, id)
 	if err != nil {
 		return progress.Queued, err
 	}
@@ -227,6 +225,28 @@
 	return a.State, nil
 }
 
+// lookUp returns what is on record of a job, as this instance or a standby has read it.
+func (d *Dispatcher) lookUp(ctx context.Context, id string) (inquiry.Answer, error) {
+	if d.standbys.isCurrent() {
+		return d.lookUpLocally(ctx, id)
+	}
+	return d.standbys.ask(ctx, inquiry.Question{Job: id})
+}
+
+func (d *Dispatcher) lookUpLocally(ctx context.Context, id string) (inquiry.Answer, error) {
+	state, err := d.localState(ctx, id)
+	if fault.Is(err, fault.NotFound) {
+		return inquiry.Answer{
+			Cancelled: d.catalog.IsCancelled(id),
+			Full:      d.catalog.UnmatchedCount() >= maxUnmatchedCancellations,
+		}, nil
+	}
+	if err != nil {
+		return inquiry.Answer{}, err
+	}
+	return inquiry.Answer{Known: true, State: state, Age: d.stateAge()}, nil
+}
+
 // localState returns the state of a job as this instance has read it. For an unknown job it
 // reads the store first.
 func (d *Dispatcher) localState(ctx context.Context, id string) (progress.State, error) {
@@ -264,21 +284,6 @@
 	return true
 }
 
-// Cancel writes the cancellation of a job to the store, unless the job has ended.
-func (d *Dispatcher) Cancel(ctx context.Context, id string) error {
-	s, err := d.State(ctx, id)
-	if err != nil || s.Final() {
-		return err
-	}
-	record := catalog.CancelRecord(id)
-	stream, err := d.recordWriter.write(ctx, record)
-	d.logger.Info("cancel", zap.String("job", id), zap.String("state", s.String()), zap.Error(err))
-	if err != nil {
-		return err
-	}
-	return d.applyRecord(stream, record)
-}
-
 // Pending returns the number of a queue's jobs that haven't started. It returns
 // fault.Unavailable if that can't be found out.
 func (d *Dispatcher) Pending(ctx context.Context, queue string) (int, error) {
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -165,20 +165,24 @@
 // deleteJobs deletes the accept and cancel records of jobs in all streams. After an error the
 // cell repeats it and keeps the progress, so that no stream still has a job without progress.
 func (d *Dispatcher) deleteJobs(ctx context.Context, a cell.Forget) cell.Input {
-	err := d.deleteIn(ctx, catalog.Accepts, a.IDs)
-	if err == nil {
-		err = d.deleteIn(ctx, catalog.Aggregated, d.possiblyAggregated(a.IDs))
+	return cell.ForgetReply{IDs: a.IDs, Err: d.deleteRecords(ctx, a.IDs, catalog.DropRecords)}
+}
+
+// deleteRecords appends the deletions of each job's records to the streams that may have them.
+func (d *Dispatcher) deleteRecords(ctx context.Context, ids []string, deletions func(id string) []provider.KeyedRecord) error {
+	if err := d.deleteIn(ctx, catalog.Accepts, ids, deletions); err != nil {
+		return err
 	}
-	return cell.ForgetReply{IDs: a.IDs, Err: err}
+	return d.deleteIn(ctx, catalog.Aggregated, d.possiblyAggregated(ids), deletions)
 }
 
-func (d *Dispatcher) deleteIn(ctx context.Context, stream string, ids []string) error {
+func (d *Dispatcher) deleteIn(ctx context.Context, stream string, ids []string, deletions func(id string) []provider.KeyedRecord) error {
 	if len(ids) == 0 {
 		return nil
 	}
 	var records []provider.KeyedRecord
 	for _, id := range ids {
-		records = append(records, catalog.DropRecords(id)...)
+		records = append(records, deletions(id)...)
 	}
 	return d.platform.Store.Append(ctx, stream, nil, records)
 }
--- a/dispatcher/query.go
+++ b/dispatcher/query.go
@@ -120,14 +120,7 @@
 	if q.Job == "" {
 		return inquiry.Answer{Pending: d.catalog.Pending(q.Queue), Age: d.stateAge()}, nil
 	}
-	state, err := d.localState(ctx, q.Job)
-	if fault.Is(err, fault.NotFound) {
-		return inquiry.Answer{}, nil
-	}
-	if err != nil {
-		return inquiry.Answer{}, err
-	}
-	return inquiry.Answer{Known: true, State: state, Age: d.stateAge()}, nil
+	return d.lookUpLocally(ctx, q.Job)
 }
 
 // stateAge returns the age of the state of all jobs in milliseconds. The owner's state is its
--- a/inquiry/inquiry.go
+++ b/inquiry/inquiry.go
@@ -61,6 +61,10 @@
 	Pending int            `cbor:"3,keyasint,omitempty"`
 	Age     int64          `cbor:"4,keyasint,omitempty"` // milliseconds since the standby's last read
 	Data    []byte         `cbor:"5,keyasint,omitempty"` // configuration, empty if there is no newer one
+	// Cancelled tells that the cancellation of a job that isn't known is on record, and Full that
+	// no further one of such a job is accepted at present.
+	Cancelled bool `cbor:"6,keyasint,omitempty"`
+	Full      bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Responder answers questions from its own state. It fails with fault.Unavailable if it
