Dispatcher: the owner starts its own jobs in the order of the stream

A caller submits a job to the owner and cancels it at another instance while the owner's write is waited for. The cancellation is acknowledged first. The owner starts the job when its write is acknowledged, as long as its reads of the stream are late.

Cause: an acknowledged append of a job proves that the job is on record. It doesn't prove that no cancellation stands before it. The owner folded what it had written itself, as intake or aggregator, as if it had read it.

Now the catalog tells a job that was written here from one that was read: queries know the first, the cell gets only the second.

Evidence: TestOwnerReadsWhatPrecedesItsOwnWrite, for a caller's job and for one of another instance, failed before: both were started.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,9 +5,10 @@
 // Usage:
 //
 //	c := catalog.New()
-//	c.Accept(record)           // of stream catalog.Accepts
-//	c.AcceptAggregated(record) // of stream catalog.Aggregated
-//	c.Progress(record)         // of stream catalog.Progress
+//	c.Accept(record)                    // read from stream catalog.Accepts
+//	c.AcceptAggregated(record)          // read from stream catalog.Aggregated
+//	c.Progress(record)                  // read from stream catalog.Progress
+//	c.Written(catalog.Accepts, record)  // written by this instance, before it is read
 //	state, known := c.State(id)
 //
 // Jobs and their progress have different keys. So the result doesn't depend on the
@@ -69,6 +70,7 @@
 
 	jobIn    sources // streams that have the job
 	cancelIn sources // streams that have the cancellation
+	isRead   bool    // whether the job was read from a stream
 }
 
 // TermSpacing is the distance between the terms of successive owners. An owner uses the
@@ -287,20 +289,30 @@
 
 // Accept folds a record of stream Accepts. The first accept of a job wins.
 func (c *Catalog) Accept(r provider.KeyedRecord) error {
-	return c.acceptFrom(inAccepts, r)
+	return c.acceptFrom(inAccepts, r, true)
 }
 
 // AcceptAggregated is Accept for a record of stream Aggregated.
 func (c *Catalog) AcceptAggregated(r provider.KeyedRecord) error {
-	return c.acceptFrom(inAggregated, r)
+	return c.acceptFrom(inAggregated, r, true)
 }
 
-func (c *Catalog) acceptFrom(source sources, r provider.KeyedRecord) error {
+// Written folds a record that this instance has written to stream Accepts or Aggregated and
+// hasn't read yet. State knows its job at once. TakeChanged and Entries have the job only once
+// it is read, since the stream may have a cancellation before it.
+func (c *Catalog) Written(stream string, r provider.KeyedRecord) error {
+	if stream == Aggregated {
+		return c.acceptFrom(inAggregated, r, false)
+	}
+	return c.acceptFrom(inAccepts, r, false)
+}
+
+func (c *Catalog) acceptFrom(source sources, r provider.KeyedRecord, isRead bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case strings.HasPrefix(r.Key, acceptKey):
-		return c.accept(source, r.Key[len(acceptKey):], r.Value)
+		return c.accept(source, r.Key[len(acceptKey):], r.Value, isRead)
 	case strings.HasPrefix(r.Key, cancelKey):
 		c.cancel(source, r.Key[len(cancelKey):], len(r.Value) > 0)
 		return nil
@@ -322,7 +334,7 @@
 	return nil
 }
 
-func (c *Catalog) accept(source sources, id string, value []byte) error {
+func (c *Catalog) accept(source sources, id string, value []byte, isRead bool) error {
 	if len(value) == 0 {
 		if e := c.entries[id]; e != nil {
 			c.dropJob(source, id, e)
@@ -331,6 +343,7 @@
 	}
 	if e := c.entries[id]; e != nil && e.Job != nil {
 		e.jobIn |= source
+		c.markRead(id, e, isRead)
 		return nil
 	}
 	j := &job.Job{}
@@ -347,10 +360,19 @@
 		e.Progress.Bind(j)
 	}
 	c.settle(id, e)
-	c.changed = append(c.changed, id)
+	c.markRead(id, e, isRead)
 	return nil
 }
 
+// markRead marks the job of an entry as changed when it is read for the first time.
+func (c *Catalog) markRead(id string, e *Entry, isRead bool) {
+	if !isRead || e.isRead {
+		return
+	}
+	e.isRead = true
+	c.changed = append(c.changed, id)
+}
+
 // dropJob drops a job that was deleted in a stream, with its progress, unless the other
 // stream has it.
 func (c *Catalog) dropJob(source sources, id string, e *Entry) {
@@ -359,6 +381,7 @@
 		return
 	}
 	e.Job = nil
+	e.isRead = false
 	e.Progress = nil
 	c.dropCancellation(0, id, e)
 }
@@ -377,7 +400,7 @@
 	}
 	e.Cancelled = true
 	c.settle(id, e)
-	if e.Job != nil {
+	if e.isRead {
 		c.changed = append(c.changed, id)
 	}
 }
@@ -495,6 +518,7 @@
 		}
 		if e.jobIn == 0 {
 			e.Job = nil
+			e.isRead = false
 		}
 		if !keys[cancelKey+id] {
 			e.cancelIn &^= source
@@ -627,14 +651,14 @@
 	return hosts
 }
 
-// Entries returns every accepted job. Each Progress is a copy that
+// Entries returns every accepted job that was read. Each Progress is a copy that
 // the caller may change.
 func (c *Catalog) Entries() (map[string]Entry, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	entries := make(map[string]Entry, len(c.entries))
 	for id, e := range c.entries {
-		if e.Job == nil {
+		if e.Job == nil || !e.isRead {
 			continue
 		}
 		copied := *e
@@ -688,7 +712,7 @@
 	defer c.mu.Unlock()
 	entries := make([]Entry, 0, len(c.changed))
 	for _, id := range c.changed {
-		if e := c.entries[id]; e != nil && e.Job != nil {
+		if e := c.entries[id]; e != nil && e.Job != nil && e.isRead {
 			entries = append(entries, Entry{Job: e.Job, Cancelled: e.Cancelled})
 		}
 	}
--- a/dispatcher/aggregator.go
+++ b/dispatcher/aggregator.go
@@ -265,7 +265,7 @@
 		return
 	}
 	for _, r := range records {
-		if err := a.d.catalog.AcceptAggregated(r); err != nil {
+		if err := a.d.catalog.Written(catalog.Aggregated, r); err != nil {
 			a.d.logger.Warn("record not understood", zap.String("stream", catalog.Aggregated), zap.String("key", r.Key), zap.Error(err))
 		}
 	}
--- a/dispatcher/cancellations_test.go
+++ b/dispatcher/cancellations_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodladder/dogwoodladder/aggregation"
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/dispatcher"
@@ -192,6 +193,41 @@
 	})
 }
 
+// Guards against an owner that starts a job which it has written itself, before it has read the
+// cancellation that the stream has before it.
+func TestOwnerReadsWhatPrecedesItsOwnWrite(t *testing.T) {
+	tests := []struct {
+		name   string
+		stream string
+		write  func(ctx context.Context, is *is.I, owner *dispatcher.Dispatcher)
+	}{
+		{"a caller's job", catalog.Accepts, func(ctx context.Context, is *is.I, owner *dispatcher.Dispatcher) {
+			is.NoErr(submitFor(ctx, owner, time.Second))
+		}},
+		{"another instance's job", catalog.Aggregated, func(ctx context.Context, is *is.I, owner *dispatcher.Dispatcher) {
+			is.Equal(aggregate(ctx, owner, 1, time.Second).Outcome, aggregation.Written)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inSynctest(t, func(ctx context.Context, is *is.I) {
+				s := newLateSite(ctx)
+				owner, _ := s.owner()
+				s.store.setUnreadable(tt.stream)
+				time.Sleep(3 * time.Second) // until no read is waiting
+				is.NoErr(s.store.Append(ctx, tt.stream, nil, []provider.KeyedRecord{catalog.CancelRecord(newJob(1).ID)}))
+				tt.write(ctx, is, s.instances[owner])
+				time.Sleep(time.Second)
+				is.Equal(s.workers.started(), 0)
+				s.store.setUnreadable("")
+				time.Sleep(5 * time.Second)
+				is.Equal(s.workers.started(), 0)
+				is.True(isCancelled(ctx, s.instances[owner]))
+			})
+		})
+	}
+}
+
 // Guards against a store and instances that fill up because callers cancel unknown jobs, and
 // against cancellations that outlive their purpose after a takeover.
 func TestCancellationsOfUnknownJobsAreBounded(t *testing.T) {
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -205,10 +205,7 @@
 		return nil
 	}
 	defer d.notifyUpdate()
-	if stream == catalog.Aggregated {
-		return d.catalog.AcceptAggregated(r)
-	}
-	return d.catalog.Accept(r)
+	return d.catalog.Written(stream, r)
 }
 
 // State returns the state of a job. It returns fault.NotFound for a job that isn't on record,
