Controller: a cancellation that finds nothing isn't answered as done

A caller whose submission had no answer cancels its task at another instance, and the answer is 200. The record of the submission comes behind that of the cancellation, and the task runs.

Cause: only refused submissions were looked at. A cancellation of an unknown task was void in the fold, and answered like one that took effect; that of an unknown job counted as applied.

Now the answer is 404 for a cancellation that found nothing, and 504 for one that found only a part, with what isn't on record. It is no acknowledgement, and says what to do: repeat the submission, which is known by its ID, and cancel again once it is answered. The fold's state is as before, so that instances of both versions agree; it only reports an unknown job as refused. A cancellation on record in advance, as on the users' platform, would be a rule of the fold that older instances don't have. Tasks and jobs that have ended are cancelled with success, as before.

Evidence: TestCancelOfUnknownTask failed before for an unknown task, an unknown job and one of two.

--- a/controller/command.go
+++ b/controller/command.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"cmp"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -92,7 +94,7 @@
 		return
 	}
 	delete(c.commands, a.Record.Sequence)
-	if err := refusedTasksError(a); err != nil {
+	if err := cmp.Or(refusedTasksError(a), notCancelledError(a)); err != nil {
 		c.emit(Answer{ID: cmd.id, Err: err})
 		return
 	}
@@ -126,6 +128,28 @@
 	return fault.New(fault.MayHaveRun, "only a part of the tasks was accepted, refused were: %s", strings.Join(refused, ", "))
 }
 
+// notCancelledError returns an error when applying a cancellation found no such task or job. A
+// submission of it may still be under way, and would take effect.
+func notCancelledError(a follower.Applied) error {
+	if a.Record.Cancel == nil {
+		return nil
+	}
+	var unknown []string
+	for _, r := range a.Outcome.Refused {
+		if r.Reason == zone.UnknownTask || r.Reason == zone.UnknownJob {
+			unknown = append(unknown, strconv.Quote(r.Task))
+		}
+	}
+	const hint = "a submission that is still under way would take effect: repeat it, and cancel again once it is answered"
+	switch {
+	case len(unknown) == 0:
+		return nil
+	case a.Outcome.Effect == zone.Void:
+		return fault.New(fault.NotFound, "nothing was cancelled, not on record are %s; %s", strings.Join(unknown, ", "), hint)
+	}
+	return fault.New(fault.MayHaveRun, "only a part was cancelled, not on record are %s; %s", strings.Join(unknown, ", "), hint)
+}
+
 // expireCommands fails the commands that the log didn't accept in time. A
 // command whose record was never sent did not run; for the others the outcome
 // is unknown.
--- a/controller/regression_test.go
+++ b/controller/regression_test.go
@@ -125,6 +125,17 @@
 	both := newTasks(2, "red", "sleep 1s")
 	both[1].Command = strings.Repeat("x", longCommandSize)
 	s.feed(controller.Submit{ID: 5, Tasks: both})
+	answers := s.readAnswers()
+	is.Equal(len(answers), 1)
+	is.True(answers[0].Err != nil)
+	_, accepted := s.c.State().Task(both[0].ID)
+	is.True(accepted)
+	_, accepted = s.c.State().Task(both[1].ID)
+	is.True(!accepted)
+}
+
+// readAnswers returns the answers to commands while their records are read back.
+func (s *singleInstance) readAnswers() []controller.Answer {
 	var answers []controller.Answer
 	for range 20 {
 		for _, a := range s.runStep(s.read(controller.ZoneStream("a"))) {
@@ -133,12 +144,42 @@
 			}
 		}
 	}
-	is.Equal(len(answers), 1)
-	is.True(answers[0].Err != nil)
-	_, accepted := s.c.State().Task(both[0].ID)
-	is.True(accepted)
-	_, accepted = s.c.State().Task(both[1].ID)
-	is.True(!accepted)
+	return answers
+}
+
+// Guards against a task that runs although its cancellation was answered as done: the record of
+// the task came after that of the cancellation, which found no such task.
+func TestCancelOfUnknownTask(t *testing.T) {
+	known := newTasks(1, "red", "sleep 1h")
+	tests := []struct {
+		name   string
+		cancel controller.Cancel
+		kind   fault.Kind // of the error
+		done   bool       // whether there is none
+	}{
+		{"unknown task", controller.Cancel{ID: 6, Tasks: []string{"late"}}, fault.NotFound, false},
+		{"unknown job", controller.Cancel{ID: 6, Jobs: []string{"late"}}, fault.NotFound, false},
+		{"one of two", controller.Cancel{ID: 6, Tasks: []string{known[0].ID, "late"}}, fault.MayHaveRun, false},
+		{"known", controller.Cancel{ID: 6, Tasks: []string{known[0].ID}}, 0, true},
+		{"job with ended tasks", controller.Cancel{ID: 6, Jobs: []string{"ended"}}, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newInstanceOwning(t, "w0")
+			ended := newTasks(1, "red", "sleep 1s")
+			ended[0].ID, ended[0].Job = "e", "ended"
+			s.feed(controller.Submit{ID: 5, Tasks: append(ended, known...)})
+			s.run(time.Second)
+			s.feed(controller.Cancel{ID: 7, Tasks: []string{"e"}})
+			s.run(10 * time.Second)
+			s.feed(tt.cancel)
+			answers := s.readAnswers()
+			is.Equal(len(answers), 1)
+			is.Equal(answers[0].Err == nil, tt.done)
+			is.True(tt.done || fault.Is(answers[0].Err, tt.kind))
+		})
+	}
 }
 
 // Guards against a call queue that grows for as long as its worker is slow.
--- a/zone/outcome.go
+++ b/zone/outcome.go
@@ -38,11 +38,12 @@
 	OverCapacity           // the owner's workers can't hold the task in addition to its escrow
 	Full                   // the state is at its size bound
 	Started                // the attempt was found on a worker
+	UnknownJob             // no such job
 )
 
 // Refusal names a task of a record that was refused, and the reason.
 type Refusal struct {
-	Task   string
+	Task   string // or a job, with UnknownJob
 	Reason Reason
 }
 
--- a/zone/strings.go
+++ b/zone/strings.go
@@ -51,11 +51,12 @@
 	_ = x[OverCapacity-20]
 	_ = x[Full-21]
 	_ = x[Started-22]
+	_ = x[UnknownJob-23]
 }
 
-const _Reason_name = "NoneNewerVersionGapMalformedWriterFencedOldIncarnationOldRevisionOldEpochOldAttemptKnownTaskUnknownTaskUnknownWorkerNotOwnerNotQueuedAlreadyEndedAlreadyFencedOwnerNotFencedAlreadyLapsedOverShareNoFittingWorkerOverCapacityFullStarted"
+const _Reason_name = "NoneNewerVersionGapMalformedWriterFencedOldIncarnationOldRevisionOldEpochOldAttemptKnownTaskUnknownTaskUnknownWorkerNotOwnerNotQueuedAlreadyEndedAlreadyFencedOwnerNotFencedAlreadyLapsedOverShareNoFittingWorkerOverCapacityFullStartedUnknownJob"
 
-var _Reason_index = [...]uint8{0, 4, 16, 19, 28, 40, 54, 65, 73, 83, 92, 103, 116, 124, 133, 145, 158, 172, 185, 194, 209, 221, 225, 232}
+var _Reason_index = [...]uint8{0, 4, 16, 19, 28, 40, 54, 65, 73, 83, 92, 103, 116, 124, 133, 145, 158, 172, 185, 194, 209, 221, 225, 232, 242}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/zone/submit.go
+++ b/zone/submit.go
@@ -66,14 +66,23 @@
 		taken++
 	}
 	for _, job := range body.Jobs {
-		for _, t := range s.liveTasksOfJob(job) {
+		live := s.liveTasksOfJob(job)
+		for _, t := range live {
 			s.cancelTask(t, o)
 			taken++
 		}
+		if len(live) == 0 && !s.hasEndedTask(job) {
+			o.refuse(job, UnknownJob)
+		}
 	}
 	o.voidIfRefused(taken)
 }
 
+// hasEndedTask reports whether any ended task of a job is remembered.
+func (s *State) hasEndedTask(job string) bool {
+	return slices.ContainsFunc(s.ended, func(t *task) bool { return t.job == job })
+}
+
 func (s *State) cancelTask(t *task, o *Outcome) Reason {
 	next, err := taskChart.Next(t.state, eventCancel)
 	if err != nil && !t.declared {
