Cell: crashes of drained workers count until the upkeep is ordered

Cause: a crash of a worker whose machine goes down for an upkeep isn't counted against the tasks that had just been started there. A drain proves no end of the worker; only the order may.

Now the worker counts as going down from the order on. The survey of a new owner had the same conclusion and follows it too.

Evidence: TestCrashesOfDrainedWorkers failed before (three starts after three crashes) and passes. All tests of the package pass.

--- a/cell/crash_test.go
+++ b/cell/crash_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
@@ -323,3 +324,25 @@
 		s.checkOutcomes(jobs)
 	})
 }
+
+// Guards against crashes that aren't counted because the workers' machines were being drained
+// for an upkeep that hadn't been ordered yet.
+func TestCrashesOfDrainedWorkers(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1200, 24, 1)
+	s.crashDelay = 250 * time.Millisecond // the drain begins before
+	s.crashWorkersOf(jobID(0) + ".0.0.0")
+	var waves []provider.Wave
+	s.owners[0].onStart = func(o provider.StartOrder) {
+		if !s.crashesWorker(o.Task) {
+			return
+		}
+		waves = append(waves, provider.Wave{Number: len(waves), Machines: []string{o.Host.Machine}, MaxConcurrent: 1})
+		s.after(tickInterval, func() { s.owners[0].step(cell.WavesRequested{Waves: waves}) })
+	}
+	s.owners[0].takeOver()
+	s.after(5*time.Second, func() { submitJobs(s, 3) })
+	s.run(5*time.Second + settleTime)
+	is.Equal(s.violations, nil)
+	is.Equal(s.state(jobID(0)), "failed")
+}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -64,6 +64,7 @@
 	silentCrashes       bool                   // crashing workers don't reset their connections
 	rackSize            int                    // workers in a rack
 	crashesWorker       func(task string) bool // whether a task crashes the worker that starts it; nil for none
+	crashDelay          time.Duration          // how long such a task runs there, zero for the default
 	crashCount          map[string]int         // workers that each such task has crashed
 	startsBeyondLimit   map[string]int         // starts of each such task after allowedCrashes crashes
 	incarnations        int                    // number of incarnations that came back up
--- a/cell/wave.go
+++ b/cell/wave.go
@@ -146,6 +146,9 @@
 		return
 	}
 	u.ordered = true
+	if u.worker != nil {
+		u.worker.goingDown = true
+	}
 	u.orderInFlight = true
 	u.sentAt = c.now
 	c.emit(Upkeep{Order: provider.MachineOrder{Machine: machine, Wave: w.spec.Number, Holder: c.self.Instance, Token: c.self.Term}})
@@ -205,6 +208,7 @@
 	}
 	c.logEvent("upkeep was done before", "worker", w.host.ID, "machine", w.host.Machine)
 	w.upkeepAt = 0
+	w.goingDown = false
 	w.leaving = false
 	c.markChanged(w)
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -18,6 +18,7 @@
 	listedUntil time.Duration // a worker off the list counts as listed until then
 	registered  bool          // on record, so that a successor asks it for its runs
 	leaving     bool          // its machine is about to go down; it gets no new tasks
+	goingDown   bool          // an upkeep of its machine was ordered, which may end it
 	upkeepAt    time.Duration // when an upkeep of its machine was confirmed, which may have ended it; zero if none was
 	answered    bool          // it has answered this owner, so the runs that go on are known
 	moreEnded   bool          // its last answer may have left out ended runs
@@ -215,10 +216,10 @@
 	w.lost = true
 	f := c.classifyFailure(w)
 	c.logWorkerLost(w, reason, f)
-	if !w.leaving {
+	if !w.goingDown {
 		c.countCrashes(w, f)
 	}
-	if !w.leaving && !w.host.Draining {
+	if !w.goingDown && !w.host.Draining {
 		c.survey.recordCrash(w)
 	}
 	c.recordDown(w, c.crashSpanOf(w))
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -338,7 +338,7 @@
 	}
 	w.runs[o.Task] = r
 	if s.crashesWorker != nil && s.crashesWorker(o.Task) {
-		s.after(crashDelay, func() { w.crashDuring(o.Task, r) })
+		s.after(cmp.Or(s.crashDelay, crashDelay), func() { w.crashDuring(o.Task, r) })
 		return provider.Accepted
 	}
 	if s.stepOf(o.Task).Gang {
@@ -357,7 +357,7 @@
 	return time.Duration(float64(s.duration(task)) * s.slowdown(task, w))
 }
 
-// crashDelay is how long a task that crashes its worker runs there.
+// crashDelay is how long a task that crashes its worker runs there by default.
 const crashDelay = 10 * time.Millisecond
 
 // crashDuring crashes the worker if the run is still there.
