Log: a lost worker's starts that were accepted and never listed

The log had no line for a start that was accepted, so nothing told a start that the lost incarnation had taken from one that the next had taken. Each line 'worker lost' now names those of which that isn't known. No decision changes.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -41,6 +41,7 @@
 // lists the run.
 func (r *run) recordListed(clock int64) {
 	r.recordStarted(clock)
+	r.listed = true
 	r.lastListedClock = clock
 }
 
@@ -284,14 +285,19 @@
 }
 
 // logWorkerLost logs the loss of a worker with hints at its cause: the tasks that had just
-// been started on it, and whether others went down with it.
+// been started on it, and whether others went down with it. Starts that were accepted and
+// never listed may have been accepted by the next incarnation.
 func (c *Cell) logWorkerLost(w *worker, reason string, f workerFailure) {
-	var started []string
+	var started, unlisted []string
 	for name, r := range inOrder(w.runs) {
 		if r.justStarted() {
 			started = append(started, name)
 		}
+		if r.accepted && !r.listed {
+			unlisted = append(unlisted, name)
+		}
 	}
 	c.logEvent("worker lost", "worker", w.host.ID, "born", w.startedAt, "reason", reason, "runs", len(w.runs),
-		"silent", c.now-w.lastContact, "just_started", strings.Join(started, ","), "others", f.simultaneous, "correlated", f.correlated)
+		"silent", c.now-w.lastContact, "just_started", strings.Join(started, ","), "unlisted", strings.Join(unlisted, ","),
+		"others", f.simultaneous, "correlated", f.correlated)
 }
--- a/cell/run.go
+++ b/cell/run.go
@@ -182,6 +182,7 @@
 	}
 	switch in.Refusal {
 	case provider.Accepted:
+		r.accepted = true
 		if r.state == runStarting {
 			r.state = runRunning
 			r.advancedAt = c.now
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -97,6 +97,8 @@
 	deadline        int64 // on the worker's clock: a start is refused after it
 	orderedAt       time.Duration
 	startedClock    int64 // by when it had begun, on the worker's clock; zero if unknown
+	accepted        bool  // its start was answered; which incarnation answered isn't known
+	listed          bool  // an answer of its worker's incarnation listed it
 	stopSentAt      time.Duration
 	percent         int
 	advancedAt      time.Duration // when percent last grew
