--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -72,6 +72,9 @@
 	noMachineList       bool                   // the site has no list of machines
 	checkRecords        bool                   // each start is checked against the record of workers
 	lateOrdersReachNext bool                   // late orders also reach the next incarnation of their worker
+	ordersInTransit     bool                   // an order without an answer may still be in transit
+	ordersAwaitRestart  bool                   // an order to a worker that is down reaches the next incarnation if it comes up in time
+	clockSetback        time.Duration          // of the clocks of restarted workers, zero for any change
 	acksCoverLaterEnds  bool                   // workers apply an acknowledgement to later ends as well
 	keepIDs             bool                   // restarted workers come back under their old IDs
 	failsTask           func(task string, attempt uint64) bool
@@ -531,11 +534,21 @@
 		}
 	}
 	w := s.workerAt(h)
-	timeOut := func() { s.after(wait+timeout, func() { returnOutcome(nil, fault.New(fault.MayHaveRun, "no answer")) }) }
+	unanswered := fault.New(fault.MayHaveRun, "no answer")
+	if s.ordersInTransit {
+		unanswered = fault.Wrap(fault.MayHaveRun, provider.ErrInTransit, "no answer")
+	}
+	timeOut := func() { s.after(wait+timeout, func() { returnOutcome(nil, unanswered) }) }
 	if w != nil && w.refusesConnections && !o.unreachable[w.number] {
 		s.after(2*hopDelay, func() { returnOutcome(nil, fault.New(fault.Unavailable, "connection refused")) })
 		return
 	}
+	if w != nil && !w.up && s.ordersAwaitRestart {
+		o.awaitRestart(s.now+timeout, h, func(next *fakeWorker) { o.deliver(next, h, 0, handle, returnOutcome, func() {}) }, func() {
+			returnOutcome(nil, fault.New(fault.MayHaveRun, "no answer"))
+		})
+		return
+	}
 	if w == nil || !w.up || o.unreachable[w.number] {
 		timeOut()
 		return
@@ -557,6 +570,24 @@
 	s.after(hopDelay+s.link.upDelay(s.now, bytes), func() { o.deliver(w, h, wait, handle, returnOutcome, timeOut) })
 }
 
+// connectInterval is the time between two attempts to connect to a worker that is down.
+const connectInterval = 60 * time.Millisecond
+
+// awaitRestart attempts to connect to a worker that is down until the deadline. Outcomes
+// come in the order in which the orders were given, whether they are carried out or not.
+func (o *owner) awaitRestart(deadline time.Duration, h provider.Host, deliver func(*fakeWorker), timeOut func()) {
+	s := o.site
+	next := s.workerAt(h)
+	switch {
+	case s.now >= deadline:
+		timeOut()
+	case next != nil && next.up && !o.unreachable[next.number]:
+		s.after(hopDelay, func() { deliver(next) })
+	default:
+		s.after(connectInterval, func() { o.awaitRestart(deadline, h, deliver, timeOut) })
+	}
+}
+
 func (o *owner) deliver(w *fakeWorker, h provider.Host, wait time.Duration, handle func(*fakeWorker) any, returnOutcome func(any, error), timeOut func()) {
 	s := o.site
 	if !w.up || o.unreachable[w.number] {
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -219,6 +219,9 @@
 		next.host = w.host
 		next.host.StartedAt = startedAt
 		next.previousEntry = before
+		if w.site.clockSetback > 0 {
+			next.offset, next.rate = w.offset-w.site.clockSetback, w.rate
+		}
 		next.entryListedAt = w.site.now + w.site.entryDelay
 	})
 }
