Cell: a start that was accepted may run on the next incarnation of its worker

What callers saw: a task ran on two workers at the same time. An order that is sent while a worker is down reaches the next incarnation under its ID, which answers 200. The owner took this for the incarnation that it knew; on the restart it gave up the run with that one and started the task elsewhere, 2 ms before the first list of the next incarnation showed the run.

Cause: the answer to a start doesn't say which incarnation gave it, nor does a start without an answer; only a list of runs names its incarnation. The owner kept just those starts back that had no answer, and concluded from an answer, a list of machines or a deadline that had passed before the start could no longer arrive.

Now a run is on an incarnation once a list of it has shown the run. Every other start is kept back when the worker is lost, unless it was settled (answered or given up) when the worker was certainly down: when a list of machines was requested, or another worker answered at the address. A start that is missing from a list is given up if it was settled when the answer was made. An order that a relay may still pass on (provider.ErrInTransit) is settled 2 s after it was given. Crashes count at once, and fail a job only once its run is found on no incarnation.

Ruled out: the wait of 2 s was too short (the order was 0.92 s old), and the list that shows the restart was read too late (other tasks were adopted from it).

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -82,7 +82,7 @@
 	plan                *colocation.Plan
 	lastPlanAt          time.Duration
 	nextTokens          map[string]uint64     // token for the next incarnation of a dropped worker, by ID
-	unresolvedStarts    map[string][]*run     // starts that the next incarnation of their worker may still carry out, by worker ID
+	unresolvedStarts    map[string][]*run     // starts that a later incarnation of their worker may carry out, by worker ID
 	reservedTasks       []*task               // tasks that hold a reservation
 	recentlyDown        map[*worker]crashSpan // workers without a trial that went down recently
 	fillingDemand       map[string]float64    // demand for filling tasks by image, in workers
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -15,9 +15,10 @@
 	// task counts as one that doesn't crash it. It is well above the time that a crash
 	// takes on a slow worker.
 	crashWindow = 300 * time.Millisecond
-	// trialHoldWait is how long a worker with a trial may delay the answer to a hold. It
-	// is short, so that a successful trial frees the worker for other starts soon.
-	trialHoldWait = 100 * time.Millisecond
+	// shortHoldWait is how long a worker may delay the answer to a hold while it has a trial,
+	// or starts to resolve. It is short, so that a successful trial frees the worker for
+	// other starts soon.
+	shortHoldWait = 100 * time.Millisecond
 	// maxUnrecordedStarts is how many starts of a step may wait for their record in one
 	// pass, so that the record of a wide step stays small.
 	maxUnrecordedStarts = 64
@@ -81,7 +82,7 @@
 			h.RetractStart()
 		}
 		c.setCrashes(t, h)
-		c.failIfCrashing(t, &h)
+		c.failIfCrashing(t)
 	}
 }
 
@@ -248,10 +249,11 @@
 }
 
 // countCrash counts a crash of a run's worker against its task if the run had just been
-// started there. A start that may never have begun doesn't count as a trial.
+// started there, unless the failure is correlated. A start that may never have begun doesn't
+// count as a trial.
 func (c *Cell) countCrash(r *run, f workerFailure) {
 	t := r.task
-	if t == nil || t.done || t.step.job.final() || !r.justStarted() {
+	if f.correlated || t == nil || t.done || t.step.job.final() || !r.justStarted() {
 		return
 	}
 	h := t.step.job.progress.Crashes(t.id)
@@ -261,27 +263,19 @@
 	c.logEvent("crash", "task", t.name, "attempt", r.attempt, "worker", r.worker.host.ID,
 		"trial", r.trial, "others", f.simultaneous, "crashes", h.Crashes, "alone", h.CrashesInTrials)
 	c.setCrashes(t, h)
-	c.failIfCrashing(t, &h)
 }
 
 // failIfCrashing fails the job of a task that has crashed too many workers.
-func (c *Cell) failIfCrashing(t *task, h *crash.History) {
-	if !h.GiveUp() || t.step.job.final() {
+func (c *Cell) failIfCrashing(t *task) {
+	if t == nil || t.done || t.step.job.final() {
 		return
 	}
-	c.logEvent("given up", "task", t.name, "crashes", h.Crashes, "alone", h.CrashesInTrials)
-	c.finish(t.step.job, progress.Failed)
-}
-
-// countCrashes counts a worker's crash against all tasks that had just been started on it,
-// unless the failure is correlated.
-func (c *Cell) countCrashes(w *worker, f workerFailure) {
-	if f.correlated {
+	h := t.step.job.progress.Crashes(t.id)
+	if !h.GiveUp() {
 		return
 	}
-	for _, r := range inOrder(w.runs) {
-		c.countCrash(r, f)
-	}
+	c.logEvent("given up", "task", t.name, "crashes", h.Crashes, "alone", h.CrashesInTrials)
+	c.finish(t.step.job, progress.Failed)
 }
 
 // logWorkerLost logs the loss of a worker with hints at its cause: the tasks that had just
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -427,8 +427,9 @@
 			return cell.StartReply{Host: a.Order.Host.ID, Token: a.Order.Token, Task: a.Order.Task, Attempt: a.Order.Attempt, Sent: sent, Refusal: refusal, Err: err}
 		})
 	case cell.Stop:
+		sent := s.now
 		o.sendOrder(a.Order.Host, orderBytes, 0, func(w *fakeWorker) any { return w.stop(a.Order) }, func(_ any, err error) cell.Input {
-			return cell.StopReply{Host: a.Order.Host.ID, Token: a.Order.Token, Task: a.Order.Task, Attempt: a.Order.Attempt, Err: err}
+			return cell.StopReply{Host: a.Order.Host.ID, Token: a.Order.Token, Task: a.Order.Task, Attempt: a.Order.Attempt, Sent: sent, Err: err}
 		})
 	case cell.Pace:
 		s.paces[a.Order.Task] = a.Order.Percent
--- a/cell/hold.go
+++ b/cell/hold.go
@@ -26,8 +26,8 @@
 	if w.servingCount > 0 && w.fillingProcessors > 0 {
 		order.Wait = c.mixedWait()
 	}
-	if w.trialJob != nil {
-		order.Wait = trialHoldWait
+	if w.trialJob != nil || len(c.unresolvedStarts[w.host.ID]) > 0 {
+		order.Wait = shortHoldWait
 	}
 	if !w.answered || w.missedHolds > 0 {
 		order.Wait = 0
@@ -130,7 +130,7 @@
 
 // handleMissedHold handles a hold that failed.
 func (c *Cell) handleMissedHold(w *worker, in HoldReply) {
-	if c.handleOrderError(w, in.Err) {
+	if c.handleOrderError(w, in.Err, in.Sent) {
 		return
 	}
 	w.missedHolds++
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -32,7 +33,7 @@
 // but the ID.
 func (c *Cell) handleRestart(w *worker, held *provider.HoldResult) {
 	c.logEvent("worker restarted", "worker", w.host.ID, "born", held.StartedAt, "before", w.startedAt, "runs", len(w.runs))
-	c.endIncarnation(w, "restarted")
+	c.endIncarnation(w, "restarted", 0)
 	next := c.workers[w.host.ID]
 	if next == nil {
 		next = c.addWorker(w.host)
@@ -99,14 +100,28 @@
 // timeout of the order, that of the instance that relays it, and a margin.
 const maxOrderDelay = 2 * time.Second
 
-// mayStillStart reports whether the next incarnation of the run's worker may still carry
-// out the start.
-func (c *Cell) mayStillStart(r *run) bool {
-	return r.worker.startedAt != 0 && r.task != nil && r.startedClock == 0 && c.now < r.orderedAt+maxOrderDelay
+// Neither a worker's ID nor its address tells which incarnation takes an order. A start
+// that is accepted may run on the known incarnation or on a later one, and a start
+// without an answer may reach either until it is settled. Only lists of runs name their
+// incarnation: a run that the known one has listed is on it, and a start that is settled
+// and missing from a list is on no incarnation up to that one.
+
+// mayRunOnNext reports whether a later incarnation of the run's worker may have carried
+// out its start, or may still do so.
+func (c *Cell) mayRunOnNext(r *run) bool {
+	return r.worker.startedAt != 0 && r.task != nil && !r.listed
+}
+
+// settle records that the start of a run has an outcome. Without an answer, the order ends
+// with the attempt to send it, unless another instance may still pass it on.
+func (c *Cell) settle(r *run, err error) {
+	if !errors.Is(err, provider.ErrInTransit) {
+		r.settledAt = min(r.settledAt, c.now)
+	}
 }
 
-// deferStart keeps a start that may still be carried out although its worker is lost. Its
-// task isn't started again until the start is resolved.
+// deferStart keeps a start that a later incarnation may carry out although its worker is
+// lost. Its task isn't started again until the start is resolved.
 func (c *Cell) deferStart(r *run) {
 	id := r.worker.host.ID
 	c.unresolvedStarts[id] = append(c.unresolvedStarts[id], r)
@@ -114,65 +129,102 @@
 
 // resolveStarts resolves the starts in flight to earlier incarnations when a worker
 // answers. A start whose run the answer lists is dropped, as the run is adopted; the others
-// count as lost once all ends are listed.
+// count as lost once they are settled and all ends are listed.
 func (c *Cell) resolveStarts(w *worker, held *provider.HoldResult) {
-	starts := c.unresolvedStarts[w.host.ID]
-	if len(starts) == 0 {
+	if len(c.unresolvedStarts[w.host.ID]) == 0 {
 		return
 	}
 	reported := reportedRuns(held)
-	var remaining []*run
-	for _, r := range starts {
+	c.filterUnresolved(w.host.ID, func(r *run) bool {
 		switch {
 		case reported[runID{r.name, r.attempt}]:
 			c.removeRun(r)
-		case held.MoreEnded:
-			remaining = append(remaining, r)
-		default:
-			c.endRun(r, provider.EndLost, "")
+			return false
+		case held.MoreEnded || w.answeredAt < r.settledAt:
+			return true
 		}
-	}
-	c.setUnresolvedStarts(w.host.ID, remaining)
+		c.endCrashedRun(r, provider.EndLost)
+		return false
+	})
 }
 
-func (c *Cell) setUnresolvedStarts(id string, starts []*run) {
-	c.unresolvedStarts[id] = starts
-	if len(starts) == 0 {
+// filterUnresolved keeps the unresolved starts of a worker for which keep returns true.
+func (c *Cell) filterUnresolved(id string, keep func(*run) bool) {
+	var remaining []*run
+	for _, r := range c.unresolvedStarts[id] {
+		if keep(r) {
+			remaining = append(remaining, r)
+		}
+	}
+	c.unresolvedStarts[id] = remaining
+	if len(remaining) == 0 {
 		delete(c.unresolvedStarts, id)
 	}
 }
 
-// resolveRefusedStart handles the outcome of a start whose worker is lost. Only a refusal
-// resolves the start: an accepted start may run on the next incarnation.
-func (c *Cell) resolveRefusedStart(in StartReply) {
+// endCrashedRun ends a run whose worker may have crashed under it.
+func (c *Cell) endCrashedRun(r *run, end provider.End) {
+	c.failIfCrashing(r.task)
+	c.endRun(r, end, "")
+}
+
+// resolveStartReply handles the outcome of a start whose worker is lost. Only a refusal
+// resolves the start: an accepted start may run on a later incarnation.
+func (c *Cell) resolveStartReply(in StartReply) {
 	refused := in.Err == nil && in.Refusal != provider.Accepted || fault.Is(in.Err, fault.Unavailable)
-	for i, r := range c.unresolvedStarts[in.Host] {
-		if refused && r.name == in.Task && r.attempt == in.Attempt {
-			c.unresolvedStarts[in.Host] = slices.Delete(c.unresolvedStarts[in.Host], i, i+1)
-			c.removeRun(r)
-			c.endPair(r, provider.EndStopped)
-			c.requeue(r.task)
-			return
+	c.filterUnresolved(in.Host, func(r *run) bool {
+		if r.name != in.Task || r.attempt != in.Attempt {
+			return true
 		}
-	}
+		c.settle(r, in.Err)
+		if !refused {
+			return true
+		}
+		c.removeRun(r)
+		c.endPair(r, provider.EndStopped)
+		c.requeue(r.task)
+		return false
+	})
 }
 
 // expireStarts ends the unresolved starts that can't be carried out any more, unless the
 // worker that may have carried them out still has ends to list.
 func (c *Cell) expireStarts() {
-	for id, starts := range inOrder(c.unresolvedStarts) {
+	for id := range inOrder(c.unresolvedStarts) {
 		if w := c.workers[id]; w != nil && w.moreEnded {
 			continue
 		}
-		var remaining []*run
-		for _, r := range starts {
-			if c.mayStillStart(r) {
-				remaining = append(remaining, r)
-			} else {
-				c.endRun(r, provider.EndLost, "")
+		c.filterUnresolved(id, func(r *run) bool {
+			if c.now < r.orderedAt+maxOrderDelay {
+				return true
 			}
-		}
-		c.setUnresolvedStarts(id, remaining)
+			c.endCrashedRun(r, provider.EndLost)
+			return false
+		})
+	}
+}
+
+// needsMachineOf reports whether a start is settled that only the machine of its worker
+// can resolve, as no incarnation answers.
+func (c *Cell) needsMachineOf(id string, starts []*run) bool {
+	if w := c.workers[id]; w != nil && w.answered && w.missedHolds == 0 {
+		return false
+	}
+	return slices.ContainsFunc(starts, func(r *run) bool { return c.now >= r.settledAt })
+}
+
+// resolveDownStarts ends the starts that were settled when the list of machines was
+// requested, and whose worker is down by that list.
+func (c *Cell) resolveDownStarts(in ListMachinesReply, find func(*worker) *provider.Machine) {
+	for id := range inOrder(c.unresolvedStarts) {
+		c.filterUnresolved(id, func(r *run) bool {
+			w := r.worker
+			if w.host.Machine == "" || r.settledAt > in.Sent || downReason(w, find(w)) == "" {
+				return true
+			}
+			c.endCrashedRun(r, provider.EndLost)
+			return false
+		})
 	}
 }
 
--- a/cell/input.go
+++ b/cell/input.go
@@ -52,6 +52,7 @@
 	Token   uint64 // of the order
 	Task    string
 	Attempt uint64
+	Sent    time.Duration // when the order was sent
 	Err     error
 }
 
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -33,6 +33,11 @@
 			return true
 		}
 	}
+	for id, starts := range c.unresolvedStarts {
+		if c.needsMachineOf(id, starts) {
+			return true
+		}
+	}
 	return false
 }
 
@@ -72,19 +77,21 @@
 		c.logEvent("machines not understood", "machines", unknown)
 	}
 	c.recordMachinesDown(in, byMachine)
+	find := func(w *worker) *provider.Machine { return cmp.Or(byMachine[w.host.Machine], byMachine[""]) }
+	c.resolveDownStarts(in, find)
 	for _, w := range c.everyWorker() {
 		if c.needsMachineCheck(w) && w.host.Machine != "" && w.lastContact < in.Sent && w.upkeepAt <= in.Sent {
-			c.checkMachine(w, cmp.Or(byMachine[w.host.Machine], byMachine[""]))
+			c.checkMachine(w, find(w), in.Sent)
 		}
 	}
 }
 
-// checkMachine loses a worker whose machine is down.
-func (c *Cell) checkMachine(w *worker, m *provider.Machine) {
+// checkMachine loses a worker whose machine was down when the list was requested.
+func (c *Cell) checkMachine(w *worker, m *provider.Machine, listedAt time.Duration) {
 	reason := downReason(w, m)
 	switch {
 	case reason != "":
-		c.loseWorker(w, reason)
+		c.loseWorker(w, reason, listedAt)
 	case m.State == provider.MachineUnknown:
 		// the list doesn't tell whether it is up
 	case !w.machineUp:
--- a/cell/run.go
+++ b/cell/run.go
@@ -28,15 +28,15 @@
 	return orderUnknown
 }
 
-// handleOrderError deposes the cell or gives up the worker if the error of an order calls
-// for it. It reports whether it did either.
-func (c *Cell) handleOrderError(w *worker, err error) bool {
+// handleOrderError deposes the cell or gives up the worker if the error of an order, which
+// was sent at the given time, calls for it. It reports whether it did either.
+func (c *Cell) handleOrderError(w *worker, err error, sent time.Duration) bool {
 	switch classifyOrderError(err) {
 	case orderFenced:
 		c.deposeFenced(w.host.ID)
 		return true
 	case orderElsewhere:
-		c.loseWorker(w, "another worker answers")
+		c.loseWorker(w, "another worker answers", sent)
 		return true
 	}
 	return false
@@ -65,6 +65,7 @@
 	}
 	t.attempt = max(t.attempt, attempt)
 	c.markRunning(t.step.job)
+	r.settledAt = c.now + maxOrderDelay
 	w.leaseDeadline = max(w.leaseDeadline, r.deadline)
 	c.startLimiter.recordStart()
 	c.overloadGauge.RecordStart()
@@ -166,18 +167,19 @@
 func (c *Cell) handleStartReply(in StartReply) {
 	c.startLimiter.recordReply(c.now, in)
 	c.needsDispatch = true
-	w := c.workerByToken(in.Host, in.Token)
-	if w == nil {
-		c.resolveRefusedStart(in)
+	r := c.runOf(in)
+	if r == nil {
+		c.resolveStartReply(in)
 		return
 	}
-	r := w.runs[in.Task]
-	if r == nil || r.attempt != in.Attempt {
-		return
+	c.settle(r, in.Err)
+	w := c.workerByToken(in.Host, in.Token)
+	if w == nil {
+		return // another incarnation may have answered
 	}
 	if in.Err != nil {
 		c.logEvent("start unanswered", "task", in.Task, "attempt", in.Attempt, "worker", in.Host, "err", in.Err)
-		c.handleOrderError(w, in.Err)
+		c.handleOrderError(w, in.Err, in.Sent)
 		return
 	}
 	switch in.Refusal {
@@ -195,6 +197,16 @@
 	}
 }
 
+// runOf returns the run that a start was to begin, nil if its worker is lost or the run has
+// ended.
+func (c *Cell) runOf(in StartReply) *run {
+	w := c.workers[in.Host]
+	if w == nil || w.runs[in.Task] == nil || w.runs[in.Task].attempt != in.Attempt {
+		return nil
+	}
+	return w.runs[in.Task]
+}
+
 // handleRefusal handles a start that the worker definitely didn't carry out.
 func (c *Cell) handleRefusal(r *run, reason provider.Refusal) {
 	c.logEvent("start refused", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", reason.String())
@@ -258,7 +270,7 @@
 		return
 	}
 	if w := c.workerByToken(in.Host, in.Token); w != nil {
-		c.handleOrderError(w, in.Err)
+		c.handleOrderError(w, in.Err, in.Sent)
 		return
 	}
 	c.handleFenced(in.Host, in.Token, in.Err)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -96,9 +96,10 @@
 	need            resource.Vector
 	deadline        int64 // on the worker's clock: a start is refused after it
 	orderedAt       time.Duration
-	startedClock    int64 // by when it had begun, on the worker's clock; zero if unknown
-	accepted        bool  // its start was answered; which incarnation answered isn't known
-	listed          bool  // an answer of its worker's incarnation listed it
+	settledAt       time.Duration // from when its start can't reach any incarnation any more
+	startedClock    int64         // by when it had begun, on the worker's clock; zero if unknown
+	accepted        bool          // its start was accepted, by its worker's incarnation or a later one
+	listed          bool          // an answer of its worker's incarnation listed it
 	stopSentAt      time.Duration
 	percent         int
 	advancedAt      time.Duration // when percent last grew
@@ -204,32 +205,36 @@
 	return &h
 }
 
-// loseWorker gives up a worker that is down.
-func (c *Cell) loseWorker(w *worker, reason string) {
+// loseWorker gives up a worker that was certainly down, with no other incarnation in its
+// place, at the given time.
+func (c *Cell) loseWorker(w *worker, reason string, downAt time.Duration) {
 	if w.lost {
 		return
 	}
-	c.endIncarnation(w, reason)
+	c.endIncarnation(w, reason, downAt)
 	c.markSurveyed(w)
 }
 
-// endIncarnation ends the runs of a worker's incarnation and drops it.
-func (c *Cell) endIncarnation(w *worker, reason string) {
+// endIncarnation ends the runs of a worker's incarnation and drops it. No other
+// incarnation was in its place at downAt.
+func (c *Cell) endIncarnation(w *worker, reason string, downAt time.Duration) {
 	w.lost = true
 	f := c.classifyFailure(w)
 	c.logWorkerLost(w, reason, f)
-	if !w.goingDown {
-		c.countCrashes(w, f)
-	}
 	if !w.goingDown && !w.host.Draining {
 		c.survey.recordCrash(w)
 	}
 	c.recordDown(w, c.crashSpanOf(w))
 	for _, r := range inOrder(w.runs) {
-		if c.mayStillStart(r) {
+		if !w.goingDown {
+			c.countCrash(r, f) // retracted if the run turns out to be on the next incarnation
+		}
+	}
+	for _, r := range inOrder(w.runs) {
+		if c.mayRunOnNext(r) && r.settledAt > downAt {
 			c.deferStart(r)
 		} else {
-			c.endRun(r, provider.EndLost, "")
+			c.endCrashedRun(r, provider.EndLost)
 		}
 	}
 	c.dropWorker(w)
@@ -286,18 +291,19 @@
 	}
 	if len(w.runs) > 0 {
 		c.logEvent("lease ended", "worker", w.host.ID, "runs", len(w.runs), "silent", c.now-w.lastContact)
-		if !w.machineUp { // it may have crashed, or be partitioned
-			c.countCrashes(w, workerFailure{simultaneous: 1, correlated: c.classifyFailure(w).correlated})
-		}
+		f := workerFailure{simultaneous: 1, correlated: c.classifyFailure(w).correlated}
 		for _, r := range inOrder(w.runs) {
-			c.endRun(r, provider.EndLapsed, "")
+			if !w.machineUp { // it may have crashed, or be partitioned
+				c.countCrash(r, f)
+			}
+			c.endCrashedRun(r, provider.EndLapsed)
 		}
 		c.needsDispatch = true
 	}
 	w.moreEnded = false
 	c.abandonSurvey(w)
 	if !w.listed && c.now-w.lastContact > forgetTimeout {
-		c.loseWorker(w, "unlisted and silent")
+		c.loseWorker(w, "unlisted and silent", 0)
 	}
 }
 
--- a/dispatcher/order.go
+++ b/dispatcher/order.go
@@ -73,8 +73,9 @@
 }
 
 func (d *Dispatcher) stop(ctx context.Context, a cell.Stop) cell.Input {
+	sent := d.clock()
 	err := d.platform.Executor.Stop(ctx, a.Order)
-	return cell.StopReply{Host: a.Order.Host.ID, Token: a.Order.Token, Task: a.Order.Task, Attempt: a.Order.Attempt, Err: err}
+	return cell.StopReply{Host: a.Order.Host.ID, Token: a.Order.Token, Task: a.Order.Task, Attempt: a.Order.Attempt, Sent: sent, Err: err}
 }
 
 func (d *Dispatcher) pace(ctx context.Context, a cell.Pace) cell.Input {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -405,6 +405,9 @@
 	if !handled {
 		return e.direct.Start(ctx, o)
 	}
+	if r.Outcome == wire.Unanswered {
+		return provider.RefusedOther, fault.Wrap(fault.MayHaveRun, provider.ErrInTransit, "%s", r.Text)
+	}
 	if err := r.Err(); err != nil {
 		return provider.RefusedOther, err
 	}
