Cell: the lease of a silent worker may be that of its next incarnation

Cause: the silence of a worker counted as the silence of the incarnation that was known. Its tasks ended with the lease that this one had on its own clock, or 2 s after the order if the restart had been noticed. The next incarnation measures the same deadline on a clock that begins at another reading, so it may hold the longest lease there is, from when it took the last order.

Now a run that was listed ends with the lease of its incarnation as before.

Ruled out: shorter deadlines, as no deadline on an unknown clock bounds a lease.

--- a/cell/hold.go
+++ b/cell/hold.go
@@ -37,6 +37,7 @@
 	if w.answered && w.missedHolds == 0 && c.canOrder() {
 		order.Deadline = c.estimateClock(w) + c.timing.Lease.Milliseconds()
 		w.leaseDeadline = max(w.leaseDeadline, order.Deadline)
+		w.leaseSentAt = c.now
 	}
 	w.holdInFlight = true
 	w.sentAck = order.AckedEnd
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -187,15 +187,16 @@
 	})
 }
 
-// expireStarts ends the unresolved starts that can't be carried out any more, unless the
-// worker that may have carried them out still has ends to list.
+// expireStarts ends the unresolved starts that can't run any more, as the lease that they
+// may have given a later incarnation has expired. A worker that may have carried them out
+// and still has ends to list is waited for.
 func (c *Cell) expireStarts() {
 	for id := range inOrder(c.unresolvedStarts) {
 		if w := c.workers[id]; w != nil && w.moreEnded {
 			continue
 		}
 		c.filterUnresolved(id, func(r *run) bool {
-			if c.now < r.orderedAt+maxOrderDelay {
+			if !c.hasPassed(c.nextLeaseEndsAt(r.worker)) {
 				return true
 			}
 			c.endCrashedRun(r, provider.EndLost)
--- a/cell/run.go
+++ b/cell/run.go
@@ -67,6 +67,7 @@
 	c.markRunning(t.step.job)
 	r.settledAt = c.now + maxOrderDelay
 	w.leaseDeadline = max(w.leaseDeadline, r.deadline)
+	w.leaseSentAt = c.now
 	c.startLimiter.recordStart()
 	c.overloadGauge.RecordStart()
 	c.recordFlow(r)
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -43,6 +43,7 @@
 	clockReadAt   time.Duration // when that report arrived
 	answeredAt    time.Duration // earliest time at which the last answer can have been made
 	leaseDeadline int64         // latest lease end that was sent, on the worker's clock
+	leaseSentAt   time.Duration // when the last order with a lease was sent
 
 	changedSincePass bool   // it may have gained free capacity since the last dispatch pass
 	wasUsable        bool   // in the last dispatch pass
@@ -184,6 +185,12 @@
 	return w.clockReadAt + c.timing.stretch(max(0, left))
 }
 
+// nextLeaseEndsAt returns when a lease has certainly expired that an order to the worker
+// gave a later incarnation, on whose clock the order's deadline may be any time ahead.
+func (c *Cell) nextLeaseEndsAt(w *worker) time.Duration {
+	return w.leaseSentAt + maxOrderDelay + c.timing.stretch(c.timing.MaxLease)
+}
+
 // register puts a worker on record, so that a successor asks it for its runs. Workers that
 // never answered aren't registered, and get no tasks: a list entry may name a worker that
 // doesn't exist, and a successor would wait for its answer and then for the end of the
@@ -285,21 +292,10 @@
 		}
 		return
 	}
-	ends := c.leaseEndsAt(w)
-	if c.now < ends || c.writer.lastContact < ends {
+	if !c.hasPassed(c.leaseEndsAt(w)) {
 		return
 	}
-	if len(w.runs) > 0 {
-		c.logEvent("lease ended", "worker", w.host.ID, "runs", len(w.runs), "silent", c.now-w.lastContact)
-		f := workerFailure{simultaneous: 1, correlated: c.classifyFailure(w).correlated}
-		for _, r := range inOrder(w.runs) {
-			if !w.machineUp { // it may have crashed, or be partitioned
-				c.countCrash(r, f)
-			}
-			c.endCrashedRun(r, provider.EndLapsed)
-		}
-		c.needsDispatch = true
-	}
+	c.endLapsedRuns(w)
 	w.moreEnded = false
 	c.abandonSurvey(w)
 	if !w.listed && c.now-w.lastContact > forgetTimeout {
@@ -307,6 +303,35 @@
 	}
 }
 
+// hasPassed reports whether a time has passed, and this owner still had the cell then.
+func (c *Cell) hasPassed(at time.Duration) bool {
+	return c.now >= at && c.writer.lastContact >= at
+}
+
+// endLapsedRuns ends the runs of a worker whose lease has expired. The next incarnation may
+// have started those that this one never listed, under a lease of its own.
+func (c *Cell) endLapsedRuns(w *worker) {
+	nextLapsed := c.hasPassed(c.nextLeaseEndsAt(w))
+	var lapsed []*run
+	for _, r := range inOrder(w.runs) {
+		if nextLapsed || !c.mayRunOnNext(r) {
+			lapsed = append(lapsed, r)
+		}
+	}
+	if len(lapsed) == 0 {
+		return
+	}
+	c.logEvent("lease ended", "worker", w.host.ID, "runs", len(lapsed), "silent", c.now-w.lastContact)
+	f := workerFailure{simultaneous: 1, correlated: c.classifyFailure(w).correlated}
+	for _, r := range lapsed {
+		if !w.machineUp { // it may have crashed, or be partitioned
+			c.countCrash(r, f)
+		}
+		c.endCrashedRun(r, provider.EndLapsed)
+	}
+	c.needsDispatch = true
+}
+
 // forgetTimeout is how long a worker that left the platform's list may be silent before it
 // is dropped. It is longer than every lease.
 const forgetTimeout = 15 * time.Second
