Cell: a new owner waits for the last order of the one before

What callers saw, or would see: after a takeover a task runs on two workers at the same time.

Cause: a survey concludes that an earlier owner's tasks run on no worker that it has asked. A machine that a list shows as down counted as one that stays down, and a worker that doesn't answer was waited for as long as the lease lasts that was given with the last order.

Now a worker whose machine is down is waited for until a list that was requested when no order can be on its way any more shows the same, or until its next incarnation answers; the wait for leases begins when the last order can arrive. A machine that runs another worker or isn't listed any more counts at once.

--- a/cell/machines.go
+++ b/cell/machines.go
@@ -90,6 +90,8 @@
 func (c *Cell) checkMachine(w *worker, m *provider.Machine, listedAt time.Duration) {
 	reason := downReason(w, m)
 	switch {
+	case reason == machineDown && c.mayReceiveStart(w, listedAt):
+		// it may be back under its ID before the start arrives
 	case reason != "":
 		c.loseWorker(w, reason, listedAt)
 	case m.State == provider.MachineUnknown:
@@ -100,6 +102,9 @@
 	}
 }
 
+// machineDown is the reason for which a worker is down that may come back under its ID.
+const machineDown = "machine isn't up"
+
 // downReason returns why a worker must be down according to its machine's entry, or an
 // empty string if it may be up. A nil machine isn't on the list.
 func downReason(w *worker, m *provider.Machine) string {
@@ -111,7 +116,7 @@
 	case m.Host != "" && m.Host != w.host.ID:
 		return "machine runs another worker"
 	case m.State != provider.MachineUp:
-		return "machine isn't up"
+		return machineDown
 	}
 	return ""
 }
--- a/cell/survey.go
+++ b/cell/survey.go
@@ -69,13 +69,29 @@
 }
 
 // start sets the deadline of the survey. An earlier owner that is cut off from the store
-// goes on renewing leases for Timing.Isolation, and the last lease runs for at most
-// MaxLease on the worker's clock.
+// goes on giving orders for Timing.Isolation. The last one may reach another incarnation
+// of its worker after maxOrderDelay, and gives it a lease of at most MaxLease on the
+// worker's clock.
 func (s *survey) start(now time.Duration, t *Timing) {
-	s.deadline = now + t.Isolation + t.stretch(t.MaxLease)
+	s.deadline = now + t.Isolation + maxOrderDelay + t.stretch(t.MaxLease)
 	s.done = len(s.pending) == 0
 }
 
+// mayReceiveStart reports whether an earlier owner's start may still reach another
+// incarnation of a worker whose machine was down at a time, as far as the lists of
+// machines tell that were requested since. The earlier owner gave it no more starts once
+// it had been out of contact for Timing.IdleWait and Timing.MaxSilence.
+func (c *Cell) mayReceiveStart(w *worker, downAt time.Duration) bool {
+	if _, pending := c.survey.pending[w]; !pending || w.startedAt == 0 {
+		return false
+	}
+	if w.downSince == 0 {
+		w.downSince = downAt
+		c.logEvent("machine down", "worker", w.host.ID, "machine", w.host.Machine)
+	}
+	return downAt < w.downSince+c.timing.IdleWait+c.timing.MaxSilence+maxOrderDelay
+}
+
 // markSurveyed removes a worker from the survey because its runs and ends are known, or it
 // is lost.
 func (c *Cell) markSurveyed(w *worker) {
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -54,6 +54,7 @@
 	machineUp    bool          // the platform lists its machine as up although it is silent
 	missedHolds  int           // holds in a row without an answer
 	silentSince  time.Duration // when the first of these failed
+	downSince    time.Duration // when its machine was first listed as down during the survey, zero if it wasn't
 
 	lastStartAt  time.Duration
 	lastStartJob *jobState // job of the last start
