Cell: a worker's new address is a reason to ask it anew

What callers would see: a worker that restarted at another address gets no tasks until its entry on the list changes again (LOST if it is the only one).

Cause: an answer from the address that a worker had before counted for the one that the list shows now. If another worker answered there, the worker was dropped, and the unchanged list didn't add it again.

Now an order to the former address has no say any more, as with a restart.

Evidence: TestAnswersAtAnotherAddress failed, as the worker had no runs; it passes. Ruled out: dropping by the list itself, which showed the worker all along.

--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -118,8 +118,8 @@
 		c.logEvent("worker resized", "worker", h.ID, "from", w.host.Capacity.String(), "to", h.Capacity.String(), "used", w.used.String())
 		c.markChanged(w)
 	}
-	if w.startedAt != 0 && h.StartedAt != 0 && h.StartedAt != w.startedAt && h.StartedAt != w.host.StartedAt {
-		c.suspectRestart(w)
+	if h.Address != w.host.Address || w.startedAt != 0 && h.StartedAt != 0 && h.StartedAt != w.startedAt && h.StartedAt != w.host.StartedAt {
+		c.suspectRestart(w) // whoever answers at the old address says nothing of this one
 	}
 	if h.Service != w.host.Service {
 		c.leavePool(w)
