Platform: ends are acknowledged only on a connection to their incarnation

What callers would see: a task that was done runs again (TWICE). A worker that is back under its ID takes the acknowledgement that was meant for the incarnation before, forgets ends of its own that nobody has read, and the owner takes the tasks for lost.

Cause: the cell sends no acknowledgement 0.3 s after the last answer, as a restart takes longer. That bounds when a hold is sent, not when it arrives: the opening packet of a new connection that is dropped while the worker is down is sent again by the kernel, for up to the 0.8 s of a dial, and the hold is written once the next incarnation has accepted. Expect-Instance names the ID alone.

Ruled out: a shorter age or dial timeout, as a worker may be back after 0.4 s, and waiting for the next answer, as that is what is to be acknowledged.

Evidence: TestAcknowledgementAfterARestart sends a hold whose connection is accepted by the next incarnation; before, it received the number (5, 5 for 0, 0). TestAcknowledgementsByConnection and TestAcknowledgementsAreNotRetried failed in the same way.

Why it works: what is written to an established connection reaches the process that accepted it and no other. Each connection to a worker remembers which incarnation last answered a hold on it. The body of a hold is chosen when the transport has taken the connection, also when it repeats the request on another one; without the acknowledgement the worker lists its ends again, and the next hold acknowledges them. That is one more hold for each connection and incarnation, and none after that. Both bodies have one length, so the request stays as it was.

The age in the cell stays: it guards where a worker carries out late what it received, and where the platform doesn't tell incarnations apart.

--- a/cell/hold.go
+++ b/cell/hold.go
@@ -19,7 +19,7 @@
 // sendHold sends a hold to a worker: it asks for the worker's runs and ends, acknowledges
 // recorded ends and renews the lease.
 func (c *Cell) sendHold(w *worker) {
-	order := provider.HoldOrder{Host: w.host, Token: w.token, AckedEnd: c.acknowledgeUpTo(w), Wait: c.timing.HoldWait}
+	order := provider.HoldOrder{Host: w.host, Token: w.token, AckedEnd: c.acknowledgeUpTo(w), AckedIncarnation: w.startedAt, Wait: c.timing.HoldWait}
 	if len(w.runs) == 0 {
 		order.Wait = c.timing.IdleWait
 	}
@@ -149,8 +149,9 @@
 )
 
 // maxAckAge is the age of a worker's last answer up to which it is sent an
-// acknowledgement. A restart takes longer than this, so the next incarnation can't receive
-// the acknowledgement.
+// acknowledgement. A restart takes longer than this, so the next incarnation isn't there
+// yet when the acknowledgement is sent. That it doesn't arrive later, the executor ensures
+// by AckedIncarnation, where the platform tells incarnations apart.
 const maxAckAge = 300 * time.Millisecond
 
 // updateAnsweredAt computes the earliest time at which the answer can have been made:
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -96,13 +96,16 @@
 }
 
 // HoldOrder extends the lease of all tasks running on a worker, acknowledges
-// ended runs and requests the list of both.
+// ended runs and requests the list of both. The acknowledgement is left out unless
+// the order can't reach any other incarnation than AckedIncarnation; the answer then
+// lists the ended runs again.
 type HoldOrder struct {
-	Host     Host
-	Token    uint64 // fencing token; the worker refuses orders with a lower one than it has seen
-	AckedEnd uint64 // ended runs up to this number are recorded and may be forgotten
-	Deadline int64  // lease end on the worker's clock, milliseconds; zero leaves it unchanged
-	Wait     time.Duration
+	Host             Host
+	Token            uint64 // fencing token; the worker refuses orders with a lower one than it has seen
+	AckedEnd         uint64 // ended runs up to this number are recorded and may be forgotten
+	AckedIncarnation uint64 // StartedAt of the incarnation that numbered AckedEnd; zero if IDs of workers aren't used again
+	Deadline         int64  // lease end on the worker's clock, milliseconds; zero leaves it unchanged
+	Wait             time.Duration
 }
 
 // StartOrder starts a task on a worker. The worker refuses it after Deadline,
