Relay: acknowledgements of ends name their incarnation

Cause: an order on the wire had the number alone.

Ruled out: adding the incarnation beside the number under its key. An agent of an earlier version would ignore it and pass the number on unchecked.

Evidence: TestAcknowledgementsNameTheirIncarnation; before, the incarnation didn't arrive, and an agent that doesn't know of it was given the number.

Why it works: number and incarnation have a key of their own, which earlier agents ignore. As a worker lists its ends again at once while nobody acknowledges them, such an agent would be asked without end; so agents that know the key say so by the connection's subprotocol, and through others a hold that acknowledges ends goes directly. Orders of earlier owners, and those of platforms without incarnations, keep the old key and meaning.

--- a/relay/agent/agent.go
+++ b/relay/agent/agent.go
@@ -72,7 +72,7 @@
 		http.Error(w, "this is "+a.instance, http.StatusMisdirectedRequest)
 		return
 	}
-	socket, err := websocket.Accept(w, r, nil)
+	socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{wire.AckedProtocol}})
 	if err != nil {
 		a.logger.Warn("relay connection not accepted", zap.String("from", r.RemoteAddr), zap.Error(err))
 		return
--- a/relay/agent/session.go
+++ b/relay/agent/session.go
@@ -183,12 +183,14 @@
 	switch o.Kind {
 	case wire.Hold:
 		var held provider.HoldResult
+		end, incarnation := o.AckedEnd()
 		held, err = s.agent.executor.Hold(ctx, provider.HoldOrder{
-			Host:     host,
-			Token:    o.Token,
-			AckedEnd: o.Seen,
-			Deadline: o.Deadline,
-			Wait:     time.Duration(o.Wait) * time.Millisecond,
+			Host:             host,
+			Token:            o.Token,
+			AckedEnd:         end,
+			AckedIncarnation: incarnation,
+			Deadline:         o.Deadline,
+			Wait:             time.Duration(o.Wait) * time.Millisecond,
 		})
 		if err == nil {
 			out.held = &held
--- a/relay/link.go
+++ b/relay/link.go
@@ -97,6 +97,12 @@
 	return l.session
 }
 
+// handlesAcked reports whether the instance acknowledges the ends of one incarnation only.
+func (l *link) handlesAcked() bool {
+	s := l.current()
+	return s != nil && s.socket.Subprotocol() == wire.AckedProtocol
+}
+
 // check connects a wanted link that has no connection, and closes a connection that is
 // silent. otherContact is the time of the last contact with any other instance, or now
 // if there are too few connections to compare.
@@ -177,8 +183,9 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	socket, _, err := websocket.Dial(timeoutCtx, "ws://"+l.peer.Address+wire.Path, &websocket.DialOptions{
-		HTTPClient: l.executor.client,
-		HTTPHeader: http.Header{wire.ToHeader: {l.peer.ID}},
+		HTTPClient:   l.executor.client,
+		HTTPHeader:   http.Header{wire.ToHeader: {l.peer.ID}},
+		Subprotocols: []string{wire.AckedProtocol},
 	})
 	if err != nil {
 		return nil, err
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -365,18 +365,19 @@
 // through the relay is sent directly if there is time left.
 func (e *Executor) Hold(ctx context.Context, o provider.HoldOrder) (provider.HoldResult, error) {
 	l := e.linkOf(ctx, o.Host)
-	if l == nil {
-		e.counters.direct.Add(1)
-		return e.direct.Hold(ctx, o)
-	}
-	e.counters.relayed.Add(1)
-	r, held := l.do(ctx, o.Host, wire.Order{
+	order := wire.Order{
 		Kind:     wire.Hold,
 		Token:    o.Token,
 		Deadline: o.Deadline,
-		Seen:     o.AckedEnd,
 		Wait:     o.Wait.Milliseconds(),
-	}, "")
+	}
+	order.SetAcked(o.AckedEnd, o.AckedIncarnation)
+	if l == nil || order.Acked != nil && !l.handlesAcked() {
+		e.counters.direct.Add(1)
+		return e.direct.Hold(ctx, o)
+	}
+	e.counters.relayed.Add(1)
+	r, held := l.do(ctx, o.Host, order, "")
 	switch r.Outcome {
 	case wire.Answered:
 		return held, nil
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -28,16 +28,19 @@
 	token         uint64
 	runs          []provider.Run
 	stopAddresses []string                 // addresses at which runs were stopped
-	lastSeen      map[string]uint64        // ends acknowledged by the last hold, by route
+	acked         map[string]ack           // by the last hold, by route
 	specs         map[string]string        // by task
 	silent        map[string]bool          // routes without answers
 	delays        map[string]time.Duration // time for an answer, by route
 }
 
 func newWorkers() *workers {
-	return &workers{lastSeen: make(map[string]uint64), specs: make(map[string]string), silent: make(map[string]bool), delays: make(map[string]time.Duration)}
+	return &workers{acked: make(map[string]ack), specs: make(map[string]string), silent: make(map[string]bool), delays: make(map[string]time.Duration)}
 }
 
+// ack is the acknowledgement in a hold.
+type ack struct{ end, incarnation uint64 }
+
 // route is an Executor that reaches the workers directly or as a relay.
 type route struct {
 	*workers
@@ -68,7 +71,7 @@
 
 func (r route) Hold(ctx context.Context, o provider.HoldOrder) (provider.HoldResult, error) {
 	r.mu.Lock()
-	r.workers.lastSeen[r.name] = o.AckedEnd
+	r.workers.acked[r.name] = ack{o.AckedEnd, o.AckedIncarnation}
 	r.mu.Unlock()
 	if err := r.handle(ctx, o.Token, "hold"); err != nil {
 		return provider.HoldResult{}, err
@@ -134,7 +137,7 @@
 	start := time.Now()
 	s.clock = func() time.Duration { return time.Since(start) }
 	s.agent = agent.New("e2", route{s.workers, "relayed"}, agent.WithClock(func() time.Duration { return s.clock() }))
-	s.serve(t)
+	s.serve(t, s.agent)
 	opts = append(opts, relay.WithInstance("e1"), relay.WithDialer(s.Dial))
 	s.owner = relay.New(route{s.workers, "direct"}, opts...)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -153,8 +156,8 @@
 	return s
 }
 
-func (s *site) serve(t *testing.T) {
-	server := &http.Server{Handler: s.agent}
+func (s *site) serve(t *testing.T, handler http.Handler) {
+	server := &http.Server{Handler: handler}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := s.Listen(ctx, address)
 	go func() { _ = server.Serve(l) }()
@@ -487,10 +490,60 @@
 		_, err := s.owner.Hold(ctx, provider.HoldOrder{Host: host, Token: 3, AckedEnd: 5})
 		is.NoErr(err)
 		is.Equal(s.takeOrders(), []string{"relayed hold", "direct hold"})
-		is.Equal(s.lastSeen, map[string]uint64{"relayed": 5, "direct": 0})
+		is.Equal(s.acked, map[string]ack{"relayed": {end: 5}, "direct": {}})
 	})
 }
 
+// Guards against an acknowledgement that an instance passes on without the incarnation that
+// it is meant for.
+func TestAcknowledgementsNameTheirIncarnation(t *testing.T) {
+	known := func(h http.Handler) http.Handler { return h }
+	unknown := func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Del("Sec-WebSocket-Protocol")
+			h.ServeHTTP(w, r)
+		})
+	}
+	tests := []struct {
+		name   string
+		agent  func(http.Handler) http.Handler
+		acked  ack
+		orders []string
+	}{
+		{"an acknowledgement", known, ack{5, 7}, []string{"relayed hold"}},
+		{"a platform without incarnations", known, ack{5, 0}, []string{"relayed hold"}},
+		{"nothing to acknowledge", known, ack{0, 7}, []string{"relayed hold"}},
+		{"an instance that doesn't know of incarnations", unknown, ack{5, 7}, []string{"direct hold"}},
+		{"nothing to acknowledge to it", unknown, ack{0, 7}, []string{"relayed hold"}},
+		{"a platform without incarnations, through it", unknown, ack{5, 0}, []string{"relayed hold"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(t)
+				s.owner.Enable(false)
+				s.stop()
+				s.serve(t, tt.agent(s.agent))
+				s.owner.Enable(true)
+				time.Sleep(time.Second)
+				_, err := s.owner.Hold(t.Context(), provider.HoldOrder{Host: host, Token: 3, AckedEnd: tt.acked.end, AckedIncarnation: tt.acked.incarnation})
+				is.NoErr(err)
+				is.Equal(s.takeOrders(), tt.orders)
+				_, err = s.start("t1", "spec")
+				is.NoErr(err)
+				is.Equal(s.takeOrders(), []string{"relayed start t1"})
+				for _, got := range s.acked {
+					is.Equal(got.end, tt.acked.end)
+					if got.end > 0 {
+						is.Equal(got.incarnation, tt.acked.incarnation)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestRecords(t *testing.T) {
 	is := is.New(t)
 	i := relay.Instance{ID: "e2", Address: address, AvailabilityZone: "a"}
--- a/relay/wire/wire.go
+++ b/relay/wire/wire.go
@@ -29,6 +29,10 @@
 // for. Another instance may have taken over its address.
 const ToHeader = "Relay-To"
 
+// AckedProtocol is the WebSocket subprotocol of an instance that handles Order.Acked. Earlier
+// versions ignore it, and the worker would list its ended runs forever.
+const AckedProtocol = "acked"
+
 // MaxMessageSize is the maximum size of a message in bytes.
 const MaxMessageSize = 4 << 20
 
@@ -70,11 +74,38 @@
 	Spec       uint64 `cbor:"7,keyasint,omitempty"`  // number of the specification
 	SpecText   string `cbor:"8,keyasint,omitempty"`  // set if the number is new or reassigned
 	Deadline   int64  `cbor:"9,keyasint,omitempty"`  // on the worker's clock in milliseconds
-	Seen       uint64 `cbor:"10,keyasint,omitempty"` // of a hold: the worker may forget the ended runs up to this number
+	Seen       uint64 `cbor:"10,keyasint,omitempty"` // of a hold: the worker may forget the ended runs up to this number, in any incarnation
 	Wait       int64  `cbor:"11,keyasint,omitempty"` // milliseconds
 	Percent    int    `cbor:"12,keyasint,omitempty"`
 	Checkpoint string `cbor:"13,keyasint,omitempty"`
 	Ticket     string `cbor:"14,keyasint,omitempty"`
+	Acked      *Acked `cbor:"15,keyasint,omitempty"` // of a hold, in place of Seen where the platform tells incarnations apart
+}
+
+// Acked acknowledges the ended runs of one incarnation of a worker.
+type Acked struct {
+	_           struct{} `cbor:",toarray"`
+	End         uint64   // the worker may forget the ended runs up to this number
+	Incarnation uint64
+}
+
+// SetAcked sets the acknowledgement of a hold. The incarnation is zero if the platform
+// doesn't tell incarnations apart.
+func (o *Order) SetAcked(end, incarnation uint64) {
+	switch {
+	case incarnation == 0:
+		o.Seen = end
+	case end > 0:
+		o.Acked = &Acked{End: end, Incarnation: incarnation}
+	}
+}
+
+// AckedEnd returns the acknowledgement of a hold.
+func (o *Order) AckedEnd() (end, incarnation uint64) {
+	if o.Acked == nil {
+		return o.Seen, 0
+	}
+	return o.Acked.End, o.Acked.Incarnation
 }
 
 // Results is the message of a relaying instance.
