Relay: a run without a checkpoint isn't restored with that of the list before

What callers would see: a task that is resumed from a checkpoint that the run on its worker doesn't have, where two incarnations of the worker carried out the same start. Both checkpoints are the task's, so no work would be wrong, but the owner would count progress that isn't there.

Cause: an empty checkpoint in the difference from the list before stands for an unchanged one, and the lists are kept by the worker's ID and address, which the next incarnation may share.

Evidence: TestListsAreRestored, whose checkpoints are now empty at times; it failed after 8 answers.

Why it works: such a run is sent in full. Only the sender changes, so instances of both versions understand each other.

--- a/relay/wire/lists.go
+++ b/relay/wire/lists.go
@@ -78,7 +78,9 @@
 	var added []provider.Run
 	for _, r := range held.Running {
 		i, ok := index[key{r.Task, r.Attempt}]
-		if !ok {
+		// A run that has lost its checkpoint, as on another incarnation of the worker, is
+		// sent in full: an empty checkpoint in Kept stands for an unchanged one.
+		if !ok || r.Checkpoint == "" && previous[i].Checkpoint != "" {
 			h.Added = append(h.Added, Run{Task: r.Task, Attempt: r.Attempt, Checkpoint: r.Checkpoint, Percent: r.Percent, Tail: r.TailLatency.Milliseconds(), Processors: r.Processors})
 			added = append(added, r)
 			continue
--- a/relay/wire/lists_test.go
+++ b/relay/wire/lists_test.go
@@ -47,7 +47,7 @@
 		held.Running = append(held.Running, provider.Run{
 			Task:        task,
 			Attempt:     rapid.Uint64Range(1, 2).Draw(t, "attempt"),
-			Checkpoint:  rapid.SampledFrom([]string{"x", "y"}).Draw(t, "checkpoint"),
+			Checkpoint:  rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "checkpoint"),
 			Percent:     rapid.IntRange(0, 100).Draw(t, "percent"),
 			TailLatency: time.Duration(rapid.Int64Range(0, 90).Draw(t, "tail")) * time.Millisecond,
 			Processors:  rapid.Int64Range(0, 64000).Draw(t, "processors"),
