Relay: the first message of a connection can be late

What callers would see: an instance that stands still right after it has accepted an owner's connection forwards the orders of the first message seconds later: a pace undoes a newer one, a stop or a start reaches the next incarnation of a worker, whose clock may not have come to the deadline.

Cause: the transit time of a message is compared with that of the quickest one of its connection, and the first had none to be compared with. Each takeover and each lost connection begins with such a message.

Ruled out: the instance's own clock alone, as it stood still as well; an empty message at the beginning, which may be late with the next.

Evidence: TestLateFirstOrdersAreNotForwarded; before, the pace was forwarded.

Why it works: the request that opens the connection names the owner's time, and the owner sends nothing before that is answered. Owners of earlier versions don't name it, and are served as before.

--- a/relay/agent/agent.go
+++ b/relay/agent/agent.go
@@ -14,6 +14,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -80,6 +81,9 @@
 	defer func() { _ = socket.CloseNow() }()
 	socket.SetReadLimit(wire.MaxMessageSize)
 	s := newSession(a, socket)
+	if sent, err := strconv.ParseInt(r.Header.Get(wire.SentHeader), 10, 64); err == nil {
+		s.compareClocks(sent)
+	}
 	a.addSession(s)
 	defer a.removeSession(s)
 	err = s.run(r.Context())
--- a/relay/agent/session.go
+++ b/relay/agent/session.go
@@ -124,12 +124,18 @@
 // isLate reports whether a message was in transit for longer than maxDelay. Only
 // differences between the two clocks are compared, as they aren't synchronized.
 func (s *session) isLate(sent int64) bool {
+	return s.compareClocks(sent)-s.minClockDifference > maxDelay
+}
+
+// compareClocks returns the difference between the local clock and a timestamp, and updates
+// minClockDifference.
+func (s *session) compareClocks(sent int64) time.Duration {
 	difference := s.agent.clock() - time.Duration(sent)*time.Millisecond
 	if !s.hasClockDifference || difference < s.minClockDifference {
 		s.minClockDifference = difference
 		s.hasClockDifference = true
 	}
-	return difference-s.minClockDifference > maxDelay
+	return difference
 }
 
 // handleOrder starts to carry out an order.
--- a/relay/link.go
+++ b/relay/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -183,8 +184,11 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	socket, _, err := websocket.Dial(timeoutCtx, "ws://"+l.peer.Address+wire.Path, &websocket.DialOptions{
-		HTTPClient:   l.executor.client,
-		HTTPHeader:   http.Header{wire.ToHeader: {l.peer.ID}},
+		HTTPClient: l.executor.client,
+		HTTPHeader: http.Header{
+			wire.ToHeader:   {l.peer.ID},
+			wire.SentHeader: {strconv.FormatInt(l.executor.clock().Milliseconds(), 10)},
+		},
 		Subprotocols: []string{wire.AckedProtocol},
 	})
 	if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,8 +121,8 @@
 	*workers
 	owner *relay.Executor
 	agent *agent.Agent
-	clock func() time.Duration // of the instance
-	stop  func()               // stops the instance
+	ahead atomic.Int64 // of the instance's clock, in nanoseconds
+	stop  func()       // stops the instance
 }
 
 const address = "10.0.0.2:1"
@@ -135,8 +136,8 @@
 		time.Sleep(time.Minute) // until pending timeouts have ended
 	})
 	start := time.Now()
-	s.clock = func() time.Duration { return time.Since(start) }
-	s.agent = agent.New("e2", route{s.workers, "relayed"}, agent.WithClock(func() time.Duration { return s.clock() }))
+	clock := func() time.Duration { return time.Since(start) + time.Duration(s.ahead.Load()) }
+	s.agent = agent.New("e2", route{s.workers, "relayed"}, agent.WithClock(clock))
 	s.serve(t, s.agent)
 	opts = append(opts, relay.WithInstance("e1"), relay.WithDialer(s.Dial))
 	s.owner = relay.New(route{s.workers, "direct"}, opts...)
@@ -425,8 +426,7 @@
 		_, err := s.hold(0)
 		is.NoErr(err)
 		s.takeOrders()
-		clock := s.clock
-		s.clock = func() time.Duration { return clock() + 2*time.Second } // as if the message had been delayed
+		s.ahead.Store(int64(2 * time.Second)) // as if the message had been delayed
 		is.NoErr(s.owner.Pace(t.Context(), provider.RunOrder{Host: host, Token: 3, Task: "t1", Percent: 40}))
 		is.Equal(s.takeOrders(), []string{"direct pace t1 40"})
 		time.Sleep(5 * time.Second) // reconnected, with the new clock difference
@@ -436,6 +436,18 @@
 	})
 }
 
+// Guards against orders that an instance forwards seconds late because they were in the first
+// message of a connection, which no other one is compared with.
+func TestLateFirstOrdersAreNotForwarded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(t)
+		s.ahead.Store(int64(2 * time.Second)) // as if the message had been delayed
+		is.NoErr(s.owner.Pace(t.Context(), provider.RunOrder{Host: host, Token: 3, Task: "t1", Percent: 40}))
+		is.Equal(s.takeOrders(), []string{"direct pace t1 40"})
+	})
+}
+
 // Guards against connections of lost owners that stay open forever.
 func TestLostOwnersConnectionIsClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/relay/wire/wire.go
+++ b/relay/wire/wire.go
@@ -29,6 +29,10 @@
 // for. Another instance may have taken over its address.
 const ToHeader = "Relay-To"
 
+// SentHeader is the request header with the time of the request on the owner's clock, in
+// milliseconds. Even the first message of a connection can be late compared with it.
+const SentHeader = "Relay-Sent"
+
 // AckedProtocol is the WebSocket subprotocol of an instance that handles Order.Acked. Earlier
 // versions ignore it, and the worker would list its ended runs forever.
 const AckedProtocol = "acked"
