--- a/relay/agent/agent.go
+++ b/relay/agent/agent.go
@@ -14,6 +14,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 		http.Error(w, "this is "+a.instance, http.StatusMisdirectedRequest)
 		return
 	}
-	socket, err := websocket.Accept(w, r, nil)
+	socket, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{wire.AckedProtocol}})
 	if err != nil {
 		a.logger.Warn("relay connection not accepted", zap.String("from", r.RemoteAddr), zap.Error(err))
 		return
@@ -80,6 +81,9 @@
 	defer func() { _ = socket.CloseNow() }()
 	socket.SetReadLimit(wire.MaxMessageSize)
 	s := newSession(a, socket)
+	if sent, err := strconv.ParseInt(r.Header.Get(wire.SentHeader), 10, 64); err == nil {
+		s.compareClocks(sent)
+	}
 	a.addSession(s)
 	defer a.removeSession(s)
 	err = s.run(r.Context())
