Relays: the text of a refusal no longer ends the connection to a relay

The owner would see its connection to a relay end, and its orders go another way, each time that a worker behind the relay refused an order with a body that isn't UTF-8, or with a very large one; every order in flight on that connection counted as unanswered.

Cause: the relay passes on the text of an error, which quotes the worker's answer. In CBOR a text with invalid UTF-8 is written and can't be read, and a message above 4 MB isn't read either; both end the session.

Evidence: TestErrorTextKeepsConnection failed: the hold after the refusal went directly ('relayed hold direct hold direct hold').

--- a/relay/agent/session.go
+++ b/relay/agent/session.go
@@ -213,7 +213,7 @@
 	}
 	out.Outcome = wire.OutcomeOf(err)
 	if err != nil {
-		out.Text = err.Error()
+		out.Text = wire.TextOf(err)
 	}
 	return out
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,7 @@
 	mu            sync.Mutex
 	orders        []string // "route order"
 	token         uint64
+	refusal       string // text of the refusal of all orders, empty for none
 	runs          []provider.Run
 	stopAddresses []string                 // addresses at which runs were stopped
 	lastSeen      map[string]uint64        // ends acknowledged by the last hold, by route
@@ -47,7 +49,7 @@
 func (r route) handle(ctx context.Context, token uint64, what string) error {
 	r.mu.Lock()
 	r.orders = append(r.orders, r.name+" "+what)
-	silent, delay := r.silent[r.name], r.delays[r.name]
+	silent, delay, refusal := r.silent[r.name], r.delays[r.name], r.refusal
 	stale := token < r.token
 	r.token = max(r.token, token)
 	r.mu.Unlock()
@@ -60,6 +62,9 @@
 	case <-ctx.Done():
 		return fault.New(fault.MayHaveRun, "no answer")
 	}
+	if refusal != "" {
+		return fault.New(fault.Conflict, "%s", refusal)
+	}
 	if stale {
 		return fault.New(fault.StaleEpoch, "a higher token was seen")
 	}
@@ -178,6 +183,28 @@
 	return s.owner.Start(ctx, provider.StartOrder{Host: host, Token: 3, Task: task, Spec: spec})
 }
 
+// Guards against a connection that ends whenever a worker refuses an order with bytes that
+// aren't text, or with a very long text.
+func TestErrorTextKeepsConnection(t *testing.T) {
+	for _, text := range []string{"\xff\xfe", strings.Repeat("\xff", wire.MaxMessageSize)} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t)
+			s.mu.Lock()
+			s.refusal = text
+			s.mu.Unlock()
+			_, err := s.hold(0)
+			is.True(fault.Is(err, fault.Conflict))
+			s.mu.Lock()
+			s.refusal = ""
+			s.mu.Unlock()
+			_, err = s.hold(0)
+			is.NoErr(err)
+			is.Equal(s.takeOrders(), []string{"relayed hold", "relayed hold"})
+		})
+	}
+}
+
 func TestOrdersAreRelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/relay/wire/wire.go
+++ b/relay/wire/wire.go
@@ -14,6 +14,8 @@
 package wire
 
 import (
+	"strings"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
@@ -127,6 +129,17 @@
 	return Unanswered
 }
 
+// maxText is the maximum size of a Result's text in bytes.
+const maxText = 512
+
+// TextOf returns the text of an error for a Result. An error may quote the answer of a
+// worker, which may be of any length and need not be text, while a message with invalid
+// UTF-8 can't be decoded.
+func TextOf(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxText)], "\uFFFD")
+}
+
 // Err returns the error that the outcome represents, nil for Answered.
 func (r *Result) Err() error {
 	switch r.Outcome {
