Store: a malformed record is skipped instead of requested for ever

Operators would see an instance that stops following a stream: `no answer` for it again and again, and, of the list of workers, no start any more.

Cause: a record whose content can't be decoded (no content at all, or a key that is longer than the record) made the whole response of log-read an error. The position stayed before the record, so that each read met it again, with no way past it until the stream no longer retained it; then the newest records of all keys were loaded.

The length before each record frames it, whatever its content is. A record that is longer than the rest of the response still ends the response, as before.

Ruled out: values that can't be decoded. They only ever concern their own key.

--- a/provider/keyed.go
+++ b/provider/keyed.go
@@ -11,6 +11,9 @@
 	Key    string
 	Value  []byte
 	Offset uint64 // set by the store
+	// Malformed is set by the store for a record whose content it can't decode. Such a
+	// record has neither key nor value, and changes nothing but the reader's position.
+	Malformed bool
 }
 
 // KeyedPage is a run of a keyed stream's records. Next is the offset of the
