Jobs: a need or a schedule whose sums overflow is refused

A caller would see a job complete that no worker can hold, and the others that run beside it would share a worker that is far over its capacity.

Cause: whether a task fits is decided by adding its need to what is in use. With a need near the largest 64-bit number the sum is negative, which fits anywhere but on an idle worker, and from then on everything does. In the same way the time of an occurrence, the first plus a multiple of the interval, may overflow into the past, so that all occurrences run at once.

The check of a job now bounds both: a need by 2^40 in each component, as records of a zone already were, and a schedule by 2^48 ms. The caller gets 400.

Evidence: five cases of TestCheck failed, as such jobs were accepted.

--- a/job/job.go
+++ b/job/job.go
@@ -31,6 +31,8 @@
 	MaxTasks = 20_000 // tasks of a job's steps together
 	MaxTimes = 10_000 // scheduled occurrences
 	MaxSpec  = 4_000  // bytes of the opaque command
+
+	maxMillis = 1 << 48 // Unix milliseconds of a schedule, so that no occurrence's time overflows
 )
 
 // Job is accepted batch work.
@@ -147,8 +149,8 @@
 	if len(j.Spec) > MaxSpec {
 		return fault.New(fault.Invalid, "spec has %d bytes, more than %d", len(j.Spec), MaxSpec)
 	}
-	if j.Times < 0 || j.Times > MaxTimes || j.Interval < 0 {
-		return fault.New(fault.Invalid, "invalid schedule: %d occurrences every %d ms", j.Times, j.Interval)
+	if j.Times < 0 || j.Times > MaxTimes || j.Interval < 0 || j.Interval > maxMillis || j.First > maxMillis {
+		return fault.New(fault.Invalid, "invalid schedule: %d occurrences every %d ms from %d on", j.Times, j.Interval, j.First)
 	}
 	total := 0
 	for i := range j.Steps {
@@ -170,6 +172,9 @@
 	if s.Need.IsNegative() || s.PerWorker < 0 || s.MaxStopped < 0 || s.Estimate < 0 {
 		return fault.New(fault.Invalid, "step %d: an amount is negative", number)
 	}
+	if !s.Need.IsValid() {
+		return fault.New(fault.Invalid, "step %d: need %v is more than any worker has", number, s.Need)
+	}
 	for _, a := range s.After {
 		if a < 0 || a >= number {
 			return fault.New(fault.Invalid, "step %d depends on step %d, which isn't an earlier one", number, a)
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"math"
 	"strings"
 	"testing"
 
@@ -8,6 +9,7 @@
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/resource"
 )
 
 func TestCheck(t *testing.T) {
@@ -26,6 +28,11 @@
 		{"too many tasks", job.Job{Steps: []job.Step{{Count: 20_000}, {Count: 1}}}, "20001 tasks"},
 		{"a long command", job.Job{Spec: strings.Repeat("x", 4001), Steps: one}, "4001 bytes"},
 		{"negative times", job.Job{Times: -1, Steps: one}, "-1 occurrences"},
+		{"an interval whose multiples overflow", job.Job{Times: 3, Interval: math.MaxInt64 / 2, Steps: one}, "invalid schedule"},
+		{"a start beyond all times", job.Job{Times: 3, First: math.MaxInt64, Interval: 1, Steps: one}, "invalid schedule"},
+		{"processors whose sums overflow", job.Job{Steps: []job.Step{{Count: 2, Need: resource.Vector{Processors: math.MaxInt64}}}}, "more than any worker has"},
+		{"memory whose sums overflow", job.Job{Steps: []job.Step{{Count: 2, Need: resource.Vector{Memory: math.MaxInt64}}}}, "more than any worker has"},
+		{"accelerators whose sums overflow", job.Job{Steps: []job.Step{{Count: 2, Need: resource.Vector{Accelerators: math.MaxInt64}}}}, "more than any worker has"},
 		{"a negative amount", job.Job{Steps: []job.Step{{Count: 1, MaxStopped: -1}}}, "negative"},
 	}
 	for _, test := range tests {
--- a/resource/vector.go
+++ b/resource/vector.go
@@ -52,6 +52,15 @@
 	return v.Processors < 0 || v.Memory < 0 || v.Accelerators < 0
 }
 
+// MaxAmount is the largest amount of a resource that IsValid accepts. Sums of valid amounts,
+// and their products with a number of tasks, can't overflow.
+const MaxAmount = 1 << 40
+
+// IsValid reports whether every component is between zero and MaxAmount.
+func (v Vector) IsValid() bool {
+	return !v.IsNegative() && v.Fits(Vector{Processors: MaxAmount, Memory: MaxAmount, Accelerators: MaxAmount})
+}
+
 // Dominant returns the largest fraction that v takes of any component of
 // total. A component that is zero in total counts as 1 when v needs it.
 func (v Vector) Dominant(total Vector) float64 {
--- a/zone/restore.go
+++ b/zone/restore.go
@@ -103,7 +103,7 @@
 func (r *restorer) restoreWorkers() error {
 	for _, image := range r.snapshot.Workers {
 		owner, ok := r.incarnationAt(image.Owner)
-		if !ok || !isValidName(image.ID) || r.workers[image.ID] != nil || !isValidAmount(image.Capacity) {
+		if !ok || !isValidName(image.ID) || r.workers[image.ID] != nil || !image.Capacity.IsValid() {
 			return inconsistent("worker", image.ID)
 		}
 		w := &worker{
@@ -148,7 +148,7 @@
 	if !ok || image.Group < 0 || image.Group >= len(r.groupsAt) {
 		return nil, false
 	}
-	if !isValidName(image.ID) || r.tasks[image.ID] != nil || !isValidAmount(image.Need) {
+	if !isValidName(image.ID) || r.tasks[image.ID] != nil || !image.Need.IsValid() {
 		return nil, false
 	}
 	if int(image.State) >= len(taskStates) || isInEscrow(image.State) != (owner != nil) {
--- a/zone/task.go
+++ b/zone/task.go
@@ -47,7 +47,6 @@
 	maxCommand    = 4096
 	maxCheckpoint = 1024
 	maxMessage    = 512
-	maxAmount     = 1 << 40 // of a resource, so that sums can't overflow
 )
 
 // taskOverhead is the maximum size of a task in a snapshot without its strings,
@@ -125,13 +124,9 @@
 
 func isValidTask(t record.Task) bool {
 	return isValidName(t.ID) && len(t.Job) <= maxName && isValidName(t.Group) && len(t.Command) <= maxCommand &&
-		isValidAmount(t.Need) && !t.Need.IsZero() && t.Duration >= 0
+		t.Need.IsValid() && !t.Need.IsZero() && t.Duration >= 0
 }
 
 func isValidName(name string) bool {
 	return name != "" && len(name) <= maxName
 }
-
-func isValidAmount(v resource.Vector) bool {
-	return !v.IsNegative() && v.Fits(resource.Vector{Processors: maxAmount, Memory: maxAmount, Accelerators: maxAmount})
-}
--- a/zone/worker.go
+++ b/zone/worker.go
@@ -90,7 +90,7 @@
 // applyOwn records the writer as the owner of a worker and moves the tasks that
 // the worker held into the writer's escrow.
 func (s *State) applyOwn(writer *incarnation, body *record.Own, o *Outcome) {
-	if !isValidName(body.Worker) || len(body.Rack) > maxName || !isValidAmount(body.Capacity) {
+	if !isValidName(body.Worker) || len(body.Rack) > maxName || !body.Capacity.IsValid() {
 		o.void(Malformed, "own")
 		return
 	}
--- a/zone/zone_test.go
+++ b/zone/zone_test.go
@@ -112,7 +112,7 @@
 	for n := range 40000 {
 		task := record.Task{
 			ID: fmt.Sprintf("task-%06d", n), Job: fmt.Sprint("job-", n/4), Group: "g", Command: command,
-			Need: resource.Vector{Processors: maxAmount, Memory: maxAmount, Accelerators: maxAmount}, Duration: 1 << 60,
+			Need: resource.Vector{Processors: resource.MaxAmount, Memory: resource.MaxAmount, Accelerators: resource.MaxAmount}, Duration: 1 << 60,
 		}
 		w.append(record.Record{Submit: &record.Submit{Tasks: []record.Task{task}}})
 		if n < 20000 {
