--- a/job/objective.go
+++ b/job/objective.go
@@ -36,8 +36,13 @@
 	return max(t.Stretch, 1)
 }
 
+// maxVariable bounds the variable part of an objective, so that multiples of the objective
+// can't overflow.
+const maxVariable = 10 * 365 * 24 * time.Hour
+
 // ObjectiveFor returns how long a job with a critical path may take, based on rough
 // estimates.
 func (t *Terms) ObjectiveFor(criticalPath time.Duration) time.Duration {
-	return time.Duration(t.StretchFactor()*float64(criticalPath)) + t.Objective
+	variable := min(t.StretchFactor()*float64(criticalPath), float64(maxVariable))
+	return time.Duration(variable) + t.Objective
 }
