Instance list: an invalid entry no longer makes the list unreadable

An operator of a site that runs the daemon would see instances that keep the members and workers that they know and learn of no others, with one line 'reading the instance list failed' a read at debug level, for as long as the entry stays. An entry without an ID became a worker without one.

Cause: the list was decoded as a whole, so that one entry with a field of another type, a number beyond its type or more than 10,000 levels failed all of it.

Entries are decoded one by one. One that isn't an instance, has no ID, or has a capacity or slots out of range is left out, and logged when it is new.

Ruled out: a stack that overflows. The library's limit of 10,000 levels holds for all JSON, and CBOR is limited to 32 levels or fewer.

--- a/client/client.go
+++ b/client/client.go
@@ -27,6 +27,8 @@
 	"context"
 	"net"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // Defaults.
@@ -45,6 +47,7 @@
 	timeout     time.Duration
 	connections int
 	dial        DialFunc
+	logger      *zap.Logger
 }
 
 // WithTimeout bounds each attempt of a call, in addition to the context's
@@ -64,8 +67,14 @@
 	return func(o *options) { o.dial = dial }
 }
 
+// WithLogger sets the logger of invalid entries of the instance list; the default discards
+// them.
+func WithLogger(l *zap.Logger) Option {
+	return func(o *options) { o.logger = l }
+}
+
 func newOptions(opts []Option) options {
-	o := options{timeout: DefaultTimeout, connections: DefaultConnections}
+	o := options{timeout: DefaultTimeout, connections: DefaultConnections, logger: zap.NewNop()}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/dogwoodladder/dogwoodladder/client"
 	"github.com/dogwoodladder/dogwoodladder/client/wire"
@@ -305,3 +307,45 @@
 	is.Equal(sizes[1], 0)
 	is.True(sizes[2] > sizes[0])
 }
+
+// Guards against one entry of the instance list that makes the whole list unreadable.
+func TestListWithInvalidEntry(t *testing.T) {
+	const first = `{"id":"w1","role":"worker","zone":"a","address":"127.0.0.1:1","status":"live","capacity":{"processors":1000,"memory":100,"accelerators":0},"slots":4}`
+	last := strings.Replace(first, "w1", "w2", 1)
+	deep := strings.Repeat("[", 1<<17) + strings.Repeat("]", 1<<17)
+	tests := []struct {
+		name, entry string
+	}{
+		{"no object", `"w3"`},
+		{"null", `null`},
+		{"no ID", `{"role":"worker","address":"127.0.0.1:1"}`},
+		{"a field of another type", `{"id":"w3","zone":7}`},
+		{"a number beyond its type", `{"id":"w3","slots":1e400}`},
+		{"fewer than no slots", `{"id":"w3","slots":-1}`},
+		{"a capacity whose sums overflow", `{"id":"w3","capacity":{"processors":9223372036854775807}}`},
+		{"a negative capacity", `{"id":"w3","capacity":{"memory":-1}}`},
+		{"deeply nested", `{"id":"w3","capacity":` + deep + `}`},
+		{"deeply nested alone", deep},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				fmt.Fprintf(w, "[%s,%s,%s]", first, tt.entry, last)
+			}))
+			defer server.Close()
+			logs, entries := observer.New(zap.WarnLevel)
+			list := client.NewList(server.Listener.Addr().String(), client.WithLogger(zap.New(logs)))
+			for range 2 {
+				got, err := list.Instances(t.Context())
+				is.NoErr(err)
+				var ids []string
+				for _, i := range got {
+					ids = append(ids, i.ID)
+				}
+				is.Equal(ids, []string{"w1", "w2"})
+			}
+			is.Equal(entries.Len(), 1)
+		})
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -100,7 +100,7 @@
 		opt(d)
 	}
 	d.log = client.NewLog(s.LogAddress.String())
-	d.list = client.NewList(s.ListAddress.String())
+	d.list = client.NewList(s.ListAddress.String(), client.WithLogger(d.logger))
 	d.self = controller.Self{
 		ID:               s.Instance,
 		AvailabilityZone: s.AvailabilityZone,
