Instance records: IDs, addresses and processors that can't be used are invalid

The list of instances is a topic of ours, so that only a fault of our own or a stray writer can put such a record there. What it would do: an ID that isn't UTF-8 gets into the roster, which no instance can decode then, so that nobody knows the standbys; an address with a slash, a question mark or a user name leads to another target; NaN or infinite processors are compared when standbys are selected.

They are refused where the record is parsed; the other records hold, as before. A port above 65535 only failed to connect.

Evidence: 8 new cases of TestRecords failed.

--- a/relay/instance.go
+++ b/relay/instance.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"math"
 	"net"
+	"net/url"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -40,12 +43,27 @@
 	if err := cbor.Unmarshal(r.Value, &i); err != nil {
 		return i, fault.Wrap(fault.Invalid, err, "instance %s", r.Key)
 	}
-	_, port, err := net.SplitHostPort(i.Address)
-	if err != nil {
-		return i, fault.Wrap(fault.Invalid, err, "instance %s", r.Key)
-	}
-	if n, err := strconv.Atoi(port); err != nil || n <= 0 || i.ID == "" || i.AvailabilityZone == "" {
+	if !isAddress(i.Address) || i.ID == "" || !utf8.ValidString(i.ID) || i.AvailabilityZone == "" {
 		return i, fault.New(fault.Invalid, "instance %q at %q in zone %q", i.ID, i.Address, i.AvailabilityZone)
 	}
+	if math.IsNaN(i.Processors) || i.Processors < 0 || i.Processors > maxProcessors {
+		return i, fault.New(fault.Invalid, "instance %q with %v processors", i.ID, i.Processors)
+	}
 	return i, nil
 }
+
+// maxProcessors bounds the processors of an instance.
+const maxProcessors = 1 << 20
+
+// isAddress reports whether an address has a port and stands in a URL for itself.
+func isAddress(address string) bool {
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return false
+	}
+	u, err := url.Parse("http://" + address)
+	return err == nil && u.Host == address && u.String() == "http://"+address
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -531,11 +532,21 @@
 		{ID: "e2", Address: "10.0.0.2:x", AvailabilityZone: "a"},
 		{ID: "e2", Address: address},
 		{Address: address, AvailabilityZone: "a"},
+		{ID: "e2", Address: "10.0.0.2:65536", AvailabilityZone: "a"},
+		{ID: "e2", Address: "10.0.0.2:0", AvailabilityZone: "a"},
+		{ID: "e2", Address: "10.0.0.9/@10.0.0.2:1", AvailabilityZone: "a"},
+		{ID: "e2", Address: "x@10.0.0.2:1", AvailabilityZone: "a"},
+		{ID: "e2", Address: "10.0.0.2?:1", AvailabilityZone: "a"},
+		{ID: "\xff", Address: address, AvailabilityZone: "a"}, // can't be read back from the roster
+		{ID: "e2", Address: address, AvailabilityZone: "a", Processors: math.NaN()},
+		{ID: "e2", Address: address, AvailabilityZone: "a", Processors: math.Inf(1)},
+		{ID: "e2", Address: address, AvailabilityZone: "a", Processors: -1},
 	} {
 		r, err := relay.EncodeRecord(bad)
 		is.NoErr(err)
-		_, err = relay.ParseRecord(r)
-		is.True(fault.Is(err, fault.Invalid))
+		if _, err = relay.ParseRecord(r); !fault.Is(err, fault.Invalid) {
+			t.Errorf("%+v is valid", bad)
+		}
 	}
 	_, err = relay.ParseRecord(provider.KeyedRecord{Key: "e2", Value: []byte("{")})
 	is.True(fault.Is(err, fault.Invalid))
