Worker: an epoch names the incarnation that granted it

What callers would see: an order that is meant for the incarnation of a worker before its restart is carried out by the next one: a task starts that its owner has given up and that runs elsewhere, or a second owner renews a lease that it doesn't hold.

Cause: a worker that restarts under its ID remembers no epoch and counts on from the highest one that its next owner has read. Another owner may have been granted the next number by the incarnation before, and not be on record yet for the new owner. Both incarnations then grant one epoch, and the check of the epoch, the only thing that refuses an order, lets the orders for one pass at the other.

Fix: the low half of an epoch is a number that each process of a worker draws anew, the high half the counter. All orders, grants, handovers, records and the header of quick requests carry the epoch already, so each names its incarnation, and every other incarnation refuses it. Nothing on the wire has another form. Ruled out: a field of its own in each order (old owners wouldn't send it, and the routes and the log would need it as well), and the time of the start (clocks are set back).

Tests: epochs that were written as 1 or "one more" are now what NextEpoch returns. A restart in the harness ends the process before and keeps its ledger, so that overlaps of two incarnations are seen.

--- a/bench/batch/driver.go
+++ b/bench/batch/driver.go
@@ -136,7 +136,7 @@
 	zone := i % c.plan.size.AvailabilityZones
 	inZone := i / c.plan.size.AvailabilityZones
 	b := &fakeWorker{
-		Worker: worker.New(id,
+		Worker: worker.New(id, worker.WithIncarnation(1),
 			worker.WithClock(func() time.Time { return c.now }),
 			worker.WithUsage(usageInterval, usageLag),
 			worker.WithCapacity(workerCapacity)),
--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"testing"
@@ -50,6 +51,8 @@
 	oldest         uint64 // of the zone stream
 	instances      map[string]*instance
 	workers        map[string]*worker.Worker
+	endedLedgers   []worker.Ledger // of the workers' earlier incarnations
+	restarts       uint32          // of workers
 	deadWorkers    map[string]bool
 	leavingWorkers map[string]bool // listed as leaving
 	stalledWorkers map[string]bool // calls to them wait until the stall ends
@@ -94,9 +97,7 @@
 	}
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
-		h.workers[id] = worker.New(id,
-			worker.WithClock(func() time.Time { return h.now }),
-			worker.WithCapacity(resource.Vector{Processors: 4000, Memory: 8192}))
+		h.workers[id] = h.newWorker(id, 1)
 	}
 	for i := range instances {
 		h.boot(fmt.Sprintf("e%d", i))
@@ -104,6 +105,14 @@
 	return h
 }
 
+// newWorker returns one incarnation of a worker.
+func (h *harness) newWorker(id string, incarnation uint32) *worker.Worker {
+	return worker.New(id,
+		worker.WithIncarnation(incarnation),
+		worker.WithClock(func() time.Time { return h.now }),
+		worker.WithCapacity(resource.Vector{Processors: 4000, Memory: 8192}))
+}
+
 // boot starts an instance, replacing a running one with the same ID.
 func (h *harness) boot(id string) {
 	self := controller.Self{ID: id, AvailabilityZone: "a", Incarnation: uint64(h.now.UnixMilli()), Address: id}
@@ -458,7 +467,7 @@
 }
 
 func (h *harness) ledger() worker.Ledger {
-	var all []worker.Ledger
+	all := slices.Clone(h.endedLedgers)
 	for _, id := range sortedKeys(h.workers) {
 		all = append(all, h.workers[id].Ledger())
 	}
--- a/controller/regression_test.go
+++ b/controller/regression_test.go
@@ -296,6 +296,7 @@
 	s.submit("sleep 10s")
 	s.runUntil("started", func() bool { return s.runsOn("w0") })
 	s.workers["w0"] = worker.New("w0",
+		worker.WithIncarnation(2),
 		worker.WithClock(func() time.Time { return s.now }),
 		worker.WithCapacity(resource.Vector{Processors: 4000, Memory: 8192}))
 	s.boot()
--- a/controller/restart_test.go
+++ b/controller/restart_test.go
@@ -7,15 +7,18 @@
 	"github.com/matryer/is"
 
 	"github.com/dogwoodladder/dogwoodladder/controller"
-	"github.com/dogwoodladder/dogwoodladder/resource"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+	"github.com/dogwoodladder/dogwoodladder/standin/faults"
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
 )
 
 // restartWorker replaces a worker's process by a new one with the same ID.
 func (h *harness) restartWorker(id string) {
-	h.workers[id] = worker.New(id,
-		worker.WithClock(func() time.Time { return h.now }),
-		worker.WithCapacity(resource.Vector{Processors: 4000, Memory: 8192}))
+	before := h.workers[id]
+	before.Set(worker.Faults{Common: faults.Common{Dead: true}})
+	h.endedLedgers = append(h.endedLedgers, before.Ledger())
+	h.restarts++
+	h.workers[id] = h.newWorker(id, 1+h.restarts)
 }
 
 // Guards against a worker that stays unused after it restarts under the same
@@ -37,7 +40,7 @@
 	h.restartWorker("w0")
 	h.run(1500 * time.Millisecond)
 	after, _ := h.anyRunning().c.State().Worker("w0")
-	is.Equal(after.Epoch, before.Epoch+1)
+	is.Equal(after.Epoch, provider.NextEpoch(before.Epoch, 1+h.restarts))
 	is.True(h.runUntilSettled(2 * time.Minute))
 	checkRecordedRuns(t, h)
 }
--- a/controller/single_instance_test.go
+++ b/controller/single_instance_test.go
@@ -40,6 +40,7 @@
 	}
 	for _, id := range []string{"w0", "w1"} {
 		s.workers[id] = worker.New(id,
+			worker.WithIncarnation(1),
 			worker.WithClock(func() time.Time { return s.now }),
 			worker.WithCapacity(resource.Vector{Processors: 4000, Memory: 8192}))
 	}
@@ -217,7 +218,7 @@
 	s.readsFail = false
 	s.run(time.Second)
 	is.Equal(s.task().State, zone.Escrowed)
-	is.Equal(s.workerEpoch("w1"), l.Epoch+1) // e0 holds the lease
+	is.Equal(s.workerEpoch("w1"), provider.NextEpoch(l.Epoch, 1)) // e0 holds the lease
 
 	s.boot()
 	s.appendsFail = false
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -81,7 +81,8 @@
 
 // LeaseRequest requests a worker's lease, or its renewal when Epoch is the
 // current epoch. A worker's lease is exclusive and expires; each new grant has a
-// higher epoch. After a lease has expired, no epoch is in force, even when the
+// higher epoch, and one that no other incarnation of the worker grants, see
+// NextEpoch. After a lease has expired, no epoch is in force, even when the
 // worker has no new holder. A started task is covered until the end of the lease
 // or until the time to which TaskExtension extended its own lease, whichever is
 // later.
--- a/spec/batch.pml
+++ b/spec/batch.pml
@@ -132,7 +132,10 @@
 #define PE(o, t) pe[(o) * NT + (t)]
 #define PH(o, t) p_h[(o) * NT + (t)]
 
-/* Workers. */
+/*
+ * Workers. With RESTARTS, worker 0 may forget everything that often, and an
+ * epoch holds a counter and the incarnation of the worker that granted it.
+ */
 byte ep[NW];
 byte hd[NW]; /* holder + 1 */
 byte ls[NW]; /* 0 = lease over, else ticks left + 1 */
@@ -145,6 +148,22 @@
 #define RUNS(w, t) (RA(w, t) != 0 && RL(w, t) != 0)
 #define RESULT(w, t) (RA(w, t) != 0 && RL(w, t) == 0)
 
+#ifdef RESTARTS
+byte inc[NW]; /* incarnation */
+byte p_b[NO]; /* of an Own: the recorded epoch that its owner knew before the grant */
+#define LIVES (RESTARTS + 1)
+#define COUNTER(w) (ep[w] / LIVES)
+#define ABOVE(o, w) (OE(o, w) > ep[w] -> OE(o, w) : ep[w])
+#ifdef M_EPOCH_OF_ANY_INCARNATION
+#define NEXT_EPOCH(o, w) ((ABOVE(o, w) / LIVES + 1) * LIVES)
+#else
+#define NEXT_EPOCH(o, w) ((ABOVE(o, w) / LIVES + 1) * LIVES + inc[w])
+#endif
+#else
+#define COUNTER(w) ep[w]
+#define NEXT_EPOCH(o, w) (ep[w] + 1)
+#endif
+
 #ifdef LIVE
 bool ok; /* faults have stopped */
 bool dead[NO];
@@ -206,6 +225,20 @@
 	fi
 }
 
+/*
+ * OWN_FOLLOWS(o, w): the incarnation of o's Own is the recorded one, or o knew
+ * that one when it asked for the grant, which makes its own the later one.
+ */
+#ifndef RESTARTS
+#define OWN_FOLLOWS(o, w) true
+#else
+#ifdef M_OWN_OF_ANY_INCARNATION
+#define OWN_FOLLOWS(o, w) true
+#else
+#define OWN_FOLLOWS(o, w) (p_y[o] % LIVES == OE(LOG, w) % LIVES || p_b[o] == OE(LOG, w))
+#endif
+#endif
+
 inline fold_own(o)
 {
 	w_ = p_x[o];
@@ -213,7 +246,7 @@
 #ifdef M_OWN_ANY_EPOCH
 	:: true ->
 #else
-	:: p_y[o] > OE(LOG, w_) ->
+	:: p_y[o] > OE(LOG, w_) && OWN_FOLLOWS(o, w_) ->
 #endif
 		OO(LOG, w_) = o + 1;
 		OE(LOG, w_) = p_y[o];
@@ -375,6 +408,9 @@
 	p_k[o] = NONE;
 	p_x[o] = 0;
 	p_y[o] = 0;
+#ifdef RESTARTS
+	p_b[o] = 0;
+#endif
 	for (j : 0 .. NT - 1) {
 		PH(o, j) = 0
 	}
@@ -527,12 +563,15 @@
 
 inline grant(o, w)
 {
-	printf("worker %d grants epoch %d to owner %d (lease left %d)\n", w, ep[w] + 1, o, ls[w]);
-	ep[w]++;
+	printf("worker %d grants epoch %d to owner %d (lease left %d)\n", w, NEXT_EPOCH(o, w), o, ls[w]);
+	ep[w] = NEXT_EPOCH(o, w);
 	hd[w] = o + 1;
 	ls[w] = TTL + 1;
 	rn[w] = false;
 	append(o, OWN, w, ep[w]);
+#ifdef RESTARTS
+	p_b[o] = OE(o, w);
+#endif
 	for (i : 0 .. NT - 1) {
 		PH(o, i) = RA(w, i)
 	}
@@ -619,7 +658,7 @@
  * worker grant its lease at any time: more than the platform allows.
  */
 #define OWNER_WORKER(w) \
-	:: d_step { FREE(o) && ep[w] < EPOCHS(w) && FIRST(w) && GRANTABLE(w) -> grant(o, w); skip } \
+	:: d_step { FREE(o) && COUNTER(w) < EPOCHS(w) && FIRST(w) && GRANTABLE(w) -> grant(o, w); skip } \
 	GIVE_UP(w)
 
 #ifdef WITH_ABANDON
@@ -829,6 +868,23 @@
 #define LANDED rn[w] = false
 #endif
 
+#ifdef RESTARTS
+/* restart: worker w starts again under its ID, and remembers nothing. */
+inline restart(w)
+{
+	printf("worker %d restarts\n", w);
+	inc[w]++;
+	ep[w] = 0;
+	hd[w] = 0;
+	ls[w] = 0;
+	rn[w] = false;
+	for (i : 0 .. NT - 1) {
+		RA(w, i) = 0;
+		RL(w, i) = 0
+	}
+}
+#endif
+
 proctype worker(byte w)
 {
 	do
@@ -836,6 +892,9 @@
 	:: d_step { rn[w] && ls[w] > 0 && !RENEWS_TASKS(hd[w] - 1, w) -> printf("worker %d takes a late renewal at epoch %d\n", w, ep[w]); renew(w); LANDED }
 #ifdef LIVE
 	:: d_step { !ok && ls[w] > 0 -> ls[w] = 0; rn[w] = false }
+#endif
+#ifdef RESTARTS
+	:: d_step { w == 0 && inc[w] < RESTARTS -> restart(w); skip }
 #endif
 	/* The task finishes; it is stopped on request or by itself. */
 	WORKER_TASK(0)
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -26,6 +26,9 @@
 	return|holds|-DWITH_RETURN -DE1=0 $SMALL
 	abandon|holds|-DWITH_ABANDON $SMALL
 	capacity|holds|-DNT=2 -DAMAX=1 -DE1=0 $SMALL
+	worker-restart|holds|-DRESTARTS=1 -DE1=0 $SMALL
+	epoch-of-any-incarnation|caught|-DRESTARTS=1 -DM_EPOCH_OF_ANY_INCARNATION -DE1=0 $SMALL
+	own-of-any-incarnation|caught|-DRESTARTS=1 -DM_OWN_OF_ANY_INCARNATION -DE1=0 $SMALL
 	no-epoch-check|caught|-DM_NO_EPOCH_CHECK $SMALL
 	start-before-readback|caught|-DM_START_BEFORE_READBACK $SMALL
 	no-isolation-bound|caught|-DM_NO_ISOLATION $SMALL
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -30,7 +31,7 @@
 }
 
 func (e entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	r.Header.Set(wire.HeaderEpoch, "1")
+	r.Header.Set(wire.HeaderEpoch, strconv.FormatUint(provider.NextEpoch(0, 0), 10))
 	if e.before != nil && e.before(w, r) {
 		return
 	}
@@ -44,7 +45,7 @@
 	var output bytes.Buffer
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := worker.New("w1", worker.WithSlots(slots))
+		w := worker.New("w1", worker.WithSlots(slots), worker.WithIncarnation(0))
 		lease, err := w.Acquire(provider.LeaseRequest{Holder: "a", TTL: time.Hour})
 		is.NoErr(err)
 		is.NoErr(w.Start(lease.Epoch, provider.TaskSpec{ID: "pricing/1", Kind: provider.KindService}))
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -37,7 +37,7 @@
 		return provider.Lease{}, err
 	}
 	w.lease.holder = request.Holder
-	w.lease.epoch = max(w.lease.epoch, request.AboveEpoch) + 1
+	w.lease.epoch = provider.NextEpoch(max(w.lease.epoch, request.AboveEpoch), w.incarnation)
 	w.extendLease(request, now)
 	return w.grantedLease(), nil
 }
@@ -82,7 +82,7 @@
 		return provider.Lease{}, err
 	}
 	w.lease.holder = to
-	w.lease.epoch++
+	w.lease.epoch = provider.NextEpoch(w.lease.epoch, w.incarnation)
 	w.lease.until = now.Add(w.lease.ttl)
 	return w.grantedLease(), nil
 }
--- a/standin/worker/service_test.go
+++ b/standin/worker/service_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -22,6 +23,12 @@
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
 )
 
+// firstEpoch is the first epoch of a worker whose incarnation is zero.
+var (
+	firstEpoch  = provider.NextEpoch(0, 0)
+	firstHeader = strconv.FormatUint(firstEpoch, 10)
+)
+
 func request(w *worker.Worker, epoch, target string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, target, strings.NewReader("lorry"))
 	r.Header.Set(wire.HeaderEpoch, epoch)
@@ -51,17 +58,17 @@
 		target string
 		fault  string
 	}{
-		{"answered", 1, "1", "/services/pricing/weigh?nonce=n&size=2KB", ""},
-		{"stale", 1, "2", "/services/pricing/weigh?nonce=n", "StaleEpoch"},
+		{"answered", 1, firstHeader, "/services/pricing/weigh?nonce=n&size=2KB", ""},
+		{"stale", 1, strconv.FormatUint(provider.NextEpoch(firstEpoch, 0), 10), "/services/pricing/weigh?nonce=n", "StaleEpoch"},
 		{"no epoch", 1, "", "/services/pricing/weigh?nonce=n", "Invalid"},
-		{"no replica", 1, "1", "/services/style/check?nonce=n", "NotFound"},
-		{"full", 0, "1", "/services/pricing/weigh?nonce=n", "Overloaded"},
-		{"too much", 1, "1", "/services/pricing/weigh?nonce=n&size=65MB", "Invalid"},
+		{"no replica", 1, firstHeader, "/services/style/check?nonce=n", "NotFound"},
+		{"full", 0, firstHeader, "/services/pricing/weigh?nonce=n", "Overloaded"},
+		{"too much", 1, firstHeader, "/services/pricing/weigh?nonce=n&size=65MB", "Invalid"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			w := worker.New("w1", worker.WithClock(newClock().now), worker.WithSlots(tt.slots))
+			w := worker.New("w1", worker.WithClock(newClock().now), worker.WithSlots(tt.slots), worker.WithIncarnation(0))
 			startReplica(t, w)
 			got := request(w, tt.epoch, tt.target)
 			is.Equal(got.Header().Get(wire.HeaderFault), tt.fault)
@@ -81,24 +88,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		pairs := worker.Interference{"yard": {"batch": 3}}
-		w := worker.New("w1", worker.WithInterference(pairs), worker.WithSlots(1))
+		w := worker.New("w1", worker.WithInterference(pairs), worker.WithSlots(1), worker.WithIncarnation(0))
 		startReplica(t, w)
-		is.NoErr(w.Start(1, batch("t", 1, "never")))
+		is.NoErr(w.Start(firstEpoch, batch("t", 1, "never")))
 		took := func() time.Duration {
 			start := time.Now()
-			is.Equal(request(w, "1", "/services/pricing/x?work=10ms").Code, http.StatusOK)
+			is.Equal(request(w, firstHeader, "/services/pricing/x?work=10ms").Code, http.StatusOK)
 			return time.Since(start)
 		}
 		is.Equal(took(), 30*time.Millisecond)
-		is.NoErr(w.Throttle(1, "t", 50))
+		is.NoErr(w.Throttle(firstEpoch, "t", 50))
 		is.Equal(took(), 20*time.Millisecond)
 
-		go request(w, "1", "/services/pricing/x?work=10s")
+		go request(w, firstHeader, "/services/pricing/x?work=10s")
 		synctest.Wait()
-		is.Equal(request(w, "1", "/services/pricing/x").Header().Get(wire.HeaderFault), "Overloaded")
-		is.NoErr(w.Start(1, provider.TaskSpec{ID: "pricing/2", Kind: provider.KindService, Slots: 5}))
-		is.Equal(request(w, "1", "/services/pricing/x").Header().Get(wire.HeaderFault), "Overloaded") // the worker's slots bound all replicas together
-		is.NoErr(w.Stop(1, "t", false))
+		is.Equal(request(w, firstHeader, "/services/pricing/x").Header().Get(wire.HeaderFault), "Overloaded")
+		is.NoErr(w.Start(firstEpoch, provider.TaskSpec{ID: "pricing/2", Kind: provider.KindService, Slots: 5}))
+		is.Equal(request(w, firstHeader, "/services/pricing/x").Header().Get(wire.HeaderFault), "Overloaded") // the worker's slots bound all replicas together
+		is.NoErr(w.Stop(firstEpoch, "t", false))
 		time.Sleep(30 * time.Second)
 		is.Equal(took(), 10*time.Millisecond) // the slot is free again, and no batch task interferes
 	})
@@ -160,7 +167,7 @@
 
 func TestFaultsAtRunTime(t *testing.T) {
 	is := is.New(t)
-	w := worker.New("w1", worker.WithClock(newClock().now))
+	w := worker.New("w1", worker.WithClock(newClock().now), worker.WithIncarnation(0))
 	put := func(body string) int {
 		recorder := httptest.NewRecorder()
 		w.ServeHTTP(recorder, httptest.NewRequest(http.MethodPut, "/faults", strings.NewReader(body)))
@@ -174,7 +181,7 @@
 		is.Equal(w.Get(), want) // unchanged
 	}
 	is.Equal(put(`{"down":true}`), http.StatusOK)
-	is.Equal(request(w, "1", "/services/pricing/x").Header().Get(wire.HeaderFault), "Unavailable")
+	is.Equal(request(w, firstHeader, "/services/pricing/x").Header().Get(wire.HeaderFault), "Unavailable")
 	recorder := httptest.NewRecorder()
 	w.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/ledger", nil)) // exempt from faults
 	var ledger worker.Ledger
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -14,6 +14,9 @@
 //	GET /ledger         what ran on the worker, see Ledger
 //	GET, PUT /faults    see package faults
 //
+// A worker that restarts under its ID remembers nothing. Its epochs differ from
+// those of the process before, so that orders meant for that one are refused.
+//
 // The lease can't be preempted: an Acquire of another holder is refused with
 // fault.Conflict until the lease ends. An Acquire of its holder gets a new epoch
 // at once. The lease of a batch task ends at the later of two times: the end
@@ -39,6 +42,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -86,6 +90,7 @@
 	handler      http.Handler
 	now          func() time.Time
 	id           string
+	incarnation  uint32
 	capacity     resource.Vector
 	slots        int
 	interference Interference
@@ -107,16 +112,17 @@
 // New returns a Worker without tasks.
 func New(id string, opts ...Option) *Worker {
 	w := &Worker{
-		now:        time.Now,
-		id:         id,
-		capacity:   DefaultCapacity,
-		slots:      DefaultSlots,
-		interval:   DefaultInterval,
-		lag:        DefaultLag,
-		checkpoint: DefaultCheckpoint,
-		tasks:      make(map[string]*task),
-		inFlight:   make(map[string]int),
-		ledger:     newLedger(id),
+		now:         time.Now,
+		id:          id,
+		incarnation: rand.Uint32(),
+		capacity:    DefaultCapacity,
+		slots:       DefaultSlots,
+		interval:    DefaultInterval,
+		lag:         DefaultLag,
+		checkpoint:  DefaultCheckpoint,
+		tasks:       make(map[string]*task),
+		inFlight:    make(map[string]int),
+		ledger:      newLedger(id),
 	}
 	for _, opt := range opts {
 		opt(w)
@@ -133,6 +139,12 @@
 	return func(w *Worker) { w.now = now }
 }
 
+// WithIncarnation sets the number that tells this process from others that run
+// under its ID before or after it. It is random by default.
+func WithIncarnation(n uint32) Option {
+	return func(w *Worker) { w.incarnation = n }
+}
+
 // WithCapacity sets the worker's capacity.
 func WithCapacity(v resource.Vector) Option {
 	return func(w *Worker) { w.capacity = v }
