Zone: an Own record of an incarnation before a restart is void

What callers see: a task runs on two workers at the same time. In the harness red-4 runs as attempt 1 on w1 and as attempt 2 on w0 from 43.5 s on, both ordered by one owner.

Cause: an Own record can reach the log long after the grant that it tells of, as when its writer can't reach the log. The worker has restarted by then, and another owner has the next incarnation, under an epoch that may be lower, as a restarted worker doesn't know the epochs before. The record's epoch is the higher one, so it counted as the newer ownership, and its list of tasks, made on the incarnation before, as what the worker holds now. The present owner gave up the runs that it doesn't list (handleTakeover). If that owner was fenced, the worker was missing in the set that its recovery waits for, and its tasks were queued again at once while they ran.

Fix: an Own record holds the recorded epoch that its writer had read when it asked for the lease (After). If the epoch is of another incarnation than the recorded one, it counts only if After is the recorded epoch: that one was granted and on record before the request was made, so the incarnation that answered is the later one. So the ownership records of a worker follow its incarnations in the order of their lives, with no clock and no order among incarnations assumed. A writer whose record is void takes the lease again, as it does for every void Own.

Versions: earlier programs would fold such a record otherwise. Until then both programs fold alike: workers of earlier versions never have such epochs. All other records stay version 1; the appender no longer sets the version itself.

Ruled out: to ignore such a record only at the owner that still holds the worker (the specification breaks then by the recovery of a fenced owner), and the start time of the worker as the order (clocks are set back).

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -117,7 +117,6 @@
 	if len(a.waiting) >= a.maxWaiting {
 		return 0, fault.New(fault.Unavailable, "%d records wait for the log service", len(a.waiting))
 	}
-	r.Version = record.Version
 	r.Writer = a.writer
 	r.Sequence = a.lastSequence + 1
 	data, err := record.Encode(r)
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -8,7 +8,10 @@
 	"github.com/dogwoodladder/dogwoodladder/controller"
 )
 
-const scheduleCount = 150
+const (
+	scheduleCount        = 150
+	restartScheduleCount = 50
+)
 
 // TestRandomFaults runs schedules of random faults: instances killed, paused,
 // replaced and leaving, links cut, log outages, lost answers and stalled
@@ -18,13 +21,31 @@
 	for seed := range uint64(scheduleCount) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runRandomSchedule(t, seed)
+			runRandomSchedule(t, seed, func(*harness) {})
 		})
 	}
 	t.Logf("%d schedules", scheduleCount)
 }
 
-func runRandomSchedule(t *testing.T, seed uint64) {
+// TestRandomFaultsWithRestarts runs schedules in which workers also restart
+// under their IDs.
+func TestRandomFaultsWithRestarts(t *testing.T) {
+	for seed := range uint64(restartScheduleCount) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomSchedule(t, 1000+seed, (*harness).restartRandomWorker)
+		})
+	}
+}
+
+// restartRandomWorker restarts a worker in half of the calls.
+func (h *harness) restartRandomWorker() {
+	if n := h.rand.IntN(2 * len(h.workers)); n < len(h.workers) {
+		h.restartWorker(sortedKeys(h.workers)[n])
+	}
+}
+
+func runRandomSchedule(t *testing.T, seed uint64, injectMore func(*harness)) {
 	h := newHarness(t, seed, 3, 5)
 	h.run(3 * time.Second)
 	h.feed(h.instances["e0"], controller.Apply{ID: 1, Author: "ann", Manifest: []byte(testManifest)})
@@ -34,6 +55,7 @@
 	h.run(time.Second)
 	for range 12 {
 		h.injectRandomFault()
+		injectMore(h)
 		h.run(time.Duration(h.rand.IntN(12000)) * time.Millisecond / step * step)
 	}
 	h.healAll()
--- a/controller/restart_test.go
+++ b/controller/restart_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -44,3 +45,39 @@
 	is.True(h.runUntilSettled(2 * time.Minute))
 	checkRecordedRuns(t, h)
 }
+
+// Guards against a task that runs on two workers. The Own records of e0 for w1
+// wait while it can't reach the log. w1 restarts as e0 leaves, and e1 owns the
+// new incarnation under a lower epoch when the records reach the log.
+func TestOwnRecordOfTheIncarnationBefore(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1, 2, 3)
+	h.run(3 * time.Second)
+	h.feed(h.instances["e0"], controller.Apply{ID: 1, Author: "ann", Manifest: []byte(testManifest)})
+	h.run(10 * time.Second)
+	h.cutLinks[[2]string{"e0", logEndpoint}] = true
+	for range 2 { // e0 takes further epochs
+		h.cutLinks[[2]string{"e0", "w1"}] = true
+		h.run(4 * time.Second)
+		delete(h.cutLinks, [2]string{"e0", "w1"})
+		h.run(4 * time.Second)
+	}
+	h.restartWorker("w1")
+	h.feed(h.instances["e0"], controller.Leave{})
+	h.runCommand("submit", []string{"e1", "6", "red", "sleep", "40s"})
+	h.runCommand("submit", []string{"e1", "4", "blue", "sleep", "8s"})
+	h.run(8 * time.Second)
+	is.True(len(h.workers["w1"].Report().Tasks) > 0)
+	clear(h.cutLinks)
+	isWritten := func() bool { return strings.Contains(h.transcript.String(), "by e0/6: own worker=w1") }
+	for end := h.now.Add(10 * time.Second); h.now.Before(end) && !isWritten(); {
+		h.run(step)
+	}
+	is.True(isWritten())
+	h.cutLinks[[2]string{"e1", "w1"}] = true
+	h.run(12 * time.Second)
+	clear(h.cutLinks)
+	is.True(h.runUntilSettled(3 * time.Minute))
+	checkRecordedRuns(t, h)
+	is.True(!strings.Contains(h.transcript.String(), "evicted")) // no run was given up
+}
--- a/controller/stream.go
+++ b/controller/stream.go
@@ -232,7 +232,7 @@
 		return
 	}
 	c.logEvent(Warn, "state lost", "next", c.follower.Next())
-	c.appendRecord(record.Record{Snapshot: &record.Snapshot{At: c.follower.Next() - 1, State: state, Recovery: true}})
+	c.appendRecord(record.Record{Version: prior.RecordVersion(), Snapshot: &record.Snapshot{At: c.follower.Next() - 1, State: state, Recovery: true}})
 }
 
 // proposeRecords appends the records that any instance of the zone may write.
@@ -410,7 +410,7 @@
 		c.logEvent(Warn, "snapshot failed", "error", err.Error())
 		return
 	}
-	if sequence, ok := c.appendRecord(record.Record{Snapshot: &record.Snapshot{At: c.follower.Next() - 1, State: state}}); ok {
+	if sequence, ok := c.appendRecord(record.Record{Version: c.State().RecordVersion(), Snapshot: &record.Snapshot{At: c.follower.Next() - 1, State: state}}); ok {
 		c.snapshotSequence = sequence
 	}
 }
--- a/controller/worker.go
+++ b/controller/worker.go
@@ -36,6 +36,7 @@
 
 	phase        phase
 	epoch        uint64
+	epochBefore  uint64    // recorded epoch when the lease was requested, zero if none was known
 	ownSequence  uint64    // sequence of the Own record until it is read back, else zero
 	retryAt      time.Time // earliest time of the next acquisition
 	noStartUntil time.Time // earliest time of the next start of a task
@@ -260,6 +261,7 @@
 		return // the worker is acquired once the lease expires
 	}
 	w.phase = acquiring
+	w.epochBefore = 0
 	request := c.leases.AcquireRequest(w.id)
 	request.Epoch = in.Epoch
 	c.enqueueCall(w, Call{Verb: Renew, Epoch: in.Epoch, Lease: request})
@@ -401,13 +403,17 @@
 	if !c.follower.Ready() {
 		return // retried at the next renewal
 	}
-	own := &record.Own{Worker: w.id, Epoch: w.epoch, Capacity: w.capacity, Rack: w.rack}
+	own := &record.Own{Worker: w.id, Epoch: w.epoch, Capacity: w.capacity, Rack: w.rack, After: w.epochBefore}
 	for _, t := range tasks {
 		if t.Kind == provider.KindBatch {
 			own.Held = append(own.Held, record.Attempt{Task: t.ID, Number: t.Attempt})
 		}
 	}
-	sequence, ok := c.appendRecord(record.Record{Own: own})
+	r := record.Record{Own: own}
+	if own.After != 0 && !provider.SameIncarnation(own.Epoch, own.After) {
+		r.Version = record.Version
+	}
+	sequence, ok := c.appendRecord(r)
 	if !ok {
 		return
 	}
@@ -541,9 +547,11 @@
 // because a restarted worker counts its epochs from one again.
 func (c *Controller) acquire(w *worker) {
 	w.phase = acquiring
+	w.epochBefore = 0
 	request := c.leases.AcquireRequest(w.id)
 	if s := c.State(); s != nil {
 		recorded, _ := s.Worker(w.id)
+		w.epochBefore = recorded.Epoch
 		request.AboveEpoch = max(request.AboveEpoch, recorded.Epoch)
 	}
 	c.enqueueCall(w, Call{Verb: Acquire, Lease: request})
--- a/record/codec.go
+++ b/record/codec.go
@@ -14,10 +14,11 @@
 	decoder = newDecoder()
 )
 
-// Encode returns the CBOR encoding of r. Equal records give equal bytes.
+// Encode returns the CBOR encoding of r, in the first version unless r has one.
+// Equal records give equal bytes.
 func Encode(r Record) ([]byte, error) {
 	if r.Version == 0 {
-		r.Version = Version
+		r.Version = firstVersion
 	}
 	data, err := encoder.Marshal(r)
 	if err != nil {
--- a/record/record.go
+++ b/record/record.go
@@ -19,7 +19,11 @@
 )
 
 // Version is the newest record version that this program reads and writes.
-const Version = 1
+const Version = 2
+
+// firstVersion is the version of all records but those that earlier programs
+// would apply differently, so that they read the log as long as possible.
+const firstVersion = 1
 
 // Writer identifies one incarnation of an entry instance. A restart under the
 // same ID has a larger incarnation.
@@ -79,12 +83,17 @@
 // Own states that the writer holds a worker's lease at an epoch, and lists the
 // tasks that the worker held when the lease was granted. It is void if the
 // writer is fenced or the epoch isn't above the recorded one.
+//
+// An epoch of another incarnation of the worker than the recorded one needs
+// Version. The record is void unless After is the recorded epoch, because only
+// then was the lease granted after the recorded one.
 type Own struct {
 	Worker   string          `cbor:"1,keyasint"`
 	Epoch    uint64          `cbor:"2,keyasint"`
 	Capacity resource.Vector `cbor:"3,keyasint"`
 	Rack     string          `cbor:"4,keyasint,omitempty"`
 	Held     []Attempt       `cbor:"5,keyasint,omitempty"` // batch tasks that run or whose result is kept
+	After    uint64          `cbor:"6,keyasint,omitempty"` // recorded epoch that the writer knew when it requested the lease
 }
 
 // Attempt identifies one attempt at a task.
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -37,9 +37,10 @@
 		{Snapshot: &Snapshot{At: 12, State: []byte{1, 2, 3}, Recovery: true}},
 		{Marker: &Marker{}},
 		{Park: &Park{Task: "t1", Reason: "larger than any worker"}},
+		{Version: Version, Own: &Own{Worker: "w1", Epoch: 2<<32 | 7, After: 9}},
 	}
 	for i := range bodies {
-		bodies[i].Version = Version
+		bodies[i].Version = max(bodies[i].Version, firstVersion)
 		bodies[i].Writer = Writer{ID: "a", Incarnation: 1764700000}
 		bodies[i].Sequence = uint64(i) + 1
 	}
--- a/zone/outcome.go
+++ b/zone/outcome.go
@@ -22,7 +22,7 @@
 	WriterFenced           // the writer is fenced
 	OldIncarnation         // a newer incarnation of the writer has written
 	OldRevision            // the revision isn't above the one in force
-	OldEpoch               // the epoch of an Own isn't above the recorded one, or that of a Lapse differs from it
+	OldEpoch               // the epoch of an Own isn't above the recorded one or may be of an incarnation before, or that of a Lapse differs from it
 	OldAttempt             // the attempt isn't the current one
 	KnownTask              // the task was submitted before
 	UnknownTask            // no such task
--- a/zone/restore.go
+++ b/zone/restore.go
@@ -57,6 +57,7 @@
 	s.sweepAt = m.SweepAt
 	s.revision = m.Revision
 	s.serial = m.Serial
+	s.checksIncarnations = m.Incarnations
 	r := &restorer{State: s, snapshot: m}
 	for _, step := range []func() error{r.restoreGroups, r.restoreIncarnations, r.restoreWorkers, r.restoreTasks} {
 		if err := step(); err != nil {
--- a/zone/snapshot.go
+++ b/zone/snapshot.go
@@ -32,6 +32,7 @@
 	Groups           []snapshotGroup       `cbor:"8,keyasint"`  // by name
 	Runs             []snapshotIncarnation `cbor:"9,keyasint"`  // by ID, then incarnation
 	Workers          []snapshotWorker      `cbor:"10,keyasint"` // by ID
+	Incarnations     bool                  `cbor:"12,keyasint,omitempty"`
 	Tasks            []snapshotTask        `cbor:"11,keyasint"` // live ones in the order of submission, then ended ones in the order of ending
 }
 
@@ -118,6 +119,7 @@
 		SweepAt:          s.sweepAt,
 		Revision:         s.revision,
 		Serial:           s.serial,
+		Incarnations:     s.checksIncarnations,
 	}
 	groups := map[*group]int{}
 	for name := range s.Groups() {
--- a/zone/state.go
+++ b/zone/state.go
@@ -29,6 +29,10 @@
 	workers     map[string]*worker
 	quarantined []*worker // by end of quarantine
 	instances   map[string]*instance
+
+	// checksIncarnations is set by the first Own record that earlier programs
+	// don't read. Until then the state is the same as theirs.
+	checksIncarnations bool
 }
 
 // New returns the state before the first record.
@@ -54,6 +58,14 @@
 	return s.next
 }
 
+// RecordVersion returns the version of a record with a snapshot of the state.
+func (s *State) RecordVersion() uint {
+	if s.checksIncarnations {
+		return record.Version
+	}
+	return 0
+}
+
 // SkipTo advances Next to offset past records that are lost. Every instance
 // must skip the same records.
 func (s *State) SkipTo(offset uint64) {
@@ -111,7 +123,7 @@
 	case r.Submit != nil:
 		s.applySubmit(r.Submit, o)
 	case r.Own != nil:
-		s.applyOwn(writer, r.Own, o)
+		s.applyOwn(writer, r.Version, r.Own, o)
 	case r.Claim != nil:
 		s.applyClaim(writer, r.Claim, o)
 	case r.Return != nil:
--- a/zone/worker.go
+++ b/zone/worker.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/record"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
@@ -89,11 +90,14 @@
 
 // applyOwn records the writer as the owner of a worker and moves the tasks that
 // the worker held into the writer's escrow.
-func (s *State) applyOwn(writer *incarnation, body *record.Own, o *Outcome) {
+func (s *State) applyOwn(writer *incarnation, version uint, body *record.Own, o *Outcome) {
 	if !isValidName(body.Worker) || len(body.Rack) > maxName || !isValidAmount(body.Capacity) {
 		o.void(Malformed, "own")
 		return
 	}
+	if version >= record.Version {
+		s.checksIncarnations = true
+	}
 	w := s.workers[body.Worker]
 	if w == nil && len(s.workers) >= maxWorkers {
 		o.void(Full, "workers")
@@ -102,7 +106,7 @@
 	if w == nil {
 		w = &worker{id: body.Worker}
 	}
-	if body.Epoch <= w.epoch {
+	if body.Epoch <= w.epoch || s.mayPrecede(body, w) {
 		o.void(OldEpoch, "")
 		return
 	}
@@ -124,6 +128,20 @@
 	}
 }
 
+// mayPrecede reports whether a lease may have been granted by an incarnation of
+// a worker that ended before the recorded one began.
+//
+// An Own record can reach the log long after its grant. If one of an incarnation
+// that is gone took effect, its list of tasks would be taken for that of the
+// present one, and what runs there would be started elsewhere. The order of the
+// epochs doesn't tell, as a restarted worker doesn't know the epochs before.
+func (s *State) mayPrecede(body *record.Own, w *worker) bool {
+	if !s.checksIncarnations || w.epoch == 0 || provider.SameIncarnation(body.Epoch, w.epoch) {
+		return false
+	}
+	return body.After != w.epoch
+}
+
 // adoptHeld moves a task that a worker holds into the escrow of the worker's
 // new owner.
 //
