Dispatcher: a standby that drops its state knows of no missing job

What callers would see: 410 for a job that was accepted, or 429 for a repeated submission of it, after which callers take it for never accepted.

Cause: an instance answers for all jobs if it follows their streams when it is asked. A job that it doesn't know makes it read the store first. If it stops being a standby meanwhile, it drops what it has read, and a read that goes on ends without an error and without the records that were dropped. The job is missing from a state that is empty.

Ruled out: a lock around the lookup, as a read of the store would hold up the control goroutine.

Evidence: TestStandbyStopsWhileItIsAsked; before, the answer was that the job isn't known.

Why it works: the flag that it follows the streams is cleared before the state is, so a lookup that found nothing and still sees it set has read a whole state. Otherwise the answer is that it is no standby, and another one is asked.

--- a/dispatcher/control_test.go
+++ b/dispatcher/control_test.go
@@ -9,9 +9,12 @@
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
 	"github.com/dogwoodladder/dogwoodladder/election"
+	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/inquiry"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/queue"
+	"github.com/dogwoodladder/dogwoodladder/roster"
 )
 
 // emptyStore holds no records and accepts claims.
@@ -66,3 +69,45 @@
 	d.tomb.Kill(nil)
 	is.NoErr(d.tomb.Wait())
 }
+
+// pagedStore is an emptyStore with records of accepted jobs to read.
+type pagedStore struct {
+	emptyStore
+	read func(from uint64) provider.KeyedPage
+}
+
+func (s *pagedStore) Read(_ context.Context, stream string, from uint64, _ provider.ReadLimit) (provider.KeyedPage, error) {
+	if stream != catalog.Accepts || s.read == nil {
+		return provider.KeyedPage{}, nil
+	}
+	return s.read(from), nil
+}
+
+type noPeers struct{}
+
+func (noPeers) Ask(context.Context, roster.Member, inquiry.Question) (inquiry.Answer, error) {
+	return inquiry.Answer{}, fault.New(fault.Unavailable, "no peers")
+}
+
+// Guards against an accepted job that a standby doesn't know because it drops its state
+// while it looks the job up.
+func TestStandbyStopsWhileItIsAsked(t *testing.T) {
+	is := is.New(t)
+	record, err := catalog.AcceptRecord(&job.Job{ID: "1", Queue: "q", Steps: []job.Step{{Count: 1}}})
+	is.NoErr(err)
+	store := &pagedStore{}
+	d := New(Platform{Store: store}, WithInstance("e1"), WithPeers(roster.Member{ID: "e1"}, noPeers{}))
+	d.standbys.update(true)
+	is.NoErr(d.accepts.Refresh(t.Context()))
+	is.NoErr(d.progress.Refresh(t.Context()))
+	is.True(d.standbys.isCurrent())
+	store.read = func(from uint64) provider.KeyedPage {
+		if from == 0 {
+			return provider.KeyedPage{Records: []provider.KeyedRecord{record}, Next: 2}
+		}
+		d.standbys.update(false)
+		return provider.KeyedPage{Records: []provider.KeyedRecord{{Key: "other"}}, Next: 2}
+	}
+	_, err = d.Respond(t.Context(), inquiry.Question{Job: "1"})
+	is.True(fault.Is(err, fault.Unavailable))
+}
--- a/dispatcher/intake.go
+++ b/dispatcher/intake.go
@@ -233,6 +233,9 @@
 func (d *Dispatcher) lookUpLocally(ctx context.Context, id string) (inquiry.Answer, error) {
 	state, err := d.localState(ctx, id)
 	if fault.Is(err, fault.NotFound) {
+		if !d.standbys.isCurrent() {
+			return inquiry.Answer{}, fault.New(fault.Unavailable, "stopped following the streams of jobs meanwhile")
+		}
 		return inquiry.Answer{
 			Cancelled: d.catalog.IsCancelled(id),
 			Full:      d.catalog.UnmatchedCount() >= maxUnmatchedCancellations,
