Lease: a request names the worker whose lease it asks for

What callers would see: an owner counts one worker as two. w1 is gone and w0 was started at the address that the instance list still has for w1; the lease of w1 is asked for there, and w0 grants it. The owner then holds both under changing epochs, places tasks for the room of two, and gives up what w1 ran at once, though only w1's address is known to be taken.

Cause: the answer to an Acquire was taken for that of the worker that was meant, but nothing in the request or the answer says which one it is. All other orders carry an epoch, which no other worker process grants.

Fix: LeaseRequest.Worker; a worker with another ID refuses with Conflict, as when another owner holds the lease. Workers of earlier versions ignore the field, requests without it are granted as before.

Evidence: TestAddressOfAnotherWorker and the case "another" of TestAcquireOfAnotherWorker failed on the code before (w1 was on record as owned; the lease was granted). The harness now delivers orders by address, as the daemon does.

--- a/controller/harness_test.go
+++ b/controller/harness_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -51,8 +52,9 @@
 	oldest         uint64 // of the zone stream
 	instances      map[string]*instance
 	workers        map[string]*worker.Worker
-	endedLedgers   []worker.Ledger // of the workers' earlier incarnations
-	restarts       uint32          // of workers
+	addresses      map[string]string // of workers that aren't listed under their own
+	endedLedgers   []worker.Ledger   // of the workers' earlier incarnations
+	restarts       uint32            // of workers
 	deadWorkers    map[string]bool
 	leavingWorkers map[string]bool // listed as leaving
 	stalledWorkers map[string]bool // calls to them wait until the stall ends
@@ -126,7 +128,7 @@
 	}
 	for _, id := range sortedKeys(h.workers) {
 		if !h.deadWorkers[id] {
-			in := h.workers[id].Instance("a", "r", id)
+			in := h.workers[id].Instance("a", "r", cmp.Or(h.addresses[id], id))
 			if h.leavingWorkers[id] {
 				in.Status = provider.StatusLeaving
 			}
@@ -382,7 +384,7 @@
 }
 
 func (h *harness) execute(a controller.Call) (provider.Lease, error) {
-	w := h.workers[a.Worker]
+	w := h.workers[a.Address]
 	switch a.Verb {
 	case controller.Acquire:
 		return w.Acquire(a.Lease)
@@ -413,7 +415,7 @@
 		if h.isCut(inst.id, a.Worker) || h.deadWorkers[a.Worker] || h.stalledWorkers[a.Worker] {
 			return
 		}
-		report := h.workers[a.Worker].Report()
+		report := h.workers[a.Address].Report()
 		h.schedule(latency, func() { h.deliverInput(inst, controller.Reported{Worker: a.Worker, Report: report}) })
 	})
 }
--- a/controller/restart_test.go
+++ b/controller/restart_test.go
@@ -46,6 +46,21 @@
 	checkRecordedRuns(t, h)
 }
 
+// Guards against an owner that takes one worker for two. w1 is gone, and w0 was
+// started at the address that the instance list still has for w1.
+func TestAddressOfAnotherWorker(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 1, 1, 2)
+	h.addresses = map[string]string{"w1": "w0"}
+	h.run(3 * time.Second)
+	h.feed(h.instances["e0"], controller.Apply{ID: 1, Author: "ann", Manifest: []byte(testManifest)})
+	h.run(10 * time.Second)
+	owned, _ := h.instances["e0"].c.State().Worker("w0")
+	_, known := h.instances["e0"].c.State().Worker("w1")
+	is.True(!known)
+	is.Equal(owned.Epoch, provider.NextEpoch(0, 1)) // the lease was granted once
+}
+
 // Guards against a task that runs on two workers. The Own records of e0 for w1
 // wait while it can't reach the log. w1 restarts as e0 leaves, and e1 owns the
 // new incarnation under a lower epoch when the records reach the log.
--- a/lease/table.go
+++ b/lease/table.go
@@ -51,7 +51,7 @@
 
 // AcquireRequest returns the request for a worker's lease that isn't held.
 func (t *Table) AcquireRequest(worker string) provider.LeaseRequest {
-	r := provider.LeaseRequest{Holder: t.holder, TTL: t.ttl}
+	r := provider.LeaseRequest{Holder: t.holder, Worker: worker, TTL: t.ttl}
 	if e, known := t.entries[worker]; known {
 		r.AboveEpoch = e.epoch
 	}
--- a/provider/provider.go
+++ b/provider/provider.go
@@ -88,10 +88,11 @@
 // later.
 type LeaseRequest struct {
 	Holder        string        `json:"holder"`
-	Epoch         uint64        `json:"epoch,omitempty"` // zero to acquire, else the epoch to renew
-	AboveEpoch    uint64        `json:"after,omitempty"` // highest known epoch; an acquired epoch is above it, even if the worker has restarted since
-	TTL           time.Duration `json:"ttl"`             // duration of the lease
-	TaskExtension time.Duration `json:"tasks,omitempty"` // extends the batch tasks' own leases by this time; zero leaves them unchanged
+	Worker        string        `json:"worker,omitempty"` // ID of the worker; another one, which may have its address now, refuses to grant
+	Epoch         uint64        `json:"epoch,omitempty"`  // zero to acquire, else the epoch to renew
+	AboveEpoch    uint64        `json:"after,omitempty"`  // highest known epoch; an acquired epoch is above it, even if the worker has restarted since
+	TTL           time.Duration `json:"ttl"`              // duration of the lease
+	TaskExtension time.Duration `json:"tasks,omitempty"`  // extends the batch tasks' own leases by this time; zero leaves them unchanged
 }
 
 // Lease is a worker's answer to a LeaseRequest.
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -25,6 +25,9 @@
 	if request.Holder == "" || len(request.Holder) > maxID {
 		return provider.Lease{}, fault.New(fault.Invalid, "lease holder %q, want 1 to %d bytes", request.Holder, maxID)
 	}
+	if request.Worker != "" && request.Worker != w.id {
+		return provider.Lease{}, fault.New(fault.Conflict, "request is for worker %s, this is %s", request.Worker, w.id)
+	}
 	now := w.now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/standin/worker/restart_test.go
+++ b/standin/worker/restart_test.go
@@ -11,6 +11,28 @@
 	"github.com/dogwoodladder/dogwoodladder/standin/worker"
 )
 
+// Guards against an owner that takes the lease of another worker, whose process
+// was started at the address that the instance list still names.
+func TestAcquireOfAnotherWorker(t *testing.T) {
+	w := worker.New("w1", worker.WithClock(newClock().now))
+	tests := []struct {
+		name, worker string
+		refused      bool
+	}{
+		{"another", "w2", true},
+		{"own", "w1", false},
+		{"earlier version", "", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := w.Acquire(provider.LeaseRequest{Holder: "a", Worker: tt.worker, TTL: time.Second})
+			is.Equal(fault.Is(err, fault.Conflict), tt.refused)
+			is.Equal(err != nil, tt.refused)
+		})
+	}
+}
+
 // Guards against orders that a worker carries out although they are meant for
 // its incarnation before a restart. b owned that one, and a, which hasn't heard
 // of b's epoch, owns the next.
