Controller: a repeated start that is accepted fences the first one

What callers would see: a task that ended well runs again on the worker that ran it, until the next renewal stops it; or, once the attempt was stopped there, beside its next attempt elsewhere.

Cause: a start without an answer is repeated when the worker's list lacks the task. The answer to the repeated start was taken for the end of the matter, but it proves nothing about the first, which may still be on its way. While the worker has the task the first start changes nothing; once the result is acknowledged the worker knows nothing of the attempt and runs it.

Fix: the lease is taken under a new epoch, as after a refusal of a repeated start. Starts that the worker's list shows to have arrived are not repeated and cost nothing more. Ruled out: no repetition at all (the task would wait for the lease to end).

Evidence: TestRepeatedStartIsFenced failed on the code before (the first start was carried out after the task's end was acknowledged).

--- a/controller/regression_test.go
+++ b/controller/regression_test.go
@@ -304,6 +304,22 @@
 	is.Equal(s.task().State, zone.Done)
 }
 
+// Guards against a task that runs again after its end is recorded. A start gets
+// no answer and is repeated; the first one reaches the worker once the result of
+// the second is acknowledged.
+func TestRepeatedStartIsFenced(t *testing.T) {
+	is := is.New(t)
+	s := newInstanceOwning(t, "w0")
+	s.interceptCall = func(a controller.Call) (error, bool) {
+		return fault.New(fault.MayHaveRun, "no answer"), a.Verb == controller.Start && len(s.interceptedCalls) == 0
+	}
+	s.submit("sleep 2s")
+	s.runUntil("done", func() bool { return s.task().State == zone.Done })
+	s.runUntil("acknowledged", func() bool { return len(s.workers["w0"].Report().Tasks) == 0 })
+	_, err := s.execute(s.interceptedCalls[0])
+	is.True(fault.Is(err, fault.StaleEpoch))
+}
+
 // Guards against a cancelled task that runs on forever. The answer to its stop
 // says that the worker's lease is lost, and the lease is acquired again. The
 // stop never took effect, so it must be sent again.
--- a/controller/task.go
+++ b/controller/task.go
@@ -271,7 +271,8 @@
 // refused and the task is assigned elsewhere, the late one would run the same
 // attempt a second time here. After an unanswered start a refusal is therefore
 // not trusted: the lease is acquired again, and its new epoch fences the late
-// call before the attempt is given up.
+// call before the attempt is given up. The same goes for a repeated start that
+// is accepted: the late one would run the attempt again once it has ended.
 func (c *Controller) handleStartAnswer(now time.Time, w *worker, in Called) {
 	c.handleReplicaStarted(w, in)
 	a, ok := w.tasks[in.Task]
@@ -280,6 +281,9 @@
 	}
 	w.lastExtension = now
 	switch {
+	case in.Err == nil && a.startUnanswered:
+		a.stage = running
+		c.reacquire(now, w)
 	case in.Err == nil:
 		a.stage = running
 	case fault.KindOf(in.Err).Answer().Ran != fault.NotRun:
