Controller: the version of an Own record follows the recorded epoch

An Own of another incarnation than the recorded one was written as version 2 only if the writer had read a recorded epoch when it asked for the lease. One that had read none, after a handover or before the log was read, wrote version 1, and until the first record of version 2 the check wasn't in force for it.

--- a/controller/worker.go
+++ b/controller/worker.go
@@ -410,7 +410,7 @@
 		}
 	}
 	r := record.Record{Own: own}
-	if own.After != 0 && !provider.SameIncarnation(own.Epoch, own.After) {
+	if recorded, ok := c.State().Worker(w.id); ok && !provider.SameIncarnation(own.Epoch, recorded.Epoch) {
 		r.Version = record.Version
 	}
 	sequence, ok := c.appendRecord(r)
