Daemon: clients can't hold all memory or all descriptors of an instance

Callers, peers and operators could open connections without a bound and leave them, and bodies of commands, manifests and keys were read whole for as many as came: one instance took up to 1,249 MiB and 426 open files in the crowd tests, and a crowd of links locked out other instances.

All three listeners now share a pool of connections and of bytes of requests in progress (limits.connections, limits.memory), a quarter of it reserved for each. Where it is full, the connections that have waited longest are closed. Messages on links count as well, and the first one may take 4 KiB. Bodies that the gateway passes on as they arrive don't count, as they aren't held; deadlines that a server or a handler sets hold beside those of the pool, which would have replaced the deadline of a request. A batch of keys that breaks off is no longer called too large.

The defaults are above the 8,192 requests in flight that an instance takes, and no time is bounded that wasn't. Ruled out: a limit on connections alone, as 100 commands of 4 MiB took 921 MiB.

--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"encoding/json"
 	"expvar"
 
 	"github.com/dogwoodladder/dogwoodladder/controller"
@@ -43,6 +44,7 @@
 	m.Set("read_errors", &d.counters.readErrors)
 	m.Set("read_bytes", &d.counters.readBytes)
 	m.Set("gateway", expvar.Func(func() any { return d.gateway.Report() }))
+	m.Set("clients", expvar.Func(func() any { return json.RawMessage(d.clients.Vars().String()) }))
 	m.Set("links", expvar.Func(func() any { return d.mesh.Links() }))
 	return m
 }
--- a/daemon/crowd_test.go
+++ b/daemon/crowd_test.go
@@ -23,7 +23,7 @@
 )
 
 // limits lowers the limits of an instance to the machine.
-const limits = ""
+const limits = "limits: {connections: 64, memory: 16MiB}"
 
 const (
 	sendTimeout  = 10 * time.Second // for one member of a crowd to send its part
@@ -50,6 +50,7 @@
 	}{
 		{"caller", caller, "/services/quote/run", longDeadline, 64 << 10, 400},
 		{"caller-large", caller, "/services/quote/run", longDeadline, mebibyte, 400},
+		{"caller-few", caller, "/services/quote/run", longDeadline, mebibyte, 40}, // below the limit of connections
 		{"peer-forward", peers, "/forward/quote/run", forward, mebibyte, 400},
 		{"peer-claims", peers, "/claims", "", mebibyte, 400},
 		{"operator-apply", operator, "/apply", "", mebibyte, 400},
@@ -157,6 +158,16 @@
 	}
 }
 
+// TestUnread guards against answers that nobody reads and that hold all slots,
+// on fewer connections than the limit.
+func TestUnread(t *testing.T) {
+	const size = 40
+	playCrowd(t, caller, size, func(w io.Writer, _ int, _ bool) error {
+		_, err := io.WriteString(w, "GET /services/quote/run?nonce=large&size=4MB HTTP/1.1\r\nHost: a\r\n"+longDeadline+"\r\n")
+		return err
+	})
+}
+
 // TestLinks guards against links that hold frames which never end, and against
 // strangers that take the places of instances.
 func TestLinks(t *testing.T) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/dogwoodladder/dogwoodladder/controller"
 	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/gateway"
+	"github.com/dogwoodladder/dogwoodladder/ingress"
 	"github.com/dogwoodladder/dogwoodladder/member"
 	"github.com/dogwoodladder/dogwoodladder/peer"
 	"github.com/dogwoodladder/dogwoodladder/provider"
@@ -63,6 +64,7 @@
 	addrs       Addresses
 	listeners   []net.Listener
 	counters    counters
+	clients     *ingress.Pool
 }
 
 // Addresses are the listen addresses of an instance, host:port each.
@@ -99,6 +101,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.clients = newPool(s.Limits)
 	d.log = client.NewLog(s.LogAddress.String())
 	d.list = client.NewList(s.ListAddress.String())
 	d.self = controller.Self{
@@ -131,7 +134,10 @@
 		return err
 	}
 	d.control = controller.New(d.self, controllerTiming(d.settings.Timing))
-	d.gateway = gateway.New(gateway.WithLogger(d.logger))
+	d.gateway = gateway.New(
+		gateway.WithLogger(d.logger),
+		gateway.WithMaxBufferedBytes(min(maxBufferedBytes, d.settings.Limits.Memory/bufferedPart)),
+	)
 	d.mesh = d.newMesh()
 	d.tomb.Go(func() error {
 		d.tomb.Go(d.runControl)
@@ -235,6 +241,7 @@
 	handlers := []http.Handler{d.gateway.CallerHandler(), d.peerHandler(), d.operatorHandler()}
 	for i, l := range listeners {
 		server := d.gateway.Server(handlers[i])
+		l = d.clients.Guard(l, server, listenerNames[i], listenerShares[i])
 		d.tomb.Go(func() error {
 			if err := server.Serve(l); err != http.ErrServerClosed {
 				return err
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -215,6 +215,9 @@
 
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if fault.Is(err, fault.Overloaded) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "read body")
 	}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/ingress"
 )
 
 // body is a request's body: buffered when small, else streamed.
@@ -30,6 +31,7 @@
 	}
 	limited := http.MaxBytesReader(c.w, c.r.Body, g.maxBodyBytes)
 	if length < 0 || length > g.maxReplayBytes || !g.reserveBuffer(length) {
+		ingress.PassOn(c.r)
 		c.body.stream = limited
 		return nil
 	}
@@ -37,12 +39,22 @@
 	_ = control.SetReadDeadline(c.deadline)
 	c.body.buffered = make([]byte, length)
 	if _, err := io.ReadFull(limited, c.body.buffered); err != nil {
-		return c.notSentFault()
+		return c.readFault(err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return nil
 }
 
+// readFault is the fault of a request whose body ended early, before any of it
+// was sent.
+func (c *call) readFault(err error) *fault.Error {
+	var f *fault.Error
+	if errors.As(err, &f) {
+		return f
+	}
+	return c.notSentFault()
+}
+
 // reserveBuffer reserves n bytes of the memory for buffered bodies.
 func (g *Gateway) reserveBuffer(n int64) bool {
 	if g.bufferedBytes.Add(n) <= g.maxBufferedBytes {
--- a/gateway/rebalance.go
+++ b/gateway/rebalance.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -143,7 +144,7 @@
 func (g *Gateway) handleKeyTransfer(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBatchBytes))
 	if err != nil {
-		g.refuse(w, fault.New(fault.TooLarge, "batch of keys above %d bytes", maxBatchBytes))
+		g.refuse(w, batchFault(err))
 		return
 	}
 	var keys []keyTransfer
@@ -160,6 +161,19 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// batchFault is the fault of a batch of keys that can't be read.
+func batchFault(err error) *fault.Error {
+	var tooLarge *http.MaxBytesError
+	var f *fault.Error
+	switch {
+	case errors.As(err, &f):
+		return f
+	case errors.As(err, &tooLarge):
+		return fault.New(fault.TooLarge, "batch of keys above %d bytes", maxBatchBytes)
+	}
+	return fault.Wrap(fault.Invalid, err, "read keys")
+}
+
 // sameMembers reports whether two tables list the same peers.
 func sameMembers(a, b *route.Table) bool {
 	if len(a.Peers) != len(b.Peers) {
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -123,6 +123,8 @@
 	touchedAt    atomic.Int64 // Unix nanoseconds, of a hijacked connection
 	writingSince atomic.Int64 // Unix nanoseconds, zero outside a write
 
+	readDeadline, writeDeadline atomic.Int64 // set by the server or a handler, Unix nanoseconds, zero for none
+
 	// Guarded by the pool's mutex.
 	evicted  bool
 	closed   bool
@@ -178,7 +180,7 @@
 	for {
 		now := time.Now()
 		c.writingSince.Store(now.UnixNano())
-		if err := c.Conn.SetWriteDeadline(now.Add(c.entrance.pool.progressTimeout)); err != nil {
+		if err := c.Conn.SetWriteDeadline(earlier(now.Add(c.entrance.pool.progressTimeout), c.writeDeadline.Load())); err != nil {
 			return written, err
 		}
 		part := b[written:min(len(b), written+maxWrite)]
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -52,6 +52,7 @@
 	header   http.Header // of the answer
 	counter  counter
 	deadline time.Time
+	passedOn bool // the bytes aren't held
 }
 
 func newBody(c *conn, w http.ResponseWriter, inner io.ReadCloser) *body {
@@ -67,7 +68,7 @@
 	if next.After(b.deadline) {
 		next = b.deadline
 	}
-	_ = c.Conn.SetReadDeadline(next) // fails if the connection is closed, as the read does
+	_ = c.Conn.SetReadDeadline(earlier(next, c.readDeadline.Load())) // fails if the connection is closed, as the read does
 }
 
 // Read reads a part of the body within the time for it. Like http.MaxBytesReader it has the
@@ -76,7 +77,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	b.extend()
 	n, err := b.ReadCloser.Read(p)
-	if countErr := b.counter.add(n); countErr != nil {
+	if countErr := b.count(n); countErr != nil {
 		b.header.Set("Connection", "close")
 		b.header.Set("Retry-After", "1")
 		return 0, countErr
@@ -84,7 +85,7 @@
 	c := b.counter.conn
 	switch {
 	case errors.Is(err, io.EOF):
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		_ = c.Conn.SetReadDeadline(earlier(time.Time{}, c.readDeadline.Load()))
 		c.entrance.pool.setWaiting(c, false)
 	case err != nil && c.isEvicted():
 		return n, fault.Wrap(fault.Overloaded, ErrClosed, "read body")
@@ -94,6 +95,13 @@
 	return n, err
 }
 
+func (b *body) count(n int) error {
+	if b.passedOn {
+		return nil
+	}
+	return b.counter.add(n)
+}
+
 func (c *conn) isEvicted() bool {
 	c.entrance.pool.mu.Lock()
 	defer c.entrance.pool.mu.Unlock()
--- a/peer/accept.go
+++ b/peer/accept.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 
 	"github.com/coder/websocket"
 	"gopkg.in/tomb.v2"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/ingress"
 )
 
 // ServeHTTP accepts a connection; mount it at Path on the peer listener. It
@@ -24,7 +26,7 @@
 		return // Accept has answered
 	}
 	defer func() { _ = socket.CloseNow() }()
-	remote, err := m.receiveHello(t, socket)
+	remote, err := m.receiveHello(t, r.Context(), socket)
 	if err != nil {
 		return
 	}
@@ -34,20 +36,22 @@
 	}
 	defer m.releaseLink(l)
 	c := newConnection(l, socket, remote, false)
+	c.client = r.Context()
 	if err := c.admit(t); err == nil {
 		c.serve(t)
 	}
 }
 
 // receiveHello reads and checks the hello of the dialing instance.
-func (m *Mesh) receiveHello(t *tomb.Tomb, socket *websocket.Conn) (hello, error) {
-	socket.SetReadLimit(MaxFrame)
+func (m *Mesh) receiveHello(t *tomb.Tomb, client context.Context, socket *websocket.Conn) (hello, error) {
+	socket.SetReadLimit(maxHello)
 	ctx, cancel := context.WithTimeout(t.Context(context.Background()), m.timeout)
 	defer cancel()
-	remote, err := readHello(ctx, socket)
+	remote, err := readHello(ctx, client, socket)
 	if err != nil {
 		return hello{}, err
 	}
+	socket.SetReadLimit(MaxFrame)
 	if remote.To != m.self.ID || remote.ID == m.self.ID {
 		_ = writeHello(ctx, socket, m.newHello(remote.ID)) // tells the dialer which instance it reached
 		return hello{}, errWrongInstance
@@ -79,8 +83,20 @@
 	return socket.Write(ctx, websocket.MessageBinary, data)
 }
 
-func readHello(ctx context.Context, socket *websocket.Conn) (hello, error) {
-	_, data, err := socket.Read(ctx)
+// readFrame reads a message. client is the context of the request by which the
+// connection was made, if it was accepted.
+func readFrame(ctx, client context.Context, socket *websocket.Conn) ([]byte, error) {
+	_, r, err := socket.Reader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	message, done := ingress.Message(client, r)
+	defer done()
+	return io.ReadAll(message)
+}
+
+func readHello(ctx, client context.Context, socket *websocket.Conn) (hello, error) {
+	data, err := readFrame(ctx, client, socket)
 	if err != nil {
 		return hello{}, err
 	}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -13,6 +13,7 @@
 // Bounds of a frame.
 const (
 	MaxFrame  = 1 << 20 // bytes
+	maxHello  = 4 << 10 // bytes of the first frame
 	maxFree   = 1024    // services in a heartbeat
 	maxName   = 128     // bytes of a name in a hello or heartbeat
 	maxPairs  = 2 * maxFree
--- a/peer/connection.go
+++ b/peer/connection.go
@@ -29,7 +29,8 @@
 	link             *link
 	socket           *websocket.Conn
 	remote           hello
-	dialed           bool // by this instance
+	dialed           bool            // by this instance
+	client           context.Context // of the request that was accepted
 	tomb             tomb.Tomb
 	done             chan struct{} // closed after the last event
 	confirmRequested chan struct{} // wakes confirm
@@ -48,6 +49,7 @@
 		socket:           socket,
 		remote:           remote,
 		dialed:           dialed,
+		client:           context.Background(),
 		done:             make(chan struct{}),
 		confirmRequested: make(chan struct{}, 1),
 		lastReceived:     time.Now(),
@@ -172,7 +174,7 @@
 
 func (c *connection) read(ctx context.Context) error {
 	for {
-		_, data, err := c.socket.Read(ctx)
+		data, err := readFrame(ctx, c.client, c.socket)
 		if err != nil {
 			return err
 		}
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -116,14 +116,15 @@
 }
 
 func (l *link) exchangeHello(ctx context.Context, socket *websocket.Conn) (hello, error) {
-	socket.SetReadLimit(MaxFrame)
+	socket.SetReadLimit(maxHello)
 	if err := writeHello(ctx, socket, l.mesh.newHello(l.id)); err != nil {
 		return hello{}, err
 	}
-	remote, err := readHello(ctx, socket)
+	remote, err := readHello(ctx, context.Background(), socket)
 	if err != nil {
 		return hello{}, err
 	}
+	socket.SetReadLimit(MaxFrame)
 	// The list may show an address for an instance although another one uses it
 	// now. So both ends identify themselves first; otherwise an instance could
 	// execute messages meant for another.
--- a/setting/parse.go
+++ b/setting/parse.go
@@ -34,6 +34,7 @@
 		document.Required("listen", p.readListen),
 		document.Required("platform", p.readPlatform),
 		document.Optional("logs", document.Into(&s.LogLevel, parseLevel)),
+		document.Optional("limits", p.readLimits),
 		document.Optional("timing", p.readTimings),
 	)
 	if n.Valid() {
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -1,5 +1,5 @@
 // Package setting reads the settings file of a daemon process: its identity, its
-// listeners, the addresses of the platform, and its timing.
+// listeners, the addresses of the platform, its limits, and its timing.
 //
 // Usage:
 //
@@ -37,10 +37,11 @@
 	ListAddress netip.AddrPort // the platform's instance list
 
 	LogLevel zapcore.Level // minimum level that is logged
+	Limits   Limits
 	Timing   Timing
 }
 
 // Default returns the default settings. The identity and the addresses have none.
 func Default() Settings {
-	return Settings{LogLevel: zapcore.InfoLevel, Timing: defaultTiming()}
+	return Settings{LogLevel: zapcore.InfoLevel, Limits: defaultLimits(), Timing: defaultTiming()}
 }
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -49,6 +49,7 @@
 	want.LogAddress = netip.MustParseAddrPort("10.1.0.2:9000")
 	want.ListAddress = netip.MustParseAddrPort("[fd00::2]:9001")
 	want.LogLevel = zapcore.WarnLevel
+	want.Limits = Limits{Connections: 5000, Memory: 1 << 30}
 	want.Timing.HeartbeatInterval = time.Second
 	want.Timing.TaskLease = 2 * time.Minute
 	is.Equal(*s, want)
--- a/setting/table.go
+++ b/setting/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -36,6 +37,11 @@
 func rows() []row {
 	list := slices.Clone(addressRows)
 	list = append(list, row{"logs", Default().LogLevel.String(), "least level that is logged: debug, info, warn or error"})
+	limits := Default().Limits
+	list = append(list,
+		row{"limits.connections", strconv.Itoa(limits.Connections), "open connections of all listeners together; at most half of the files that the process may open"},
+		row{"limits.memory", formatMemory(limits.Memory), "bytes of requests in progress on all listeners together, each counted twice; bodies that are passed on count only while buffered"},
+	)
 	for _, t := range timings {
 		list = append(list, row{"timing." + t.key, t.defaultValue.String(), t.meaning})
 	}
