Gateway: callers that stop in the middle don't keep a service's slots

Callers that stopped in a streamed body, or didn't read their answers, held all slots of a service until their deadlines, up to ten minutes, and everyone else was refused with "the queue is full". That took no more than 40 connections.

A slot is held while a body is streamed or an answer is passed on, and waiting for the caller wasn't told from waiting for the worker. Now it is: when a request is refused for want of a slot, the request of its service that has waited longest for its caller, for a second at least, is ended, and likewise when an instance has as many requests as it takes. In calm nothing is ended. The ended one says MayHaveRun where a part was sent, and Overloaded where its body was still being collected and nothing was. Its end is no sample of the workers' load.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -38,7 +38,10 @@
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(c.deadline)
 	c.body.buffered = make([]byte, length)
-	if _, err := io.ReadFull(limited, c.body.buffered); err != nil {
+	c.callerWait.start()
+	_, err := io.ReadFull(limited, c.body.buffered)
+	c.callerWait.stop()
+	if err != nil {
 		return c.readFault(err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
@@ -52,6 +55,9 @@
 	if errors.As(err, &f) {
 		return f
 	}
+	if c.callerWait.ended.Load() {
+		return fault.New(fault.Overloaded, "too many requests in flight, and the body didn't arrive")
+	}
 	return c.notSentFault()
 }
 
@@ -80,7 +86,7 @@
 // empty.
 func (b *body) newReader(w *watchdog) io.ReadCloser {
 	if b.stream != nil {
-		return &upload{body: b, watch: w}
+		return &upload{body: b, watch: w, callerWait: &w.call.callerWait}
 	}
 	if len(b.buffered) == 0 {
 		return nil
@@ -105,14 +111,17 @@
 // upload reads a streamed body for an attempt. The watchdog is paused while the
 // caller, rather than the worker, is waited for.
 type upload struct {
-	body  *body
-	watch *watchdog
+	body       *body
+	watch      *watchdog
+	callerWait *callerWait
 }
 
 func (u *upload) Read(p []byte) (int, error) {
 	u.body.readStarted.Store(true)
 	u.watch.endWait()
+	u.callerWait.start()
 	n, err := u.body.stream.Read(p)
+	u.callerWait.stop()
 	u.watch.startWait()
 	if err != nil && err != io.EOF {
 		u.body.readFailure.Store(&err)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,6 +32,7 @@
 	idempotent bool
 	body       *body
 	keyClaim   *claim // nil when no key was claimed
+	callerWait callerWait
 
 	attempts   int
 	triedIDs   []string // workers and peers that were tried
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -19,8 +19,8 @@
 	r := g.Report()
 	fmt.Fprintf(&b, "gateway leaving=%t in_flight=%d waiting=%d answered=%d keys=%d\n",
 		g.isLeaving(), r.InFlight, r.Waiting, r.Answered, r.Keys)
-	fmt.Fprintf(&b, "retries=%d unbudgeted=%d forwards=%d dropped=%d truncated=%d silent=%d probes=%d lapsed=%d abandoned=%d\n",
-		r.Retries, r.Unbudgeted, r.Forwards, r.Dropped, r.Truncated, r.Silent, r.Probes, r.Lapsed, r.Abandoned)
+	fmt.Fprintf(&b, "retries=%d unbudgeted=%d forwards=%d dropped=%d truncated=%d silent=%d probes=%d lapsed=%d abandoned=%d stalled=%d\n",
+		r.Retries, r.Unbudgeted, r.Forwards, r.Dropped, r.Truncated, r.Silent, r.Probes, r.Lapsed, r.Abandoned, r.Stalled)
 	for _, kind := range slices.Sorted(maps.Keys(r.Refused)) {
 		fmt.Fprintf(&b, "refused kind=%s count=%d\n", kind, r.Refused[kind])
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,7 @@
 	calls           map[*call]struct{}
 	rebalancedTable *route.Table // membership for which the keys were last rebalanced
 	rebalancing     bool
+	nextStallSearch time.Time
 	draining        bool
 	drained         chan struct{} // closed once draining has left no call in flight
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,13 +38,21 @@
 	}
 	latency := time.Since(w.startedAt)
 	g.writeHeader(c, resp)
-	if _, err := c.w.Write(body); err != nil && len(body) > 0 {
+	if err := c.write(body); err != nil && len(body) > 0 {
 		g.counters.abandoned.Add(1)
 		return outcome{callResult: callResult{abort: true}, relayed: true, latency: latency}
 	}
 	return outcome{relayed: true, result: result, latency: latency}
 }
 
+// write sends a part of the response's body to the caller.
+func (c *call) write(p []byte) error {
+	c.callerWait.start()
+	defer c.callerWait.stop()
+	_, err := c.w.Write(p)
+	return err
+}
+
 // readFull fills p from a body of the same length.
 func readFull(body io.Reader, p []byte, w *watchdog) error {
 	w.startWait()
@@ -87,7 +95,7 @@
 		n, err := resp.Body.Read(buffer)
 		workerTime += time.Since(readStart)
 		w.endWait()
-		if _, writeErr := c.w.Write(buffer[:n]); writeErr != nil {
+		if err := c.write(buffer[:n]); err != nil {
 			g.counters.abandoned.Add(1)
 			return outcome{callResult: callResult{abort: true}, relayed: true, latency: latency}
 		}
@@ -99,7 +107,9 @@
 			return g.truncatedMidRelay(c, t, latency)
 		}
 		if flush {
+			c.callerWait.start()
 			_ = control.Flush()
+			c.callerWait.stop()
 		}
 	}
 }
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -34,6 +34,7 @@
 	Probes      uint64
 	Lapsed      uint64 // attempts stopped by a lapsed lease
 	Abandoned   uint64 // callers that disconnected
+	Stalled     uint64 // calls ended for others because they waited for their caller
 	InFlight    int
 	Waiting     int
 	Keys        int
@@ -62,7 +63,7 @@
 type counters struct {
 	answered, retries, unbudgeted, forwards atomic.Uint64
 	dropped, truncated, silent, probes      atomic.Uint64
-	lapsed, abandoned                       atomic.Uint64
+	lapsed, abandoned, stalled              atomic.Uint64
 	refused                                 [fault.TooLarge + 1]atomic.Uint64
 }
 
@@ -197,6 +198,7 @@
 		Probes:     c.probes.Load(),
 		Lapsed:     c.lapsed.Load(),
 		Abandoned:  c.abandoned.Load(),
+		Stalled:    c.stalled.Load(),
 	}
 	for k := range c.refused {
 		if n := c.refused[k].Load(); n > 0 {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -20,7 +20,9 @@
 		w.Header().Set(HeaderRequest, c.id)
 	}
 	if err == nil {
-		err = g.begin(c)
+		if err = g.begin(c); err != nil && err.Kind == fault.Overloaded {
+			g.endStalledCall("")
+		}
 	}
 	if err != nil {
 		g.refuse(w, err)
@@ -85,6 +87,9 @@
 	if o.err == nil {
 		return o.callResult
 	}
+	if o.err.Kind == fault.Overloaded || o.err.Kind == fault.OverShare {
+		g.endStalledCall(c.service.Name)
+	}
 	return g.failCall(c, o.err)
 }
 
@@ -139,7 +144,7 @@
 	}
 	g.countFirstAttempt(c)
 	o, duration := g.tryAll(c)
-	if c.isCallerGone() || o.isNoLoadSample() {
+	if c.isCallerGone() || c.callerWait.ended.Load() || o.isNoLoadSample() {
 		g.abandonSlot(ticket)
 		return o
 	}
