Crowds: single requests of legal size are served within lowered limits

A streamed body of 16 MiB, a buffered one of 64 KiB, a manifest of 1 MiB and a command of 4 MiB pass an instance with limits.memory of 16MiB.

--- a/daemon/crowd_test.go
+++ b/daemon/crowd_test.go
@@ -119,6 +119,28 @@
 	}
 }
 
+// TestCalm guards against limits that refuse a single request of legal size.
+func TestCalm(t *testing.T) {
+	s := startSystem(t, limits)
+	tests := []struct {
+		name     string
+		listener int
+		path     string
+		text     string
+		size     int
+	}{
+		{"streamed", caller, "/services/quote/run?nonce=streamed", "", 16 * mebibyte},
+		{"buffered", caller, "/services/quote/run?nonce=buffered", "", 64 << 10},
+		{"manifest", operator, "/apply?wait=5s", site, mebibyte},
+		{"command", operator, "/jobs", `{"tasks":[{"ID":"large","Group":"pricing","Need":{"Processors":1000,"Memory":64}}]}`, 4 * mebibyte},
+	}
+	for _, tt := range tests {
+		body := tt.text + strings.Repeat("\n", tt.size-len(tt.text))
+		s.until(tt.name, func() error { return s.post(tt.listener, tt.path, body) })
+	}
+	s.checkBounds(machineMemory, machineFiles)
+}
+
 // TestConnections guards against connections that cost files or memory without
 // a request, or after its answer.
 func TestConnections(t *testing.T) {
