--- a/gateway/body.go
+++ b/gateway/body.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/ingress"
 )
 
 // body is a request's body: buffered when small, else streamed.
@@ -30,19 +31,36 @@
 	}
 	limited := http.MaxBytesReader(c.w, c.r.Body, g.maxBodyBytes)
 	if length < 0 || length > g.maxReplayBytes || !g.reserveBuffer(length) {
+		ingress.PassOn(c.r)
 		c.body.stream = limited
 		return nil
 	}
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(c.deadline)
 	c.body.buffered = make([]byte, length)
-	if _, err := io.ReadFull(limited, c.body.buffered); err != nil {
-		return c.notSentFault()
+	c.callerWait.start()
+	_, err := io.ReadFull(limited, c.body.buffered)
+	c.callerWait.stop()
+	if err != nil {
+		return c.readFault(err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return nil
 }
 
+// readFault is the fault of a request whose body ended early, before any of it
+// was sent.
+func (c *call) readFault(err error) *fault.Error {
+	var f *fault.Error
+	if errors.As(err, &f) {
+		return f
+	}
+	if c.callerWait.ended.Load() {
+		return fault.New(fault.Overloaded, "too many requests in flight, and the body didn't arrive")
+	}
+	return c.notSentFault()
+}
+
 // reserveBuffer reserves n bytes of the memory for buffered bodies.
 func (g *Gateway) reserveBuffer(n int64) bool {
 	if g.bufferedBytes.Add(n) <= g.maxBufferedBytes {
@@ -68,7 +86,7 @@
 // empty.
 func (b *body) newReader(w *watchdog) io.ReadCloser {
 	if b.stream != nil {
-		return &upload{body: b, watch: w}
+		return &upload{body: b, watch: w, callerWait: &w.call.callerWait}
 	}
 	if len(b.buffered) == 0 {
 		return nil
@@ -93,14 +111,17 @@
 // upload reads a streamed body for an attempt. The watchdog is paused while the
 // caller, rather than the worker, is waited for.
 type upload struct {
-	body  *body
-	watch *watchdog
+	body       *body
+	watch      *watchdog
+	callerWait *callerWait
 }
 
 func (u *upload) Read(p []byte) (int, error) {
 	u.body.readStarted.Store(true)
 	u.watch.endWait()
+	u.callerWait.start()
 	n, err := u.body.stream.Read(p)
+	u.callerWait.stop()
 	u.watch.startWait()
 	if err != nil && err != io.EOF {
 		u.body.readFailure.Store(&err)
