Relay agent: what sessions keep counts toward what clients hold

60 unfinished messages took 411 to 520 MB where 96 are allowed, 20 sessions with specifications 249 to 254 MB, and unread results 149 to 535 MB. Cause: messages, workers, specifications, orders in flight and results of a session weren't bounded in sum, and a message could list 131,072 orders of a byte each.

They are counted in the pool, specifications have numbers below 256, a message has at most 4,096 orders, and 8,192 results that wait end the session. Hold and Release of package ingress have no test of their own.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -186,12 +186,12 @@
 	return true
 }
 
-// release gives back what the connection's request has held.
-func (p *Pool) release(c *conn) {
+// release gives back n bytes of what the connection has held.
+func (p *Pool) release(c *conn, n int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.hold(c, 0)
-	if c.list == &c.entrance.holding {
+	p.hold(c, max(0, c.held-n))
+	if c.held <= lightBytes && c.list == &c.entrance.holding {
 		p.wait(c)
 	}
 }
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -42,7 +43,7 @@
 	}
 	h.next.ServeHTTP(w, r)
 	if phase(c.phase.Load()) == inBody {
-		c.entrance.pool.release(c)
+		c.entrance.pool.release(c, math.MaxInt64)
 	}
 }
 
@@ -130,14 +131,34 @@
 }
 
 // Message returns a reader of one message on a hijacked connection, such as a WebSocket's, with
-// the context of its request. Its bytes count until the next message or done is called. A read
-// that finds no room fails with fault.Overloaded. Outside a pool it returns r.
+// the context of its request. Its bytes count until done is called. A read that finds no room
+// fails with fault.Overloaded. Outside a pool it returns r.
 func Message(ctx context.Context, r io.Reader) (message io.Reader, done func()) {
 	c, ok := ctx.Value(connKey{}).(*conn)
 	if !ok {
 		return r, func() {}
 	}
-	return &messageReader{Reader: r, counter: counter{conn: c}}, func() { c.entrance.pool.release(c) }
+	m := &messageReader{Reader: r, counter: counter{conn: c}}
+	return m, func() { c.entrance.pool.release(c, m.counter.charged) }
+}
+
+// Hold counts n bytes that a hijacked connection has the process keep until they are released or
+// the connection ends, with the context of its request. It fails with fault.Overloaded if there
+// is no room. Outside a pool it does nothing.
+func Hold(ctx context.Context, n int64) error {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok || c.entrance.pool.charge(c, n) {
+		return nil
+	}
+	c.entrance.countRefused()
+	return fault.Wrap(fault.Overloaded, errNoRoom, "hold %d bytes", n)
+}
+
+// Release gives back n bytes of Hold.
+func Release(ctx context.Context, n int64) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.entrance.pool.release(c, n)
+	}
 }
 
 // Read reads a part of the message.
--- a/relay/agent/session.go
+++ b/relay/agent/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/dogwoodladder/dogwoodladder/fault"
+	"github.com/dogwoodladder/dogwoodladder/ingress"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/relay/wire"
 )
@@ -39,6 +41,16 @@
 	// maxOrders bounds the orders in flight on one connection. An owner has one hold
 	// per worker and at most 256 starts in flight.
 	maxOrders = 4096
+	// maxResults bounds the results that wait for an owner to read them: those of the
+	// orders in flight, and as many of orders that weren't forwarded.
+	maxResults = 2 * maxOrders
+)
+
+// What a connection keeps, in bytes. It counts toward what clients may hold.
+const (
+	sessionBytes = 48 << 10 // goroutines and buffers
+	orderBytes   = 8 << 10  // goroutine and request of an order in flight
+	entryBytes   = 128      // entry of a worker or a specification, besides its text
 )
 
 // session is one owner's connection.
@@ -90,35 +102,76 @@
 
 // read receives orders until the connection ends.
 func (s *session) read(ctx context.Context) error {
+	if err := ingress.Hold(ctx, sessionBytes); err != nil {
+		return err
+	}
 	for {
-		data, err := s.readMessage(ctx)
-		if err != nil {
+		if err := s.handleMessage(ctx); err != nil {
 			return err
 		}
-		orders, err := wire.Decode[wire.Orders](data)
-		if err != nil {
-			return err
-		}
-		for _, h := range orders.Hosts {
-			s.hosts[h.Number] = provider.Host{ID: h.ID, Address: h.Address}
-		}
-		s.gap.Store(int64(min(time.Duration(orders.Gap)*time.Microsecond, maxGap)))
-		late := s.isLate(orders.Sent)
-		for i := range orders.Orders {
-			s.handleOrder(ctx, &orders.Orders[i], late)
-		}
 	}
 }
 
-// readMessage waits for a message.
-func (s *session) readMessage(ctx context.Context) ([]byte, error) {
+// handleMessage waits for a message and starts to carry out its orders.
+func (s *session) handleMessage(ctx context.Context) error {
 	timeoutCtx, cancel := context.WithTimeout(ctx, idleTimeout)
 	defer cancel()
-	_, data, err := s.socket.Read(timeoutCtx)
+	_, reader, err := s.socket.Reader(timeoutCtx)
 	if err != nil {
-		return nil, fault.Wrap(fault.Broken, err, "receive orders")
+		return fault.Wrap(fault.Broken, err, "receive orders")
+	}
+	message, done := ingress.Message(ctx, reader)
+	defer done()
+	data, err := io.ReadAll(message)
+	if err != nil {
+		return fault.Wrap(fault.Broken, err, "receive orders")
+	}
+	orders, err := wire.DecodeOrders(data)
+	if err != nil {
+		return err
+	}
+	if err := s.addHosts(ctx, orders.Hosts); err != nil {
+		return err
+	}
+	s.gap.Store(int64(min(time.Duration(orders.Gap)*time.Microsecond, maxGap)))
+	late := s.isLate(orders.Sent)
+	for i := range orders.Orders {
+		o := &orders.Orders[i]
+		if err := s.setSpec(ctx, o.Spec, o.SpecText); err != nil {
+			return err
+		}
+		s.handleOrder(ctx, o, late)
 	}
-	return data, nil
+	return nil
+}
+
+// addHosts adds the workers of a message. An owner doesn't number a worker anew.
+func (s *session) addHosts(ctx context.Context, hosts []wire.Host) error {
+	for _, h := range hosts {
+		if err := ingress.Hold(ctx, int64(entryBytes+len(h.ID)+len(h.Address))); err != nil {
+			return err
+		}
+		s.hosts[h.Number] = provider.Host{ID: h.ID, Address: h.Address}
+	}
+	return nil
+}
+
+// setSpec sets the text of a specification, if there is one.
+func (s *session) setSpec(ctx context.Context, number uint64, text string) error {
+	if text == "" {
+		return nil
+	}
+	if number >= wire.MaxSpecs {
+		return fault.New(fault.Invalid, "number %d of a specification, of %d", number, wire.MaxSpecs)
+	}
+	if err := ingress.Hold(ctx, int64(entryBytes+len(text))); err != nil {
+		return err
+	}
+	if old, ok := s.specs[number]; ok {
+		ingress.Release(ctx, int64(entryBytes+len(old)))
+	}
+	s.specs[number] = text
+	return nil
 }
 
 // isLate reports whether a message was in transit for longer than maxDelay. Only
@@ -134,9 +187,6 @@
 
 // handleOrder starts to carry out an order.
 func (s *session) handleOrder(ctx context.Context, o *wire.Order, late bool) {
-	if o.SpecText != "" {
-		s.specs[o.Spec] = o.SpecText
-	}
 	host, known := s.hosts[o.Host]
 	switch {
 	case !known:
@@ -145,13 +195,13 @@
 	case late:
 		s.queueResult(queuedResult{Result: wire.Result{Number: o.Number, Outcome: wire.Late, Text: "order reached the relay too late"}})
 		return
-	case !s.beginOrder():
+	case !s.beginOrder(ctx):
 		s.queueResult(queuedResult{Result: wire.Result{Number: o.Number, Outcome: wire.NotSent, Text: "too many orders in flight at the relay"}})
 		return
 	}
 	spec := s.specs[o.Spec]
 	s.tomb.Go(func() error {
-		defer s.endOrder()
+		defer s.endOrder(ctx)
 		timeoutCtx, cancel := context.WithTimeout(ctx, time.Duration(o.Wait)*time.Millisecond+orderTimeout)
 		defer cancel()
 		s.queueResult(s.forward(timeoutCtx, host, spec, o))
@@ -159,17 +209,18 @@
 	})
 }
 
-func (s *session) beginOrder() bool {
+func (s *session) beginOrder(ctx context.Context) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.numInFlight >= maxOrders {
+	if s.numInFlight >= maxOrders || ingress.Hold(ctx, orderBytes) != nil {
 		return false
 	}
 	s.numInFlight++
 	return true
 }
 
-func (s *session) endOrder() {
+func (s *session) endOrder(ctx context.Context) {
+	ingress.Release(ctx, orderBytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.numInFlight--
@@ -221,7 +272,11 @@
 func (s *session) queueResult(o queuedResult) {
 	s.mu.Lock()
 	s.results = append(s.results, o)
+	full := len(s.results) > maxResults
 	s.mu.Unlock()
+	if full {
+		s.tomb.Kill(fault.New(fault.Overloaded, "more than %d results wait for the owner", maxResults))
+	}
 	s.signal()
 }
 
--- a/relay/session.go
+++ b/relay/session.go
@@ -13,10 +13,6 @@
 	"github.com/dogwoodladder/dogwoodladder/relay/wire"
 )
 
-// maxSpecs is how many job specifications the other end remembers. It can be small,
-// as the tasks of a job start at about the same time.
-const maxSpecs = 256
-
 // session is one connection to an instance.
 type session struct {
 	executor *Executor
@@ -39,7 +35,7 @@
 	// Owned by the writer.
 	hostNumbers map[endpoint]uint64 // numbers of the workers on this connection
 	specNumbers map[string]uint64   // numbers of the specifications on this connection
-	specTexts   [maxSpecs]string
+	specTexts   [wire.MaxSpecs]string
 	nextSpec    uint64
 }
 
@@ -216,12 +212,12 @@
 	}
 	c.order.Host = n
 	if c.spec == "" {
-		c.order.Spec = maxSpecs // no specification
+		c.order.Spec = wire.MaxSpecs // no specification
 		return
 	}
 	n, ok = s.specNumbers[c.spec]
 	if !ok {
-		n = s.nextSpec % maxSpecs
+		n = s.nextSpec % wire.MaxSpecs
 		s.nextSpec++
 		delete(s.specNumbers, s.specTexts[n])
 		s.specTexts[n] = c.spec
--- a/relay/wire/wire.go
+++ b/relay/wire/wire.go
@@ -4,7 +4,8 @@
 // Usage:
 //
 //	data, err := wire.Encode(wire.Orders{Sent: ms, Orders: orders})
-//	orders, err := wire.Decode[wire.Orders](data)
+//	orders, err := wire.DecodeOrders(data)
+//	results, err := wire.Decode[wire.Results](data)
 //
 // A connection carries Orders in one direction and Results in the other, in
 // CBOR. Workers and job specifications are sent in full once per connection and
@@ -29,6 +30,13 @@
 // for. Another instance may have taken over its address.
 const ToHeader = "Relay-To"
 
+// MaxSpecs is how many specifications a connection has at a time; their numbers are below it. It
+// can be small, as the tasks of a job start at about the same time.
+const MaxSpecs = 256
+
+// MaxOrders is how many orders, and how many workers, one message may have.
+const MaxOrders = 4096
+
 // MaxMessageSize is the maximum size of a message in bytes.
 const MaxMessageSize = 4 << 20
 
@@ -161,3 +169,22 @@
 	}
 	return message, nil
 }
+
+// orderDecoding bounds the memory that a message can make the decoder allocate. An order takes
+// 200 bytes, and may be encoded in one.
+var orderDecoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: MaxOrders}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}()
+
+// DecodeOrders decodes the message of an owner.
+func DecodeOrders(data []byte) (Orders, error) {
+	var message Orders
+	if err := orderDecoding.Unmarshal(data, &message); err != nil {
+		return message, fault.Wrap(fault.Invalid, err, "decode %T", message)
+	}
+	return message, nil
+}
