Cell: a worker with unresolved starts stays on record

What callers would see: a task runs on two workers at the same time after a takeover (TWICE). A worker restarts under its ID, the owner notices and keeps its unlisted starts back, and loses the cell before the next incarnation has listed its runs, as it is cut off. The new owner starts the tasks elsewhere at once.

Cause: with the loss of an incarnation its record was deleted, although starts were kept back that the next one may run. A new owner surveys the workers on record alone.

Now the record is kept until the starts are resolved, and deleted with the last of them unless an incarnation has answered, which is put on record in its place.

Ruled out: putting the next incarnation on record before it answers, as its start time isn't known.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -121,7 +121,8 @@
 }
 
 // deferStart keeps a start that a later incarnation may carry out although its worker is
-// lost. Its task isn't started again until the start is resolved.
+// lost. Its task isn't started again until the start is resolved. The worker stays on
+// record until then, so that a successor waits for the next incarnation as well.
 func (c *Cell) deferStart(r *run) {
 	id := r.worker.host.ID
 	c.unresolvedStarts[id] = append(c.unresolvedStarts[id], r)
@@ -150,6 +151,9 @@
 
 // filterUnresolved keeps the unresolved starts of a worker for which keep returns true.
 func (c *Cell) filterUnresolved(id string, keep func(*run) bool) {
+	if len(c.unresolvedStarts[id]) == 0 {
+		return
+	}
 	var remaining []*run
 	for _, r := range c.unresolvedStarts[id] {
 		if keep(r) {
@@ -157,8 +161,12 @@
 		}
 	}
 	c.unresolvedStarts[id] = remaining
-	if len(remaining) == 0 {
-		delete(c.unresolvedStarts, id)
+	if len(remaining) > 0 {
+		return
+	}
+	delete(c.unresolvedStarts, id)
+	if w := c.workers[id]; w == nil || !w.answered {
+		c.writer.unregister(id)
 	}
 }
 
--- a/cell/save.go
+++ b/cell/save.go
@@ -88,8 +88,8 @@
 }
 
 // unregister schedules the deletion of a worker's record.
-func (rw *recordWriter) unregister(w *worker) {
-	rw.dirtyHosts[w.host.ID] = nil
+func (rw *recordWriter) unregister(id string) {
+	rw.dirtyHosts[id] = nil
 }
 
 // deferAck defers the acknowledgement of a worker's ends until the next write. It returns
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -159,8 +159,8 @@
 	c.nextTokens[w.host.ID] = w.token + 1
 	c.sortedWorkers = nil
 	c.leavePool(w)
-	if w.answered || w.registered {
-		c.writer.unregister(w) // also if its record is still being written
+	if (w.answered || w.registered) && len(c.unresolvedStarts[w.host.ID]) == 0 {
+		c.writer.unregister(w.host.ID) // also if its record is still being written
 	}
 }
 
