Cell: an inherited worker may hold the longest lease

What callers would see: a task runs on two workers at the same time, 9 to 10 s after a takeover, if its worker is cut off just after it answered the new owner.

Cause: an order to an incarnation gives the next one the longest lease, as its deadline is ahead on the other clock. An owner reckons with that lease only where it knew an earlier incarnation itself. For a worker on record it took the lease of 9 s that it gives, though an order to the incarnation before, given by the owner before, may have granted 10 s.

Now a worker on record counts as one with the longest lease when it first answers. Workers that aren't on record have had no orders.

Evidence: TestLeaseOfAnInheritedWorker failed with a task that ran twice 0.6 s after the new owner took the lease for ended; it passes. The lease in the test is given to the worker directly.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -88,10 +88,11 @@
 	w.nextHoldAt = c.now
 }
 
-// assumeLease extends the known lease of a restarted worker to the maximum that an order
-// to an earlier incarnation may have granted it.
+// assumeLease extends the known lease of a worker to the maximum that an order to an
+// earlier incarnation may have granted it, by this owner or, if the worker was on record,
+// an earlier one.
 func (c *Cell) assumeLease(w *worker) {
-	if w.token > c.self.Term {
+	if w.token > c.self.Term || w.registered {
 		w.leaseDeadline = max(w.leaseDeadline, w.clock+c.timing.MaxLease.Milliseconds())
 	}
 }
--- a/cell/takeover_restart_test.go
+++ b/cell/takeover_restart_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
@@ -32,3 +34,30 @@
 	s.run(s.now + settleTime)
 	s.mustComplete(1)
 }
+
+// Guards against a task that runs twice because a new owner assumes a shorter lease than an
+// earlier owner's order gave an incarnation that is on record.
+func TestLeaseOfAnInheritedWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3110, 4, 2)
+	s.awaitsRestarts()
+	s.noMachineList = true
+	s.duration = func(string) time.Duration { return 14 * time.Second }
+	var order provider.StartOrder
+	s.owners[0].onStart = func(o provider.StartOrder) {
+		if o.Host.ID == s.workers[0].host.ID {
+			order = o
+		}
+	}
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(4, 2)}})
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	is.True(order.Task != "")
+	s.workers[0].extendLease(s.workers[0].clock() + 10_000) // by an order for an earlier incarnation
+	s.replaceOwner(0, 1)
+	s.after(10*time.Millisecond, func() { s.owners[1].unreachable[0] = true }) // once it has answered
+	s.run(s.now + 20*time.Second)
+	clear(s.owners[1].unreachable)
+	s.run(s.now + settleTime)
+	s.mustComplete(1)
+}
