Cell: a start that the next incarnation refuses is no crash

What callers would see: a sound job is shown as failed (LOST) after starts of one of its tasks met four restarts of workers.

Cause: the crash of a worker counts at once against the tasks that it may have been starting, and wasn't taken back where the start then came back refused. Where the owner had asked for the incarnation before the refusal came, the refusal was ignored and the start counted as one that nobody had answered, 2 s long.

Now a refusal ends its start whichever incarnation it came from: an order is delivered once, so none carries it out. The crash is taken back.

Ruled out: counting crashes only once the start is resolved, as a trial must not begin elsewhere while the count is missing.

Evidence: TestRefusedStartsAreNoCrashes failed, with the job given up after four crashes; it passes.

--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -189,13 +189,21 @@
 		if !refused {
 			return true
 		}
-		c.removeRun(r)
-		c.endPair(r, provider.EndStopped)
-		c.requeue(r.task)
+		c.dropRefused(r)
 		return false
 	})
 }
 
+// dropRefused drops a run whose start was refused by whichever incarnation it reached. The
+// crash of another one wasn't its fault.
+func (c *Cell) dropRefused(r *run) {
+	c.logEvent("start refused", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", "another incarnation")
+	c.removeRun(r)
+	c.endPair(r, provider.EndStopped)
+	c.retractCrash(r.task, r.attempt)
+	c.requeue(r.task)
+}
+
 // expireStarts ends the unresolved starts that can't run any more, as the lease that they
 // may have given a later incarnation has expired. A worker that may have carried them out
 // and still has ends to list is waited for.
--- a/cell/run.go
+++ b/cell/run.go
@@ -175,8 +175,11 @@
 	}
 	c.settle(r, in.Err)
 	w := c.workerByToken(in.Host, in.Token)
-	if w == nil {
-		return // another incarnation may have answered
+	if w == nil { // another incarnation may have answered
+		if in.Err == nil && in.Refusal != provider.Accepted && r.state == runStarting {
+			c.dropRefused(r)
+		}
+		return
 	}
 	if in.Err != nil {
 		c.logEvent("start unanswered", "task", in.Task, "attempt", in.Attempt, "worker", in.Host, "err", in.Err)
--- a/cell/takeover_restart_test.go
+++ b/cell/takeover_restart_test.go
@@ -61,3 +61,29 @@
 	s.run(s.now + settleTime)
 	s.mustComplete(1)
 }
+
+// Guards against a sound job that fails because starts that were refused after their workers
+// had restarted count as crashes.
+func TestRefusedStartsAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3130, 2, 1)
+	s.ordersAwaitRestart = true
+	o := s.owners[0]
+	o.takeOver()
+	s.run(time.Second)
+	starts := 0
+	o.onStart = func(order provider.StartOrder) {
+		w := s.workerAt(order.Host)
+		starts++
+		switch {
+		case starts <= 4: // the next incarnation is asked before the start arrives
+			w.restart(10 * time.Millisecond)
+		case starts == 5:
+			s.after(10*time.Millisecond, func() { s.restartOne(w.number, 10*time.Millisecond, true) })
+		}
+	}
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(1, 2)}})
+	s.run(s.now + 2*settleTime)
+	is.True(starts > 5)
+	s.mustComplete(1)
+}
