Cell: a test of an order that outlives the survey, red

What callers would see: a task runs on two workers at the same time, until the new owner first asks the worker (TWICE). An earlier owner's start is in transit while the new owner surveys its worker, which doesn't list the run. The worker restarts under its ID right after, so that the start finds an incarnation that has seen no token.

Not fixed here: it takes a takeover and a restart within the 2 s of an order, and all that would exclude it known so far is that inherited tasks wait for as long after a takeover.

--- a/cell/takeover_restart_test.go
+++ b/cell/takeover_restart_test.go
@@ -62,6 +62,34 @@
 	s.mustComplete(1)
 }
 
+// Guards against a task that runs twice because an earlier owner's order reaches the next
+// incarnation of a worker that was surveyed.
+func TestSurveyedWorkerRestarts(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3120, 4, 2)
+	s.awaitsRestarts()
+	var order provider.StartOrder
+	s.owners[0].onStart = func(o provider.StartOrder) {
+		if order.Task == "" && o.Host.ID == s.workers[0].host.ID {
+			order = o
+			s.lateOrderRate = 1
+			s.after(0, func() { s.lateOrderRate = 0 })
+		}
+	}
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(4, 2)}})
+	s.run(s.now + 100*time.Millisecond)
+	is.True(order.Task != "")
+	s.workers[0].corruptEntry(200 * time.Millisecond) // it gets no tasks
+	s.replaceOwner(0, 1)
+	s.run(s.now + 100*time.Millisecond)
+	s.workers[0].restart(300 * time.Millisecond)
+	s.after(300*time.Millisecond, func() { is.Equal(s.workerAt(order.Host).start(order), provider.Accepted) }) // still in transit
+	s.run(s.now + settleTime)
+	s.mustComplete(1)
+}
+
 // Guards against a sound job that fails because starts that were refused after their workers
 // had restarted count as crashes.
 func TestRefusedStartsAreNoCrashes(t *testing.T) {
