--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -88,10 +88,11 @@
 	w.nextHoldAt = c.now
 }
 
-// assumeLease extends the known lease of a restarted worker to the maximum that an order
-// to an earlier incarnation may have granted it.
+// assumeLease extends the known lease of a worker to the maximum that an order to an
+// earlier incarnation may have granted it, by this owner or, if the worker was on record,
+// an earlier one.
 func (c *Cell) assumeLease(w *worker) {
-	if w.token > c.self.Term {
+	if w.token > c.self.Term || w.registered {
 		w.leaseDeadline = max(w.leaseDeadline, w.clock+c.timing.MaxLease.Milliseconds())
 	}
 }
@@ -121,7 +122,8 @@
 }
 
 // deferStart keeps a start that a later incarnation may carry out although its worker is
-// lost. Its task isn't started again until the start is resolved.
+// lost. Its task isn't started again until the start is resolved. The worker stays on
+// record until then, so that a successor waits for the next incarnation as well.
 func (c *Cell) deferStart(r *run) {
 	id := r.worker.host.ID
 	c.unresolvedStarts[id] = append(c.unresolvedStarts[id], r)
@@ -150,6 +152,9 @@
 
 // filterUnresolved keeps the unresolved starts of a worker for which keep returns true.
 func (c *Cell) filterUnresolved(id string, keep func(*run) bool) {
+	if len(c.unresolvedStarts[id]) == 0 {
+		return
+	}
 	var remaining []*run
 	for _, r := range c.unresolvedStarts[id] {
 		if keep(r) {
@@ -157,8 +162,12 @@
 		}
 	}
 	c.unresolvedStarts[id] = remaining
-	if len(remaining) == 0 {
-		delete(c.unresolvedStarts, id)
+	if len(remaining) > 0 {
+		return
+	}
+	delete(c.unresolvedStarts, id)
+	if w := c.workers[id]; w == nil || !w.answered {
+		c.writer.unregister(id)
 	}
 }
 
@@ -180,13 +189,21 @@
 		if !refused {
 			return true
 		}
-		c.removeRun(r)
-		c.endPair(r, provider.EndStopped)
-		c.requeue(r.task)
+		c.dropRefused(r)
 		return false
 	})
 }
 
+// dropRefused drops a run whose start was refused by whichever incarnation it reached. The
+// crash of another one wasn't its fault.
+func (c *Cell) dropRefused(r *run) {
+	c.logEvent("start refused", "task", r.name, "attempt", r.attempt, "worker", r.worker.host.ID, "reason", "another incarnation")
+	c.removeRun(r)
+	c.endPair(r, provider.EndStopped)
+	c.retractCrash(r.task, r.attempt)
+	c.requeue(r.task)
+}
+
 // expireStarts ends the unresolved starts that can't run any more, as the lease that they
 // may have given a later incarnation has expired. A worker that may have carried them out
 // and still has ends to list is waited for.
