--- a/cell/report.go
+++ b/cell/report.go
@@ -90,8 +90,9 @@
 
 // endMissingRuns handles the runs that a worker's answer doesn't list. A start whose
 // deadline had passed when the answer was made can't happen any more on this incarnation,
-// nor on a later one if it was settled by then, and a run that was listed before has ended. If the answer lists all ends, neither will ever have one.
-// Otherwise the run may have ended in any way, so it waits for the rest of the ends.
+// nor on a later one if it was settled by then, and a run that was listed before has ended.
+// If the answer lists all ends, neither will ever have one. Otherwise the run may have
+// ended in any way, so it waits for the rest of the ends.
 func (c *Cell) endMissingRuns(w *worker, held *provider.HoldResult) {
 	if len(w.runs) <= len(held.Running) {
 		return
