--- a/review/third/site/site.go
+++ b/review/third/site/site.go
@@ -34,6 +34,8 @@
 
 	mu     sync.Mutex
 	record *os.File
+	runs   map[*Run]*Worker // that run at present
+	twice  int
 }
 
 // Entry is an instance of the program.
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Site{Service: "price", Zone: "zone-1", MaxHold: 10 * time.Second, dir: dir, started: time.Now(), record: f}
+	s := &Site{Service: "price", Zone: "zone-1", MaxHold: 10 * time.Second, dir: dir, started: time.Now(), record: f, runs: make(map[*Run]*Worker)}
 	if s.Store, err = NewStore(); err != nil {
 		return nil, err
 	}
@@ -68,6 +70,76 @@
 	fmt.Fprintf(s.record, "%8.3f %s\n", time.Since(s.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// began notes that a run has begun, and whether its task runs elsewhere.
+func (s *Site) began(w *Worker, r *Run) {
+	s.mu.Lock()
+	var other *Worker
+	for o, at := range s.runs {
+		if o.Task == r.Task && o != r {
+			other = at
+			s.twice++
+		}
+	}
+	s.runs[r] = w
+	s.mu.Unlock()
+	if other != nil {
+		s.Record("rule TWICE broken: task=%s runs on worker=%s born=%d and on worker=%s born=%d", r.Task, other.ID, other.born, w.ID, w.born)
+	}
+}
+
+func (s *Site) over(r *Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.runs, r)
+}
+
+// Twice returns how many runs began while their task ran on another worker.
+func (s *Site) Twice() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.twice
+}
+
+// Owner returns the instance that owns the cell by its metrics, nil if none does.
+func (s *Site) Owner() *Entry {
+	for _, e := range s.entries {
+		host, _, _ := net.SplitHostPort(e.Front)
+		client := &http.Client{Timeout: 300 * time.Millisecond}
+		r, err := client.Get("http://" + host + ":9180/metrics")
+		if err != nil {
+			continue
+		}
+		body, _ := io.ReadAll(r.Body)
+		_ = r.Body.Close()
+		if bytes.Contains(body, []byte(`"owning": true`)) {
+			return e
+		}
+	}
+	return nil
+}
+
+// Other returns an instance that isn't the given one.
+func (s *Site) Other(e *Entry) *Entry {
+	for _, o := range s.entries {
+		if o != e {
+			return o
+		}
+	}
+	return nil
+}
+
+// Runs returns a worker on which a task of the job runs, nil if there is none.
+func (s *Site) Runs(job string) *Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r, w := range s.runs {
+		if strings.HasPrefix(r.Task, job) {
+			return w
+		}
+	}
+	return nil
+}
+
 // Queue is a queue of the configuration.
 type Queue struct {
 	Name, Prefix string
--- a/review/third/site/worker.go
+++ b/review/third/site/worker.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"time"
 )
@@ -22,6 +24,9 @@
 	mu      sync.Mutex
 	started time.Time
 	crashed bool
+	born    int64 // Unix milliseconds
+	rack    string
+	held    *heldOrder
 	token   uint64
 	lease   int64 // on the worker's clock, milliseconds
 	runs    map[string]*Run
@@ -31,6 +36,12 @@
 	changed chan struct{} // closed when a run ends
 }
 
+// heldOrder is a start that is held up on its way to the worker.
+type heldOrder struct {
+	prefix string // of its task
+	body   *order // nil until it was sent
+}
+
 // Run is a task that runs.
 type Run struct {
 	Task    string
@@ -51,12 +62,48 @@
 
 // StartWorker starts a worker on a machine and puts its entry on the list.
 func (s *Site) StartWorker(id, machine, rack string, processors int) (*Worker, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return s.startWorker(&Worker{ID: id, Machine: machine, Address: "127.0.0.1:0", Processors: processors, rack: rack}, nil)
+}
+
+// Restart starts the next life of a worker that has crashed, under its ID and at its address. A
+// start that was held up on its way arrives first.
+func (w *Worker) Restart() (*Worker, error) {
+	next := &Worker{ID: w.ID, Machine: w.Machine, Address: w.Address, Processors: w.Processors, rack: w.rack}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.site.startWorker(next, w.held)
+}
+
+// HoldUp holds up the next start of a task with a prefix, until the worker is back after a crash.
+func (w *Worker) HoldUp(prefix string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.held = &heldOrder{prefix: prefix}
+}
+
+// HasHeldUp reports whether a start is held up.
+func (w *Worker) HasHeldUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.held != nil && w.held.body != nil
+}
+
+func (s *Site) startWorker(w *Worker, held *heldOrder) (*Worker, error) {
+	l, err := net.Listen("tcp", w.Address)
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{ID: id, Machine: machine, Address: l.Addr().String(), Processors: processors, site: s, started: time.Now(),
-		runs: make(map[string]*Run), highest: make(map[string]uint64), changed: make(chan struct{})}
+	id, machine, rack, processors := w.ID, w.Machine, w.rack, w.Processors
+	w.Address, w.site, w.started, w.born = l.Addr().String(), s, time.Now(), time.Now().UnixMilli()
+	w.runs, w.highest, w.changed = make(map[string]*Run), make(map[string]uint64), make(chan struct{})
+	if held != nil && held.body != nil {
+		rw := httptest.NewRecorder()
+		w.mu.Lock()
+		w.token = held.body.Token
+		w.start(rw, nil, held.body)
+		w.mu.Unlock()
+		s.Record("held start arrives task=%s attempt=%d worker=%s born=%d status=%d", held.body.Task, held.body.Attempt, w.ID, w.born, rw.Code)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", w.guard(w.start))
 	mux.HandleFunc("POST /api/run-stop", w.guard(w.stop))
@@ -68,7 +115,7 @@
 	go w.watch()
 	entry, _ := json.Marshal(map[string]any{
 		"service": s.Service, "address": w.Address, "zone": s.Zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
-		"machine": machine, "labels": []string{"a", rack}, "clockMs": w.clock(), "seq": 1,
+		"machine": machine, "labels": []string{"a", rack}, "clockMs": w.clock(), "seq": 1, "born": w.born,
 		"capacity": map[string]any{"cpu": processors, "memMb": 64000, "gpus": 0},
 	})
 	s.Machines.set(machine, "up", id, processors, rack)
@@ -82,12 +129,14 @@
 	w.mu.Lock()
 	w.crashed = true
 	lost := len(w.runs)
+	for _, r := range w.runs {
+		w.site.over(r)
+	}
 	w.runs = make(map[string]*Run)
 	w.mu.Unlock()
 	_ = w.server.Close()
 	w.site.Machines.set(w.Machine, "down", "", w.Processors, "")
 	w.site.Record("crash worker=%s machine=%s runs=%d", w.ID, w.Machine, lost)
-	time.AfterFunc(3*heartbeat, func() { w.site.Store.Put("keyed.servers", w.ID, nil) })
 }
 
 func (w *Worker) clock() int64 { return time.Since(w.started).Milliseconds() }
@@ -124,7 +173,9 @@
 			w.refuse(rw, "fence")
 			return
 		}
-		w.token = o.Token
+		if h := w.held; h == nil || h.body != nil || !strings.HasPrefix(o.Task, h.prefix) {
+			w.token = o.Token // an order that is held up hasn't been seen
+		}
 		next(rw, r, &o)
 	}
 }
@@ -137,7 +188,15 @@
 	w.lease = max(w.lease, min(deadline, w.clock()+w.site.MaxHold.Milliseconds()))
 }
 
-func (w *Worker) start(rw http.ResponseWriter, _ *http.Request, o *order) {
+func (w *Worker) start(rw http.ResponseWriter, r0 *http.Request, o *order) {
+	if h := w.held; h != nil && h.body == nil && strings.HasPrefix(o.Task, h.prefix) {
+		h.body = o
+		w.site.Record("start held up task=%s attempt=%d worker=%s token=%d", o.Task, o.Attempt, w.ID, o.Token)
+		w.mu.Unlock()
+		<-r0.Context().Done() // it gets no answer
+		w.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	if r := w.runs[o.Task]; r != nil && r.Attempt == o.Attempt {
 		reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock()})
 		return
@@ -153,7 +212,8 @@
 	}
 	w.extend(o.Deadline)
 	w.runs[o.Task] = &Run{Task: o.Task, Attempt: o.Attempt, since: time.Now(), work: w.site.Work(o.Task)}
-	w.site.Record("start task=%s attempt=%d worker=%s machine=%s up_ms=%d", o.Task, o.Attempt, w.ID, w.Machine, w.clock())
+	w.site.Record("start task=%s attempt=%d token=%d worker=%s born=%d", o.Task, o.Attempt, o.Token, w.ID, w.born)
+	w.site.began(w, w.runs[o.Task])
 	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock()})
 }
 
@@ -172,6 +232,7 @@
 // end ends a run. The caller holds the mutex.
 func (w *Worker) end(r *Run, how string) {
 	delete(w.runs, r.Task)
+	w.site.over(r)
 	w.highest[r.Task] = max(w.highest[r.Task], r.Attempt)
 	w.count++
 	w.ended = append(w.ended, endedRow{w.count, r.Task, r.Attempt, how})
@@ -230,7 +291,7 @@
 	for _, e := range w.ended[:min(len(w.ended), maxPage)] {
 		ended = append(ended, []any{e.number, e.task, e.attempt, e.how, ""})
 	}
-	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock(), "running": running, "finished": ended})
+	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock(), "born": w.born, "running": running, "finished": ended})
 }
 
 // Machines is the platform's list of machines.
