--- a/review/third/site/site.go
+++ b/review/third/site/site.go
@@ -28,14 +28,20 @@
 	// Work tells how long a task works, zero for one that lasts.
 	Work func(task string) time.Duration
 
+	// Need tells the processors of a task; nil for no check of capacities. A start over a worker's
+	// capacity counts later than Known after the worker shrank.
+	Need  func(task string) int
+	Known time.Duration
+
 	dir     string
 	started time.Time
 	entries []*Entry
 
-	mu     sync.Mutex
-	record *os.File
-	runs   map[*Run]*Worker // that run at present
-	twice  int
+	mu           sync.Mutex
+	record       *os.File
+	runs         map[*Run]*Worker // that run at present
+	twice        int
+	overCapacity int // starts
 }
 
 // Entry is an instance of the program.
@@ -93,6 +99,19 @@
 	delete(s.runs, r)
 }
 
+func (s *Site) countOver() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.overCapacity++
+}
+
+// OverCapacity returns how many starts brought a worker over its capacity.
+func (s *Site) OverCapacity() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.overCapacity
+}
+
 // Twice returns how many runs began while their task ran on another worker.
 func (s *Site) Twice() int {
 	s.mu.Lock()
@@ -118,6 +137,9 @@
 	return nil
 }
 
+// Entries returns all instances.
+func (s *Site) Entries() []*Entry { return s.entries }
+
 // Other returns an instance that isn't the given one.
 func (s *Site) Other(e *Entry) *Entry {
 	for _, o := range s.entries {
--- a/review/third/site/store.go
+++ b/review/third/site/store.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,11 +24,32 @@
 type Store struct {
 	Address string
 
+	down atomic.Bool // connections are reset, and nothing is done
+
 	mu      sync.Mutex
 	topics  map[string]*topic
 	changed chan struct{} // closed with each record
 }
 
+// SetDown takes the store away or brings it back.
+func (s *Store) SetDown(down bool) { s.down.Store(down) }
+
+// guard resets the connections of requests while the store is away, also of those that wait.
+func (s *Store) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !s.down.Load() {
+			next(w, r)
+			return
+		}
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}
+}
+
 type topic struct {
 	records   [][]byte
 	newest    map[string]entry
@@ -51,9 +73,9 @@
 func NewStore() (*Store, error) {
 	s := &Store{topics: make(map[string]*topic), changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/log-append", s.append)
-	mux.HandleFunc("GET /api/log-read", s.read)
-	mux.HandleFunc("GET /api/log-newest", s.listNewest)
+	mux.HandleFunc("POST /api/log-append", s.guard(s.append))
+	mux.HandleFunc("GET /api/log-read", s.guard(s.read))
+	mux.HandleFunc("GET /api/log-newest", s.guard(s.listNewest))
 	address, err := serve(mux)
 	s.Address = address
 	return s, err
@@ -212,6 +234,11 @@
 		}
 		s.mu.Unlock()
 		select {
+		case <-time.After(50 * time.Millisecond):
+			if s.down.Load() {
+				s.guard(nil)(w, r)
+				return
+			}
 		case <-changed:
 		case <-deadline:
 			waitMs = 0
--- a/review/third/site/worker.go
+++ b/review/third/site/worker.go
@@ -26,6 +26,8 @@
 	crashed bool
 	born    int64 // Unix milliseconds
 	rack    string
+	cut     bool // from the store
+	shrunk  time.Time
 	held    *heldOrder
 	token   uint64
 	lease   int64 // on the worker's clock, milliseconds
@@ -113,16 +115,85 @@
 	w.server = &http.Server{Handler: mux}
 	go func() { _ = w.server.Serve(l) }()
 	go w.watch()
-	entry, _ := json.Marshal(map[string]any{
-		"service": s.Service, "address": w.Address, "zone": s.Zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
-		"machine": machine, "labels": []string{"a", rack}, "clockMs": w.clock(), "seq": 1, "born": w.born,
-		"capacity": map[string]any{"cpu": processors, "memMb": 64000, "gpus": 0},
-	})
 	s.Machines.set(machine, "up", id, processors, rack)
-	s.Store.Put("keyed.servers", id, entry)
+	s.Store.Put("keyed.servers", id, w.entry())
+	go w.beat()
 	return w, nil
 }
 
+func (w *Worker) entry() []byte {
+	entry, _ := json.Marshal(map[string]any{
+		"service": w.site.Service, "address": w.Address, "zone": w.site.Zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+		"machine": w.Machine, "labels": []string{"a", w.rack}, "clockMs": w.clock(), "seq": 1, "born": w.born,
+		"capacity": map[string]any{"cpu": w.Processors, "memMb": 64000, "gpus": 0},
+	})
+	return entry
+}
+
+// beat reports to the store. The entry changes only when more than its sequence number changes; it
+// goes after three heartbeats that didn't arrive while the store was there.
+func (w *Worker) beat() {
+	reported, missed, gone := w.Processors, 0, false
+	for range time.Tick(heartbeat) {
+		w.mu.Lock()
+		crashed, cut, processors := w.crashed, w.cut, w.Processors
+		entry := w.entry()
+		w.mu.Unlock()
+		switch {
+		case crashed:
+			return
+		case w.site.Store.down.Load():
+		case cut:
+			if missed++; missed == 3 {
+				gone = true
+				w.site.Record("entry gone worker=%s", w.ID)
+				w.site.Store.Put("keyed.servers", w.ID, nil)
+			}
+		default:
+			missed = 0
+			if gone || processors != reported {
+				gone, reported = false, processors
+				w.site.Record("entry written worker=%s processors=%d", w.ID, processors)
+				w.site.Store.Put("keyed.servers", w.ID, entry)
+			}
+		}
+	}
+}
+
+// Cut cuts the worker off from the store, or ends that.
+func (w *Worker) Cut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// Shrink changes the worker's capacity. What runs goes on.
+func (w *Worker) Shrink(processors int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Processors = processors
+	w.shrunk = time.Now()
+	w.site.Record("shrunk worker=%s processors=%d", w.ID, processors)
+}
+
+// checkCapacity records a start that brings the worker over its capacity, later than known after it
+// shrank. The caller holds the mutex.
+func (w *Worker) checkCapacity(task string) {
+	need := w.site.Need(task)
+	used := 0
+	for name := range w.runs {
+		used += w.site.Need(name)
+	}
+	if used <= w.Processors {
+		return
+	}
+	age := time.Since(w.shrunk)
+	w.site.Record("over capacity worker=%s processors=%d used=%d need=%d shrunk_ago=%.3f", w.ID, w.Processors, used-need, need, age.Seconds())
+	if age > w.site.Known {
+		w.site.countOver()
+	}
+}
+
 // Crash ends a worker at once: its connections are reset, and all that ran on it is gone. Its
 // entry stays until three heartbeats have been missed.
 func (w *Worker) Crash() {
@@ -214,6 +285,9 @@
 	w.runs[o.Task] = &Run{Task: o.Task, Attempt: o.Attempt, since: time.Now(), work: w.site.Work(o.Task)}
 	w.site.Record("start task=%s attempt=%d token=%d worker=%s born=%d", o.Task, o.Attempt, o.Token, w.ID, w.born)
 	w.site.began(w, w.runs[o.Task])
+	if w.site.Need != nil {
+		w.checkCapacity(o.Task)
+	}
 	reply(rw, http.StatusOK, map[string]any{"clockMs": w.clock()})
 }
 
