Cell: starts that arrive late outlive a survey

An owner is killed while a start is on its way; the next one surveys the worker, which doesn't have the run, and starts the task elsewhere. The worker crashes, comes back under its ID, and the start reaches it before it has seen any token.

Cause: a list that lacks a run ends its start for the incarnation that answered, and the owner took it for the end of the start as such: for starts of an earlier owner after one answer of the worker, for its own after the attempt to send them. An order may be carried out up to 12 s after it was given, by whichever incarnation the ID has then.

Ruled out: the token or the deadline of the order (the next incarnation has seen none, and its clock begins anew); an owner that doesn't know of the crash in time (the connection is reset 0.5 s before the worker is back).

Now a start without an outcome is stray until it can't arrive any more. After a takeover, tasks that the earlier owner may have started wait for answers of all workers that were made two seconds later. A run whose task may have a stray start is stopped as soon as contact with the worker is lost, and isn't started again until the next incarnation has answered or the entry is gone. Stray starts are on record before their tasks are started again. An owner that leaves settles its starts first and records it, so that its successor waits for nothing.

Why it works: an incarnation that has answered under this owner's token refuses the order; before one has answered, the task runs nowhere else.

TestTasksOfRemovedStarterAreStopped ran tasks of an hour with an estimate of a second, which count as hanging 0.1 s around its last check; they have their estimate now, so that it sees whether they go on. New took its options twice.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -91,6 +91,9 @@
 	Heartbeats uint64 `cbor:"4,keyasint,omitempty"` // counts the owner's heartbeats
 	Nonce      uint64 `cbor:"5,keyasint,omitempty"` // identifies the process, as a restart keeps the Instance
 	Sequence   uint64 `cbor:"6,keyasint,omitempty"` // sequence number of the write that claimed the term
+	// Settled means, in the record of an owner that leaves, that none of its starts is under way
+	// or stray, and in a claim, that the owner before left so.
+	Settled bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Catalog holds the state that results from the records read so far.
--- a/cell/advice.go
+++ b/cell/advice.go
@@ -83,7 +83,7 @@
 	var hosts []string
 	for _, w := range c.usableWorkers(s.job.terms.Service) {
 		allowed, asked := s.advice.allowed[w]
-		if asked && !allowed || c.ticket(s, w) != "" || !c.fitsWithoutTicket(s, w) || !t.mayRunOn(w, c.now) {
+		if asked && !allowed || c.ticket(s, w) != "" || !c.fitsWithoutTicket(s, w) || !c.mayRunOn(t, w) {
 			continue
 		}
 		hosts = append(hosts, w.host.ID)
--- a/cell/cancel_test.go
+++ b/cell/cancel_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/job"
 )
 
 // maxStopTime is how long a task of a cancelled job may go on once its worker is in
@@ -52,7 +54,11 @@
 	s.duration = func(string) time.Duration { return time.Hour }
 	s.owners[0].takeOver()
 	s.run(2 * time.Second)
-	submitJobs(s, 4)
+	for n := range 4 {
+		long := step(3, 2)
+		long.Estimate = time.Hour // they don't count as hanging
+		s.submit(&job.Job{ID: jobID(n), Spec: "x", Steps: []job.Step{long}})
+	}
 	s.run(4 * time.Second)
 	is.True(s.runCount(jobID(2)) > 0)
 	s.owners[0].kill()
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -49,6 +49,8 @@
 	Nonce    uint64 // identifies the process
 	Term     uint64
 	Sequence uint64 // of the write that claimed the term; later writes count up from it
+	// Settled means that the earlier owner left in order, and none of its starts is under way.
+	Settled bool
 }
 
 // Cell is the state of the cell at its owner.
@@ -81,8 +83,9 @@
 	excess              *excess.Tracker
 	plan                *colocation.Plan
 	lastPlanAt          time.Duration
-	nextTokens          map[string]uint64     // token for the next incarnation of a dropped worker, by ID
-	unresolvedStarts    map[string][]*run     // starts that a later incarnation of their worker may carry out, by worker ID
+	nextTokens          map[string]uint64 // token for the next incarnation of a dropped worker, by ID
+	unresolvedStarts    map[string][]*run // starts that a later incarnation of their worker may carry out, by worker ID
+	strays              strayState
 	reservedTasks       []*task               // tasks that hold a reservation
 	recentlyDown        map[*worker]crashSpan // workers without a trial that went down recently
 	fillingDemand       map[string]float64    // demand for filling tasks by image, in workers
@@ -138,13 +141,15 @@
 		recentlyDown:     make(map[*worker]crashSpan),
 		nextTokens:       make(map[string]uint64),
 		unresolvedStarts: make(map[string][]*run),
-		writer:           newRecordWriter(now, self.Sequence+1),
-		hosts:            hostList{stale: true},
-		startLimiter:     newStartLimiter(),
-		flows:            make(map[string]*overload.Flow),
-	}
-	for _, opt := range opts {
-		opt(c)
+		strays: strayState{
+			tasks:     make(map[*task]struct{}),
+			inherited: make(map[string]struct{}),
+			awaited:   make(map[string]time.Duration),
+		},
+		writer:       newRecordWriter(now, self.Sequence+1),
+		hosts:        hostList{stale: true},
+		startLimiter: newStartLimiter(),
+		flows:        make(map[string]*overload.Flow),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -158,13 +163,15 @@
 			c.logEvent("learned weights not loaded", "err", err)
 		}
 	}
+	hosts := recorded.Hosts()
+	c.awaitInherited(hosts)
 	for _, e := range inOrder(entries) {
 		c.addJob(e)
 	}
 	for _, id := range recorded.Orphans() {
 		c.writer.dropProgress(id)
 	}
-	for _, h := range inOrder(recorded.Hosts()) {
+	for _, h := range inOrder(hosts) {
 		w := c.addWorker(h)
 		w.registered = true
 		w.startedAt = h.StartedAt
--- a/cell/copies.go
+++ b/cell/copies.go
@@ -372,7 +372,7 @@
 	bestScore := 0.0
 	for _, w := range c.usableWorkers(s.job.terms.Service) {
 		c.passes.checks++
-		if w.host.ID == other.host.ID || w.onProbation || !c.fits(s, w) || !t.mayRunOn(w, c.now) {
+		if w.host.ID == other.host.ID || w.onProbation || !c.fits(s, w) || !c.mayRunOn(t, w) {
 			continue
 		}
 		score := s.baseScore(w) + sharedRackWeight*float64(sharedLabels(w, other, racks))
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -49,7 +49,7 @@
 	passes.lastAt = c.now
 	passes.current++
 	passes.checks = 0
-	if !c.canOrder() || !c.checkListFresh() {
+	if !c.canOrder() || !c.checkListFresh() || c.writer.leaving {
 		return
 	}
 	c.sortWaiting()
@@ -158,7 +158,7 @@
 		}
 		k := -1
 		if t.reservation == nil {
-			k = bestCandidate(found, t, c.now)
+			k = c.bestCandidate(found, t)
 		}
 		if k < 0 {
 			remaining = append(remaining, t) // it has a reservation, or can't run on any candidate
@@ -231,13 +231,13 @@
 
 // bestCandidate returns the index of the candidate with the lowest score that the task may
 // be started on, -1 if there is none.
-func bestCandidate(found []candidate, t *task, now time.Duration) int {
+func (c *Cell) bestCandidate(found []candidate, t *task) int {
 	best := -1
 	for i := range found {
 		if best >= 0 && found[i].score >= found[best].score {
 			continue
 		}
-		if t.mayRunOn(found[i].worker, now) {
+		if c.mayRunOn(t, found[i].worker) {
 			best = i
 		}
 	}
@@ -245,9 +245,10 @@
 }
 
 // mayRunOn reports whether the task itself may be started on the worker: it doesn't run
-// there, didn't fail there recently, and its trial, if it needs one, may take place.
-func (t *task) mayRunOn(w *worker, now time.Duration) bool {
-	return w.runs[t.name] == nil && now >= t.avoidUntil[w] && (!t.suspect || w.canTakeTrial(t.step.job, now))
+// there, no earlier start of it may be carried out elsewhere, it didn't fail there recently,
+// and its trial, if it needs one, may take place.
+func (c *Cell) mayRunOn(t *task, w *worker) bool {
+	return w.runs[t.name] == nil && !c.isHeldBack(t) && c.now >= t.avoidUntil[w] && (!t.suspect || w.canTakeTrial(t.step.job, c.now))
 }
 
 // fits reports whether a step's tasks may be started on a worker now.
--- a/cell/gang.go
+++ b/cell/gang.go
@@ -73,7 +73,7 @@
 	var best *worker
 	for _, w := range pool {
 		n := taken[w]
-		if rack != "" && !w.host.HasLabel(rack) || !c.fits(s, w) || !t.mayRunOn(w, c.now) {
+		if rack != "" && !w.host.HasLabel(rack) || !c.fits(s, w) || !c.mayRunOn(t, w) {
 			continue
 		}
 		if !w.used.Add(s.need.Scale(n + 1)).Fits(w.host.Capacity) {
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -245,8 +245,9 @@
 	onLog             func(cell.LogEvent)      // called for each log line
 	onHold            func(provider.HoldOrder) // called for each hold
 	onStart           func(provider.StartOrder)
-	startsInFlight    int // starts without an answer
-	maxStartsInFlight int // maximum of startsInFlight
+	settled           bool // the earlier owner has left with its starts settled
+	startsInFlight    int  // starts without an answer
+	maxStartsInFlight int  // maximum of startsInFlight
 }
 
 // firstAttempt is the number of the first start of a task by the first owner.
@@ -265,7 +266,7 @@
 	s := o.site
 	term := s.store.claim(o.name)
 	opts := append([]cell.Option{cell.WithCopies(s.copies)}, s.options...)
-	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1}, cell.DefaultTiming(), known, s.now, wall(s.now), opts...)
+	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1, Settled: o.settled}, cell.DefaultTiming(), known, s.now, wall(s.now), opts...)
 	if err != nil {
 		return err
 	}
@@ -282,6 +283,21 @@
 	return nil
 }
 
+// leave makes the owner leave in order, and calls left once that is on record.
+func (o *owner) leave(left func(settled bool)) {
+	o.cell.BeginLeave()
+	var check func()
+	check = func() {
+		if o.cell != nil && !o.cell.HasLeft() {
+			o.site.after(tickInterval, check)
+			return
+		}
+		o.kill()
+		left(o.site.store.readCatalog(o.site.t).Owner().Settled)
+	}
+	check()
+}
+
 // replaceOwner kills one owner and lets another one take the cell.
 func (s *site) replaceOwner(from, to int) {
 	s.owners[from].kill()
--- a/cell/hold.go
+++ b/cell/hold.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/dogwoodladder/dogwoodladder/fault"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
@@ -32,6 +33,9 @@
 	if !w.answered || w.missedHolds > 0 {
 		order.Wait = 0
 	}
+	if from, awaited := c.strays.awaited[w.host.ID]; awaited {
+		order.Wait = min(order.Wait, max(0, from-c.now))
+	}
 	// The lease of a worker that doesn't answer isn't renewed: the worker may carry out
 	// the order all the same, and its tasks would never count as ended.
 	if w.answered && w.missedHolds == 0 && c.canOrder() {
@@ -88,6 +92,7 @@
 	if !w.moreEnded {
 		c.markSurveyed(w)
 	}
+	c.handleAnswer(w)
 	c.markChanged(w)
 	c.scheduleHold(w)
 }
@@ -140,6 +145,12 @@
 		c.logEvent("worker silent", "worker", w.host.ID, "runs", len(w.runs), "err", in.Err)
 	}
 	w.nextHoldAt = c.now + min(maxHoldPause, firstHoldPause<<min(w.missedHolds, 4))
+	switch refused := fault.Is(in.Err, fault.Unavailable); {
+	case w.missedHolds == 1 && !refused && c.isExposed(w.host.ID):
+		c.sendHold(w) // a crash and a connection that is lost look the same
+	case w.missedHolds == 1 && refused, w.missedHolds == 2:
+		c.handleContactLost(w.host.ID)
+	}
 }
 
 // Backoff after holds without an answer. It limits the calls to an unreachable worker,
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -95,6 +95,11 @@
 	}
 }
 
+// has reports whether the latest list has an entry of a worker, be it invalid.
+func (l *hostList) has(id string) bool {
+	return slices.ContainsFunc(l.latest.Hosts, func(h provider.Host) bool { return h.ID == id }) || slices.Contains(l.latest.Invalid, id)
+}
+
 // isUnchanged reports whether a list has the same entries as the latest one. This saves an
 // owner of many workers from updating each of them three times a second. It also keeps a
 // worker that was found to be lost from being added again while its entry hasn't expired
--- a/cell/incarnation.go
+++ b/cell/incarnation.go
@@ -41,6 +41,7 @@
 		next.listedUntil = w.listedUntil
 	}
 	c.survey.replace(w, next)
+	c.awaitIfExposed(w.host.ID)
 	c.sendHold(next)
 }
 
@@ -86,6 +87,7 @@
 	w.token = c.nextToken(w.host.ID)
 	w.holdInFlight = false
 	w.nextHoldAt = c.now
+	c.awaitIfExposed(w.host.ID)
 }
 
 // assumeLease extends the known lease of a worker to the maximum that an order to an
@@ -173,6 +175,7 @@
 
 // endCrashedRun ends a run whose worker may have crashed under it.
 func (c *Cell) endCrashedRun(r *run, end provider.End) {
+	c.recordStray(r)
 	c.failIfCrashing(r.task)
 	c.endRun(r, end, "")
 }
@@ -241,6 +244,7 @@
 				return true
 			}
 			c.endCrashedRun(r, provider.EndLost)
+			c.handleContactLost(id)
 			return false
 		})
 	}
--- a/cell/job.go
+++ b/cell/job.go
@@ -83,6 +83,8 @@
 	suspect           bool                      // it may crash the worker that starts it
 	inheritedStart    bool                      // a start by an earlier owner is on record without an outcome
 	startChange       uint64                    // number of the job's change that records its next start, zero if none does
+	strays            []strayStart              // starts that a later incarnation of their worker may carry out
+	strayChange       uint64                    // number of the job's change that records them, zero if none does
 	reservation       *reservation              // capacity reserved for its next start, nil if none is
 	avoidUntil        map[*worker]time.Duration // workers on which it failed or hung, and until when they are avoided
 }
@@ -204,6 +206,7 @@
 	for _, t := range s.tasks {
 		t.checkpoint = s.job.progress.Checkpoint(t.id)
 		t.restoreCrashes()
+		c.restoreStrays(t)
 		if gangDone || isDone(t) {
 			s.job.progress.RecordDone(t.id)
 			t.done = true
@@ -266,6 +269,7 @@
 	if t.queued || t.done || t.run != nil || !s.open || s.job.final() {
 		return
 	}
+	c.inheritStart(t)
 	t.queued = true
 	t.waitingSince = c.now
 	s.ready = append(s.ready, t)
--- a/cell/relocate.go
+++ b/cell/relocate.go
@@ -83,7 +83,7 @@
 	s := r.task.step
 	var best *worker
 	for _, w := range c.usableWorkers(s.job.terms.Service) {
-		if w == r.worker || !c.fits(s, w) || !r.task.mayRunOn(w, c.now) {
+		if w == r.worker || !c.fits(s, w) || !c.mayRunOn(r.task, w) {
 			continue
 		}
 		loss := c.imageSet(w).Loss(s.spec.Image)
@@ -134,7 +134,7 @@
 			continue
 		}
 		w := c.releaseReservation(t)
-		if !c.isUsable(w) || !c.fits(s, w) || !t.mayRunOn(w, c.now) {
+		if !c.isUsable(w) || !c.fits(s, w) || !c.mayRunOn(t, w) {
 			continue
 		}
 		c.unqueue(t)
--- a/cell/report.go
+++ b/cell/report.go
@@ -47,6 +47,7 @@
 		return c.reject(w, p)
 	}
 	c.unqueue(t)
+	c.foundStart(t, p.Attempt)
 	r := c.addRun(t, p.Task, w, p.Attempt)
 	r.state = runRunning
 	t.attempt = max(t.attempt, p.Attempt)
@@ -114,6 +115,7 @@
 		}
 		c.logEvent("not running", "task", name, "attempt", r.attempt, "worker", w.host.ID, "state", int(r.state),
 			"born", held.StartedAt, "listed", len(held.Ended), "ended", w.handledEnd, "seen", w.recordedEnd)
+		c.recordStray(r)
 		c.endRun(r, provider.EndLapsed, "")
 	}
 }
--- a/cell/run.go
+++ b/cell/run.go
@@ -174,6 +174,7 @@
 		return
 	}
 	c.settle(r, in.Err)
+	r.unsent = fault.Is(in.Err, fault.Unavailable)
 	w := c.workerByToken(in.Host, in.Token)
 	if w == nil { // another incarnation may have answered
 		if in.Err == nil && in.Refusal != provider.Accepted && r.state == runStarting {
--- a/cell/save.go
+++ b/cell/save.go
@@ -23,8 +23,9 @@
 	nextSequence  uint64
 	lastWriteAt   time.Duration // when the last write was first sent
 	lastContact   time.Duration // when the last write that succeeded was sent
-	leaving       bool          // the next write announces that the owner leaves
-	leaveRecorded bool          // such a write has succeeded
+	leaving       bool          // no more tasks are started, and a write announces that the owner leaves
+	leavingSince  time.Duration
+	leaveRecorded bool // such a write has succeeded
 }
 
 // batch is a write in flight.
@@ -119,7 +120,7 @@
 	if c.now-rw.lastWriteAt < c.timing.MinSaveInterval {
 		return
 	}
-	if !rw.hasPending() && len(rw.awaitingAck) == 0 && c.now-rw.lastWriteAt < c.timing.HeartbeatInterval && rw.leaving == rw.leaveRecorded {
+	if !rw.hasPending() && len(rw.awaitingAck) == 0 && c.now-rw.lastWriteAt < c.timing.HeartbeatInterval && c.mayAnnounceLeave() == rw.leaveRecorded {
 		return
 	}
 	b, err := c.newBatch()
@@ -140,7 +141,7 @@
 
 func (c *Cell) newBatch() (*batch, error) {
 	rw := &c.writer
-	b := &batch{save: Save{Term: c.self.Term, Sequence: rw.nextSequence}, leaving: rw.leaving}
+	b := &batch{save: Save{Term: c.self.Term, Sequence: rw.nextSequence}, leaving: c.mayAnnounceLeave()}
 	rw.nextSequence++
 	c.heartbeats++
 	owner, err := catalog.OwnerRecord(catalog.Owner{
@@ -149,7 +150,8 @@
 		Nonce:      c.self.Nonce,
 		Sequence:   c.self.Sequence,
 		Heartbeats: c.heartbeats,
-		Leaving:    rw.leaving,
+		Leaving:    b.leaving,
+		Settled:    b.leaving && c.startsSettled(),
 	})
 	if err != nil {
 		return nil, err
@@ -315,9 +317,39 @@
 	}
 }
 
-// BeginLeave gives the cell up in an orderly way: the next write announces it.
+// BeginLeave gives the cell up in an orderly way: no more tasks are started, and a write
+// announces it once the starts under way have an outcome, or settleTimeout has passed. A
+// successor of an owner whose starts are settled needn't wait for them.
 func (c *Cell) BeginLeave() {
-	c.writer.leaving = true
+	if !c.writer.leaving {
+		c.writer.leaving = true
+		c.writer.leavingSince = c.now
+	}
+}
+
+// settleTimeout is how long an owner that leaves waits for the outcomes of its starts. They
+// usually take milliseconds.
+const settleTimeout = 200 * time.Millisecond
+
+// mayAnnounceLeave reports whether the next write may announce that the owner leaves.
+func (c *Cell) mayAnnounceLeave() bool {
+	rw := &c.writer
+	return rw.leaving && (rw.leaveRecorded || c.startsSettled() || c.now-rw.leavingSince >= settleTimeout)
+}
+
+// startsSettled reports whether no start can be carried out any more at any incarnation.
+func (c *Cell) startsSettled() bool {
+	if len(c.strays.tasks) > 0 || len(c.unresolvedStarts) > 0 || !c.survey.done {
+		return false
+	}
+	for _, w := range c.workers {
+		for _, r := range w.runs {
+			if !r.listed && !r.accepted {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // HasLeft reports whether the write that announces the leave has succeeded.
--- a/cell/survey.go
+++ b/cell/survey.go
@@ -133,7 +133,8 @@
 	c.survey.done = true
 	c.needsDispatch = true
 	c.requireRecordedStarts()
-	c.logEvent("workers surveyed", "workers", len(c.workers))
+	c.saveAssumedStrays()
+	c.logEvent("workers surveyed", "workers", len(c.workers), "stray_starts", len(c.strays.tasks))
 }
 
 // canStart reports whether a job's tasks may be started: an earlier owner can't have
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -19,6 +19,8 @@
 	// StartWindow is how long a start order stays valid. A worker refuses one that is
 	// delayed for longer, which resolves its outcome.
 	StartWindow time.Duration
+	// MaxOrderAge is how long after it was given an order without an answer may be carried out.
+	MaxOrderAge time.Duration
 	// HoldWait is how long a worker may delay the answer to a hold while it has nothing to
 	// report. It limits the age of the progress known of running tasks.
 	HoldWait time.Duration
@@ -85,6 +87,7 @@
 		MaxLease:          10 * time.Second,
 		Isolation:         8 * time.Second,
 		StartWindow:       700 * time.Millisecond,
+		MaxOrderAge:       12 * time.Second,
 		HoldWait:          time.Second,
 		IdleWait:          2 * time.Second,
 		MixedWait:         400 * time.Millisecond,
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -100,6 +100,7 @@
 	orderedAt       time.Duration
 	settledAt       time.Duration // from when its start can't reach any incarnation any more
 	startedClock    int64         // by when it had begun, on the worker's clock; zero if unknown
+	unsent          bool          // its start wasn't sent
 	accepted        bool          // its start was accepted, by its worker's incarnation or a later one
 	listed          bool          // an answer of its worker's incarnation listed it
 	stopSentAt      time.Duration
@@ -220,6 +221,11 @@
 		return
 	}
 	c.endIncarnation(w, reason, downAt)
+	if reason == machineDown {
+		c.handleContactLost(w.host.ID)
+	} else {
+		c.endAwait(w.host.ID)
+	}
 	c.markSurveyed(w)
 }
 
@@ -260,6 +266,8 @@
 	}
 	c.expireReservations()
 	c.expireStarts()
+	c.endUnlistedAwaits()
+	c.expireStrays()
 	c.expireDown()
 	c.expireSurvey()
 }
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -155,13 +155,15 @@
 // startClaim starts an attempt to become the cell's owner.
 func (d *Dispatcher) startClaim() {
 	d.claiming = true
+	next := d.progress.Next() // before the earlier owner is read, so that the claim fails if that has changed since
+	earlier := d.catalog.Owner()
 	owner := catalog.Owner{
 		Term:     d.election.Term(),
 		Instance: d.instance,
 		Nonce:    d.nonce,
 		Sequence: rand.Uint64N(sequenceRange),
+		Settled:  earlier.Leaving && earlier.Settled,
 	}
-	next := d.progress.Next()
 	d.finishClaim(owner, func(ctx context.Context) error { return d.tryClaim(ctx, owner, next) })
 }
 
@@ -228,7 +230,7 @@
 // becomeOwner creates the cell's state from the catalog and starts to act as its owner.
 func (d *Dispatcher) becomeOwner(owner catalog.Owner) {
 	term := owner.Term
-	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term, Sequence: owner.Sequence}
+	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term, Sequence: owner.Sequence, Settled: owner.Settled}
 	c, err := cell.New(self, d.timing, d.catalog, d.clock(), time.Now(), cell.WithCopies(d.copies), cell.WithSharing(d.sharing))
 	if err != nil {
 		d.logger.Error("creating the cell's state failed", zap.Uint64("term", term), zap.Error(err))
--- a/dispatcher/control_test.go
+++ b/dispatcher/control_test.go
@@ -111,3 +111,44 @@
 	_, err = d.Respond(t.Context(), inquiry.Question{Job: "1"})
 	is.True(fault.Is(err, fault.Unavailable))
 }
+
+// claimStore is an emptyStore that keeps the claim.
+type claimStore struct {
+	emptyStore
+	claims chan provider.KeyedRecord
+}
+
+func (s claimStore) Claim(_ context.Context, _ string, _ provider.Writer, _ uint64, r provider.KeyedRecord) error {
+	s.claims <- r
+	return nil
+}
+
+// Guards against a successor that takes the starts of a failed owner for settled.
+func TestClaimOfSettledCell(t *testing.T) {
+	tests := []struct {
+		name    string
+		earlier catalog.Owner
+		settled bool
+	}{
+		{"the owner left with its starts settled", catalog.Owner{Leaving: true, Settled: true}, true},
+		{"it left with a start under way", catalog.Owner{Leaving: true}, false},
+		{"it failed after it had claimed a settled cell", catalog.Owner{Settled: true}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			store := claimStore{claims: make(chan provider.KeyedRecord, 1)}
+			d := New(Platform{Store: store}, WithInstance("e1"))
+			tt.earlier.Term = catalog.TermSpacing
+			record, err := catalog.OwnerRecord(tt.earlier)
+			is.NoErr(err)
+			is.NoErr(d.catalog.Progress(record))
+			d.startClaim()
+			claimed := catalog.New()
+			is.NoErr(claimed.Progress(<-store.claims))
+			is.Equal(claimed.Owner().Settled, tt.settled)
+			d.tomb.Kill(nil)
+			is.NoErr(d.tomb.Wait())
+		})
+	}
+}
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -62,6 +62,7 @@
 	Failed  map[int][]uint64      `cbor:"2,keyasint,omitempty"` // failed attempts by task
 	Saved   map[int]string        `cbor:"3,keyasint,omitempty"` // checkpoints of interrupted tasks
 	Crashes map[int]crash.History `cbor:"4,keyasint,omitempty"` // by tasks whose workers crashed
+	Strays  map[int][]string      `cbor:"5,keyasint,omitempty"` // by task, the workers that a start without an outcome may reach late
 }
 
 // New returns the progress of a job that hasn't started.
@@ -145,6 +146,7 @@
 	delete(r.Saved, n)
 	delete(r.Failed, n)
 	delete(r.Crashes, n)
+	delete(r.Strays, n)
 	p.Rounds[t.Occurrence] = r
 	return true
 }
@@ -219,6 +221,27 @@
 	p.Rounds[t.Occurrence] = r
 }
 
+// AddStray records that a start of a task may reach a worker late, or any worker if host is
+// empty. It reports whether the record changed.
+func (p *Progress) AddStray(t job.Task, host string) bool {
+	n := p.taskNumber(t)
+	r := p.round(t.Occurrence)
+	if slices.Contains(r.Strays[n], host) {
+		return false
+	}
+	if r.Strays == nil {
+		r.Strays = make(map[int][]string)
+	}
+	r.Strays[n] = append(r.Strays[n], host)
+	p.Rounds[t.Occurrence] = r
+	return true
+}
+
+// Strays returns the workers that a start of a task may reach late.
+func (p *Progress) Strays(t job.Task) []string {
+	return p.Rounds[t.Occurrence].Strays[p.taskNumber(t)]
+}
+
 func (p *Progress) round(occurrence int) Round {
 	if p.Rounds == nil {
 		p.Rounds = make(map[int]Round)
--- a/progress/progress_test.go
+++ b/progress/progress_test.go
@@ -46,3 +46,22 @@
 	_, err = progress.Decode([]byte{0xff})
 	is.True(err != nil)
 }
+
+func TestStrays(t *testing.T) {
+	is := is.New(t)
+	j := &job.Job{ID: "a", Steps: []job.Step{{Count: 2}}}
+	task := job.Task{Job: "a", Index: 1}
+	p := progress.New(j)
+	is.True(p.AddStray(task, "w1"))
+	is.True(!p.AddStray(task, "w1"))
+	is.True(p.AddStray(task, ""))
+	data, err := p.Encode()
+	is.NoErr(err)
+	q, err := progress.Decode(data)
+	is.NoErr(err)
+	q.Bind(j)
+	is.Equal(q.Strays(task), []string{"w1", ""})
+	is.Equal(len(q.Strays(job.Task{Job: "a"})), 0)
+	is.True(q.RecordDone(task))
+	is.Equal(len(q.Strays(task)), 0)
+}
