Cell: an entry on the list is as old as its last write

Cause: the first list that is read after an outage counted as fresh, and with it all of its entries, although no worker could write during the outage. The age of the list was checked, that of an entry wasn't.

Now an entry holds as of when it was written: after the read before the one that first had it, or by the worker's clock in the entry and in its answers. Where workers write only changes, it holds one interval before the list was read, once the store has been available for so long that the entry of a worker without access would have expired. A worker gets no task when that is more than 3.4 s ago, the bound that MaxCapacityAge and the interval of entries gave so far.

Why it works: what a worker couldn't report isn't concluded from what it reported before. A takeover waits for nothing where entries have clocks.

TestTakeoverAwaitsTheList, TestClaimReadsTheList and the lists that tests send periodically tell when the entries were written, as the adapter does: their processes are too young to know it otherwise.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -26,6 +26,7 @@
 package cell
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/catalog"
@@ -49,6 +50,8 @@
 	Nonce    uint64 // identifies the process
 	Term     uint64
 	Sequence uint64 // of the write that claimed the term; later writes count up from it
+	// StoreSince is since when the store has answered all reads of this instance.
+	StoreSince time.Duration
 	// Settled means that the earlier owner left in order, and none of its starts is under way.
 	Settled bool
 }
@@ -147,7 +150,7 @@
 			awaited:   make(map[string]time.Duration),
 		},
 		writer:       newRecordWriter(now, self.Sequence+1),
-		hosts:        hostList{stale: true},
+		hosts:        hostList{stale: true, lastVouched: never, availableSince: cmp.Or(self.StoreSince, never)},
 		startLimiter: newStartLimiter(),
 		flows:        make(map[string]*overload.Flow),
 	}
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -53,6 +53,7 @@
 	maxListedEnds      int                      // ended runs that one answer of a worker lists
 	lateOrderRate      float64                  // fraction of orders that are carried out 2 to 12 s late, without an answer
 	storeDelay         time.Duration            // of each write, one way
+	entries            *entryWriter             // writes the workers' list entries; nil for entries that are an interval old
 	entryDelay         time.Duration            // from a worker's restart until its list entry shows it
 	machineListDelay   time.Duration            // of an answer with the list of machines
 	lostSaveRate       float64                  // fraction of writes whose answer is lost
@@ -180,7 +181,7 @@
 
 // listAt returns the list of workers as of a time.
 func (s *site) listAt(at time.Duration) provider.HostList {
-	list := provider.HostList{AsOf: at, Hosts: slices.Clone(s.strayEntries)}
+	list := provider.HostList{AsOf: at, Hosts: slices.Clone(s.strayEntries), Writes: make([]provider.EntryWrite, len(s.strayEntries))}
 	for _, w := range s.workers {
 		if !w.up && at >= w.downAt && !w.restarting {
 			continue
@@ -195,7 +196,15 @@
 		if at < w.entryListedAt {
 			h = w.previousEntry
 		}
+		write := provider.EntryWrite{Clock: w.clockAt(at - entryInterval)}
+		if s.entries != nil {
+			var listed bool
+			if write, listed = s.entries.apply(at, w, &h); !listed {
+				continue
+			}
+		}
 		list.Hosts = append(list.Hosts, h)
+		list.Writes = append(list.Writes, write)
 	}
 	return list
 }
@@ -376,6 +385,16 @@
 // handleList passes a list to the cell. An unchanged list shares its Hosts with the
 // previous one.
 func (o *owner) handleList(list provider.HostList) {
+	for i := range list.Writes {
+		known := slices.IndexFunc(o.list.Hosts, func(h provider.Host) bool { return h.ID == list.Hosts[i].ID })
+		switch {
+		case known < 0 || len(o.list.Writes) <= known:
+		case o.list.Writes[known].Clock == list.Writes[i].Clock:
+			list.Writes[i].After = o.list.Writes[known].After
+		default:
+			list.Writes[i].After = o.list.AsOf
+		}
+	}
 	if reflect.DeepEqual(o.list.Hosts, list.Hosts) {
 		list.Hosts = o.list.Hosts
 	}
--- a/cell/hostlist.go
+++ b/cell/hostlist.go
@@ -21,6 +21,10 @@
 	idByMachine map[string]string // ID of the listed worker, by machine
 	resumedAt   time.Duration     // when the owner last resumed after a freeze
 	stale       bool              // starts wait for a newer list
+
+	lastRenewal    time.Duration // when an entry was last written again without a change
+	availableSince time.Duration // since when no outage of the store was noticed
+	lastVouched    time.Duration // as of when entries that aren't renewed held before that
 }
 
 // freezeThreshold is the time between two inputs above which the owner counts as frozen,
@@ -67,11 +71,14 @@
 	}
 	c.needsDispatch = true
 	unchanged := c.hosts.received && c.hosts.isUnchanged(list)
+	c.recordOutage(list.AsOf)
 	c.hosts.received = true
 	c.hosts.latest = list
 	if unchanged {
+		c.recordWrites(list, true)
 		return
 	}
+	defer c.recordWrites(list, false)
 	listed := make(map[string]bool, len(list.Hosts))
 	c.hosts.idByMachine = make(map[string]string, len(list.Hosts))
 	for _, h := range list.Hosts {
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -62,6 +62,9 @@
 	// excess starts. MaxCapacityAge is less than the time within which the change has to be
 	// known everywhere; the difference covers the delivery of an order.
 	MaxCapacityAge time.Duration
+	// EntryInterval is the time between two writes of a worker's entry on the list, as far as
+	// the store takes them.
+	EntryInterval time.Duration
 	// StallTimeout is how long a running task may show no progress before it counts as hanging.
 	StallTimeout time.Duration
 	// Quarantine is how long a worker on which tasks fail or hang gets no tasks.
@@ -101,6 +104,7 @@
 		UnlistedGrace:     3 * time.Second,
 		MaxListAge:        1400 * time.Millisecond,
 		MaxCapacityAge:    2300 * time.Millisecond,
+		EntryInterval:     1100 * time.Millisecond,
 		StallTimeout:      2500 * time.Millisecond,
 		Quarantine:        2 * time.Second,
 		PaceDelay:         100 * time.Millisecond,
@@ -113,6 +117,12 @@
 	}
 }
 
+// slowest returns how long milliseconds on a worker's clock took at most on the owner's clock.
+func (t *Timing) slowest(ms int64) time.Duration {
+	span := time.Duration(ms) * time.Millisecond
+	return span + time.Duration(max(0, float64(span))*t.MaxClockDrift)
+}
+
 // stretch returns how long a span on a worker's clock may take on the owner's clock.
 func (t *Timing) stretch(span time.Duration) time.Duration {
 	return span + time.Duration(float64(span)*t.MaxClockDrift) + t.Margin
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -16,6 +16,7 @@
 	host        provider.Host
 	listed      bool          // on the platform's list
 	listedUntil time.Duration // a worker off the list counts as listed until then
+	entry       provider.EntryWrite
 	registered  bool          // on record, so that a successor asks it for its runs
 	leaving     bool          // its machine is about to go down; it gets no new tasks
 	goingDown   bool          // an upkeep of its machine was ordered, which may end it
@@ -167,7 +168,7 @@
 
 // isUsable reports whether new tasks may be started on a worker.
 func (c *Cell) isUsable(w *worker) bool {
-	return w.registered && c.isListed(w) && w.hasCurrentEntry() && w.answered && !w.lost && !w.leaving && !w.host.Draining && !c.cordonedZones[w.host.AvailabilityZone] &&
+	return w.registered && c.isListed(w) && w.hasCurrentEntry() && c.knowsCapacity(w) && w.answered && !w.lost && !w.leaving && !w.host.Draining && !c.cordonedZones[w.host.AvailabilityZone] &&
 		w.missedHolds == 0 && c.now-w.lastContact < c.timing.IdleWait+c.timing.MaxSilence && c.now >= w.noStartsUntil
 }
 
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -101,7 +101,12 @@
 }
 
 func (w *fakeWorker) clock() int64 {
-	return (w.offset + time.Duration(float64(w.site.now)*w.rate)).Milliseconds()
+	return w.clockAt(w.site.now)
+}
+
+// clockAt returns what the worker's clock shows at a time.
+func (w *fakeWorker) clockAt(at time.Duration) int64 {
+	return (w.offset + time.Duration(float64(at)*w.rate)).Milliseconds()
 }
 
 // announceLeave makes the worker announce its leave, and go down after a delay.
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -230,7 +230,7 @@
 // becomeOwner creates the cell's state from the catalog and starts to act as its owner.
 func (d *Dispatcher) becomeOwner(owner catalog.Owner) {
 	term := owner.Term
-	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term, Sequence: owner.Sequence, Settled: owner.Settled}
+	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term, Sequence: owner.Sequence, StoreSince: d.progress.UnbrokenSince(), Settled: owner.Settled}
 	c, err := cell.New(self, d.timing, d.catalog, d.clock(), time.Now(), cell.WithCopies(d.copies), cell.WithSharing(d.sharing))
 	if err != nil {
 		d.logger.Error("creating the cell's state failed", zap.Uint64("term", term), zap.Error(err))
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -353,7 +354,7 @@
 				workers, clock := &unresponsiveWorkers{}, newClock()
 				var d *dispatcher.Dispatcher
 				sendList := func() {
-					d.SetHosts(provider.HostList{Hosts: []provider.Host{{ID: "w1", Service: "pool"}}, AsOf: clock()})
+					d.SetHosts(provider.HostList{Hosts: []provider.Host{{ID: "w1", Service: "pool"}}, Writes: writtenAt(clock(), 1), AsOf: clock()})
 				}
 				read := func(ctx context.Context) error {
 					select {
@@ -433,7 +434,7 @@
 // sendListPeriodically passes the list of workers to d every 300 ms, as the periodic reader does.
 func sendListPeriodically(ctx context.Context, d *dispatcher.Dispatcher, clock func() time.Duration, hosts ...provider.Host) {
 	for ctx.Err() == nil {
-		d.SetHosts(provider.HostList{Hosts: hosts, AsOf: clock()})
+		d.SetHosts(provider.HostList{Hosts: hosts, Writes: writtenAt(clock(), len(hosts)), AsOf: clock()})
 		time.Sleep(300 * time.Millisecond)
 	}
 }
@@ -459,6 +460,11 @@
 	})
 }
 
+// writtenAt returns the writes of n entries after a time.
+func writtenAt(at time.Duration, n int) []provider.EntryWrite {
+	return slices.Repeat([]provider.EntryWrite{{After: at}}, n)
+}
+
 // Guards against tasks started on draining workers because of a stale list of workers
 // from before the takeover.
 func TestTakeoverAwaitsTheList(t *testing.T) {
@@ -480,7 +486,7 @@
 		time.Sleep(400 * time.Millisecond)
 		is.Equal(workers.started(), 0) // the list is too old to tell which workers drain
 		draining.Draining = true
-		d.SetHosts(provider.HostList{Hosts: []provider.Host{draining, healthy}, AsOf: clock()})
+		d.SetHosts(provider.HostList{Hosts: []provider.Host{draining, healthy}, Writes: writtenAt(clock(), 2), AsOf: clock()})
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(workers.started(), 1)
 		is.Equal(workers.starts[0].Host.ID, healthy.ID)
--- a/provider/executor.go
+++ b/provider/executor.go
@@ -35,10 +35,19 @@
 // same Hosts, which must not be modified.
 type HostList struct {
 	Hosts   []Host
-	Invalid []string // IDs of workers whose entry is unusable
+	Writes  []EntryWrite // of the entries in Hosts, in the same order; empty if nothing is known
+	Invalid []string     // IDs of workers whose entry is unusable
 	AsOf    time.Duration
 }
 
+// EntryWrite tells when a worker's entry was last written, as far as it is known. A worker
+// describes itself as it is then: a list that was just read may have entries from before an
+// outage, in which no worker could report that it changed.
+type EntryWrite struct {
+	Clock int64         // on the worker's clock, as in HoldResult; zero if the entry doesn't say
+	After time.Duration // the entry was written after this time on the reader's clock
+}
+
 // HasLabel reports whether the worker has a label.
 func (h *Host) HasLabel(label string) bool {
 	for _, l := range h.Labels {
--- a/tail/tail.go
+++ b/tail/tail.go
@@ -29,6 +29,9 @@
 // Times of reads. Package pacing has their timeouts and those of reads that fail.
 const (
 	defaultWait = time.Second
+	// maxReadGap is how long after a read's wait the next one may be answered without a
+	// break, as after a suspension of the machine.
+	maxReadGap = time.Second
 	// maxPartialAge is the maximum age of a load's first page when the load is resumed.
 	// The stream must still retain all records written since; it does so for 20 s.
 	maxPartialAge = 10 * time.Second
@@ -59,6 +62,7 @@
 
 	spacing        atomic.Int64 // least time between two reads
 	lastAnswer     atomic.Int64 // time of the last successful read, on clock
+	unbrokenSince  atomic.Int64 // time of the first successful read since the last one that failed, on clock
 	clock          func() time.Duration
 	loadedSignal   chan struct{}
 	outages        Outages
@@ -203,6 +207,22 @@
 	return t.clock() - time.Duration(read)
 }
 
+// UnbrokenSince returns the time on the reader's clock since which no read of Run has failed
+// or stayed out, zero before the first read.
+func (t *Tail) UnbrokenSince() time.Duration {
+	return time.Duration(t.unbrokenSince.Load())
+}
+
+// recordAnswer records a successful read.
+func (t *Tail) recordAnswer() {
+	now := t.clock()
+	last := time.Duration(t.lastAnswer.Load())
+	if t.lastReadFailed.Load() || last == 0 || now-last > t.wait+maxReadGap {
+		t.unbrokenSince.Store(int64(now))
+	}
+	t.lastAnswer.Store(int64(now))
+}
+
 // Lag returns the age of the state that results from the records applied: all records
 // written before that time have been applied. It is at least an hour before the initial load.
 func (t *Tail) Lag() time.Duration {
@@ -457,7 +477,7 @@
 	asOf := l.startedAt // records written since then may be missing in the first page
 	t.apply(Batch{Records: l.records, IsComplete: true, AsOf: asOf})
 	t.streamEnd.Store(l.next)
-	t.lastAnswer.Store(int64(t.clock()))
+	t.recordAnswer()
 	t.markLoaded(l.next, asOf)
 	t.loadOnce.Do(func() { close(t.loadedSignal) })
 }
@@ -491,7 +511,7 @@
 	t.apply(Batch{Records: records, AsOf: asOf})
 	t.advance(next, asOf)
 	t.streamEnd.Store(max(t.streamEnd.Load(), page.Next)) // responses may arrive out of order
-	t.lastAnswer.Store(int64(t.clock()))
+	t.recordAnswer()
 }
 
 // position returns the offset after the last record applied, and the time before which all
--- a/tail/tail_test.go
+++ b/tail/tail_test.go
@@ -472,3 +472,71 @@
 	is.NoErr(reader.Refresh(t.Context()))
 	is.Equal(<-states, true)
 }
+
+// flakyStore has no records, and fails while it is away.
+type flakyStore struct {
+	provider.Keyed
+	mu   sync.Mutex
+	away bool
+}
+
+func (s *flakyStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *flakyStore) err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return fault.New(fault.Unavailable, "reset")
+	}
+	return nil
+}
+
+func (s *flakyStore) Newest(context.Context, string, string) (provider.KeyedPage, error) {
+	return provider.KeyedPage{}, s.err()
+}
+
+func (s *flakyStore) Read(context.Context, string, uint64, provider.ReadLimit) (provider.KeyedPage, error) {
+	time.Sleep(50 * time.Millisecond)
+	return provider.KeyedPage{}, s.err()
+}
+
+// Guards against a reader that takes the store for available all the while, although it was
+// away or the reader stood still.
+func TestUnbrokenSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		var suspended time.Duration
+		var mu sync.Mutex
+		clock := func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			return time.Second + time.Since(start) + suspended
+		}
+		store := &flakyStore{}
+		r := tail.New(store, "jobs", func(tail.Batch) {}, tail.WithClock(clock))
+		is.Equal(r.UnbrokenSince(), time.Duration(0))
+		go func() { _ = r.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		is.Equal(r.UnbrokenSince(), time.Second)
+		store.setAway(true)
+		time.Sleep(2 * time.Second)
+		store.setAway(false)
+		back := clock()
+		time.Sleep(3 * time.Second)
+		is.True(r.UnbrokenSince() >= back)
+		mu.Lock()
+		suspended = 5 * time.Second
+		mu.Unlock()
+		resumed := clock()
+		time.Sleep(time.Second)
+		is.True(r.UnbrokenSince() >= resumed)
+		cancel()
+		time.Sleep(time.Second) // for the read in flight
+	})
+}
