Cell: a worker off the list gets no task

Cause: the end of an entry proves that its worker hasn't written for three intervals. Such a worker was used by its last entry for UnlistedGrace, longer than one whose entry is there: entries that expire in an outage are back within two seconds.

Ruled out: the age of entries alone.

Now a worker that isn't on the list gets no task; what runs there goes on.

--- a/cell/entry_test.go
+++ b/cell/entry_test.go
@@ -105,6 +105,8 @@
 			s.awayFrom(away, back)
 			s.after(away+100*time.Millisecond, func() { s.owners[0].freeze(back - away) })
 		}},
+		{"workers can't reach the store", func(s *site) { s.cutOff(2, away, back) }},
+		{"workers can't reach the store for longer", func(s *site) { s.cutOff(2, away, back+4*time.Second) }},
 		{"workers can't reach the store, and an owner follows", func(s *site) {
 			s.cutOff(2, away, back)
 			s.after(away+3*time.Second, func() { s.replaceOwner(0, 1) })
@@ -113,6 +115,11 @@
 			s.awayFrom(away, back)
 			s.cutOff(2, away, back+2*time.Second)
 		}},
+		{"workers can't be reached by anyone", func(s *site) {
+			s.cutOff(2, away, back)
+			s.after(away, func() { s.owners[0].cutOffEvery(2) })
+			s.after(back, func() { clear(s.owners[0].unreachable) })
+		}},
 	}
 	writers := []struct {
 		name   string
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -48,9 +48,8 @@
 	// MaxSilence is how long beyond IdleWait a worker may be out of contact before it gets
 	// no new tasks.
 	MaxSilence time.Duration
-	// UnlistedGrace is how long a worker that answers still gets tasks after it disappeared
-	// from the list. Entries that expired in an outage of the store are back within two
-	// seconds.
+	// UnlistedGrace is how long a worker that disappeared from the list may be back. Entries
+	// that expired in an outage of the store are back within two seconds.
 	UnlistedGrace time.Duration
 	// MaxListAge is how old the list of workers may be when a task is started, relative to
 	// the last evidence that the store can be reached. It is less than the notice that
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -168,7 +168,7 @@
 
 // isUsable reports whether new tasks may be started on a worker.
 func (c *Cell) isUsable(w *worker) bool {
-	return w.registered && c.isListed(w) && w.hasCurrentEntry() && c.knowsCapacity(w) && w.answered && !w.lost && !w.leaving && !w.host.Draining && !c.cordonedZones[w.host.AvailabilityZone] &&
+	return w.registered && w.listed && w.hasCurrentEntry() && c.knowsCapacity(w) && w.answered && !w.lost && !w.leaving && !w.host.Draining && !c.cordonedZones[w.host.AvailabilityZone] &&
 		w.missedHolds == 0 && c.now-w.lastContact < c.timing.IdleWait+c.timing.MaxSilence && c.now >= w.noStartsUntil
 }
 
