Cell: a job is queued until a worker has begun one of its tasks

Cause: a job's state became running when its first start was ordered. A start that gets no answer and is refused later left it so for good, and Catalog.Pending counts queued jobs.

Ruled out: a late record of the state (the record itself says running 0.1 s after the order); counting by the wrong queue or schedule (the same jobs are counted before the order).

Now the state follows the workers: an accepted start, a listed run or a listed end. It is never taken back, and the number of writes stays the same.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -353,6 +353,45 @@
 	is.Equal(len(s.completed), 6)
 }
 
+// Guards against a job that counts as running although none of its tasks has begun.
+func TestJobIsQueuedUntilATaskBegins(t *testing.T) {
+	tests := []struct {
+		name     string
+		takeover bool
+		gang     bool
+	}{
+		{"its owner goes on", false, false},
+		{"an owner follows", true, false},
+		{"a gang", false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t, 14, 2, 2)
+			s.owners[0].takeOver()
+			s.run(time.Second)
+			s.lateOrderRate = 1
+			few := step(2, 2)
+			few.Gang = tt.gang
+			s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{few}})
+			s.run(s.now + 100*time.Millisecond) // its starts are ordered, and never carried out
+			s.lateOrderRate = 0
+			for _, w := range s.workers {
+				w.corruptEntry(5 * time.Second) // it waits
+			}
+			s.run(s.now + 1500*time.Millisecond)
+			if tt.takeover {
+				s.replaceOwner(0, 1)
+			}
+			s.run(s.now + time.Second)
+			is.Equal(s.state(jobID(0)), "queued")
+			s.run(s.now + 3*settleTime)
+			is.Equal(s.violations, nil)
+			is.Equal(s.state(jobID(0)), "completed")
+		})
+	}
+}
+
 func TestPlacement(t *testing.T) {
 	tests := []struct {
 		name string
--- a/cell/end.go
+++ b/cell/end.go
@@ -18,6 +18,9 @@
 
 func (c *Cell) handleEnd(w *worker, e *provider.EndedRun) {
 	r := w.runs[e.Task]
+	if t := c.findTask(e.Task); t != nil {
+		c.markRunning(t.step.job)
+	}
 	if r != nil && r.attempt == e.Attempt {
 		c.endRun(r, e.End, e.Checkpoint)
 		return
--- a/cell/report.go
+++ b/cell/report.go
@@ -31,6 +31,7 @@
 	if r.task == nil {
 		return
 	}
+	c.markRunning(r.task.step.job)
 	c.recordCheckpoint(r, p.Checkpoint, p.Percent)
 	r.tail = p.TailLatency
 	r.processorsUsed = p.Processors
@@ -51,7 +52,6 @@
 	r := c.addRun(t, p.Task, w, p.Attempt)
 	r.state = runRunning
 	t.attempt = max(t.attempt, p.Attempt)
-	c.markRunning(t.step.job)
 	c.adoptTrial(r)
 	if r.isFilling() {
 		r.pace = unknownPace
--- a/cell/run.go
+++ b/cell/run.go
@@ -64,7 +64,6 @@
 		r.beginTrial()
 	}
 	t.attempt = max(t.attempt, attempt)
-	c.markRunning(t.step.job)
 	r.settledAt = c.now + maxOrderDelay
 	w.leaseDeadline = max(w.leaseDeadline, r.deadline)
 	w.leaseSentAt = c.now
@@ -86,7 +85,9 @@
 	return r
 }
 
-// markRunning sets a queued job's state to running, to be recorded with the next write.
+// markRunning sets a queued job's state to running, to be recorded with the next write. A job
+// is queued until a worker has begun one of its tasks: a start without an answer may never be
+// carried out.
 func (c *Cell) markRunning(j *jobState) {
 	if j.progress.State == progress.Queued {
 		j.progress.State = progress.Running
@@ -182,6 +183,9 @@
 		}
 		return
 	}
+	if in.Err == nil && in.Refusal == provider.Accepted && r.task != nil {
+		c.markRunning(r.task.step.job)
+	}
 	if in.Err != nil {
 		c.logEvent("start unanswered", "task", in.Task, "attempt", in.Attempt, "worker", in.Host, "err", in.Err)
 		c.handleOrderError(w, in.Err, in.Sent)
