Cell: log why a task waits beside workers with room

What on-call saw: a task is ready and doesn't run, and no line says why. The log had the beginning of each hold and not its end, nor which of them a given task waits for.

Now a line a second names the task, what holds it back from all workers, and why workers with room for it don't get it. TestWaitsAreLogged fails without it.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -108,6 +108,7 @@
 	backlogReported     bool          // the last record reported a backlog
 	heartbeats          uint64
 	lastLoadLogAt       time.Duration // when the load was last logged
+	lastWaitLogAt       time.Duration // when waiting tasks were last logged
 	lastCheckAt         time.Duration // when the workers were last checked
 	copies              copyState
 	actions             []Action
@@ -254,6 +255,7 @@
 	}
 	c.sendDueHolds()
 	c.logLoad()
+	c.logWaits()
 }
 
 // checkInterval is the time between two checks of all workers for expired leases, overdue
