Cell: no stray starts where a restarted worker has another ID

What callers saw: after a takeover, tasks wait for two seconds and longer beside idle workers, and running ones are stopped whenever a worker leaves (LOST for lasting tasks, work thrown away for others).

Cause: a stray start is one that a later incarnation of its worker may carry out. Where workers have no start time, a restarted one has a new ID, and refuses orders to the old one. The rule for strays didn't ask; mayRunOnNext does.

Ruled out: a later incarnation under the same ID on such a platform; the executor sends the ID with each order, and the cell already relies on it for unresolved starts.

Evidence: TestNoStrayStartsWhereIDsAreNotReused failed before.

--- a/cell/stray.go
+++ b/cell/stray.go
@@ -19,6 +19,9 @@
 // contact with the worker is lost while the task runs elsewhere, the run is stopped before
 // the next incarnation can be up: a crash resets the worker's connections at once, and a
 // restart takes half a second.
+//
+// Workers without a start time have a new ID after a restart, so that no other incarnation
+// takes an order to them. They have no stray starts.
 
 // strayStart is a start whose order a later incarnation of a worker may carry out.
 type strayStart struct {
@@ -45,9 +48,11 @@
 	if c.self.Settled {
 		return
 	}
-	for id := range hosts {
-		c.strays.inherited[id] = struct{}{}
-		c.await(id, c.ownedSince+maxOrderDelay)
+	for id, h := range hosts {
+		if h.StartedAt != 0 {
+			c.strays.inherited[id] = struct{}{}
+			c.await(id, c.ownedSince+maxOrderDelay)
+		}
 	}
 }
 
@@ -102,7 +107,7 @@
 
 // recordStray records that the start of a run without an outcome is stray.
 func (c *Cell) recordStray(r *run) {
-	if r.task == nil || r.listed || r.accepted || r.unsent {
+	if r.task == nil || r.listed || r.accepted || r.unsent || r.worker.startedAt == 0 {
 		return
 	}
 	c.addStray(r.task, strayStart{host: r.worker.host.ID, attempt: r.attempt, until: r.orderedAt + c.timing.MaxOrderAge})
--- a/cell/stray_test.go
+++ b/cell/stray_test.go
@@ -205,3 +205,24 @@
 	s.run(s.now + 2*settleTime)
 	s.mustComplete(1)
 }
+
+// Guards against tasks that wait for late starts where a restarted worker has another ID, which refuses them.
+func TestNoStrayStartsWhereIDsAreNotReused(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3280, 4, 2)
+	for _, w := range s.workers {
+		w.host.StartedAt = 0
+	}
+	s.duration = func(string) time.Duration { return 800 * time.Millisecond }
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(30, 2)}}) // more than fit at once
+	s.run(s.now + 100*time.Millisecond)
+	starts := 0
+	s.owners[1].onStart = func(provider.StartOrder) { starts++ }
+	s.replaceOwner(0, 1)
+	s.run(s.now + 1500*time.Millisecond)
+	is.True(starts > 0)
+	s.run(s.now + 2*settleTime)
+	s.mustComplete(1)
+}
