Cell: stray starts that have expired leave the record

What callers saw: on a site whose owner has changed before, tasks of old jobs wait after the next takeover, or are stopped when a worker leaves, although no start of theirs is under way.

Cause: stray starts were put on record and only left it when their task was done. Lasting tasks never are, so that each owner took the strays of all owners before it for new ones.

--- a/cell/stray.go
+++ b/cell/stray.go
@@ -246,6 +246,17 @@
 	}
 }
 
+// dropStrays drops a task's stray starts, also from the record: the next owner would take them
+// for new ones.
+func (c *Cell) dropStrays(t *task) {
+	t.strays = nil
+	t.step.lastFailedPass = 0
+	delete(c.strays.tasks, t)
+	if j := t.step.job; !j.final() && j.progress.DropStrays(t.id) {
+		c.writer.markDirty(j)
+	}
+}
+
 // expireStrays drops the stray starts whose orders can't arrive any more. An awaited worker
 // may have carried them out under the longest lease.
 func (c *Cell) expireStrays() {
@@ -255,9 +266,7 @@
 			return c.hasPassed(s.until+lease) || c.now >= s.until && !c.isAwaited(s)
 		})
 		if len(t.strays) == 0 || t.done || t.step.job.final() {
-			t.strays = nil
-			t.step.lastFailedPass = 0
-			delete(c.strays.tasks, t)
+			c.dropStrays(t)
 		}
 	}
 }
--- a/cell/stray_test.go
+++ b/cell/stray_test.go
@@ -226,3 +226,37 @@
 	s.run(s.now + 2*settleTime)
 	s.mustComplete(1)
 }
+
+// recordedStrays returns how many tasks of a job have stray starts on record.
+func (s *site) recordedStrays(id string) int {
+	entries, err := s.store.readCatalog(s.t).Entries()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	e := entries[id]
+	n := 0
+	for i := range e.Job.Steps[0].Count {
+		if len(e.Progress.Strays(job.Task{Job: id, Index: i})) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a record of stray starts that outlives them, so that each later owner takes them for new ones.
+func TestStrayStartsLeaveTheRecord(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3290, 4, 2)
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	long := step(60, 1) // more than fit at once
+	long.Estimate = time.Hour
+	s.duration = func(string) time.Duration { return time.Hour }
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{long}})
+	s.run(s.now + 100*time.Millisecond)
+	s.replaceOwner(0, 1)
+	s.run(s.now + 500*time.Millisecond)
+	is.True(s.recordedStrays(jobID(0)) > 0)
+	s.run(s.now + cell.DefaultTiming().MaxOrderAge + time.Second)
+	is.Equal(s.recordedStrays(jobID(0)), 0)
+}
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -242,6 +242,18 @@
 	return p.Rounds[t.Occurrence].Strays[p.taskNumber(t)]
 }
 
+// DropStrays records that no start of a task may reach a worker late any more. It reports
+// whether the record changed.
+func (p *Progress) DropStrays(t job.Task) bool {
+	n := p.taskNumber(t)
+	strays := p.Rounds[t.Occurrence].Strays
+	if len(strays[n]) == 0 {
+		return false
+	}
+	delete(strays, n)
+	return true
+}
+
 func (p *Progress) round(occurrence int) Round {
 	if p.Rounds == nil {
 		p.Rounds = make(map[int]Round)
--- a/progress/progress_test.go
+++ b/progress/progress_test.go
@@ -64,4 +64,7 @@
 	is.Equal(len(q.Strays(job.Task{Job: "a"})), 0)
 	is.True(q.RecordDone(task))
 	is.Equal(len(q.Strays(task)), 0)
+	is.True(p.DropStrays(task))
+	is.True(!p.DropStrays(task))
+	is.Equal(len(p.Strays(task)), 0)
 }
