Cell: no worker is awaited for starts that can't arrive any more

Cause: a stray start expires 12 s after the takeover, but stayed for the longest lease if any worker was awaited, as that worker may have carried it out. While it stayed, workers that went silent later were awaited for it as well, although nothing can reach them any more.

Why it is safe: an incarnation that has answered refuses the order, and the next one of a worker that goes silent after the 12 s comes up after them.

Evidence: TestStrayStartsEndWithTime failed before: 17 s after the takeover 29 tasks ran where 312 have room.

--- a/cell/stray.go
+++ b/cell/stray.go
@@ -157,9 +157,9 @@
 	return inherited
 }
 
-// mayReach reports whether the order of a stray start may reach a worker.
+// mayReach reports whether the order of a stray start may still reach a worker.
 func (c *Cell) mayReach(s strayStart, id string) bool {
-	return s.host == id || s.host == anyHost && c.isInherited(id)
+	return c.now < s.until && (s.host == id || s.host == anyHost && c.isInherited(id))
 }
 
 // isExposed reports whether the order of any stray start may reach a worker.
--- a/cell/stray_test.go
+++ b/cell/stray_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -260,3 +261,39 @@
 	s.run(s.now + cell.DefaultTiming().MaxOrderAge + time.Second)
 	is.Equal(s.recordedStrays(jobID(0)), 0)
 }
+
+// Guards against tasks that wait for late starts as long as workers leave, although none can arrive any more.
+func TestStrayStartsEndWithTime(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3310, 80, 2)
+	s.duration = func(string) time.Duration { return time.Hour }
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	long := step(400, 1)
+	long.Estimate = time.Hour
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{long}})
+	s.killAtFirstStart(0)
+	s.run(s.now + 100*time.Millisecond)
+	is.True(s.runningCount(jobID(0)) < 400)
+	s.owners[1].takeOver()
+	takenAt := s.now
+	for n := range 60 { // workers leave one after the other, for 24 s
+		s.after(time.Second+time.Duration(n)*400*time.Millisecond, func() {
+			s.workers[n].resetConnections()
+			s.workers[n].crash(time.Hour, 1)
+		})
+	}
+	timing := cell.DefaultTiming()
+	s.run(takenAt + timing.MaxOrderAge + timing.UnlistedGrace + 2*time.Second)
+	is.Equal(s.runningCount(jobID(0)), 8*(80-len(s.downWorkers())))
+}
+
+// killAtFirstStart kills an owner right after its next dispatch pass.
+func (s *site) killAtFirstStart(owner int) {
+	s.owners[owner].onStart = func(provider.StartOrder) { s.after(0, s.owners[owner].kill) }
+}
+
+// downWorkers returns the workers that are down.
+func (s *site) downWorkers() []*fakeWorker {
+	return slices.DeleteFunc(slices.Clone(s.workers), func(w *fakeWorker) bool { return w.up })
+}
