Cell: starts of lasting tasks are on record

What callers saw: after a takeover, lasting tasks don't run for many seconds, with room for them, as long as any of hundreds of workers is silent or leaves (LOST).

Cause: nothing told a new owner which worker an earlier one had started a task on, or that it hadn't started it at all. So each ready task waited for all workers on record: for the survey, and for late starts. What is rare for one worker is always the case for one of 490.

Now a lasting task's start is on record, with its worker, before it is ordered, and that the worker has listed the run afterwards. A new owner waits for that worker alone: for its answer, or, if the run had been listed, until its machine is listed as down. A task without such a start is started at once. Owners tell in their own record that they do this; after one that didn't, the first survey is as before. Gangs choose their workers as they start, so their starts aren't on record.

Evidence: TestStartsOfLastingTasksAreOnRecord, TestLastingTasksWaitForTheirWorkerAlone (its case of an owner that didn't record starts is the behaviour before), TestStrayStartOfALastingTask and TestLastingTasksOfAMachineThatIsDown.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -94,6 +94,9 @@
 	// Settled means, in the record of an owner that leaves, that none of its starts is under way
 	// or stray, and in a claim, that the owner before left so.
 	Settled bool `cbor:"7,keyasint,omitempty"`
+	// RecordsStarts means that the last starts of all lasting tasks are on record. An owner of a
+	// version that doesn't record them leaves it out.
+	RecordsStarts bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Catalog holds the state that results from the records read so far.
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -54,6 +54,8 @@
 	StoreSince time.Duration
 	// Settled means that the earlier owner left in order, and none of its starts is under way.
 	Settled bool
+	// RecordsStarts means that the earlier owner had the last starts of all lasting tasks on record.
+	RecordsStarts bool
 }
 
 // Cell is the state of the cell at its owner.
@@ -89,6 +91,7 @@
 	nextTokens          map[string]uint64 // token for the next incarnation of a dropped worker, by ID
 	unresolvedStarts    map[string][]*run // starts that a later incarnation of their worker may carry out, by worker ID
 	strays              strayState
+	recordsStarts       bool                  // the last starts of all lasting tasks are on record
 	reservedTasks       []*task               // tasks that hold a reservation
 	recentlyDown        map[*worker]crashSpan // workers without a trial that went down recently
 	fillingDemand       map[string]float64    // demand for filling tasks by image, in workers
@@ -168,6 +171,7 @@
 		}
 	}
 	hosts := recorded.Hosts()
+	c.recordsStarts = self.RecordsStarts || len(hosts) == 0
 	c.awaitInherited(hosts)
 	for _, e := range inOrder(entries) {
 		c.addJob(e)
--- a/cell/copies.go
+++ b/cell/copies.go
@@ -278,7 +278,7 @@
 			break
 		}
 		reached++
-		if len(s.runsByWorker) == 0 || s.job.final() || !c.canStart(s.job) || c.isClaimPending(s.job) {
+		if len(s.runsByWorker) == 0 || s.job.final() || !c.canStart(s) || c.isClaimPending(s.job) {
 			continue
 		}
 		runs := 0
--- a/cell/crash.go
+++ b/cell/crash.go
@@ -89,7 +89,8 @@
 // needsRecordedStart reports whether a task's start has to be on record before it is
 // ordered, because the task crashed a worker or may have crashed one.
 func (c *Cell) needsRecordedStart(t *task) bool {
-	return t.suspect || t.inheritedStart || t.step.job.mayHaveCrashed && t.attempt < c.firstAttempt()
+	mayHaveCrashed := t.step.job.mayHaveCrashed || t.step.job.inherited && !c.survey.done
+	return t.suspect || t.inheritedStart || mayHaveCrashed && t.attempt < c.firstAttempt()
 }
 
 // isStartRecorded reports whether the task's next start is on record.
@@ -97,6 +98,31 @@
 	return t.startChange > 0 && t.step.job.savedChanges >= t.startChange
 }
 
+// needsRecord reports whether a record has to be written before a task's next start is ordered.
+func (c *Cell) needsRecord(t *task) bool {
+	return c.needsRecordedStart(t) || t.step.recordsStarts()
+}
+
+// isRecorded reports whether all records are written that a task's next start needs, on the
+// worker that capacity is reserved on.
+func (c *Cell) isRecorded(t *task) bool {
+	if c.needsRecordedStart(t) && !t.isStartRecorded() {
+		return false
+	}
+	return !t.step.recordsStarts() || t.reservation.recorded && t.step.job.savedChanges >= t.reservation.change
+}
+
+// recordReserved puts a task's next start on the worker that capacity is reserved on on record.
+func (c *Cell) recordReserved(t *task) {
+	w := t.reservation.worker
+	if c.needsRecordedStart(t) && t.startChange == 0 {
+		c.recordStart(t, w.incarnation())
+	}
+	if t.step.recordsStarts() && !t.reservation.recorded {
+		c.recordLastStart(t, w)
+	}
+}
+
 // recordStart puts a task's next start on record.
 func (c *Cell) recordStart(t *task, incarnation string) {
 	j := t.step.job
@@ -110,8 +136,11 @@
 // reserveAndRecord puts a task's start on a worker on record and reserves capacity there
 // until the record is written. See startReserved.
 func (c *Cell) reserveAndRecord(t *task, w *worker) {
-	c.recordStart(t, w.incarnation())
+	if c.needsRecordedStart(t) {
+		t.startChange = 0
+	}
 	c.reserve(t, w)
+	c.recordReserved(t)
 	if t.suspect {
 		t.reservation.trial = true
 		w.beginTrial(t.step.job)
--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -118,7 +118,7 @@
 // dispatchStep starts a step's waiting tasks as long as workers are found for them.
 func (c *Cell) dispatchStep(s *stepState) {
 	j := s.job
-	if len(s.ready) == 0 || j.final() || !c.canStart(j) || c.isClaimPending(j) {
+	if len(s.ready) == 0 || j.final() || !c.canStart(s) || c.isClaimPending(j) {
 		return
 	}
 	c.resolveInheritedStarts(s)
@@ -165,7 +165,7 @@
 			continue
 		}
 		w := found[k].worker
-		if c.needsRecordedStart(t) {
+		if c.needsRecord(t) {
 			c.reserveAndRecord(t, w)
 			unrecorded++
 			remaining = append(remaining, t)
--- a/cell/end.go
+++ b/cell/end.go
@@ -60,6 +60,7 @@
 	if s.job.final() {
 		return
 	}
+	c.dropLastStart(r)
 	c.recordDelays(r, end)
 	if end != provider.EndLost && end != provider.EndLapsed {
 		c.clearSuspicion(t, r.attempt) // the worker lists the end, so it didn't crash
--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -255,6 +255,7 @@
 	onHold            func(provider.HoldOrder) // called for each hold
 	onStart           func(provider.StartOrder)
 	settled           bool // the earlier owner has left with its starts settled
+	forgetsStarts     bool // the earlier owner is of a version that doesn't record starts
 	startsInFlight    int  // starts without an answer
 	maxStartsInFlight int  // maximum of startsInFlight
 }
@@ -275,7 +276,7 @@
 	s := o.site
 	term := s.store.claim(o.name)
 	opts := append([]cell.Option{cell.WithCopies(s.copies)}, s.options...)
-	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1, Settled: o.settled}, cell.DefaultTiming(), known, s.now, wall(s.now), opts...)
+	c, err := cell.New(cell.Self{Instance: o.name, Term: term, Sequence: 1, Settled: o.settled, RecordsStarts: known.Owner().RecordsStarts && !o.forgetsStarts}, cell.DefaultTiming(), known, s.now, wall(s.now), opts...)
 	if err != nil {
 		return err
 	}
--- a/cell/invariants_test.go
+++ b/cell/invariants_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/progress"
 	"github.com/dogwoodladder/dogwoodladder/provider"
 	"github.com/dogwoodladder/dogwoodladder/resource"
 )
@@ -39,6 +40,7 @@
 	if s.checkRecords && s.store.readCatalog(s.t).Hosts()[w.host.ID].StartedAt != w.host.StartedAt {
 		s.recordViolation("record: %s on %s, of which this incarnation isn't on record", o.Task, w.host.ID)
 	}
+	s.checkLastStart(w, o)
 	s.checkOtherRuns(w, o)
 	id, err := job.ParseTask(o.Task)
 	if err != nil {
@@ -64,6 +66,29 @@
 	}
 }
 
+// checkLastStart checks that the start of a lasting task is on record.
+func (s *site) checkLastStart(w *fakeWorker, o provider.StartOrder) {
+	if !s.checkRecords || !s.isLasting(o.Task) || s.stepOf(o.Task).Gang {
+		return
+	}
+	if last := s.lastStart(o.Task); last.Host != w.host.ID {
+		s.recordViolation("record: %s on %s, its last start on record is on %q", o.Task, w.host.ID, last.Host)
+	}
+}
+
+// lastStart returns the last start of a task that is on record.
+func (s *site) lastStart(task string) progress.Start {
+	id, err := job.ParseTask(task)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	entries, err := s.store.readCatalog(s.t).Entries()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return entries[id.Job].Progress.LastStart(id)
+}
+
 // checkOtherRuns checks that a started task doesn't run elsewhere, or only once if it may
 // have copies.
 func (s *site) checkOtherRuns(w *fakeWorker, o provider.StartOrder) {
--- a/cell/job.go
+++ b/cell/job.go
@@ -59,7 +59,7 @@
 	ended           []time.Duration // times of its runs that completed, ascending; only if its tasks may have copies
 	noTargetUntil   time.Duration   // until when no worker is looked for that takes a copy
 	advice          *advice         // nil unless the queue requires advice
-	runsByWorker    map[*worker]int // number of runs by worker, for PerWorker
+	runsByWorker    map[*worker]int // number of runs and reservations by worker, for PerWorker
 	rank            ranking.Rank
 	promoted        bool // overdue and first of its queue, by the last sort
 }
@@ -83,6 +83,7 @@
 	suspect           bool                      // it may crash the worker that starts it
 	inheritedStart    bool                      // a start by an earlier owner is on record without an outcome
 	startChange       uint64                    // number of the job's change that records its next start, zero if none does
+	lastStart         progress.Start            // by an earlier owner, the zero Start if the task doesn't wait for its outcome
 	strays            []strayStart              // starts that a later incarnation of their worker may carry out
 	strayChange       uint64                    // number of the job's change that records them, zero if none does
 	reservation       *reservation              // capacity reserved for its next start, nil if none is
@@ -199,6 +200,13 @@
 	return s
 }
 
+// releasePlace records that a run or reservation of the step on a worker has ended.
+func (s *stepState) releasePlace(w *worker) {
+	if s.runsByWorker[w]--; s.runsByWorker[w] <= 0 {
+		delete(s.runsByWorker, w)
+	}
+}
+
 // restore restores a step's state from the record. If a member of a gang is done, all are.
 func (c *Cell) restore(s *stepState) {
 	isDone := func(t *task) bool { return s.job.progress.IsDone(t.id) }
@@ -207,6 +215,7 @@
 		t.checkpoint = s.job.progress.Checkpoint(t.id)
 		t.restoreCrashes()
 		c.restoreStrays(t)
+		c.restoreLastStart(t)
 		if gangDone || isDone(t) {
 			s.job.progress.RecordDone(t.id)
 			t.done = true
--- /dev/null
+++ b/cell/laststart_test.go
@@ -0,0 +1,164 @@
+package cell_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/progress"
+	"github.com/dogwoodladder/dogwoodladder/provider"
+)
+
+// lastingOf returns a step of lasting tasks.
+func lastingOf(count int, cores int64) job.Step {
+	l := step(count, cores)
+	l.Lasting = true
+	return l
+}
+
+// runnerOf returns the worker that runs a task, nil if none does.
+func (s *site) runnerOf(task string) *fakeWorker {
+	for _, w := range s.workers {
+		if w.up && w.runs[task] != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// lastingSite returns a site whose tasks don't end, with a first owner.
+func lastingSite(t *testing.T, seed uint64, workers int) *site {
+	s := newSite(t, seed, workers, 2)
+	s.awaitsRestarts()
+	s.checkRecords = true
+	s.duration = func(string) time.Duration { return time.Hour }
+	s.tail = func(string, *fakeWorker) time.Duration { return 0 } // they are at work at once
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	return s
+}
+
+// Guards against a successor that doesn't know where a lasting task may run, as its start wasn't on record.
+func TestStartsOfLastingTasksAreOnRecord(t *testing.T) {
+	is := is.New(t)
+	s := lastingSite(t, 3400, 6)
+	apart := lastingOf(6, 2)
+	apart.PerWorker = 1
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{apart}})
+	s.submit(&job.Job{ID: jobID(1), Spec: "x", Steps: []job.Step{lastingOf(8, 2)}})
+	s.run(s.now + 2500*time.Millisecond)
+	is.Equal(s.runningCount(jobID(0)), 6)
+	is.Equal(s.runningCount(jobID(1)), 8)
+	task := jobID(0) + ".0.0.0"
+	is.Equal(s.lastStart(task), progress.Start{Host: s.runnerOf(task).host.ID, Begun: true})
+	for n := range 5 { // each in turn is killed, and its tasks are started elsewhere
+		s.workers[n].resetProcess()
+		s.run(s.now + 4*time.Second)
+		is.Equal(s.runningCount(jobID(0)), 6)
+		is.Equal(s.runningCount(jobID(1)), 8)
+	}
+	s.replaceOwner(0, 1)
+	s.run(s.now + 4*time.Second)
+	is.Equal(s.runningCount(jobID(0)), 6)
+	is.Equal(s.violations, nil)
+}
+
+// startedOn returns how many of a job's tasks were last started on a worker, by the record.
+func (s *site) startedOn(id, worker string) int {
+	n := 0
+	for i := range s.jobOf(id).Steps[0].Count {
+		if s.lastStart(job.Task{Job: id, Index: i}.String()).Host == worker {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against lasting tasks that wait for silent workers on which they were never started.
+func TestLastingTasksWaitForTheirWorkerAlone(t *testing.T) {
+	tests := []struct {
+		name   string
+		forget bool // the earlier owner had no starts on record
+		waits  bool
+	}{
+		{name: "starts are on record"},
+		{name: "an owner that didn't record starts", forget: true, waits: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := lastingSite(t, 3410, 20)
+			order := s.holdUpStart(s.owners[0], 0)
+			s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{lastingOf(120, 1)}})
+			for n := 0; n < 100 && order.Task == ""; n++ {
+				s.run(s.now + tickInterval)
+			}
+			is.True(order.Task != "")
+			s.owners[0].kill() // most tasks haven't been ordered
+			s.owners[1].forgetsStarts = tt.forget
+			for n := range 2 {
+				s.owners[1].unreachable[n] = true
+			}
+			waiting := s.startedOn(jobID(0), "w0-0") + s.startedOn(jobID(0), "w1-0")
+			is.True(waiting < 20)
+			s.owners[1].takeOver()
+			s.run(s.now + 3*time.Second)
+			is.Equal(s.runningCount(jobID(0)) < 120-waiting, tt.waits)
+			is.Equal(s.runnerOf(order.Task), nil) // its start may arrive
+			is.Equal(s.violations, nil)
+		})
+	}
+}
+
+// Guards against a lasting task that runs twice because its start reaches the next incarnation of its worker after
+// a takeover.
+func TestStrayStartOfALastingTask(t *testing.T) {
+	for _, owners := range []int{1, 2} {
+		is := is.New(t)
+		s := lastingSite(t, 3420, 4)
+		s.checkRecords = false // the start that arrives late isn't on record any more
+		order := s.holdUpStart(s.owners[0], 0)
+		s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{lastingOf(4, 2)}})
+		s.run(s.now + 300*time.Millisecond)
+		is.True(strings.HasPrefix(order.Task, jobID(0)))
+		s.workers[0].corruptEntry(time.Hour)
+		for n := range owners {
+			s.replaceOwner(n%2, (n+1)%2)
+			s.run(s.now + 300*time.Millisecond)
+		}
+		for n := 0; n < 300 && !s.runsElsewhere(order.Task, 0); n++ {
+			s.run(s.now + 20*time.Millisecond)
+		}
+		is.True(s.runsElsewhere(order.Task, 0))
+		s.deliver(is, order, 0)
+		s.run(s.now + 3*settleTime)
+		is.True(s.runnerOf(order.Task) != nil)
+		is.Equal(s.violations, nil)
+	}
+}
+
+// Guards against a lasting task that waits for the end of a takeover although the machine that ran it is down.
+func TestLastingTasksOfAMachineThatIsDown(t *testing.T) {
+	is := is.New(t)
+	s := lastingSite(t, 3430, 20)
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{lastingOf(40, 1)}})
+	s.run(s.now + 3*time.Second)
+	s.owners[0].kill()
+	down := 0
+	for _, w := range s.workers[:2] {
+		down += len(w.runs)
+		w.resetConnections()
+		w.crash(time.Hour, 1)
+	}
+	is.True(down > 0)
+	starts := 0
+	s.owners[1].onStart = func(provider.StartOrder) { starts++ }
+	s.owners[1].takeOver()
+	s.run(s.now + 2500*time.Millisecond)
+	is.Equal(starts, down)
+	is.Equal(s.runningCount(jobID(0)), 40)
+	is.Equal(s.violations, nil)
+}
--- a/cell/relocate.go
+++ b/cell/relocate.go
@@ -32,6 +32,8 @@
 	need      resource.Vector
 	expiresAt time.Duration
 	trial     bool // starts of other jobs are kept off the worker as well
+	recorded  bool // the start on the worker was put on record with the job's change
+	change    uint64
 }
 
 // relocate moves serving tasks off workers on which they keep filling tasks away that are
@@ -73,6 +75,7 @@
 // reserve reserves capacity for a task on a worker.
 func (c *Cell) reserve(t *task, w *worker) {
 	w.used = w.used.Add(t.step.need)
+	t.step.runsByWorker[w]++
 	t.reservation = &reservation{worker: w, need: t.step.need, expiresAt: c.now + reservationTimeout}
 	c.reservedTasks = append(c.reservedTasks, t)
 }
@@ -103,6 +106,7 @@
 	}
 	t.reservation = nil
 	res.worker.used = res.worker.used.Sub(res.need)
+	t.step.releasePlace(res.worker)
 	if res.trial {
 		res.worker.endTrial()
 	}
@@ -114,7 +118,8 @@
 // expireReservations releases reservations that weren't used in time.
 func (c *Cell) expireReservations() {
 	for _, t := range slices.Clone(c.reservedTasks) {
-		if c.now > t.reservation.expiresAt || t.step.job.final() {
+		isWriting := t.reservation.change > t.step.job.savedChanges
+		if c.now > t.reservation.expiresAt && !isWriting || t.step.job.final() {
 			c.releaseReservation(t)
 		}
 	}
@@ -127,10 +132,8 @@
 		if t.reservation == nil {
 			continue
 		}
-		if c.needsRecordedStart(t) && !t.isStartRecorded() {
-			if t.startChange == 0 {
-				c.recordStart(t, t.reservation.worker.incarnation())
-			}
+		if !c.isRecorded(t) {
+			c.recordReserved(t)
 			continue
 		}
 		w := c.releaseReservation(t)
--- a/cell/report.go
+++ b/cell/report.go
@@ -32,6 +32,7 @@
 		return
 	}
 	c.markRunning(r.task.step.job)
+	c.recordBegun(r)
 	c.recordCheckpoint(r, p.Checkpoint, p.Percent)
 	r.tail = p.TailLatency
 	r.processorsUsed = p.Processors
--- a/cell/run.go
+++ b/cell/run.go
@@ -148,9 +148,7 @@
 		return
 	}
 	t.detach(r)
-	if t.step.runsByWorker[w]--; t.step.runsByWorker[w] <= 0 {
-		delete(t.step.runsByWorker, w)
-	}
+	t.step.releasePlace(w)
 	if t.step.spec.Fills {
 		w.fillingProcessors -= t.step.spec.Need.Processors
 		w.recordEndedFill(c.now, r)
--- a/cell/save.go
+++ b/cell/save.go
@@ -152,6 +152,8 @@
 		Heartbeats: c.heartbeats,
 		Leaving:    b.leaving,
 		Settled:    b.leaving && c.startsSettled(),
+
+		RecordsStarts: c.recordsStarts,
 	})
 	if err != nil {
 		return nil, err
--- a/cell/stray.go
+++ b/cell/stray.go
@@ -60,7 +60,7 @@
 // the survey is complete, or with an occurrence that was due when the owner took the cell.
 func (c *Cell) inheritStart(t *task) {
 	s := t.step
-	if !s.job.inherited || len(c.strays.inherited) == 0 {
+	if !s.job.inherited || len(c.strays.inherited) == 0 || c.recordsStarts && s.recordsStarts() {
 		return
 	}
 	wasDue := s.round.openedAt > c.ownedSince && len(s.spec.After) == 0 && t.attempt == 0
@@ -175,7 +175,7 @@
 // isHeldBack reports whether a task isn't started because a worker is awaited that may have
 // carried out a stray start, or because its stray starts aren't on record yet.
 func (c *Cell) isHeldBack(t *task) bool {
-	return t.strayChange > t.step.job.savedChanges || slices.ContainsFunc(t.strays, c.isAwaited)
+	return t.strayChange > t.step.job.savedChanges || slices.ContainsFunc(t.strays, c.isAwaited) || c.awaitsLastWorker(t)
 }
 
 // isAwaited reports whether a worker is awaited that a stray start may have reached.
--- a/cell/survey.go
+++ b/cell/survey.go
@@ -132,13 +132,15 @@
 	}
 	c.survey.done = true
 	c.needsDispatch = true
+	c.recordsStarts = true
 	c.requireRecordedStarts()
 	c.saveAssumedStrays()
 	c.logEvent("workers surveyed", "workers", len(c.workers), "stray_starts", len(c.strays.tasks))
 }
 
-// canStart reports whether a job's tasks may be started: an earlier owner can't have
-// started any, or the survey has found all of them.
-func (c *Cell) canStart(j *jobState) bool {
-	return !j.inherited || c.survey.done
+// canStart reports whether a step's tasks may be started: an earlier owner can't have started
+// any, or the survey has found all of them, or it is on record on which worker each of them was
+// last started.
+func (c *Cell) canStart(s *stepState) bool {
+	return !s.job.inherited || c.survey.done || c.recordsStarts && s.recordsStarts() && len(s.inheritedStarts) == 0
 }
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -118,14 +118,16 @@
 		return holdStore
 	case c.hosts.stale:
 		return holdList
-	case !c.canStart(s.job):
+	case !c.canStart(s):
 		return holdSurvey
 	case c.isClaimPending(s.job):
 		return holdClaim
 	case s.spec.Gang && len(s.ready) < s.tasksLeft:
 		return holdMembers
-	case t.startChange > s.job.savedChanges || t.strayChange > s.job.savedChanges:
+	case t.strayChange > s.job.savedChanges || t.reservation != nil && !c.isRecorded(t):
 		return holdRecord
+	case c.awaitsLastWorker(t):
+		return holdSurvey
 	case c.isHeldBack(t):
 		return holdStray
 	case t.reservation != nil:
--- a/dispatcher/control.go
+++ b/dispatcher/control.go
@@ -163,6 +163,8 @@
 		Nonce:    d.nonce,
 		Sequence: rand.Uint64N(sequenceRange),
 		Settled:  earlier.Leaving && earlier.Settled,
+
+		RecordsStarts: earlier.RecordsStarts,
 	}
 	d.finishClaim(owner, func(ctx context.Context) error { return d.tryClaim(ctx, owner, next) })
 }
@@ -230,7 +232,7 @@
 // becomeOwner creates the cell's state from the catalog and starts to act as its owner.
 func (d *Dispatcher) becomeOwner(owner catalog.Owner) {
 	term := owner.Term
-	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term, Sequence: owner.Sequence, StoreSince: d.progress.UnbrokenSince(), Settled: owner.Settled}
+	self := cell.Self{Instance: d.instance, Nonce: d.nonce, Term: term, Sequence: owner.Sequence, StoreSince: d.progress.UnbrokenSince(), Settled: owner.Settled, RecordsStarts: owner.RecordsStarts}
 	c, err := cell.New(self, d.timing, d.catalog, d.clock(), time.Now(), cell.WithCopies(d.copies), cell.WithSharing(d.sharing))
 	if err != nil {
 		d.logger.Error("creating the cell's state failed", zap.Uint64("term", term), zap.Error(err))
--- a/progress/progress.go
+++ b/progress/progress.go
@@ -63,6 +63,13 @@
 	Saved   map[int]string        `cbor:"3,keyasint,omitempty"` // checkpoints of interrupted tasks
 	Crashes map[int]crash.History `cbor:"4,keyasint,omitempty"` // by tasks whose workers crashed
 	Strays  map[int][]string      `cbor:"5,keyasint,omitempty"` // by task, the workers that a start without an outcome may reach late
+	Starts  map[int]Start         `cbor:"6,keyasint,omitempty"` // by task, the last start of those whose starts are on record
+}
+
+// Start is a start of a task that was put on record before it was ordered.
+type Start struct {
+	Host  string `cbor:"1,keyasint"`           // ID of the worker
+	Begun bool   `cbor:"2,keyasint,omitempty"` // the worker has listed the run
 }
 
 // New returns the progress of a job that hasn't started.
@@ -147,6 +154,7 @@
 	delete(r.Failed, n)
 	delete(r.Crashes, n)
 	delete(r.Strays, n)
+	delete(r.Starts, n)
 	p.Rounds[t.Occurrence] = r
 	return true
 }
@@ -254,6 +262,39 @@
 	return true
 }
 
+// RecordStart records the last start of a task. It reports whether the record changed.
+func (p *Progress) RecordStart(t job.Task, s Start) bool {
+	n := p.taskNumber(t)
+	r := p.round(t.Occurrence)
+	if r.Starts[n] == s {
+		return false
+	}
+	if r.Starts == nil {
+		r.Starts = make(map[int]Start)
+	}
+	r.Starts[n] = s
+	p.Rounds[t.Occurrence] = r
+	return true
+}
+
+// LastStart returns the last start of a task, the zero Start if none is on record or it has
+// ended.
+func (p *Progress) LastStart(t job.Task) Start {
+	return p.Rounds[t.Occurrence].Starts[p.taskNumber(t)]
+}
+
+// DropStart records that the last start of a task has ended. It reports whether the record
+// changed.
+func (p *Progress) DropStart(t job.Task) bool {
+	n := p.taskNumber(t)
+	starts := p.Rounds[t.Occurrence].Starts
+	if starts[n] == (Start{}) {
+		return false
+	}
+	delete(starts, n)
+	return true
+}
+
 func (p *Progress) round(occurrence int) Round {
 	if p.Rounds == nil {
 		p.Rounds = make(map[int]Round)
--- a/progress/progress_test.go
+++ b/progress/progress_test.go
@@ -47,6 +47,27 @@
 	is.True(err != nil)
 }
 
+func TestStarts(t *testing.T) {
+	is := is.New(t)
+	j := &job.Job{ID: "a", Steps: []job.Step{{Count: 2}}}
+	task := job.Task{Job: "a", Index: 1}
+	p := progress.New(j)
+	is.Equal(p.LastStart(task), progress.Start{})
+	is.True(p.RecordStart(task, progress.Start{Host: "w1"}))
+	is.True(!p.RecordStart(task, progress.Start{Host: "w1"}))
+	is.True(p.RecordStart(task, progress.Start{Host: "w1", Begun: true}))
+	data, err := p.Encode()
+	is.NoErr(err)
+	q, err := progress.Decode(data)
+	is.NoErr(err)
+	q.Bind(j)
+	is.Equal(q.LastStart(task), progress.Start{Host: "w1", Begun: true})
+	is.Equal(q.LastStart(job.Task{Job: "a"}), progress.Start{})
+	is.True(q.DropStart(task))
+	is.True(!q.DropStart(task))
+	is.Equal(q.LastStart(task), progress.Start{})
+}
+
 func TestStrays(t *testing.T) {
 	is := is.New(t)
 	j := &job.Job{ID: "a", Steps: []job.Step{{Count: 2}}}
