Cell: tasks that are held back leave the dispatch pass to others

What callers saw: after a takeover, jobs that wait for nothing aren't started, beside hundreds of free workers.

Cause: a dispatch pass checks at most 10,000 pairs of a step and a worker, which is 11 steps on 890 workers. A step whose tasks are all held back, or wait for their record, has candidates, so that it isn't skipped as one that fits nowhere, and is checked in full in each pass. Steps behind eleven such ones waited as long as the hold.

Now a step without a task that may be started on any worker isn't checked.

Evidence: TestHeldTasksLeaveThePassToOthers failed before.

--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -126,7 +126,7 @@
 		return
 	}
 	c.startReserved(s)
-	if len(s.ready) == 0 {
+	if !c.mayStartAny(s) {
 		return
 	}
 	found := c.candidates(s)
@@ -146,6 +146,15 @@
 	}
 }
 
+// mayStartAny reports whether a step has waiting tasks that may be started on some worker. The
+// others would use up the checks of each pass.
+func (c *Cell) mayStartAny(s *stepState) bool {
+	if s.spec.Gang {
+		return len(s.ready) > 0 && !slices.ContainsFunc(s.ready, c.isHeldBack)
+	}
+	return slices.ContainsFunc(s.ready, func(t *task) bool { return t.reservation == nil && !c.isHeldBack(t) })
+}
+
 // startReady starts waiting tasks on the candidates until it runs out of either. It
 // returns the number of candidates that are left.
 func (c *Cell) startReady(s *stepState, found []candidate) int {
@@ -157,11 +166,11 @@
 			break
 		}
 		k := -1
-		if t.reservation == nil {
+		if t.reservation == nil && !c.isHeldBack(t) {
 			k = c.bestCandidate(found, t)
 		}
 		if k < 0 {
-			remaining = append(remaining, t) // it has a reservation, or can't run on any candidate
+			remaining = append(remaining, t) // it has a reservation, is held back, or can't run on any candidate
 			continue
 		}
 		w := found[k].worker
--- a/cell/stray_test.go
+++ b/cell/stray_test.go
@@ -297,3 +297,22 @@
 func (s *site) downWorkers() []*fakeWorker {
 	return slices.DeleteFunc(slices.Clone(s.workers), func(w *fakeWorker) bool { return w.up })
 }
+
+// Guards against tasks that wait because those ahead of them, which are held back, use up each dispatch pass.
+func TestHeldTasksLeaveThePassToOthers(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3320, 890, 2)
+	s.duration = func(string) time.Duration { return 10 * time.Second }
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	for n := range 60 {
+		s.submit(&job.Job{ID: jobID(n), Spec: "x", Steps: []job.Step{step(20, 1)}})
+	}
+	s.killAtFirstStart(0)
+	s.run(s.now + 100*time.Millisecond)
+	s.owners[1].takeOver()
+	s.run(s.now + 500*time.Millisecond)
+	s.submit(&job.Job{ID: jobID(100), Spec: "x", Steps: []job.Step{step(20, 1)}})
+	s.run(s.now + 500*time.Millisecond)
+	is.Equal(s.runningCount(jobID(100)), 20)
+}
