Cell: ask about the machines of workers that hold up other tasks

What callers saw: after a takeover, each worker that leaves holds tasks back for three seconds after its entry has gone, although its machine is known to be gone.

Cause: the list of machines was asked only about silent workers with runs, and in the survey. A worker that is awaited for late starts has none when it leaves in order.

Now it is asked about awaited workers as well. One whose machine is listed as down is kept, as the next list may tell that it is gone.

--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -529,6 +529,9 @@
 		return list
 	}
 	for _, w := range s.workers {
+		if w.machineGone {
+			continue
+		}
 		m := provider.Machine{ID: w.host.Machine, Host: w.host.ID, State: provider.MachineUp}
 		if !w.up {
 			m.State = provider.MachineDown
--- a/cell/machines.go
+++ b/cell/machines.go
@@ -42,7 +42,7 @@
 }
 
 // needsMachineCheck reports whether an upkeep may have ended a worker, or it has been silent
-// for long enough to ask about its machine, and holds up runs or the survey.
+// for long enough to ask about its machine, and holds up runs, the survey or other tasks.
 func (c *Cell) needsMachineCheck(w *worker) bool {
 	if w.upkeepAt > 0 {
 		return true
@@ -51,7 +51,8 @@
 		return false
 	}
 	_, pending := c.survey.pending[w]
-	return pending || len(w.runs) > 0
+	_, awaited := c.strays.awaited[w.host.ID]
+	return pending || awaited || len(w.runs) > 0
 }
 
 // handleListMachinesReply applies the platform's list of machines. The list is ignored for a
@@ -92,6 +93,8 @@
 	switch {
 	case reason == machineDown && c.mayReceiveStart(w, listedAt):
 		// it may be back under its ID before the start arrives
+	case reason == machineDown && c.isOnlyAwaited(w):
+		// the next list may tell that it is gone
 	case reason != "":
 		c.loseWorker(w, reason, listedAt)
 	case m.State == provider.MachineUnknown:
@@ -102,6 +105,13 @@
 	}
 }
 
+// isOnlyAwaited reports whether a silent worker holds up other tasks alone, and has no runs to give up.
+func (c *Cell) isOnlyAwaited(w *worker) bool {
+	_, pending := c.survey.pending[w]
+	_, awaited := c.strays.awaited[w.host.ID]
+	return awaited && !pending && len(w.runs) == 0
+}
+
 // machineDown is the reason for which a worker is down that may come back under its ID.
 const machineDown = "machine isn't up"
 
--- a/cell/stray_test.go
+++ b/cell/stray_test.go
@@ -316,3 +316,36 @@
 	s.run(s.now + 500*time.Millisecond)
 	is.Equal(s.runningCount(jobID(100)), 20)
 }
+
+// Guards against tasks that wait for a worker that is gone until its entry has expired, as nobody asked about its
+// machine.
+func TestAwaitedWorkersThatAreGone(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3330, 80, 2)
+	s.duration = func(string) time.Duration { return 30 * time.Second }
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	long := step(60, 6)
+	long.Estimate = 30 * time.Second
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{long}})
+	s.killAtFirstStart(0)
+	s.run(s.now + 100*time.Millisecond)
+	s.owners[1].takeOver()
+	s.run(s.now + 4*time.Second)
+	is.Equal(s.runningCount(jobID(0)), 60)
+	idle := slices.IndexFunc(s.workers, func(w *fakeWorker) bool { return len(w.runs) == 0 })
+	s.workers[idle].resetConnections()
+	s.workers[idle].goDown()
+	s.workers[idle].machineGone = true
+	stops := 0
+	s.owners[1].onLog = func(e cell.LogEvent) {
+		if e.Event == "stop" {
+			stops++
+		}
+	}
+	s.run(s.now + 2500*time.Millisecond)
+	is.True(stops > 0) // the next incarnation may start them
+	is.Equal(s.runningCount(jobID(0)), 60)
+	s.run(s.now + 2*settleTime)
+	s.mustComplete(1)
+}
--- a/cell/worker_test.go
+++ b/cell/worker_test.go
@@ -20,6 +20,7 @@
 	host               provider.Host
 	up                 bool
 	downAt             time.Duration    // when it went down, if it isn't up
+	machineGone        bool             // its machine isn't on the list of machines
 	restarting         bool             // it comes up again under its ID before its entry expires
 	previousEntry      provider.Host    // list entry of the previous incarnation
 	entryListedAt      time.Duration    // when its own entry replaces that one
