--- a/cell/harness_test.go
+++ b/cell/harness_test.go
@@ -29,6 +29,7 @@
 	eventCount     int
 	store          *logStore
 	workers        []*fakeWorker
+	positions      map[string]int // of workers, by address; checked on use
 	owners         []*owner
 	options        []cell.Option // of the owners' cells
 	table          *queue.Table
@@ -121,6 +122,7 @@
 func newSite(t *testing.T, seed uint64, workers, owners int) *site {
 	s := &site{
 		t:                 t,
+		positions:         make(map[string]int),
 		paces:             make(map[string]int),
 		waves:             make(map[int]bool),
 		upkeepCount:       make(map[string]int),
@@ -386,10 +388,16 @@
 // handleList passes a list to the cell. An unchanged list shares its Hosts with the
 // previous one.
 func (o *owner) handleList(list provider.HostList) {
+	positions := make(map[string]int, len(o.list.Hosts)) // of the first entry, by worker ID
+	for i := range o.list.Hosts {
+		if _, repeated := positions[o.list.Hosts[i].ID]; !repeated {
+			positions[o.list.Hosts[i].ID] = i
+		}
+	}
 	for i := range list.Writes {
-		known := slices.IndexFunc(o.list.Hosts, func(h provider.Host) bool { return h.ID == list.Hosts[i].ID })
+		known, listed := positions[list.Hosts[i].ID]
 		switch {
-		case known < 0 || len(o.list.Writes) <= known:
+		case !listed || len(o.list.Writes) <= known:
 		case o.list.Writes[known].Clock == list.Writes[i].Clock:
 			list.Writes[i].After = o.list.Writes[known].After
 		default:
@@ -670,8 +678,12 @@
 }
 
 func (s *site) workerAt(h provider.Host) *fakeWorker {
-	for _, w := range s.workers {
+	if i, known := s.positions[h.Address]; known && s.workers[i].host.Address == h.Address {
+		return s.workers[i]
+	}
+	for i, w := range s.workers {
 		if w.host.Address == h.Address {
+			s.positions[h.Address] = i
 			return w
 		}
 	}
