Cell: a silent worker that has left the list leaves the record

What callers saw: nothing by itself. After a takeover, tasks of inherited jobs wait for each worker on record; one that is gone for good, where no list of machines tells so, was waited for by each owner anew, for 20.4 s.

Cause: checkLease returned at once for a worker that never answered this owner, so its record had no end. Its lease ends with the survey, after which nothing can run on it; a worker off the list gets no new tasks.

Ruled out: to drop it at the takeover.

--- a/cell/worker.go
+++ b/cell/worker.go
@@ -297,20 +297,23 @@
 // keeps running. So the lease only counts as expired after a later write succeeded that is
 // fenced by this owner's term.
 func (c *Cell) checkLease(w *worker) {
-	if !w.answered {
-		if !w.registered && !c.isListed(w) {
-			c.dropWorker(w) // it never answered, and is no longer listed
+	switch {
+	case w.answered:
+		if !c.hasPassed(c.leaseEndsAt(w)) {
+			return
 		}
-		return
-	}
-	if !c.hasPassed(c.leaseEndsAt(w)) {
-		return
-	}
-	c.endLapsedRuns(w)
-	w.moreEnded = false
-	c.abandonSurvey(w)
-	if !w.listed && c.now-w.lastContact > forgetTimeout {
-		c.loseWorker(w, "unlisted and silent", 0)
+		c.endLapsedRuns(w)
+		w.moreEnded = false
+		c.abandonSurvey(w)
+		if !w.listed && c.now-w.lastContact > forgetTimeout {
+			c.loseWorker(w, "unlisted and silent", 0)
+		}
+	case w.registered: // by an earlier owner
+		if !w.listed && c.hasPassed(c.survey.deadline) {
+			c.loseWorker(w, "unlisted and silent", 0)
+		}
+	case !c.isListed(w):
+		c.dropWorker(w) // it never answered
 	}
 }
 
