Cell: a reservation for a serving task counts its image

What callers saw: lasting tasks that were started together shared workers with those of other images, and filling work beside them was kept away.

Cause: since the start of a lasting task is put on record before it is ordered, its place is a reservation for the time of a write. A reservation counted the capacity and the place of a step, not the image of a serving task, so the tasks that were placed meanwhile didn't see it.

Ruled out: the delay of the starts itself; that of the moved tasks, whose reservations had the same gap, is seconds long, but there are few of them.

Evidence: TestServingTasksThatStartTogetherStayApart: four images on 2 workers instead of 4 without the change.

--- a/cell/relocate.go
+++ b/cell/relocate.go
@@ -76,6 +76,9 @@
 func (c *Cell) reserve(t *task, w *worker) {
 	w.used = w.used.Add(t.step.need)
 	t.step.runsByWorker[w]++
+	if t.step.spec.Serves() {
+		w.addImage(t.step.spec.Image)
+	}
 	t.reservation = &reservation{worker: w, need: t.step.need, expiresAt: c.now + reservationTimeout}
 	c.reservedTasks = append(c.reservedTasks, t)
 }
@@ -107,6 +110,9 @@
 	t.reservation = nil
 	res.worker.used = res.worker.used.Sub(res.need)
 	t.step.releasePlace(res.worker)
+	if t.step.spec.Serves() {
+		res.worker.dropImage(t.step.spec.Image)
+	}
 	if res.trial {
 		res.worker.endTrial()
 	}
--- a/cell/relocate_test.go
+++ b/cell/relocate_test.go
@@ -68,3 +68,27 @@
 	}
 	return nil
 }
+
+// Guards against serving tasks of different images on one worker because their starts are on their way.
+func TestServingTasksThatStartTogetherStayApart(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2, 4, 1)
+	s.duration = func(string) time.Duration { return time.Hour }
+	s.tail = func(string, *fakeWorker) time.Duration { return time.Millisecond }
+	s.owners[0].takeOver()
+	images := []string{"mind", "bear", "rebuild", "sort"}
+	s.after(time.Second, func() {
+		for n, image := range images {
+			s.submit(servingJob(n, image, 1))
+		}
+	})
+	s.run(1500 * time.Millisecond)
+	runners := make(map[*fakeWorker]bool)
+	for n := range images {
+		w := s.workerOf(jobID(n))
+		is.True(w != nil)
+		runners[w] = true
+	}
+	is.Equal(len(runners), len(images))
+	is.Equal(s.violations, nil)
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -119,9 +119,7 @@
 			c.consumeSlack(w, t.step)
 		}
 		if t.step.spec.Serves() {
-			w.servingCount++
-			w.images[t.step.spec.Image]++
-			w.imageSet = nil
+			w.addImage(t.step.spec.Image)
 		}
 	}
 	if w.onProbation {
@@ -154,11 +152,7 @@
 		w.recordEndedFill(c.now, r)
 	}
 	if t.step.spec.Serves() {
-		w.servingCount--
-		if w.images[t.step.spec.Image]--; w.images[t.step.spec.Image] == 0 {
-			delete(w.images, t.step.spec.Image)
-		}
-		w.imageSet = nil
+		w.dropImage(t.step.spec.Image)
 	}
 }
 
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -31,8 +31,8 @@
 	runs              map[string]*run // by task name
 	used              resource.Vector
 	fillingProcessors int64           // thousandths of a core that filling runs would use
-	servingCount      int             // number of serving runs
-	images            map[string]int  // number of serving runs by image
+	servingCount      int             // number of serving runs, and of reservations for serving tasks
+	images            map[string]int  // the same by image
 	imageSet          *colocation.Set // colocation data of images, nil if it has to be looked up
 
 	slack           []pressure.Headroom // slack of the serving runs, from the last report
@@ -144,6 +144,22 @@
 	return w
 }
 
+// addImage counts a serving task's image on a worker.
+func (w *worker) addImage(image string) {
+	w.servingCount++
+	w.images[image]++
+	w.imageSet = nil
+}
+
+// dropImage undoes addImage.
+func (w *worker) dropImage(image string) {
+	w.servingCount--
+	if w.images[image]--; w.images[image] == 0 {
+		delete(w.images, image)
+	}
+	w.imageSet = nil
+}
+
 func (c *Cell) joinPool(w *worker, service string) {
 	pool := c.pools[service]
 	at, _ := slices.BinarySearchFunc(pool, w.host.ID, func(other *worker, id string) int { return strings.Compare(other.host.ID, id) })
