Cell: probation ends beside a long task

Cause: two failures in a row put a worker on probation, also those of one bad job, and there it got one task at a time until one had completed, however long that task takes. The probation had no end by time.

The next failure leads to quarantine at once, as before.

Ruled out: to count only failures of different jobs, or none of a step that failed on several workers. Where a few workers are bad and one job has all the work, its attempts would be used up there.

--- a/cell/dispatch.go
+++ b/cell/dispatch.go
@@ -278,7 +278,7 @@
 
 // fitsWithoutTicket is like fits, but needs no ticket of the adviser.
 func (c *Cell) fitsWithoutTicket(s *stepState, w *worker) bool {
-	if !w.admitsProbe(s) || w.trialJob != nil && w.trialJob != s.job || !w.used.Add(s.need).Fits(w.host.Capacity) {
+	if !c.admitsProbe(w, s) || w.trialJob != nil && w.trialJob != s.job || !w.used.Add(s.need).Fits(w.host.Capacity) {
 		return false
 	}
 	if s.spec.Label != "" && !w.host.HasLabel(s.spec.Label) {
--- a/cell/end.go
+++ b/cell/end.go
@@ -76,8 +76,7 @@
 	switch end {
 	case provider.EndFailed:
 		c.avoid(t, w)
-		w.failures++
-		c.quarantineIfFailing(w)
+		c.recordFailure(w, c.now-r.orderedAt)
 		c.failTask(t, r.attempt)
 	}
 	if s.spec.Gang && end != provider.EndDone {
--- a/cell/quarantine.go
+++ b/cell/quarantine.go
@@ -1,7 +1,23 @@
 package cell
 
-// quarantineIfFailing quarantines a worker on which several tasks failed in a row. After
-// the quarantine, the worker gets one task at a time until one completes.
+import "time"
+
+// A worker on which several tasks failed or hung in a row gets none for a while, and is on
+// probation then, like a half-open circuit breaker: it gets a task from time to time until one
+// completes, or has been at work for longer than those that failed. The others may be long ones,
+// and whoever waits for the worker must not wait for their end.
+
+const (
+	// quarantineThreshold is how many tasks in a row have to fail on a worker before it is
+	// quarantined. A single failure is usually the task's own fault.
+	quarantineThreshold = 2
+
+	// probeInterval is the time between two starts on a worker on probation, and the least time
+	// that a run has to be at work there to end the probation.
+	probeInterval = 500 * time.Millisecond
+)
+
+// quarantineIfFailing quarantines a worker on which several tasks failed in a row.
 func (c *Cell) quarantineIfFailing(w *worker) {
 	if w.failures < quarantineThreshold {
 		return
@@ -12,9 +28,12 @@
 	c.logEvent("quarantine", "worker", w.host.ID, "for", c.timing.Quarantine)
 }
 
-// quarantineThreshold is how many tasks in a row have to fail on a worker before it is
-// quarantined. A single failure is usually the task's own fault.
-const quarantineThreshold = 2
+// recordFailure counts a task that failed on a worker.
+func (c *Cell) recordFailure(w *worker, ran time.Duration) {
+	w.failures++
+	w.longestFailure = max(w.longestFailure, ran)
+	c.quarantineIfFailing(w)
+}
 
 // recordSuccess resets the failure count of a worker on which a task completed, and ends
 // its quarantine. An unhealthy worker completes no tasks, while on a healthy one about one
@@ -22,16 +41,41 @@
 // chance.
 func (c *Cell) recordSuccess(w *worker) {
 	w.failures = 0
+	w.longestFailure = 0
 	if w.onProbation {
-		w.onProbation = false
 		w.noStartsUntil = 0
-		c.logEvent("quarantine ended", "worker", w.host.ID)
+		c.endProbation(w)
+	}
+}
+
+func (c *Cell) endProbation(w *worker) {
+	w.onProbation = false
+	c.logEvent("quarantine ended", "worker", w.host.ID)
+	c.markChanged(w)
+}
+
+// admitsProbe reports whether the worker may get a task of the step. While it is on probation,
+// it gets no lasting task or gang, whose end would tell nothing about it.
+func (c *Cell) admitsProbe(w *worker, s *stepState) bool {
+	return !w.onProbation || c.now >= w.nextProbeAt && !s.spec.Lasting && !s.spec.Gang
+}
+
+// checkProbation ends a worker's probation once a run there has outlasted those that failed.
+// The next failure leads to quarantine at once.
+func (c *Cell) checkProbation(w *worker) {
+	if w.nextProbeAt != 0 && c.now >= w.nextProbeAt {
+		w.nextProbeAt = 0
+		c.markChanged(w)
+	}
+	for _, r := range w.runs {
+		if r.probe && r.state == runRunning && r.advancedAt > r.orderedAt && c.now-r.orderedAt >= c.probationTime(w) {
+			c.endProbation(w)
+			return
+		}
 	}
 }
 
-// admitsProbe reports whether the worker may get a task of the step. A worker on probation
-// is like a half-open circuit breaker: it gets one task at a time, and no lasting task or
-// gang, whose end would tell nothing about the worker.
-func (w *worker) admitsProbe(s *stepState) bool {
-	return !w.onProbation || w.probeCount == 0 && !s.spec.Lasting && !s.spec.Gang
+// probationTime returns for how long a run has to be at work to end a worker's probation.
+func (c *Cell) probationTime(w *worker) time.Duration {
+	return max(probeInterval, min(w.longestFailure, c.timing.Quarantine))
 }
--- a/cell/quarantine_test.go
+++ b/cell/quarantine_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -54,3 +55,34 @@
 		})
 	}
 }
+
+// Guards against workers that get nothing beside a long task because tasks failed there by their own fault.
+func TestProbationEndsBesideALongTask(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2, 6, 1)
+	const broken, long, quick = 0, 1, 2
+	isOf := func(task string, n int) bool { return strings.HasPrefix(task, jobID(n)+".") }
+	s.duration = func(task string) time.Duration {
+		if isOf(task, long) {
+			return 70 * time.Second
+		}
+		return 300 * time.Millisecond
+	}
+	s.failsTask = func(task string, _ uint64) bool { return isOf(task, broken) }
+	ofLong := step(12, 2)
+	ofLong.Estimate = 70 * time.Second
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	quarantined := s.lines("quarantine")
+	s.submit(&job.Job{ID: jobID(broken), Spec: "x", Steps: []job.Step{step(12, 2)}})
+	s.run(s.now + 3*time.Second)
+	is.Equal(s.state(jobID(broken)), "failed")
+	is.True(len(*quarantined) >= 6)
+	s.submit(&job.Job{ID: jobID(long), Spec: "x", Steps: []job.Step{ofLong}})
+	s.run(s.now + time.Second)
+	s.submit(&job.Job{ID: jobID(quick), Spec: "x", Steps: []job.Step{step(2, 1)}})
+	s.run(s.now + 3*time.Second)
+	is.Equal(s.runningCount(jobID(long)), 12)
+	is.Equal(s.state(jobID(quick)), "completed")
+	is.Equal(s.violations, nil)
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -123,7 +123,7 @@
 		}
 	}
 	if w.onProbation {
-		w.probeCount++
+		w.nextProbeAt = c.now + probeInterval
 		r.probe = true
 	}
 	w.used = w.used.Add(r.need)
@@ -136,9 +136,6 @@
 	w := r.worker
 	delete(w.runs, r.name)
 	w.used = w.used.Sub(r.need)
-	if r.probe {
-		w.probeCount--
-	}
 	r.endTrial()
 	c.markChanged(w)
 	t := r.task
--- a/cell/wait.go
+++ b/cell/wait.go
@@ -154,7 +154,7 @@
 		return refusalLeaving
 	case c.now < w.noStartsUntil:
 		return refusalQuarantine
-	case !w.admitsProbe(s):
+	case !c.admitsProbe(w, s):
 		return refusalProbation
 	case w.trialJob != nil && w.trialJob != s.job || t.suspect && !w.canTakeTrial(s.job, c.now):
 		return refusalTrial
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -62,15 +62,16 @@
 	trialJob     *jobState // job whose tasks are on trial on it, nil if none is
 	trialCount   int       // runs that are trials
 
-	lastContact   time.Duration // when it last answered
-	handledEnd    uint64        // highest end that was handled
-	recordedEnd   uint64        // highest end that is on record
-	sentAck       uint64        // highest end that the hold in flight acknowledges
-	forgottenEnd  uint64        // highest end that the worker has certainly forgotten
-	failures      int           // tasks in a row that failed
-	noStartsUntil time.Duration // in quarantine, or paused after a refusal
-	onProbation   bool          // it hasn't completed a task since its quarantine began
-	probeCount    int           // runs that were started during the probation
+	lastContact    time.Duration // when it last answered
+	handledEnd     uint64        // highest end that was handled
+	recordedEnd    uint64        // highest end that is on record
+	sentAck        uint64        // highest end that the hold in flight acknowledges
+	forgottenEnd   uint64        // highest end that the worker has certainly forgotten
+	failures       int           // tasks in a row that failed
+	noStartsUntil  time.Duration // in quarantine, or paused after a refusal
+	onProbation    bool          // since its quarantine no task has completed there or outlasted those that failed
+	nextProbeAt    time.Duration // when it may get the next task during its probation, zero for now
+	longestFailure time.Duration // longest run of the tasks that failed since one completed
 }
 
 // runState is the state of a run.
@@ -280,6 +281,9 @@
 		if w.missedHolds > 0 {
 			c.checkLease(w)
 		}
+		if w.onProbation {
+			c.checkProbation(w)
+		}
 		c.checkRuns(w)
 	}
 	c.expireReservations()
