Cell: lasting tasks and gangs are started on workers on probation

Cause: a worker on probation got no lasting task and no gang, as their end tells nothing about it, and only a task that completes ended the probation. Without other work nothing did.

Now they are started there after the quarantine, where no other worker has room: lasting tasks one each half second, like others, and a gang at once, as its members start together.

Ruled out: to leave failures of lasting tasks out of the count. A worker that is bad would fail each of them, and those of others, over and over.

--- a/cell/quarantine.go
+++ b/cell/quarantine.go
@@ -54,10 +54,10 @@
 	c.markChanged(w)
 }
 
-// admitsProbe reports whether the worker may get a task of the step. While it is on probation,
-// it gets no lasting task or gang, whose end would tell nothing about it.
+// admitsProbe reports whether the worker may get a task of the step. The members of a gang
+// start together, so they don't wait for each other.
 func (c *Cell) admitsProbe(w *worker, s *stepState) bool {
-	return !w.onProbation || c.now >= w.nextProbeAt && !s.spec.Lasting && !s.spec.Gang
+	return !w.onProbation || s.spec.Gang || c.now >= w.nextProbeAt
 }
 
 // checkProbation ends a worker's probation once a run there has outlasted those that failed.
--- a/cell/quarantine_test.go
+++ b/cell/quarantine_test.go
@@ -86,3 +86,71 @@
 	is.Equal(s.state(jobID(quick)), "completed")
 	is.Equal(s.violations, nil)
 }
+
+// Guards against a service on which nothing runs any more because its lasting tasks have failed on each worker.
+func TestProbationEndsWithLastingTasksAlone(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3, 3, 1)
+	const calm = 20 * time.Second
+	s.duration = func(string) time.Duration {
+		if s.now < calm {
+			return time.Second
+		}
+		return time.Hour
+	}
+	s.failsTask = func(string, uint64) bool { return true }
+	s.tail = func(string, *fakeWorker) time.Duration { return 0 }
+	s.owners[0].takeOver()
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{lastingOf(4, 2)}})
+	quarantined := s.lines("quarantine")
+	s.run(calm + 5*time.Second)
+	is.True(len(*quarantined) >= 3)
+	is.Equal(s.runningCount(jobID(0)), 4)
+	is.Equal(s.violations, nil)
+}
+
+// Guards against a gang that waits for workers on probation for ever, as nothing else is to be run on them.
+func TestGangStartsOnWorkersOnProbation(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 5, 3, 1)
+	s.failsTask = func(task string, _ uint64) bool { return strings.HasPrefix(task, jobID(0)) }
+	s.owners[0].takeOver()
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(12, 2)}})
+	quarantined := s.lines("quarantine")
+	for n := 0; n < 500 && s.state(jobID(0)) != "failed"; n++ {
+		s.run(s.now + tickInterval)
+	}
+	is.True(len(*quarantined) >= 3)
+	gang := step(6, 2)
+	gang.Gang = true
+	s.submit(&job.Job{ID: jobID(1), Spec: "x", Steps: []job.Step{gang}})
+	s.run(s.now + 5*time.Second)
+	is.Equal(s.state(jobID(1)), "completed")
+	is.Equal(s.violations, nil)
+}
+
+// Guards against lasting tasks on a worker on which tasks fail, with room on others.
+func TestLastingTasksKeepOffWorkersOnProbation(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 4, 4, 1)
+	s.duration = func(task string) time.Duration {
+		if s.isLasting(task) {
+			return time.Hour
+		}
+		return 300 * time.Millisecond
+	}
+	s.tail = func(string, *fakeWorker) time.Duration { return 0 }
+	s.isUnhealthy = func(w *fakeWorker) bool { return w.number == 0 }
+	s.owners[0].takeOver()
+	for i := range 20 {
+		s.after(time.Duration(i)*50*time.Millisecond, func() {
+			s.submit(&job.Job{ID: jobID(i), Spec: "x", Steps: []job.Step{step(4, 1)}})
+		})
+	}
+	s.run(4 * time.Second)
+	s.submit(&job.Job{ID: jobID(20), Spec: "x", Steps: []job.Step{lastingOf(8, 2)}})
+	s.run(s.now + time.Second)
+	is.Equal(s.runningCount(jobID(20)), 8)
+	is.Equal(len(s.workers[0].runs), 0)
+	is.Equal(s.violations, nil)
+}
--- a/cell/score.go
+++ b/cell/score.go
@@ -13,9 +13,12 @@
 	// workers.
 	costWeight = 5.0
 	// lossWeight is the weight of the capacity that filling tasks lose to a serving one,
-	// in workers. It outweighs all others, as the capacity is lost for as long as the
+	// in workers. It outweighs those above, as the capacity is lost for as long as the
 	// serving task lasts.
 	lossWeight = 12.0
+	// probationWeight is the weight of a worker's probation for lasting tasks and gangs,
+	// whose failure is the most expensive. It outweighs all others.
+	probationWeight = 20.0
 )
 
 // placementScore rates a worker for a step's tasks, including the interference between
@@ -43,6 +46,9 @@
 	if s.spec.Rack != "" && !w.host.HasLabel(s.spec.Rack) {
 		score += remoteWeight
 	}
+	if w.onProbation && (s.spec.Lasting || s.spec.Gang) {
+		score += probationWeight
+	}
 	switch {
 	case s.spec.Serves():
 		score += s.servingScore(w) - load
