Cell: each stop of a stalled task doubles the time that it may show no progress

Cause: progress comes in whole percent, and a run without a further percent for 2.5 s and a fifth of its estimate counted as hanging, whatever had happened to the runs before it.

Now the time doubles with each such stop of the task, up to a thousand times. A task that hangs at first and not later is stopped as early as before.

Ruled out: a longer time for all, as hanging tasks would be found later; and not to stop tasks that have shown progress, as they may hang later on.

Evidence: TestTaskMayTakeFarLongerThanEstimated: the job hadn't completed after 11 minutes before; now it has, with three starts at most.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -453,6 +453,22 @@
 	}
 }
 
+// Guards against a task that is stopped as hanging for ever because it takes far longer than estimated.
+func TestTaskMayTakeFarLongerThanEstimated(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 21, 1, 1)
+	s.duration = func(string) time.Duration { return 10 * time.Minute }
+	long := step(1, 2)
+	long.Estimate = 3 * time.Second
+	s.owners[0].takeOver()
+	starts := s.lines("start")
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{long}})
+	s.run(11 * time.Minute)
+	is.Equal(s.state(jobID(0)), "completed")
+	is.True(len(*starts) <= 3)
+	is.Equal(s.violations, nil)
+}
+
 // Guards against runs that the previous owner paused and that count as hanging.
 func TestAdoptedFillingTasksGoOn(t *testing.T) {
 	is := is.New(t)
--- a/cell/job.go
+++ b/cell/job.go
@@ -87,6 +87,7 @@
 	strays            []strayStart              // starts that a later incarnation of their worker may carry out
 	strayChange       uint64                    // number of the job's change that records them, zero if none does
 	reservation       *reservation              // capacity reserved for its next start, nil if none is
+	stalls            int                       // runs that were stopped because they showed no progress
 	avoidUntil        map[*worker]time.Duration // workers on which it failed or hung, and until when they are avoided
 }
 
--- a/cell/run.go
+++ b/cell/run.go
@@ -297,6 +297,7 @@
 	}
 	w := r.worker
 	c.avoid(r.task, w)
+	r.task.stalls++
 	if !r.isFilling() {
 		w.failures++ // a filling task may just find no idle processors
 		c.quarantineIfFailing(w)
@@ -305,11 +306,16 @@
 }
 
 // stallTimeout returns how long a run may show no progress. Progress is reported in whole
-// percent, so a long task may take a while for each.
+// percent, so a long task may take a while for each. The task may take far longer than
+// estimated, so each stop doubles the time.
 func (c *Cell) stallTimeout(r *run) time.Duration {
-	return c.timing.StallTimeout + r.task.step.spec.Estimate/5
+	timeout := c.timing.StallTimeout + r.task.step.spec.Estimate/5
+	return timeout << min(r.task.stalls, maxStallDoublings)
 }
 
+// maxStallDoublings bounds the stall timeout to about a thousand times the first one.
+const maxStallDoublings = 10
+
 // avoidDuration is how long a task isn't started again on a worker that it failed or hung
 // on. Afterwards the worker is allowed again, as it may be the only one that fits.
 const avoidDuration = 4 * time.Second
