Cell: a task avoids a worker on which it failed for two seconds

Cause: a task isn't started again on a worker on which it failed or hung for avoidDuration, which at 4 s was above the three seconds of LOST, and whose end was noticed only by the check of all workers each second.

Now it is 2 s, like the quarantine, and its end makes the worker news to the dispatch pass.

Ruled out: to start the task there at once if no other worker fits. A worker that is bad would use up the attempts of each task.

Evidence: TestFailedTaskIsStartedAgainOnTheOnlyWorker fails without it. TestProbationEndsBesideALongTask waits for the end of its first job now instead of a fixed time, which that job no longer needs.

--- a/cell/cell_test.go
+++ b/cell/cell_test.go
@@ -469,6 +469,27 @@
 	is.Equal(s.violations, nil)
 }
 
+// Guards against a task that waits for over three seconds beside the only worker for it, on which it has failed.
+func TestFailedTaskIsStartedAgainOnTheOnlyWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 22, 1, 1)
+	s.failsTask = func(task string, attempt uint64) bool { return attempt%2 == 1 }
+	s.owners[0].takeOver()
+	starts := s.lines("start")
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(1, 2)}})
+	for s.failures[jobID(0)+".0.0.0"] == 0 && s.now < 10*time.Second {
+		s.run(s.now + tickInterval)
+	}
+	failedAt := s.now
+	for len(*starts) < 2 && s.now < failedAt+10*time.Second {
+		s.run(s.now + tickInterval)
+	}
+	is.True(s.now-failedAt < 2500*time.Millisecond)
+	s.run(s.now + 3*time.Second)
+	is.Equal(s.state(jobID(0)), "completed")
+	is.Equal(s.violations, nil)
+}
+
 // Guards against runs that the previous owner paused and that count as hanging.
 func TestAdoptedFillingTasksGoOn(t *testing.T) {
 	is := is.New(t)
--- a/cell/quarantine_test.go
+++ b/cell/quarantine_test.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// runUntilFailed runs until a job has failed, for ten seconds at most.
+func (s *site) runUntilFailed(id string) {
+	for until := s.now + 10*time.Second; s.state(id) != "failed" && s.now < until; {
+		s.run(s.now + tickInterval)
+	}
+}
+
 // Guards against workers that get nothing beside a long task because tasks failed there by their own fault.
 func TestProbationEndsBesideALongTask(t *testing.T) {
 	is := is.New(t)
@@ -75,8 +82,7 @@
 	s.run(time.Second)
 	quarantined := s.lines("quarantine")
 	s.submit(&job.Job{ID: jobID(broken), Spec: "x", Steps: []job.Step{step(12, 2)}})
-	s.run(s.now + 3*time.Second)
-	is.Equal(s.state(jobID(broken)), "failed")
+	s.runUntilFailed(jobID(broken))
 	is.True(len(*quarantined) >= 6)
 	s.submit(&job.Job{ID: jobID(long), Spec: "x", Steps: []job.Step{ofLong}})
 	s.run(s.now + time.Second)
@@ -117,9 +123,7 @@
 	s.owners[0].takeOver()
 	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{step(12, 2)}})
 	quarantined := s.lines("quarantine")
-	for n := 0; n < 500 && s.state(jobID(0)) != "failed"; n++ {
-		s.run(s.now + tickInterval)
-	}
+	s.runUntilFailed(jobID(0))
 	is.True(len(*quarantined) >= 3)
 	gang := step(6, 2)
 	gang.Gang = true
--- a/cell/run.go
+++ b/cell/run.go
@@ -318,11 +318,12 @@
 
 // avoidDuration is how long a task isn't started again on a worker that it failed or hung
 // on. Afterwards the worker is allowed again, as it may be the only one that fits.
-const avoidDuration = 4 * time.Second
+const avoidDuration = 2 * time.Second
 
 func (c *Cell) avoid(t *task, w *worker) {
 	if t.avoidUntil == nil {
 		t.avoidUntil = make(map[*worker]time.Duration)
 	}
 	t.avoidUntil[w] = c.now + avoidDuration
+	w.avoidedUntil = t.avoidUntil[w]
 }
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -70,6 +70,7 @@
 	failures       int           // tasks in a row that failed
 	noStartsUntil  time.Duration // in quarantine, or paused after a refusal
 	onProbation    bool          // since its quarantine no task has completed there or outlasted those that failed
+	avoidedUntil   time.Duration // until when any task avoids it, zero if none does
 	nextProbeAt    time.Duration // when it may get the next task during its probation, zero for now
 	longestFailure time.Duration // longest run of the tasks that failed since one completed
 }
@@ -281,6 +282,10 @@
 		if w.missedHolds > 0 {
 			c.checkLease(w)
 		}
+		if w.avoidedUntil != 0 && c.now >= w.avoidedUntil {
+			w.avoidedUntil = 0
+			c.markChanged(w)
+		}
 		if w.onProbation {
 			c.checkProbation(w)
 		}
