Cell: a task that is found running gives up its reservation

What callers saw: a lasting task may run twice (TWICE).

Cause: a task whose next start was being recorded kept its reservation when a worker turned out to run it. When that run had ended, the task was started on the reserved worker at once, though the record named the other one by then; an owner that took over at that moment started it a third time.

Evidence: TestReservationOfATaskThatIsFoundRunning: two runs at a time before.

--- a/cell/laststart_test.go
+++ b/cell/laststart_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/job"
 	"github.com/dogwoodladder/dogwoodladder/progress"
 	"github.com/dogwoodladder/dogwoodladder/provider"
@@ -182,3 +183,57 @@
 	is.Equal(s.runningCount(jobID(0)), 40)
 	is.Equal(s.violations, nil)
 }
+
+// Guards against a start of a lasting task without a record: the task was found running elsewhere while the record of its
+// next start was written, and the reservation outlived that run.
+func TestReservationOfATaskThatIsFoundRunning(t *testing.T) {
+	const off = 21 * time.Millisecond
+	is := is.New(t)
+	s := lastingSite(t, 9030, 4)
+	s.checkRecords = false
+	s.noMachineList = true
+	order := s.holdUpStart(s.owners[0], 0)
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{lastingOf(4, 2)}})
+	s.run(s.now + 300*time.Millisecond)
+	is.True(order.Task != "")
+	s.workers[0].corruptEntry(time.Hour) // it gets no tasks
+	var events []string
+	note := func(e cell.LogEvent) {
+		f := fieldsOf(e)
+		if f["task"] == order.Task || f["worker"] == "w0-0" {
+			events = append(events, e.Event)
+			t.Logf("%v %s %v", s.now, e.Event, f)
+		}
+	}
+	s.owners[0].onLog = note
+	ended := false
+	s.owners[0].onLog = func(e cell.LogEvent) {
+		note(e)
+		if e.Event == "end" && fieldsOf(e)["task"] == order.Task && !ended {
+			ended = true
+			s.after(off, func() { s.storeDelay = 600 * time.Millisecond })
+			s.after(off+20*time.Millisecond, func() { s.deliver(is, order, 0) })
+		}
+		if e.Event == "adopted" && fieldsOf(e)["task"] == order.Task {
+			s.after(800*time.Millisecond, func() { s.storeDelay = 0; s.restartOne(0, 100*time.Millisecond, false) })
+		}
+	}
+	s.owners[0].onStart = func(o provider.StartOrder) {
+		if o.Task == order.Task {
+			t.Logf("%v start on %s, on record: %+v", s.now, o.Host.ID, s.lastStart(o.Task))
+			runner := s.workerAt(o.Host).number
+			s.after(20*time.Millisecond, func() { // the start has arrived
+				s.owners[0].kill()
+				s.owners[1].unreachable[runner] = true
+			})
+			s.after(300*time.Millisecond, func() {
+				t.Logf("%v the next owner takes the cell, on record: %+v", s.now, s.lastStart(o.Task))
+				s.workers[0].entryCorrupt = false
+				s.owners[1].onLog = note
+				s.owners[1].takeOver()
+			})
+		}
+	}
+	s.run(s.now + 8*time.Second)
+	is.Equal(s.violations, nil)
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -49,6 +49,7 @@
 		return c.reject(w, p)
 	}
 	c.unqueue(t)
+	c.releaseReservation(t)
 	c.foundStart(t, p.Attempt)
 	r := c.addRun(t, p.Task, w, p.Attempt)
 	r.state = runRunning
