Cell: a run that is found settles only the start that it came from

What callers saw: a lasting task may run twice (TWICE).

Cause: when a worker turned out to run a task, all starts that were assumed of the earlier owner were dropped, as if the run had come from them. It may come from a stray start on record. Since the last start of a lasting task is on record the assumed one names its worker, and was dropped for a run on another one.

Evidence: TestFoundRunIsNotTheLastStartOnRecord: two runs at a time before.

--- a/cell/end.go
+++ b/cell/end.go
@@ -30,7 +30,7 @@
 		return
 	}
 	t.attempt = max(t.attempt, e.Attempt)
-	c.foundStart(t, e.Attempt)
+	c.foundStart(t, w.host.ID, e.Attempt)
 	c.retractCrash(t, e.Attempt)
 	switch e.End {
 	case provider.EndDone:
--- a/cell/laststart_test.go
+++ b/cell/laststart_test.go
@@ -237,3 +237,51 @@
 	s.run(s.now + 8*time.Second)
 	is.Equal(s.violations, nil)
 }
+
+// Guards against a lasting task that runs twice: one of its two late starts was carried out, and the one that was on
+// record as its last start is taken for it.
+func TestFoundRunIsNotTheLastStartOnRecord(t *testing.T) {
+	is := is.New(t)
+	s := lastingSite(t, 9040, 6)
+	s.checkRecords = false
+	var orders []provider.StartOrder
+	var task string
+	s.owners[0].onStart = func(o provider.StartOrder) {
+		first := task == "" && o.Host.ID == s.workers[0].host.ID
+		if first || o.Task == task && len(orders) == 1 && o.Host.ID != orders[0].Host.ID {
+			task = o.Task
+			orders = append(orders, o)
+			s.lateOrderRate = 1
+			s.after(0, func() { s.lateOrderRate = 0 })
+		}
+	}
+	st := lastingOf(6, 2)
+	st.MaxStopped = 6
+	s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{st}})
+	s.run(s.now + 300*time.Millisecond)
+	is.True(task != "")
+	s.workers[0].corruptEntry(time.Hour)
+	for n := 0; n < 300 && len(orders) < 2; n++ {
+		s.run(s.now + 20*time.Millisecond)
+	}
+	is.Equal(len(orders), 2)
+	second := s.workerAt(orders[1].Host).number
+	t.Logf("%v: %s ordered to %s and %s; on record %+v", s.now, task, orders[0].Host.ID, orders[1].Host.ID, s.lastStart(task))
+	s.run(s.now + 100*time.Millisecond)
+	s.owners[0].kill()
+	s.workers[second].corruptEntry(time.Hour)
+	s.deliver(is, &orders[0], 0)
+	s.run(s.now + 470*time.Millisecond)
+	is.True(s.workers[0].runs[task] != nil)
+	s.owners[1].onLog = func(e cell.LogEvent) {
+		f := fieldsOf(e)
+		if f["task"] == task || f["worker"] == orders[0].Host.ID || f["worker"] == orders[1].Host.ID {
+			t.Logf("%v %s %v", s.now, e.Event, f)
+		}
+	}
+	s.owners[1].takeOver()
+	s.run(s.now + 2500*time.Millisecond)
+	s.deliver(is, &orders[1], second)
+	s.run(s.now + 3*settleTime)
+	is.Equal(s.violations, nil)
+}
--- a/cell/report.go
+++ b/cell/report.go
@@ -50,7 +50,7 @@
 	}
 	c.unqueue(t)
 	c.releaseReservation(t)
-	c.foundStart(t, p.Attempt)
+	c.foundStart(t, w.host.ID, p.Attempt)
 	r := c.addRun(t, p.Task, w, p.Attempt)
 	r.state = runRunning
 	t.attempt = max(t.attempt, p.Attempt)
--- a/cell/stray.go
+++ b/cell/stray.go
@@ -69,10 +69,13 @@
 	}
 }
 
-// foundStart drops the stray start that a worker lists. It is the one that was assumed, as the
-// others of an earlier owner are on record.
-func (c *Cell) foundStart(t *task, attempt uint64) {
-	t.strays = slices.DeleteFunc(t.strays, func(s strayStart) bool { return s.attempt == attempt || s.assumed })
+// foundStart drops the stray start that a worker lists. It is the one that was assumed, unless
+// another one to that worker is on record.
+func (c *Cell) foundStart(t *task, host string, attempt uint64) {
+	recorded := slices.ContainsFunc(t.strays, func(s strayStart) bool { return !s.assumed && s.attempt == 0 && s.host == host })
+	t.strays = slices.DeleteFunc(t.strays, func(s strayStart) bool {
+		return s.attempt == attempt || s.assumed && !recorded && (s.host == host || s.host == anyHost)
+	})
 }
 
 // restoreStrays restores the stray starts of a task from the record. Those of an owner that left
