Cell: starts that were recorded first keep to the limit of starts

What callers saw: nothing yet. Found by review: with a slow store, the starts of a large job of lasting tasks were ordered all at once when their record was written, beyond the limit that keeps the owner's answers quick.

Cause: startReserved didn't ask the start limiter.

--- a/cell/laststart_test.go
+++ b/cell/laststart_test.go
@@ -285,3 +285,22 @@
 	s.run(s.now + 3*settleTime)
 	is.Equal(s.violations, nil)
 }
+
+// Guards against starts of lasting tasks that exceed the limit of starts without an answer once their record is written.
+func TestRecordedStartsKeepToTheStartLimit(t *testing.T) {
+	for _, lasting := range []bool{false, true} {
+		is := is.New(t)
+		s := newSite(t, 9010, 100, 1)
+		s.duration = func(string) time.Duration { return time.Hour }
+		s.tail = func(string, *fakeWorker) time.Duration { return 0 }
+		s.owners[0].takeOver()
+		s.run(time.Second)
+		st := step(700, 1)
+		st.Lasting = lasting
+		s.storeDelay = 120 * time.Millisecond
+		s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{st}})
+		s.run(s.now + 5*time.Second)
+		t.Logf("lasting %v: at most %d starts without an answer, %d run", lasting, s.owners[0].maxStartsInFlight, s.runningCount(jobID(0)))
+		is.True(s.owners[0].maxStartsInFlight <= 256)
+	}
+}
--- a/cell/relocate.go
+++ b/cell/relocate.go
@@ -142,6 +142,10 @@
 			c.recordReserved(t)
 			continue
 		}
+		if c.startLimiter.full() {
+			c.needsDispatch = true
+			return
+		}
 		w := c.releaseReservation(t)
 		if !c.isUsable(w) || !c.fits(s, w) || !c.mayRunOn(t, w) {
 			continue
