Cell: a start whose outcome is unknown holds its task alone

What callers saw: after two takeovers in a row, no lasting task of a step is started for 20 s while any worker is silent, also one that never ran any of them (LOST).

Cause: during its survey an owner records each start of a lasting task as one that may crash its worker. If the owner was replaced before the outcome, the next one held the whole step until all workers were surveyed, to count the crash. The list of such starts was emptied only after that hold.

Now the task alone waits, and only for the worker of that start, whose answer tells whether the start crashed it. Where the worker isn't on record, the task waits for the survey as before.

Ruled out: not to wait at all; tasks that crash their workers would be started once more for each owner.

--- a/cell/crash.go
+++ b/cell/crash.go
@@ -75,6 +75,10 @@
 		if t.done || t.run != nil || !h.StartPending || t.startChange > 0 {
 			continue
 		}
+		if c.awaitsLastWorker(t) {
+			s.inheritedStarts = append(s.inheritedStarts, t)
+			continue
+		}
 		if c.survey.mayHaveCrashed(h.Incarnation) {
 			c.logEvent("start vanished", "task", t.name, "worker", h.Incarnation, "crashes", h.Crashes+1)
 			h.ResolveCrashedStart()
--- a/cell/laststart.go
+++ b/cell/laststart.go
@@ -59,14 +59,19 @@
 }
 
 // awaitsLastWorker reports whether the worker on which an earlier owner last started a task may
-// still run it, and hasn't answered yet. A run that it had listed ended with its machine.
+// still run it, and hasn't answered yet. A run that it had listed ended with its machine. If the
+// start may have crashed the worker, its answer tells.
 func (c *Cell) awaitsLastWorker(t *task) bool {
-	if c.survey.done || t.lastStart == (progress.Start{}) {
+	if c.survey.done {
 		return false
 	}
+	mayCrash := t.startChange == 0 && t.step.job.progress.Crashes(t.id).StartPending
+	if t.lastStart == (progress.Start{}) {
+		return mayCrash // its worker isn't known
+	}
 	w := c.workers[t.lastStart.Host]
 	if _, pending := c.survey.pending[w]; !pending {
 		return false
 	}
-	return !t.lastStart.Begun || w.downSince == 0
+	return mayCrash || !t.lastStart.Begun || w.downSince == 0
 }
--- a/cell/laststart_test.go
+++ b/cell/laststart_test.go
@@ -304,3 +304,64 @@
 		is.True(s.owners[0].maxStartsInFlight <= 256)
 	}
 }
+
+// Guards against lasting tasks of a step that all wait for the survey because the start of one of them is
+// on record without an outcome.
+func TestQuickTakeoversDoNotHoldLastingTasks(t *testing.T) {
+	for _, gap := range []time.Duration{20 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, 8 * time.Second} {
+		t.Run(gap.String(), func(t *testing.T) {
+			is := is.New(t)
+			s := lastingSite(t, 9000, 20)
+			apart := lastingOf(15, 1)
+			apart.PerWorker = 1
+			s.submit(&job.Job{ID: jobID(0), Spec: "x", Steps: []job.Step{apart}})
+			s.run(s.now + 3*time.Second)
+			is.Equal(s.runningCount(jobID(0)), 15)
+			var busy, idle []*fakeWorker
+			for _, w := range s.workers {
+				if len(w.runs) > 0 {
+					busy = append(busy, w)
+				} else {
+					idle = append(idle, w)
+				}
+			}
+			for _, o := range s.owners {
+				o.unreachable[idle[0].number] = true // nothing was ever started there
+			}
+			s.owners[0].kill()
+			busy[0].resetConnections()
+			busy[0].crash(time.Hour, 1)
+			ordered := false
+			s.owners[1].onStart = func(provider.StartOrder) {
+				if ordered {
+					return
+				}
+				ordered = true
+				s.after(gap, func() {
+					s.replaceOwner(1, 0)
+					busy[1].resetConnections()
+					busy[1].crash(time.Hour, 2)
+				})
+			}
+			s.owners[1].takeOver()
+			for n := 0; n < 200 && !ordered; n++ {
+				s.run(s.now + tickInterval)
+			}
+			is.True(ordered)
+			s.run(s.now + gap)
+			from := s.now
+			holds := make(map[any]int)
+			s.owners[0].onLog = func(e cell.LogEvent) {
+				if e.Event == "task waits" {
+					holds[fieldsOf(e)["hold"]]++
+				}
+			}
+			for s.now < from+40*time.Second && s.runningCount(jobID(0)) < 15 {
+				s.run(s.now + tickInterval)
+			}
+			t.Logf("all run %v after the second takeover; holds logged: %v", s.now-from, holds)
+			is.True(s.now-from < 3*time.Second)
+			is.Equal(s.violations, nil)
+		})
+	}
+}
--- a/cell/survey.go
+++ b/cell/survey.go
@@ -142,5 +142,5 @@
 // any, or the survey has found all of them, or it is on record on which worker each of them was
 // last started.
 func (c *Cell) canStart(s *stepState) bool {
-	return !s.job.inherited || c.survey.done || c.recordsStarts && s.recordsStarts() && len(s.inheritedStarts) == 0
+	return !s.job.inherited || c.survey.done || c.recordsStarts && s.recordsStarts()
 }
