Cell: a task that hung before isn't left hanging for long

What callers saw: after a fault in which all runs hang for 24 s, a job was done 21.6 s after its end. Found by review.

Cause: doubled the time without progress with each stop of a task, for one that takes far longer than estimated. A task that hangs again and again can't be told from it, and was left hanging for longer each time.

Now the times follow the ruler sequence, which serves both: every second run is stopped as early as the first, and a long task gets the time it needs after few stops.

Evidence: TestTaskThatHungBeforeIsStartedAgainInTime (over 20 s before), and TestTaskMayTakeFarLongerThanEstimated, which allows a fourth start now.

--- a/cell/run.go
+++ b/cell/run.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/dogwoodladder/dogwoodladder/delay"
@@ -306,14 +307,15 @@
 }
 
 // stallTimeout returns how long a run may show no progress. Progress is reported in whole
-// percent, so a long task may take a while for each. The task may take far longer than
-// estimated, so each stop doubles the time.
+// percent, so a long task may take a while for each. A task that was stopped before may hang
+// again, or take far longer than estimated, so the times follow the ruler sequence: 1, 2, 1,
+// 4, 1, 2, 1, 8 and so on. Whichever it is, hardly any time is lost.
 func (c *Cell) stallTimeout(r *run) time.Duration {
 	timeout := c.timing.StallTimeout + r.task.step.spec.Estimate/5
-	return timeout << min(r.task.stalls, maxStallDoublings)
+	return timeout << min(bits.TrailingZeros(uint(r.task.stalls+1)), maxStallDoublings)
 }
 
-// maxStallDoublings bounds the stall timeout to about a thousand times the first one.
+// maxStallDoublings bounds the stall timeout to about a thousand times the shortest one.
 const maxStallDoublings = 10
 
 // avoidDuration is how long a task isn't started again on a worker that it failed or hung
