Cell: a worker that works on nothing stays on probation

What callers saw: a worker that accepts starts and works on none left its probation after half a second and got up to 24 starts in 15 s instead of 3 to 10.

Cause: the time of the last progress is set when a start is accepted, and was taken for progress; a run that hung didn't count as one to outlast.

Now a run is at work once its percent has grown since the first report, or is full, and a run that hung counts like one that failed.

--- a/cell/quarantine.go
+++ b/cell/quarantine.go
@@ -28,7 +28,7 @@
 	c.logEvent("quarantine", "worker", w.host.ID, "for", c.timing.Quarantine)
 }
 
-// recordFailure counts a task that failed on a worker.
+// recordFailure counts a task that failed or hung on a worker.
 func (c *Cell) recordFailure(w *worker, ran time.Duration) {
 	w.failures++
 	w.longestFailure = max(w.longestFailure, ran)
@@ -68,13 +68,18 @@
 		c.markChanged(w)
 	}
 	for _, r := range w.runs {
-		if r.probe && r.state == runRunning && r.advancedAt > r.orderedAt && c.now-r.orderedAt >= c.probationTime(w) {
+		if r.probe && r.state == runRunning && r.isAtWork() && c.now-r.orderedAt >= c.probationTime(w) {
 			c.endProbation(w)
 			return
 		}
 	}
 }
 
+// isAtWork reports whether a run has made progress since its worker first reported it.
+func (r *run) isAtWork() bool {
+	return r.fromKnown && (r.percent > r.from || r.percent >= fullPercent)
+}
+
 // probationTime returns for how long a run has to be at work to end a worker's probation.
 func (c *Cell) probationTime(w *worker) time.Duration {
 	return max(probeInterval, min(w.longestFailure, c.timing.Quarantine))
--- a/cell/quarantine_test.go
+++ b/cell/quarantine_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dogwoodladder/dogwoodladder/cell"
 	"github.com/dogwoodladder/dogwoodladder/job"
+	"github.com/dogwoodladder/dogwoodladder/provider"
 )
 
 // Guards against healthy workers that are quarantined by chance, and unhealthy ones that
@@ -158,3 +160,49 @@
 	is.Equal(len(s.workers[0].runs), 0)
 	is.Equal(s.violations, nil)
 }
+
+// Guards against a worker that accepts starts, works on none, and leaves its probation all the same.
+func TestHangingWorkerStaysOnProbation(t *testing.T) {
+	s := newSite(t, 9020, 4, 1)
+	s.slowdown = func(_ string, w *fakeWorker) float64 {
+		if w.number == 0 {
+			return 1e6
+		}
+		return 1
+	}
+	s.duration = func(string) time.Duration { return 400 * time.Millisecond }
+	quarantined, ended := 0, 0
+	s.owners[0].onLog = func(e cell.LogEvent) {
+		switch e.Event {
+		case "quarantine":
+			quarantined++
+		case "quarantine ended":
+			ended++
+		}
+	}
+	starts, seen := make([]int, 4), 0
+	s.owners[0].onStart = func(o provider.StartOrder) {
+		seen++
+		if o.Host.ID == s.workers[0].host.ID {
+			starts[min(3, int(s.now/(15*time.Second)))]++
+		}
+	}
+	s.owners[0].takeOver()
+	s.run(time.Second)
+	for n := range 590 {
+		s.after(time.Duration(n)*100*time.Millisecond, func() {
+			s.submit(&job.Job{ID: jobID(n), Spec: "x", Steps: []job.Step{step(5, 1)}})
+		})
+	}
+	s.run(60 * time.Second)
+	done := 0
+	for n := range 590 {
+		if s.state(jobID(n)) == "completed" {
+			done++
+		}
+	}
+	t.Logf("starts on the hanging worker per 15 s: %v of %d; quarantined %d, ended %d; %d jobs done; %v", starts, seen, quarantined, ended, done, s.violations)
+	if ended > 0 {
+		t.Errorf("probation ended %d times on a worker that completes nothing", ended)
+	}
+}
--- a/cell/run.go
+++ b/cell/run.go
@@ -300,8 +300,7 @@
 	c.avoid(r.task, w)
 	r.task.stalls++
 	if !r.isFilling() {
-		w.failures++ // a filling task may just find no idle processors
-		c.quarantineIfFailing(w)
+		c.recordFailure(w, c.now-r.orderedAt) // a filling task may just find no idle processors
 	}
 	c.stopRun(r, "no progress")
 }
