--- a/cell/stray.go
+++ b/cell/stray.go
@@ -183,7 +183,8 @@
 
 // strayWorker returns the worker that all stray starts of a task went to, nil if there is none or it
 // hasn't answered. The task may be started there at once: the incarnation that answered refuses the
-// stray starts, and a later one only carries them out when the new run has ended with this one.
+// stray starts, and a later one only carries them out when the new run has ended with this one,
+// unless the new start is late too and reaches that one.
 func (c *Cell) strayWorker(t *task) *worker {
 	if len(t.strays) == 0 || t.strayChange > t.step.job.savedChanges || c.awaitsLastWorker(t) {
 		return nil
--- a/cell/stray_test.go
+++ b/cell/stray_test.go
@@ -260,6 +260,7 @@
 	is.True(s.recordedStrays(jobID(0)) > 0)
 	s.run(s.now + cell.DefaultTiming().MaxOrderAge + time.Second)
 	is.Equal(s.recordedStrays(jobID(0)), 0)
+	is.Equal(s.violations, nil)
 }
 
 // Guards against tasks that wait for late starts as long as workers leave, although none can arrive any more.
@@ -286,6 +287,7 @@
 	timing := cell.DefaultTiming()
 	s.run(takenAt + timing.MaxOrderAge + timing.UnlistedGrace + 2*time.Second)
 	is.Equal(s.runningCount(jobID(0)), 8*(80-len(s.downWorkers())))
+	is.Equal(s.violations, nil)
 }
 
 // killAtFirstStart kills an owner right after its next dispatch pass.
@@ -315,6 +317,7 @@
 	s.submit(&job.Job{ID: jobID(100), Spec: "x", Steps: []job.Step{step(20, 1)}})
 	s.run(s.now + 500*time.Millisecond)
 	is.Equal(s.runningCount(jobID(100)), 20)
+	is.Equal(s.violations, nil)
 }
 
 // Guards against tasks that wait for a worker that is gone until its entry has expired, as nobody asked about its
--- a/cell/worker.go
+++ b/cell/worker.go
@@ -106,7 +106,7 @@
 	unsent          bool          // its start wasn't sent
 	accepted        bool          // its start was accepted, by its worker's incarnation or a later one
 	listed          bool          // an answer of its worker's incarnation listed it
-	begunRecorded   bool          // the record of its start says so, or its start isn't on record
+	begunRecorded   bool          // nothing is left to record of its start; see recordBegun
 	stopSentAt      time.Duration
 	percent         int
 	advancedAt      time.Duration // when percent last grew
