--- a/dispatcher/control_test.go
+++ b/dispatcher/control_test.go
@@ -123,16 +123,19 @@
 	return nil
 }
 
-// Guards against a successor that takes the starts of a failed owner for settled.
-func TestClaimOfSettledCell(t *testing.T) {
+// Guards against a successor that takes the starts of a failed owner for settled, or doesn't know that those of
+// lasting tasks are on record.
+func TestClaimTellsWhatIsOnRecord(t *testing.T) {
 	tests := []struct {
 		name    string
 		earlier catalog.Owner
 		settled bool
+		records bool
 	}{
-		{"the owner left with its starts settled", catalog.Owner{Leaving: true, Settled: true}, true},
-		{"it left with a start under way", catalog.Owner{Leaving: true}, false},
-		{"it failed after it had claimed a settled cell", catalog.Owner{Settled: true}, false},
+		{"the owner left with its starts settled", catalog.Owner{Leaving: true, Settled: true}, true, false},
+		{"it left with a start under way", catalog.Owner{Leaving: true}, false, false},
+		{"it failed after it had claimed a settled cell", catalog.Owner{Settled: true}, false, false},
+		{"it had the starts of lasting tasks on record", catalog.Owner{RecordsStarts: true}, false, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -147,6 +150,7 @@
 			claimed := catalog.New()
 			is.NoErr(claimed.Progress(<-store.claims))
 			is.Equal(claimed.Owner().Settled, tt.settled)
+			is.Equal(claimed.Owner().RecordsStarts, tt.records)
 			d.tomb.Kill(nil)
 			is.NoErr(d.tomb.Wait())
 		})
